--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"mulleinwood/rules"
+)
+
+type settingsJSON struct {
+	Classes []struct {
+		Name        string  `json:"name"`
+		Aim         float64 `json:"slo"`
+		Deadline    float64 `json:"deadline"`
+		Idempotency string  `json:"idempotency"`
+		Group       string  `json:"group"`
+		Window      float64 `json:"repeat-window"`
+		Worth       float64 `json:"importance"`
+		LateWorth   float64 `json:"late-worth"`
+	} `json:"classes"`
+	Discovery string `json:"discovery"`
+	Extra     *struct {
+		LevelKind    string  `json:"level-kind"`
+		PendingMax   float64 `json:"pending-max"`
+		PerMessage   float64 `json:"per-message"`
+		EgressPerS   float64 `json:"egress-per-s"`
+		ReloadsMax   int     `json:"reloads-max"`
+		CountedOver  float64 `json:"counted-over"`
+		Interval     float64 `json:"interval"`
+		ProxyCount   int     `json:"proxy-count"`
+		Ranges       int     `json:"ranges"`
+		RetryDefault int     `json:"retry-default"`
+		TryAims      float64 `json:"try-aims"`
+		StaysLocal   []bool  `json:"stays-local"`
+	} `json:"extra"`
+	Localities  []string `json:"localities"`
+	Me          int      `json:"me"`
+	MyZone      int      `json:"my-zone"`
+	Instances   int      `json:"replicas-of-me"`
+	Permissions struct {
+		Probes bool `json:"probes"`
+	} `json:"permissions"`
+	Rules *struct {
+		Cold         float64 `json:"cold"`
+		StartCap     float64 `json:"start-capacity"`
+		Grace        float64 `json:"stop-sending-within"`
+		FallMultiple float64 `json:"fall-multiple"`
+		TipAfter     float64 `json:"tip-after"`
+	} `json:"rules"`
+}
+
+// ParseSettings reads the JSON text of a Born record. Unknown keys are skipped.
+func ParseSettings(text []byte) (rules.Settings, error) {
+	var j settingsJSON
+	if err := json.Unmarshal(text, &j); err != nil {
+		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	switch {
+	case len(j.Classes) == 0:
+		return rules.Settings{}, errors.New("settings: no classes")
+	case len(j.Classes) > 16:
+		return rules.Settings{}, fmt.Errorf("settings: %d classes, at most 16 fit a mask", len(j.Classes))
+	case len(j.Localities) == 0:
+		return rules.Settings{}, errors.New("settings: no localities")
+	case j.Extra == nil:
+		return rules.Settings{}, errors.New("settings: extra is missing")
+	case j.Rules == nil:
+		return rules.Settings{}, errors.New("settings: rules is missing")
+	}
+	x, r := j.Extra, j.Rules
+	s := rules.Settings{
+		Instances: j.Instances, Zone: j.MyZone, Zones: len(j.Localities), Proxies: x.ProxyCount,
+		AskDiscovery: j.Discovery == "on_request", Probes: j.Permissions.Probes, Slices: x.Ranges,
+		TryAims: x.TryAims, ReportPeriod: x.Interval, QueueLines: x.PendingMax, LinesPerSec: x.EgressPerS,
+		HeadLines: x.PerMessage, MessagesMost: x.ReloadsMax, MessagesOver: x.CountedOver,
+		DrainGrace: r.Grace, ColdFor: r.Cold, StartCapacity: r.StartCap, FallMultiple: r.FallMultiple,
+		FallAfter: r.TipAfter,
+	}
+	if x.RetryDefault < 0 || x.RetryDefault > int(rules.RetryTwice) {
+		return rules.Settings{}, fmt.Errorf("settings: extra.retry-default %d is not a retry method", x.RetryDefault)
+	}
+	s.RetryDefault = rules.Retry(x.RetryDefault)
+	switch x.LevelKind {
+	case "ratio":
+		s.Admission = rules.AdmitShare
+	case "rps":
+		s.Admission = rules.AdmitRate
+	case "silent":
+		s.Admission = rules.AdmitNone
+	default:
+		return rules.Settings{}, fmt.Errorf("settings: extra.level-kind %q is unknown", x.LevelKind)
+	}
+	for i, c := range j.Classes {
+		class := rules.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth,
+			LateWorth: c.LateWorth, Window: c.Window, OwnZone: i < len(x.StaysLocal) && x.StaysLocal[i]}
+		switch c.Idempotency {
+		case "read_like":
+			class.Effect = rules.Safe
+		case "idempotency_key":
+			class.Effect = rules.Keyed
+		case "non_idempotent":
+			class.Effect = rules.Unsafe
+		default:
+			return rules.Settings{}, fmt.Errorf("settings: class %q has unknown idempotency %q", c.Name, c.Idempotency)
+		}
+		switch c.Group {
+		case "all", "":
+			class.Scope = rules.ScopeAll
+		case "zone":
+			class.Scope = rules.ScopeZone
+		case "cell":
+			class.Scope = rules.ScopeCell
+		default:
+			return rules.Settings{}, fmt.Errorf("settings: class %q has unknown group %q", c.Name, c.Group)
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s, nil
+}
