--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,9 +20,10 @@
 	tDecay     = 1.0   // decay of the sum, in rounds
 	sumCap     = 500.0 // cap of the sum, either way
 	factorLow  = 0.1   // least factor on a listed weight
-	factorHigh = 4.0   // largest factor
+	factorHigh = 1.5   // largest factor
 	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
-	errorsKept = 3     // rounds over which a server's error is averaged
+	approach = 0.15
+	errorsKept = 3 // rounds over which a server's error is averaged
 	roundTime  = 2500.0
 	coverage   = 0.6 // share of the usable servers that must have been heard
 	heardFor   = 60000.0
@@ -363,7 +364,8 @@
 		}
 		if mean < -deadBand || mean > deadBand {
 			s.sum = max(-sumCap, min(sumCap, s.sum*(1-tDecay/tI)+mean))
-			s.factor = max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum))
+			want := max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum))
+			s.factor += approach * (want - s.factor)
 		}
 	}
 }
