Keep cold servers out while the fleet is failing

Scaling the share by pressure did not help (same fall): tried and taken back. Now a cold server is withdrawn while pressure is over 2 or not yet known. Should also guard against any collapse that meets returning servers. Harm: in a long collapse a cold server warms unused.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,7 +22,7 @@
 	factorLow  = 0.1   // least factor on a listed weight
 	factorHigh = 1.5   // largest factor
 	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
-	approach = 0.15
+	approach   = 0.15
 	errorsKept = 3 // rounds over which a server's error is averaged
 	roundTime  = 2500.0
 	coverage   = 0.6 // share of the usable servers that must have been heard
@@ -42,13 +42,15 @@
 	probePause  = 1000.0
 	probesAlive = 2 // answers in a row that end a doubt
 
-	aimShare   = 0.5  // mean answer time over the worth-weighted aim at which shedding starts
-	failWeight = 2.0  // what a failing try adds to the pressure
-	shedGain   = 0.25 // of the excess pressure that one control step sheds
-	shedEase   = 0.05 // of all work that one control step lets in again
-	shedMost   = 0.9
-	shedStep   = 1000.0
-	unlimited  = 1e6 // a rate that never binds
+	pressureUnknown = 5.0  // assumed before the first reports: others may have left the fleet in any state
+	collapse        = 2.0  // pressure over which cold servers are kept out
+	aimShare        = 0.5  // mean answer time over the worth-weighted aim at which shedding starts
+	failWeight      = 2.0  // what a failing try adds to the pressure
+	shedGain        = 0.25 // of the excess pressure that one control step sheds
+	shedEase        = 0.05 // of all work that one control step lets in again
+	shedMost        = 0.9
+	shedStep        = 1000.0
+	unlimited       = 1e6 // a rate that never binds
 
 	ackWait    = 2000.0 // a message's answers are waited for this long
 	messageGap = 500.0  // between two ordinary messages to one proxy
@@ -72,6 +74,7 @@
 	dry        float64 // tries since the last answer
 	drySince   float64
 	doubted    bool    // kept out by our own judgement
+	held       bool    // cold, and kept out while the fleet is failing
 	hold       float64 // how long the next doubt lasts at least
 	until      float64 // a doubt lasts at least until then
 	returnedAt float64 // end of the last doubt
@@ -117,6 +120,7 @@
 	nextRound float64
 	nextShed  float64
 	fleet     zoneSum // recent answers of all servers, decayed
+	pressure  float64 // how late answers come; 1 is the most that is wanted
 	shed      float64 // share of the offered work that is refused
 	fit       float64 // share of the demand that cold servers leave room for
 	queue     float64 // lines thought to wait in the channel
@@ -128,7 +132,7 @@
 
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
-	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1}
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, pressure: pressureUnknown}
 }
 
 // Step takes what happened at now and returns what to do.
@@ -307,7 +311,7 @@
 // ---- round: the design ----
 
 // usable says whether a server may hold a line.
-func (s *server) usable() bool { return s.State == Ready && !s.doubted }
+func (s *server) usable() bool { return s.State == Ready && !s.doubted && !s.held }
 
 // runRound is one step of the feedback loop, when enough of the fleet was heard.
 func (c *Controller) runRound() {
@@ -526,6 +530,9 @@
 		}
 	}
 	for _, s := range c.servers {
+		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
+		// that have not failed yet: a cold server is not put there before the fleet answers again.
+		s.held = c.present(s) < 1 && c.pressure > collapse
 		if s.State != Ready {
 			continue
 		}
@@ -574,7 +581,11 @@
 		aim += class.Aim * class.Worth * (demand[k] + 1e-3)
 		worth += class.Worth * (demand[k] + 1e-3)
 	}
+	if c.fleet.tries < 1 {
+		return
+	}
 	pressure := c.meanLatency()/(aimShare*aim/worth) + failWeight*c.fleet.failed/max(1, c.fleet.tries)
+	c.pressure = pressure
 	before := c.shed
 	if pressure > 1 {
 		c.shed = min(shedMost, c.shed+shedGain*min(1, pressure-1))
