Hold admission against what the fleet lately answered

Told apart from sick servers: bad attempts were spread evenly over servers, zones and kinds. Now the share let in is what the fleet lately answered (slowly decaying maximum, in units of the aims) times a factor that falls with pressure. Should also help with any loss of capacity, whatever its cause. Harm: right after a lull the maximum may be too low for a sudden flood, for a second or two.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -42,12 +43,17 @@
 	probePause  = 1000.0
 	probesAlive = 2 // answers in a row that end a doubt
 
-	pressureUnknown = 5.0  // assumed before the first reports: others may have left the fleet in any state
-	collapse        = 2.0  // pressure over which cold servers are kept out
-	aimShare        = 0.5  // mean answer time over the worth-weighted aim at which shedding starts
-	failWeight      = 2.0  // what a failing try adds to the pressure
-	shedGain        = 0.25 // of the excess pressure that one control step sheds
-	shedEase        = 0.05 // of all work that one control step lets in again
+	pressureUnknown = 5.0    // assumed before the first reports: others may have left the fleet in any state
+	collapse        = 2.0    // pressure over which cold servers are kept out
+	aimShare        = 0.5    // mean answer time over the worth-weighted aim at which shedding starts
+	failWeight      = 1.0    // what a failing try adds to the pressure
+	fleetTime       = 2500.0 // time over which the fleet's answers are averaged
+	ableDecay       = 0.97   // what is left after a step of the most that the fleet answered
+	shedFrom        = 0.8    // pressure from which work is held against what the fleet can do
+	roomSlope       = 0.5
+	roomLeast       = 0.5
+	roomMost        = 1.4
+	shedEase        = 0.7 // what is left of the shedding after a step without pressure
 	shedMost        = 0.9
 	shedStep        = 1000.0
 	unlimited       = 1e6 // a rate that never binds
@@ -121,6 +127,7 @@
 	nextShed  float64
 	fleet     zoneSum // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
+	able      float64 // most work a second that the fleet lately answered
 	shed      float64 // share of the offered work that is refused
 	fit       float64 // share of the demand that cold servers leave room for
 	queue     float64 // lines thought to wait in the channel
@@ -567,38 +574,54 @@
 // ---- admission and retries ----
 
 // admission sheds work when answers come too late for their aims, least worth per work first.
+//
+// What may come in is held against what the fleet lately answered, not against the last level: reports
+// are seconds old, and a level that builds on its own past levels swings between flood and famine.
 func (c *Controller) admission() {
-	var aim, worth float64
-	demand := make([]float64, len(c.set.Classes))
-	for _, p := range c.proxies {
-		if p.joined {
-			for k, d := range p.demand {
-				demand[k] += d
-			}
-		}
-	}
+	var aim, worth, offered, admitted, requests float64
+	levels := c.wantedLevels()
 	for k, class := range c.set.Classes {
-		aim += class.Aim * class.Worth * (demand[k] + 1e-3)
-		worth += class.Worth * (demand[k] + 1e-3)
-	}
-	if c.fleet.tries < 1 {
+		d := c.classDemand(k)
+		aim += class.Aim * class.Worth * (d + 1e-3)
+		worth += class.Worth * (d + 1e-3)
+		offered += d * class.Aim
+		admitted += d * class.Aim * levels[k]
+		requests += d * levels[k]
+	}
+	if c.fleet.tries < 1 || requests < 1e-9 {
 		return
 	}
-	pressure := c.meanLatency()/(aimShare*aim/worth) + failWeight*c.fleet.failed/max(1, c.fleet.tries)
-	c.pressure = pressure
+	c.pressure = c.meanLatency()/(aimShare*aim/worth) + failWeight*c.fleet.failed/c.fleet.tries
+	// Work answered a second, in units of the aims, which are all that is known of a class's work.
+	decay := math.Exp(-shedStep / fleetTime)
+	answered := c.fleet.answered * (1 - decay) * 1000 / shedStep * admitted / requests
+	c.able = max(answered, c.able*ableDecay)
 	before := c.shed
-	if pressure > 1 {
-		c.shed = min(shedMost, c.shed+shedGain*min(1, pressure-1))
+	if c.pressure > shedFrom {
+		room := max(roomLeast, min(roomMost, 1+roomSlope*(1-c.pressure)))
+		c.shed = max(0, min(shedMost, 1-c.able*room/offered))
 	} else {
-		c.shed = max(0, c.shed-shedEase)
+		c.shed *= shedEase
+		if c.shed < 0.02 {
+			c.shed = 0
+		}
 	}
 	if (before == 0) != (c.shed == 0) {
-		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, pressure)
+		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, c.pressure)
+	}
+	c.fleet = zoneSum{c.fleet.tries * decay, c.fleet.failed * decay, c.fleet.answered * decay,
+		c.fleet.time * decay}
+}
+
+// classDemand is what comes to the joined proxies of a class, requests a second.
+func (c *Controller) classDemand(class int) float64 {
+	sum := 0.0
+	for _, p := range c.proxies {
+		if p.joined {
+			sum += p.demand[class]
+		}
 	}
-	c.fleet.tries /= 2
-	c.fleet.failed /= 2
-	c.fleet.answered /= 2
-	c.fleet.time /= 2
+	return sum
 }
 
 // wantedLevels gives each class its level as a share: the classes with the least worth for their work
@@ -609,11 +632,7 @@
 	total := 0.0
 	for k, class := range c.set.Classes {
 		levels[k], order[k] = 1, k
-		for _, p := range c.proxies {
-			if p.joined {
-				work[k] += p.demand[k] * class.Aim
-			}
-		}
+		work[k] = c.classDemand(k) * class.Aim
 		total += work[k]
 	}
 	sort.SliceStable(order, func(i, j int) bool {
