--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,14 +43,14 @@
 	probePause  = 1000.0
 	probesAlive = 2 // answers in a row that end a doubt
 
-	pressureUnknown = 5.0    // assumed before the first reports: others may have left the fleet in any state
-	collapse        = 2.0    // pressure over which cold servers are kept out
-	aimShare        = 0.5    // mean answer time over the worth-weighted aim at which shedding starts
-	failWeight      = 1.0    // what a failing try adds to the pressure
-	fleetTime       = 2500.0 // time over which the fleet's answers are averaged
-	ableDecay       = 0.97   // what is left after a step of the most that the fleet answered
-	shedFrom        = 0.8    // pressure from which work is held against what the fleet can do
-	roomSlope       = 0.5
+	pressureUnknown = 5.0  // assumed before the first reports: others may have left the fleet in any state
+	collapse        = 2.0  // pressure over which cold servers are kept out
+	aimShare        = 0.35 // mean answer time over the worth-weighted aim at which shedding starts
+	failWeight      = 1.0  // what a failing try adds to the pressure
+	fleetTime       = 1500 // time over which the fleet's answers are averaged
+	ableDecay       = 0.97 // what is left after a step of the most that the fleet answered
+	shedFrom        = 0.8  // pressure from which work is held against what the fleet can do
+	roomSlope       = 0.3
 	roomLeast       = 0.5
 	roomMost        = 1.4
 	shedEase        = 0.7 // what is left of the shedding after a step without pressure
