--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,6 +29,7 @@
 	coverage   = 0.6 // share of the usable servers that must have been heard
 	heardFor   = 60000.0
 
+	fitLeast   = 0.05 // of the demand is let in even if all servers are cold
 	startShare = 0.25 // of its weight that a started server gets at once
 	coldSafety = 0.6  // of the cold budget that we plan to use
 	zoneSlack  = 0.15 // a zone may take this much over its even share before it spills to others
@@ -58,14 +59,15 @@
 	shedStep        = 1000.0
 	unlimited       = 1e6 // a rate that never binds
 
-	ackWait    = 2000.0 // a message's answers are waited for this long
-	messageGap = 500.0  // between two ordinary messages to one proxy
-	moveLeast  = 0.1    // relative change of a line that is worth an order
-	paceSure   = 0.5    // of its usual pace that the channel is trusted to keep
-	queueShare = 0.4    // of the channel's queue that ordinary orders may fill
-	urgentFill = 0.8    // and urgent ones
-	askPause   = 800.0  // before discovery is asked again, plus as much by chance
-	logMost    = 150
+	ackWait       = 2000.0 // a message's answers are waited for this long
+	messageGap    = 500.0  // between two ordinary messages to one proxy
+	moveLeast     = 0.1    // relative change of a line that is worth an order
+	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep
+	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
+	urgentShare   = 0.8    // and urgent ones
+	levelLeast    = 0.05   // relative change of a level that is worth an order
+	askPause      = 800.0  // before discovery is asked again, plus as much by chance
+	logMost       = 150
 )
 
 type zoneSum struct{ tries, failed, answered, time float64 }
@@ -85,14 +87,11 @@
 	until      float64 // a doubt lasts at least until then
 	returnedAt float64 // end of the last doubt
 	nextProbe  float64
-	alive      int  // probes answered in a row
-	sentOut    bool // what the proxies were told
-	share      float64
-}
-
-type level struct {
-	level float64
-	retry Retry
+	alive      int     // probes answered in a row
+	sentOut    bool    // what the proxies were told
+	inTables   bool    // may hold a line now
+	share      float64 // of the traffic of all proxies
+	capped     bool    // by the cold budget
 }
 
 type proxy struct {
@@ -104,11 +103,12 @@
 	demand   []float64 // requests a second by class
 	seen     []bool
 	lines    map[ServerID]float64 // the table as ordered so far
-	levels   []level
-	writes   []float64 // times of recent messages
-	waiting  bool      // for an answer
+	levels   []float64            // by class, as ordered so far; below 0: never
+	writes   []float64            // times of recent messages
+	waiting  bool                 // for an answer
 	lastSent float64
 	token    uint32
+	touched  float64 // lines of this step's message
 }
 
 // Controller decides for the proxies joined to it.
@@ -252,8 +252,10 @@
 		return c.proxies[i]
 	}
 	n := len(c.set.Classes)
-	p := &proxy{id: id, demand: make([]float64, n), seen: make([]bool, n), lines: map[ServerID]float64{},
-		levels: make([]level, n)}
+	p := &proxy{id: id, demand: make([]float64, n), seen: make([]bool, n), lines: map[ServerID]float64{}}
+	for range n {
+		p.levels = append(p.levels, -1)
+	}
 	c.proxies = slices.Insert(c.proxies, i, p)
 	return p
 }
@@ -424,9 +426,8 @@
 // Last line: guards the rule that no proxy is left without a server. If none is usable, all ready
 // servers count again, doubted or not.
 func (c *Controller) shares() {
-	var ready, usable, total float64
+	var ready, usable float64
 	for _, s := range c.servers {
-		s.share = 0
 		if s.State == Ready {
 			ready++
 		}
@@ -434,40 +435,35 @@
 			usable++
 		}
 	}
+	open := 0.0 // weight of the servers that are not at their cold budget
 	for _, s := range c.servers {
-		if s.usable() || usable == 0 && s.State == Ready {
-			s.share = s.Weight * s.factor
-			if now := c.present(s); now < 1 {
-				s.share = s.Weight * min(s.factor, max(startShare, now))
+		s.share, s.capped = 0, false
+		s.inTables = s.usable() || usable == 0 && s.State == Ready
+		if s.inTables {
+			s.share = s.Weight * min(s.factor, max(startShare, c.present(s)))
+			if c.present(s) == 1 {
+				s.share = s.Weight * s.factor
 			}
-			total += s.share
+			open += s.share
 		}
 	}
-	left, open := 1.0, total
-	capped := make([]bool, len(c.servers))
+	left := 1.0 // of the traffic, for those
 	for again := true; again && open > 0; {
 		again = false
-		scale := left / open
-		for i, s := range c.servers {
-			now := c.present(s)
-			most := coldSafety * c.set.FallMultiple * now / max(1, ready)
-			if now < 1 && !capped[i] && s.share*scale > most {
-				open -= s.share
-				s.share, capped[i], again = most, true, true
-				left -= most
-				if open < 1e-9 {
-					open = 0
-				}
-				break
+		for _, s := range c.servers {
+			budget := coldSafety * c.set.FallMultiple * c.present(s) / ready
+			if c.present(s) < 1 && !s.capped && s.share/open*left > budget {
+				open, left = max(0, open-s.share), left-budget
+				s.share, s.capped, again = budget, true, true
 			}
 		}
 	}
 	c.fit = 1
-	if open <= 0 {
-		c.fit = max(0.05, 1-left)
+	if open < 1e-9 {
+		c.fit = max(fitLeast, 1-left)
 	}
-	for i, s := range c.servers {
-		if !capped[i] && open > 0 {
+	for _, s := range c.servers {
+		if !s.capped && open >= 1e-9 {
 			s.share *= left / open
 		}
 		s.share /= c.fit
@@ -650,165 +646,147 @@
 	return levels
 }
 
-// retry is the boldest method that can't let a request take effect twice. A keyed request is sent again
-// only where every server knows its key and no try can start after the key's window; under overload
-// further tries would only add load.
-func (c *Controller) retry(class Class) Retry {
-	again := class.Effect == Safe ||
-		class.Effect == Keyed && class.Scope == ScopeAll && class.Window >= class.Deadline
-	if false && again && c.shed == 0 {
-		return RetryOnce
-	}
-	return RetryProof
-}
+// Safe repeats: guards the rule that nothing takes effect twice. Proxies try again only after proof that
+// the first try never ran, whatever the class. (Trying safe classes again after any failure was measured
+// and cost more than it won: the abandoned try still runs, and under load the work doubles.)
+const retry = RetryProof
 
 // ---- publisher ----
 
-// publish brings the proxies from what they were sent to what is wanted.
+// publish brings the proxies from what they were sent to what is wanted; each proxy has its own table.
 func (c *Controller) publish() {
 	if c.set.Slices > 0 {
-		return
+		return // slices of a key space are not decided here
 	}
 	c.queue = max(0, c.queue-(c.now-c.drained)*c.set.LinesPerSec/1000*paceSure)
 	c.drained = c.now
 	c.shares()
-	touched := map[ProxyID]float64{}
-	c.withdrawals(touched)
 	tables, levels := c.zoneTables(), c.wantedLevels()
 	for _, p := range c.proxies {
-		if p.joined {
-			c.update(p, tables, levels, touched)
-		}
+		p.touched = 0
 	}
-	if len(touched) == 0 {
-		return
+	c.withdrawals(tables)
+	for _, p := range c.proxies {
+		if p.joined && p.zone < len(tables) {
+			c.update(p, tables[p.zone], levels)
+		}
 	}
-	c.token = (c.token + 1) % 65536
-	c.out = append(c.out, Mark{Token: c.token})
+	marked := false
 	for _, p := range c.proxies {
-		if lines, ok := touched[p.id]; ok {
-			c.queue += lines + c.set.HeadLines + 1
-			p.writes = append(p.writes, c.now)
-			p.waiting, p.lastSent, p.token = true, c.now, c.token
+		if p.touched == 0 {
+			continue
+		}
+		if !marked {
+			marked, c.token = true, (c.token+1)%65536
+			c.out = append(c.out, Mark{Token: c.token})
 		}
+		c.queue += p.touched + c.set.HeadLines + 1
+		p.writes = append(p.writes, c.now)
+		p.waiting, p.lastSent, p.token = true, c.now, c.token
 	}
 }
 
-// mayWrite guards the channel's limits: lines that wait, and messages to one proxy within the span.
-func (c *Controller) mayWrite(p *proxy, lines, fill, share float64) bool {
+// mayWrite guards the channel's limits, each only up to a share: lines that wait, for which the channel is
+// thought to run slower than stated, and messages to one proxy within the span.
+func (c *Controller) mayWrite(p *proxy, lines, share float64) bool {
 	for len(p.writes) > 0 && c.now-p.writes[0] > c.set.MessagesOver {
 		p.writes = p.writes[1:]
 	}
 	if c.set.MessagesMost > 0 && float64(len(p.writes)+1) > share*float64(c.set.MessagesMost) {
 		return false
 	}
-	return c.queue+lines+c.set.HeadLines <= fill*c.set.QueueLines
+	return c.queue+lines+c.set.HeadLines <= share*c.set.QueueLines
 }
 
 // withdrawals go first and wait for no answer. They guard the rule on drains: a server that drains or
-// is gone gets nothing more, whoever wrote the tables.
-func (c *Controller) withdrawals(touched map[ProxyID]float64) {
-	none := true
-	for _, s := range c.servers {
-		none = none && !s.usable()
-	}
-	for _, s := range c.servers {
-		out := !s.usable() && !(none && s.State == Ready)
+// is gone gets nothing more, whoever wrote the tables. A server comes back with its new weight.
+func (c *Controller) withdrawals(tables [][]float64) {
+	for i, s := range c.servers {
+		out := !s.inTables
 		if out == s.sentOut {
 			continue
 		}
 		free := true
 		for _, p := range c.proxies {
-			free = free && (!p.joined || c.mayWrite(p, float64(len(c.proxies))*2, urgentFill, 0.9))
+			free = free && (!p.joined || c.mayWrite(p, 2*float64(len(c.proxies)), urgentShare))
 		}
 		if !free {
 			return
 		}
-		if !out {
-			for _, p := range c.proxies { // a line that comes back starts small
-				if w := p.lines[s.ID]; w > 0 {
-					p.lines[s.ID] = w / 1000
-					c.out = append(c.out, SetWeight{Table: TableID(p.id), Server: s.ID, Weight: w / 1000})
-				}
-			}
-		}
 		s.sentOut = out
-		c.out = append(c.out, Withdraw{Server: s.ID, Out: out})
 		for _, p := range c.proxies {
-			if p.joined {
-				touched[p.id] += 2
+			if !p.joined {
+				continue
+			}
+			p.touched += 2
+			if p.bound && !out && p.zone < len(tables) {
+				p.setLine(c, s.ID, tables[p.zone][i])
 			}
 		}
+		c.out = append(c.out, Withdraw{Server: s.ID, Out: out})
 	}
 }
 
-// update writes the changed lines and levels of one proxy's table; a new proxy gets the whole table.
-func (c *Controller) update(p *proxy, tables [][]float64, levels []float64, touched map[ProxyID]float64) {
+func (p *proxy) setLine(c *Controller, id ServerID, weight float64) {
+	p.lines[id] = weight
+	c.out = append(c.out, SetWeight{Table: TableID(p.id), Server: id, Weight: weight})
+}
+
+// update writes the changed lines and levels of one proxy's table, once its last message was answered or
+// has been waited for; a new proxy gets the whole table at once.
+func (c *Controller) update(p *proxy, table, levels []float64) {
 	if p.bound && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
 		return
 	}
-	var orders []Action
-	total := 0.0
-	if p.zone >= len(tables) {
-		return
-	}
+	moved, any := make([]bool, len(table)), false
+	lines := 0.0
 	for i, s := range c.servers {
-		want, have := 0.0, p.lines[s.ID]
-		if !s.sentOut {
-			want = tables[p.zone][i] * 100
-		}
-		total += want
-		if s.sentOut && have > 0 {
-			continue // withdrawn; its line goes with the next start
+		want, have := table[i], p.lines[s.ID]
+		any = any || want > 0
+		// A withdrawn server's line is left as it is; it gets its new weight when the server returns.
+		moved[i] = !s.sentOut && math.Abs(want-have) > moveLeast*have
+		if moved[i] {
+			lines++
 		}
-		diff := want - have
-		if want == 0 && have == 0 || have > 0 && max(diff, -diff) <= moveLeast*have {
-			continue
-		}
-		orders = append(orders, SetWeight{Table: TableID(p.id), Server: s.ID, Weight: want})
-	}
-	if total == 0 {
-		return
 	}
-	for k, class := range c.set.Classes {
-		want := level{levels[k], c.retry(class)}
+	rates := make([]float64, len(levels))
+	for k, level := range levels {
+		rates[k] = level
 		if c.set.Admission == AdmitRate {
-			want.level = unlimited
-			if levels[k] < 1 {
-				want.level = levels[k] * p.demand[k]
+			rates[k] = unlimited
+			if level < 1 {
+				rates[k] = level * p.demand[k]
 			}
 		}
-		diff := want.level - p.levels[k].level
-		if p.levels[k].retry == want.retry && max(diff, -diff) <= 0.05*p.levels[k].level {
-			continue
+		if levelMoved(rates[k], p.levels[k]) {
+			lines++
 		}
-		orders = append(orders, Admit{Table: TableID(p.id), Mask: 1 << k, Level: want.level, Retry: want.retry})
 	}
-	lines := float64(len(orders))
+	share := ordinaryShare
 	if !p.bound {
-		lines = float64(len(c.servers)) + float64(len(levels)) + 2
-	} else if len(orders) == 0 {
-		return
+		lines, share = float64(len(c.servers)+len(levels)+2), urgentShare
 	}
-	if !c.mayWrite(p, lines, queueShare, 0.6) && (p.bound || !c.mayWrite(p, lines, urgentFill, 0.9)) {
+	if !any || lines == 0 || !c.mayWrite(p, lines, share) {
 		return
 	}
-	for _, o := range orders {
-		switch o := o.(type) {
-		case SetWeight:
-			p.lines[o.Server] = o.Weight
-		case Admit:
-			for k := range p.levels {
-				if o.Mask == 1<<k {
-					p.levels[k] = level{o.Level, o.Retry}
-				}
-			}
+	for i, s := range c.servers {
+		if moved[i] {
+			p.setLine(c, s.ID, table[i])
+		}
+	}
+	for k, rate := range rates {
+		if levelMoved(rate, p.levels[k]) {
+			p.levels[k] = rate
+			c.out = append(c.out, Admit{Table: TableID(p.id), Mask: 1 << k, Level: rate, Retry: retry})
 		}
 	}
-	c.out = append(c.out, orders...)
 	if !p.bound {
-		c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
 		p.bound = true
+		c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
 	}
-	touched[p.id] += lines
+	p.touched += lines
+}
+
+func levelMoved(want, have float64) bool {
+	return have < 0 || math.Abs(want-have) > levelLeast*have
 }
