--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,7 @@
 	roomSlope       = 0.3
 	roomLeast       = 0.5
 	roomMost        = 1.4
-	shedEase        = 0.7 // what is left of the shedding after a step without pressure
+	limitGrow       = 1.06 // of the limit at each step without pressure
 	shedMost        = 0.9
 	shedStep        = 1000.0
 	unlimited       = 1e6 // a rate that never binds
@@ -128,6 +128,7 @@
 	fleet     zoneSum // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	able      float64 // most work a second that the fleet lately answered
+	limit     float64 // work a second that may come in
 	shed      float64 // share of the offered work that is refused
 	fit       float64 // share of the demand that cold servers leave room for
 	queue     float64 // lines thought to wait in the channel
@@ -139,7 +140,8 @@
 
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
-	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, pressure: pressureUnknown}
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, pressure: pressureUnknown,
+		limit: math.Inf(1)}
 }
 
 // Step takes what happened at now and returns what to do.
@@ -572,7 +574,9 @@
 // admission sheds work when answers come too late for their aims, least worth per work first.
 //
 // What may come in is held against what the fleet lately answered, not against the last level: reports
-// are seconds old, and a level that builds on its own past levels swings between flood and famine.
+// are seconds old, and a level that builds on its own past levels swings between flood and famine. The
+// limit is kept in work a second, not as a share: what is refused comes again and swells the demand, and
+// a share of that would let in all of it at once.
 func (c *Controller) admission() {
 	var aim, worth, offered, admitted, requests float64
 	levels := c.wantedLevels()
@@ -592,16 +596,13 @@
 	decay := math.Exp(-shedStep / fleetTime)
 	answered := c.fleet.answered * (1 - decay) * 1000 / shedStep * admitted / requests
 	c.able = max(answered, c.able*ableDecay)
-	before := c.shed
 	if c.pressure > shedFrom {
-		room := max(roomLeast, min(roomMost, 1+roomSlope*(1-c.pressure)))
-		c.shed = max(0, min(shedMost, 1-c.able*room/offered))
+		c.limit = c.able * max(roomLeast, min(roomMost, 1+roomSlope*(1-c.pressure)))
 	} else {
-		c.shed *= shedEase
-		if c.shed < 0.02 {
-			c.shed = 0
-		}
+		c.limit *= limitGrow
 	}
+	before := c.shed
+	c.shed = max(0, min(shedMost, 1-c.limit/offered))
 	if (before == 0) != (c.shed == 0) {
 		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, c.pressure)
 	}
