Judge overload by the median server's waiting, not the mean answer time

Should also help when a few servers are sick; harm: after a restart into overload the least answer time is not known, so it is bounded by 0.3 of the aim. Tried: wait share 0.08 to 0.18, slopes 0.3 and 0.7.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,12 +46,13 @@
 
 	pressureUnknown = 5.0  // assumed before the first reports: others may have left the fleet in any state
 	collapse        = 2.0  // pressure over which cold servers are kept out
-	aimShare        = 0.35 // mean answer time over the worth-weighted aim at which shedding starts
+	aimShare        = 0.3  // mean answer time over the worth-weighted aim at which shedding starts
+	waitShare       = 0.12 // of the aim: waiting that is wanted at most
 	failWeight      = 1.0  // what a failing try adds to the pressure
 	fleetTime       = 1500 // time over which the fleet's answers are averaged
-	ableDecay       = 0.97 // what is left after a step of the most that the fleet answered
+	ableDecay       = 0.98 // what is left after a step of the most that the fleet answered
 	shedFrom        = 0.8  // pressure from which work is held against what the fleet can do
-	roomSlope       = 0.3
+	roomSlope       = 0.5
 	roomLeast       = 0.5
 	roomMost        = 1.4
 	limitGrow       = 1.06 // of the limit at each step without pressure
@@ -75,6 +76,7 @@
 type server struct {
 	Server
 	round      []zoneSum // what was heard this round, by zone of the proxies
+	recent     zoneSum   // all zones, faded
 	errors     []float64 // of the last rounds
 	sum        float64
 	factor     float64
@@ -127,6 +129,7 @@
 	nextShed  float64
 	fleet     zoneSum // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
+	base      float64 // least answer time met so far
 	able      float64 // most work a second that the fleet lately answered
 	limit     float64 // work a second that may come in
 	shed      float64 // share of the offered work that is refused
@@ -141,7 +144,7 @@
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
 	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, pressure: pressureUnknown,
-		limit: math.Inf(1)}
+		limit: math.Inf(1), base: math.Inf(1)}
 }
 
 // Step takes what happened at now and returns what to do.
@@ -282,7 +285,7 @@
 		answered = 0
 	}
 	z := &s.round[e.Zone]
-	for _, sum := range []*zoneSum{z, &c.fleet} {
+	for _, sum := range []*zoneSum{z, &s.recent, &c.fleet} {
 		sum.tries += e.Tries
 		sum.failed += e.Failed
 		sum.answered += answered
@@ -315,8 +318,20 @@
 	}
 }
 
-func (c *Controller) meanLatency() float64 {
-	return c.fleet.time / max(1, c.fleet.answered)
+// latency is the mean answer time of the median server: a few sick servers or a few heavy requests don't
+// speak for the fleet.
+func (c *Controller) latency() float64 {
+	var all []float64
+	for _, s := range c.servers {
+		if s.usable() && s.recent.answered > 0 {
+			all = append(all, s.recent.time/s.recent.answered)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
 }
 
 // ---- round: the design ----
@@ -541,7 +556,7 @@
 		if s.State != Ready {
 			continue
 		}
-		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*c.meanLatency()
+		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*c.latency()
 		if !s.doubted && dry && kept+1 <= doubtMost*ready {
 			kept++
 			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
@@ -578,11 +593,11 @@
 // limit is kept in work a second, not as a share: what is refused comes again and swells the demand, and
 // a share of that would let in all of it at once.
 func (c *Controller) admission() {
-	var aim, worth, offered, admitted, requests float64
+	var aims, worth, offered, admitted, requests float64
 	levels := c.wantedLevels()
 	for k, class := range c.set.Classes {
 		d := c.classDemand(k)
-		aim += class.Aim * class.Worth * (d + 1e-3)
+		aims += class.Worth * (d + 1e-3) / class.Aim
 		worth += class.Worth * (d + 1e-3)
 		offered += d * class.Aim
 		admitted += d * class.Aim * levels[k]
@@ -591,7 +606,13 @@
 	if c.fleet.tries < 1 || requests < 1e-9 {
 		return
 	}
-	c.pressure = c.meanLatency()/(aimShare*aim/worth) + failWeight*c.fleet.failed/c.fleet.tries
+	latency := c.latency()
+	if latency > 0 {
+		c.base = min(c.base, latency)
+	}
+	aim := worth / aims
+	wanted := min(c.base, aimShare*aim) + waitShare*aim
+	c.pressure = latency/wanted + failWeight*c.fleet.failed/c.fleet.tries
 	// Work answered a second, in units of the aims, which are all that is known of a class's work.
 	decay := math.Exp(-shedStep / fleetTime)
 	answered := c.fleet.answered * (1 - decay) * 1000 / shedStep * admitted / requests
@@ -606,8 +627,17 @@
 	if (before == 0) != (c.shed == 0) {
 		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, c.pressure)
 	}
-	c.fleet = zoneSum{c.fleet.tries * decay, c.fleet.failed * decay, c.fleet.answered * decay,
-		c.fleet.time * decay}
+	c.fleet.fade(decay)
+	for _, s := range c.servers {
+		s.recent.fade(decay)
+	}
+}
+
+func (z *zoneSum) fade(by float64) {
+	z.tries *= by
+	z.failed *= by
+	z.answered *= by
+	z.time *= by
 }
 
 // classDemand is what comes to the joined proxies of a class, requests a second.
