--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,6 @@
 	shedFrom        = 0.8  // pressure from which work is held against what the fleet can do
 	roomSlope       = 0.5
 	roomLeast       = 0.5
-	roomMost        = 1.4
 	limitGrow       = 1.06 // of the limit at each step without pressure
 	shedMost        = 0.9
 	shedStep        = 1000.0
@@ -617,10 +616,9 @@
 	decay := math.Exp(-shedStep / fleetTime)
 	answered := c.fleet.answered * (1 - decay) * 1000 / shedStep * admitted / requests
 	c.able = max(answered, c.able*ableDecay)
+	c.limit *= limitGrow
 	if c.pressure > shedFrom {
-		c.limit = c.able * max(roomLeast, min(roomMost, 1+roomSlope*(1-c.pressure)))
-	} else {
-		c.limit *= limitGrow
+		c.limit = min(c.limit, c.able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
 	}
 	before := c.shed
 	c.shed = max(0, min(shedMost, 1-c.limit/offered))
