--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,12 +44,13 @@
 	probePause  = 1000.0
 	probesAlive = 2 // answers in a row that end a doubt
 
-	pressureUnknown = 5.0  // assumed before the first reports: others may have left the fleet in any state
-	collapse        = 2.0  // pressure over which cold servers are kept out
-	aimShare        = 0.3  // mean answer time over the worth-weighted aim at which shedding starts
-	waitShare       = 0.12 // of the aim: waiting that is wanted at most
+	pressureUnknown = 5.0 // assumed before the first reports: others may have left the fleet in any state
+	collapse        = 2.0 // pressure over which cold servers are kept out
+	aimShare        = 0.3 // mean answer time over the worth-weighted aim at which shedding starts
+	baseShare       = 1.2
+	waitShare       = 0.1  // of the aim: waiting that is wanted at most
 	failWeight      = 1.0  // what a failing try adds to the pressure
-	fleetTime       = 1500 // time over which the fleet's answers are averaged
+	fleetTime       = 1000 // time over which the fleet's answers are averaged
 	ableDecay       = 0.98 // what is left after a step of the most that the fleet answered
 	shedFrom        = 0.8  // pressure from which work is held against what the fleet can do
 	roomSlope       = 0.5
@@ -129,6 +130,7 @@
 	fleet     zoneSum // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
+	filled    float64 // how far the fleet's average has filled since the start
 	able      float64 // most work a second that the fleet lately answered
 	limit     float64 // work a second that may come in
 	shed      float64 // share of the offered work that is refused
@@ -610,11 +612,12 @@
 		c.base = min(c.base, latency)
 	}
 	aim := worth / aims
-	wanted := min(c.base, aimShare*aim) + waitShare*aim
+	wanted := baseShare*min(c.base, aimShare*aim) + waitShare*aim
 	c.pressure = latency/wanted + failWeight*c.fleet.failed/c.fleet.tries
 	// Work answered a second, in units of the aims, which are all that is known of a class's work.
 	decay := math.Exp(-shedStep / fleetTime)
-	answered := c.fleet.answered * (1 - decay) * 1000 / shedStep * admitted / requests
+	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
+	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / shedStep * admitted / requests
 	c.able = max(answered, c.able*ableDecay)
 	c.limit *= limitGrow
 	if c.pressure > shedFrom {
