--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,20 +16,18 @@
 
 // Tuned values. Times in milliseconds.
 const (
-	kP          = 1.0   // gain of the error
-	tI          = 5.0   // rounds over which a steady error is corrected
-	tDecay      = 1.0   // decay of the sum, in rounds
-	sumCap      = 500.0 // cap of the sum, either way
-	factorLow   = 0.1   // least factor on a listed weight
-	factorHigh  = 1.5   // largest factor
-	deadBand    = 0.1   // a mean error within this leaves weight and sum alone
-	farBelow    = 0.5
-	approachFar = 0.7
-	approach    = 0.15
-	errorsKept  = 3 // rounds over which a server's error is averaged
-	roundTime   = 2500.0
-	coverage    = 0.6 // share of the usable servers that must have been heard
-	heardFor    = 60000.0
+	kP         = 1.0   // gain of the error
+	tI         = 5.0   // rounds over which a steady error is corrected
+	tDecay     = 1.0   // decay of the sum, in rounds
+	sumCap     = 500.0 // cap of the sum, either way
+	factorLow  = 0.1   // least factor on a listed weight
+	factorHigh = 1.5   // largest factor
+	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
+	approach   = 0.15
+	errorsKept = 3 // rounds over which a server's error is averaged
+	roundTime  = 2500.0
+	coverage   = 0.6 // share of the usable servers that must have been heard
+	heardFor   = 60000.0
 
 	fitLeast   = 0.05 // of the demand is let in even if all servers are cold
 	startShare = 0.25 // of its weight that a started server gets at once
@@ -398,11 +396,7 @@
 		if mean < -deadBand || mean > deadBand {
 			s.sum = max(-sumCap, min(sumCap, s.sum*(1-tDecay/tI)+mean))
 			want := max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum))
-			step := approach
-			if mean < -farBelow {
-				step = approachFar
-			}
-			s.factor += step * (want - s.factor)
+			s.factor += approach * (want - s.factor)
 		}
 	}
 }
