Ease a doubted server back over 6 s and do not hold it as cold

Cause: a server that came back from a doubt was treated as cold for 18 s and, in an overload, held out altogether, so capacity was lost when it was needed.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	doubtMost   = 0.4    // share of the ready servers that doubt may keep out
 	holdFirst   = 3000.0 // a doubted server stays out at least this long; doubled each time it relapses
 	holdMost    = 24000.0
+	returnTime  = 6000 // from its end until a doubted server has its whole weight again
 	probePause  = 1000.0
 	probesAlive = 2 // answers in a row that end a doubt
 
@@ -428,13 +429,24 @@
 	return sum / n, rate
 }
 
-// present is the share of its capacity that a server has at least, by its last start or return.
+// present is the share of its capacity that a server has at least, by its last start.
 func (c *Controller) present(s *server) float64 {
-	age := c.now - max(s.StartedAt, s.returnedAt)
-	if max(s.StartedAt, s.returnedAt) == 0 || age >= c.set.ColdFor {
+	if s.StartedAt == 0 || c.now-s.StartedAt >= c.set.ColdFor {
 		return 1
 	}
-	return c.set.StartCapacity + (1-c.set.StartCapacity)*max(0, age)/c.set.ColdFor
+	return c.set.StartCapacity + (1-c.set.StartCapacity)*max(0, c.now-s.StartedAt)/c.set.ColdFor
+}
+
+// weight is a server's listed weight times its factor; a started or returned server begins at a share.
+func (c *Controller) weight(s *server) float64 {
+	factor := s.factor
+	if now := c.present(s); now < 1 {
+		factor = min(factor, max(startShare, now))
+	}
+	if back := c.now - s.returnedAt; s.returnedAt > 0 && back < returnTime {
+		factor = min(factor, startShare+(1-startShare)*back/returnTime)
+	}
+	return s.Weight * factor
 }
 
 // shares fixes each server's part of the traffic of all proxies.
@@ -458,10 +470,7 @@
 		s.share, s.capped = 0, false
 		s.inTables = s.usable() || usable == 0 && s.State == Ready
 		if s.inTables {
-			s.share = s.Weight * min(s.factor, max(startShare, c.present(s)))
-			if c.present(s) == 1 {
-				s.share = s.Weight * s.factor
-			}
+			s.share = c.weight(s)
 			open += s.share
 		}
 	}
