--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,11 +7,11 @@
 // Reading order: constants, state, events, estimates, round, health, admission and retries, publisher.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 )
 
 // Tuned values. Times in milliseconds.
@@ -23,11 +23,12 @@
 	factorLow  = 0.1   // least factor on a listed weight
 	factorHigh = 1.5   // largest factor
 	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
-	approach   = 0.15
-	errorsKept = 3 // rounds over which a server's error is averaged
+	approach   = 0.15  // of the way to the computed factor that a round goes: the whole way swings under load
+	errorsKept = 3     // rounds over which a server's error is averaged
 	roundTime  = 2500.0
-	coverage   = 0.6 // share of the usable servers that must have been heard
-	heardFor   = 60000.0
+	coverage   = 0.6     // share of the usable servers that must have been heard
+	heardFor   = 60000.0 // how long a report of a server counts for that
+	stallLog   = 2       // rounds without coverage before the operators are told
 
 	fitLeast   = 0.05 // of the demand is let in even if all servers are cold
 	startShare = 0.25 // of its weight that a started server gets at once
@@ -35,31 +36,33 @@
 	zoneSlack  = 0.15 // a zone may take this much over its even share before it spills to others
 	awayShare  = 0.04 // of every table spread over all zones, so that a lost zone leaves lines to pick
 
-	tickTime    = 250.0
-	dryTries    = 6.0    // tries in a row without one answer that cast doubt on a server
-	dryLatency  = 3.0    // and for at least this many mean answer times
-	doubtMost   = 0.4    // share of the ready servers that doubt may keep out
-	holdFirst   = 3000.0 // a doubted server stays out at least this long; doubled each time it relapses
-	holdMost    = 24000.0
-	returnTime  = 6000 // from its end until a doubted server has its whole weight again
-	probePause  = 1000.0
-	probesAlive = 2 // answers in a row that end a doubt
-
-	pressureUnknown = 5.0 // assumed before the first reports: others may have left the fleet in any state
-	collapse        = 2.0 // pressure over which cold servers are kept out
-	aimShare        = 0.3 // mean answer time over the worth-weighted aim at which shedding starts
-	baseShare       = 1.2
-	waitShare       = 0.1  // of the aim: waiting that is wanted at most
-	failWeight      = 1.0  // what a failing try adds to the pressure
-	fleetTime       = 1000 // time over which the fleet's answers are averaged
-	ableDecay       = 0.98 // what is left after a step of the most that the fleet answered
-	shedFrom        = 0.8  // pressure from which work is held against what the fleet can do
-	roomSlope       = 0.5
-	roomLeast       = 0.5
-	limitGrow       = 1.06 // of the limit at each step without pressure
-	shedMost        = 0.9
-	shedStep        = 1000.0
-	unlimited       = 1e6 // a rate that never binds
+	demandStep = 0.6 // of the way that the demand moves towards a report
+
+	tickTime    = 250.0   // between two looks at everything
+	dryTries    = 6.0     // tries in a row without one answer that cast doubt on a server
+	dryLatency  = 3.0     // and for at least this many mean answer times
+	doubtMost   = 0.4     // share of the ready servers that doubt may keep out
+	holdFirst   = 3000.0  // a doubted server stays out at least this long; doubled each time it relapses
+	holdMost    = 24000.0 // at most
+	returnTime  = 6000    // from its end until a doubted server has its whole weight again
+	probePause  = 1000.0  // between two probes of a doubted server
+	probesAlive = 2       // answers in a row that end a doubt
+
+	pressureUnknown = 5.0    // assumed before the first reports: others may have left the fleet in any state
+	collapse        = 2.0    // pressure over which cold servers are kept out
+	aimShare        = 0.3    // of the aim: the idle answer time is taken to be no longer
+	baseShare       = 1.2    // of the idle answer time that is wanted at most, plus
+	waitShare       = 0.1    // of the aim, for waiting
+	failWeight      = 1.0    // what a failing try adds to the pressure
+	fleetTime       = 1000   // time over which the fleet's answers are averaged
+	ableDecay       = 0.98   // what is left after a step of the most that the fleet answered
+	shedFrom        = 0.8    // pressure from which work is held against what the fleet can do
+	roomSlope       = 0.5    // of what the fleet can do that is refused for each point of pressure over 1
+	roomLeast       = 0.5    // of it that is let in at any pressure
+	limitGrow       = 1.06   // of the limit at each step without pressure
+	shedMost        = 0.9    // of the work may be refused
+	shedStep        = 1000.0 // between two looks at the pressure
+	unlimited       = 1e6    // a rate that never binds
 
 	ackWait       = 2000.0 // a message's answers are waited for this long
 	messageGap    = 500.0  // between two ordinary messages to one proxy
@@ -68,16 +71,21 @@
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
 	urgentShare   = 0.8    // and urgent ones
 	levelLeast    = 0.05   // relative change of a level that is worth an order
+	askAgain      = 8000.0 // when discovery does not answer at all
 	askPause      = 800.0  // before discovery is asked again, plus as much by chance
-	logMost       = 150
+	logMost       = 150    // lines of log from one controller
 )
 
-type zoneSum struct{ tries, failed, answered, time float64 }
+// tally sums up reports; time is that of all answers together.
+type tally struct{ tries, failed, answered, time float64 }
+
+func (z tally) rate() float64 { return 1 - z.failed/z.tries }
 
 type server struct {
 	Server
-	round      []zoneSum // what was heard this round, by zone of the proxies
-	recent     zoneSum   // all zones, faded
+	round      tally     // what was heard this round
+	zones      []tally   // the same by zone of the proxies
+	recent     tally     // what was heard lately, faded
 	errors     []float64 // of the last rounds
 	sum        float64
 	factor     float64
@@ -94,7 +102,6 @@
 	sentOut    bool    // what the proxies were told
 	inTables   bool    // may hold a line now
 	share      float64 // of the traffic of all proxies
-	capped     bool    // by the cold budget
 }
 
 type proxy struct {
@@ -103,10 +110,9 @@
 	joined   bool
 	bound    bool
 	rate     float64
-	demand   []float64 // requests a second by class
-	seen     []bool
+	demand   []float64            // requests a second by class
 	lines    map[ServerID]float64 // the table as ordered so far
-	levels   []float64            // by class, as ordered so far; below 0: never
+	levels   []float64            // by class, as ordered so far
 	writes   []float64            // times of recent messages
 	waiting  bool                 // for an answer
 	lastSent float64
@@ -128,7 +134,7 @@
 	nextTick  float64
 	nextRound float64
 	nextShed  float64
-	fleet     zoneSum // recent answers of all servers, decayed
+	fleet     tally   // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
 	filled    float64 // how far the fleet's average has filled since the start
@@ -139,7 +145,7 @@
 	queue     float64 // lines thought to wait in the channel
 	drained   float64 // when queue was last brought up to date
 	token     uint32
-	stalled   bool
+	stalled   int // rounds that waited for coverage, in a row
 	logged    int
 }
 
@@ -165,9 +171,11 @@
 		case Joined:
 			c.join(e)
 		case Left:
-			c.proxy(e.Proxy).joined = false
+			if p := c.proxy(e.Proxy); p != nil {
+				p.joined = false
+			}
 		case Ack:
-			if p := c.proxy(e.Proxy); e.Token == p.token {
+			if p := c.proxy(e.Proxy); p != nil && e.Token == p.token {
 				p.waiting = false
 			}
 		case Heard:
@@ -180,7 +188,10 @@
 		c.nextTick = now + tickTime
 		c.out = append(c.out, Timer{Delay: tickTime})
 	}
-	c.ask()
+	if c.set.AskDiscovery && !c.watching && now >= c.askAt { // discovery that speaks only when asked
+		c.askAt = now + askAgain
+		c.out = append(c.out, Watch{})
+	}
 	c.health()
 	if now >= c.nextRound {
 		c.runRound()
@@ -201,13 +212,24 @@
 
 // ---- events ----
 
-// find returns the server with this id, or nil.
-func (c *Controller) find(id ServerID) *server {
-	i := sort.Search(len(c.servers), func(i int) bool { return c.servers[i].ID >= id })
-	if i < len(c.servers) && c.servers[i].ID == id {
-		return c.servers[i]
+func (c *Controller) server(id ServerID) *server {
+	i, ok := slices.BinarySearchFunc(c.servers, id, func(s *server, id ServerID) int {
+		return cmp.Compare(s.ID, id)
+	})
+	if !ok {
+		return nil
+	}
+	return c.servers[i]
+}
+
+func (c *Controller) proxy(id ProxyID) *proxy {
+	i, ok := slices.BinarySearchFunc(c.proxies, id, func(p *proxy, id ProxyID) int {
+		return cmp.Compare(p.id, id)
+	})
+	if !ok {
+		return nil
 	}
-	return nil
+	return c.proxies[i]
 }
 
 // list follows discovery. A server missing from a whole list is gone.
@@ -222,12 +244,12 @@
 	listed := map[ServerID]bool{}
 	for _, entry := range e.Servers {
 		listed[entry.ID] = true
-		s := c.find(entry.ID)
+		s := c.server(entry.ID)
 		if s == nil {
-			s = &server{factor: 1, hold: holdFirst, round: make([]zoneSum, c.set.Zones)}
+			s = &server{factor: 1, hold: holdFirst, zones: make([]tally, c.set.Zones)}
 			s.Server = entry
 			c.servers = append(c.servers, s)
-			sort.Slice(c.servers, func(i, j int) bool { return c.servers[i].ID < c.servers[j].ID })
+			slices.SortFunc(c.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 		}
 		if entry.StartedAt > s.StartedAt {
 			// A new process: what was held against the old one, and its stale sum, no longer counts.
@@ -244,50 +266,29 @@
 	}
 }
 
-// ask subscribes to discovery where it speaks only when asked, and again after a failure.
-func (c *Controller) ask() {
-	if c.set.AskDiscovery && !c.watching && c.now >= c.askAt {
-		c.askAt = c.now + 10*askPause
-		c.out = append(c.out, Watch{})
-	}
-}
-
-// proxy returns the record of a proxy, a new one for a new id.
-func (c *Controller) proxy(id ProxyID) *proxy {
-	i := sort.Search(len(c.proxies), func(i int) bool { return c.proxies[i].id >= id })
-	if i < len(c.proxies) && c.proxies[i].id == id {
-		return c.proxies[i]
-	}
-	n := len(c.set.Classes)
-	p := &proxy{id: id, demand: make([]float64, n), seen: make([]bool, n), lines: map[ServerID]float64{}}
-	for range n {
-		p.levels = append(p.levels, -1)
-	}
-	c.proxies = slices.Insert(c.proxies, i, p)
-	return p
-}
-
 func (c *Controller) join(e Joined) {
-	p := c.proxy(e.Proxy)
-	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, e.Zone, nil
-	if p.rate == 0 {
-		p.rate = e.Rate
+	p, n := c.proxy(e.Proxy), len(c.set.Classes)
+	if p == nil {
+		p = &proxy{id: e.Proxy, rate: e.Rate, demand: make([]float64, n), levels: make([]float64, n),
+			lines: map[ServerID]float64{}}
+		c.proxies = append(c.proxies, p)
+		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 	}
+	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, e.Zone, nil
 }
 
 // ---- estimates ----
 
 func (c *Controller) heard(e Heard) {
-	s := c.find(e.Server)
-	if s == nil || e.Zone >= len(s.round) || e.Tries <= 0 {
+	s := c.server(e.Server)
+	if s == nil || e.Zone >= len(s.zones) || e.Tries <= 0 {
 		return
 	}
 	answered := max(0, e.Tries-e.Failed)
 	if e.Latency <= 0 {
 		answered = 0
 	}
-	z := &s.round[e.Zone]
-	for _, sum := range []*zoneSum{z, &s.recent, &c.fleet} {
+	for _, sum := range []*tally{&s.round, &s.zones[e.Zone], &s.recent, &c.fleet} {
 		sum.tries += e.Tries
 		sum.failed += e.Failed
 		sum.answered += answered
@@ -306,14 +307,10 @@
 
 func (c *Controller) demand(e Demand) {
 	p := c.proxy(e.Proxy)
-	if e.Class >= len(p.demand) || e.Period <= 0 {
+	if p == nil || e.Class >= len(p.demand) || e.Period <= 0 {
 		return
 	}
-	rate := e.Requests / e.Period * 1000
-	if p.seen[e.Class] {
-		rate = (p.demand[e.Class] + rate) / 2
-	}
-	p.demand[e.Class], p.seen[e.Class] = rate, true
+	p.demand[e.Class] += demandStep * (e.Requests/e.Period*1000 - p.demand[e.Class])
 	p.rate = 0
 	for _, d := range p.demand {
 		p.rate += d
@@ -354,79 +351,67 @@
 		}
 	}
 	if ready == 0 || fresh < coverage*ready {
-		if !c.stalled {
+		if c.stalled++; c.stalled == stallLog {
 			c.log("round waits: %v of %v servers heard", fresh, ready)
 		}
-		c.stalled = true
 		return
 	}
-	c.stalled = false
-	speed, rate := make([]float64, len(c.servers)), make([]float64, len(c.servers))
+	c.stalled = 0
 	var speeds, rates, n, m float64
-	for i, s := range c.servers {
-		speed[i], rate[i] = s.measure()
-		if s.usable() && rate[i] >= 0 {
-			rates, m = rates+rate[i], m+1
-			if speed[i] > 0 {
-				speeds, n = speeds+speed[i], n+1
-			}
-		}
-	}
-	for i, s := range c.servers {
-		clear(s.round)
-		if !s.usable() {
-			continue
+	for _, s := range c.servers {
+		if s.usable() && s.round.tries > 0 {
+			rates, m = rates+s.round.rate(), m+1
 		}
-		e := 0.0 // unheard servers count as average
-		if speed[i] > 0 {
-			e = speed[i]*n/speeds - 1
+		if s.usable() && s.speed() > 0 {
+			speeds, n = speeds+s.speed(), n+1
 		}
-		if rate[i] >= 0 && rates > 0 {
-			if short := rate[i]*m/rates - 1; short < 0 {
-				e = min(e, short)
+	}
+	for _, s := range c.servers {
+		if s.usable() {
+			e := 0.0 // unheard servers count as average
+			if s.speed() > 0 {
+				e = s.speed()*n/speeds - 1
 			}
+			if s.round.tries > 0 && rates > 0 && s.round.rate()*m < rates { // the failure clamp
+				e = min(e, s.round.rate()*m/rates-1)
+			}
+			s.learn(e)
 		}
-		s.errors = append(s.errors, e)
-		if len(s.errors) > errorsKept {
-			s.errors = s.errors[1:]
-		}
-		mean := 0.0
-		for _, x := range s.errors {
-			mean += x / float64(len(s.errors))
-		}
-		if mean < -deadBand || mean > deadBand {
-			s.sum = max(-sumCap, min(sumCap, s.sum*(1-tDecay/tI)+mean))
-			want := max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum))
-			s.factor += approach * (want - s.factor)
-		}
+		s.round = tally{}
+		clear(s.zones)
 	}
 }
 
-// measure returns a server's speed this round (0 if nothing was answered) and its success rate (-1 if
-// it was not tried). Speed is the inverse mean latency, averaged over the zones at or above their mean.
-func (s *server) measure() (speed, rate float64) {
-	var sum, n, tries, failed float64
-	for _, z := range s.round {
-		tries, failed = tries+z.tries, failed+z.failed
-		if z.answered > 0 && z.time > 0 {
-			sum, n = sum+z.answered/z.time, n+1
-		}
+// learn takes the error of one round into the factor.
+func (s *server) learn(e float64) {
+	s.errors = append(s.errors, e)
+	s.errors = s.errors[max(0, len(s.errors)-errorsKept):]
+	mean := 0.0
+	for _, x := range s.errors {
+		mean += x / float64(len(s.errors))
 	}
-	if tries == 0 {
-		return 0, -1
+	if math.Abs(mean) > deadBand {
+		s.sum = max(-sumCap, min(sumCap, s.sum*(1-tDecay/tI)+mean))
+		s.factor += approach * (max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum)) - s.factor)
 	}
-	rate = 1 - failed/tries
-	if n == 0 {
-		return 0, rate
-	}
-	mean := sum / n
-	sum, n = 0, 0
-	for _, z := range s.round {
-		if z.answered > 0 && z.time > 0 && z.answered/z.time >= mean*0.999999 {
-			sum, n = sum+z.answered/z.time, n+1
+}
+
+// speed is the inverse mean latency, averaged over the proxy zones at or above their mean; 0: no answer.
+func (s *server) speed() float64 {
+	mean := 0.0
+	for range 2 {
+		sum, n := 0.0, 0.0
+		for _, z := range s.zones {
+			if z.time > 0 && z.answered/z.time >= mean*0.999999 {
+				sum, n = sum+z.answered/z.time, n+1
+			}
 		}
+		if n == 0 {
+			return 0
+		}
+		mean = sum / n
 	}
-	return sum / n, rate
+	return mean
 }
 
 // present is the share of its capacity that a server has at least, by its last start.
@@ -449,13 +434,13 @@
 	return s.Weight * factor
 }
 
-// shares fixes each server's part of the traffic of all proxies.
+// shares fixes each server's part of the traffic of all proxies; false: no server may hold a line.
 //
 // Cold budget: guards the rule that a started server is never pushed over by all proxies together. Its
 // share stays under what it can do if the whole fleet ran full, so that planners need not agree.
 // Last line: guards the rule that no proxy is left without a server. If none is usable, all ready
 // servers count again, doubted or not.
-func (c *Controller) shares() {
+func (c *Controller) shares() (some bool) {
 	var ready, usable float64
 	for _, s := range c.servers {
 		if s.State == Ready {
@@ -465,36 +450,36 @@
 			usable++
 		}
 	}
-	open := 0.0 // weight of the servers that are not at their cold budget
+	var total, warm, cold float64 // weight of all and of the warm ones, share of the cold ones
 	for _, s := range c.servers {
-		s.share, s.capped = 0, false
+		s.share = 0
 		s.inTables = s.usable() || usable == 0 && s.State == Ready
 		if s.inTables {
 			s.share = c.weight(s)
-			open += s.share
+			total += s.share
+			if c.present(s) == 1 {
+				warm += s.share
+			}
 		}
 	}
-	left := 1.0 // of the traffic, for those
-	for again := true; again && open > 0; {
-		again = false
-		for _, s := range c.servers {
-			budget := coldSafety * c.set.FallMultiple * c.present(s) / ready
-			if c.present(s) < 1 && !s.capped && s.share/open*left > budget {
-				open, left = max(0, open-s.share), left-budget
-				s.share, s.capped, again = budget, true, true
-			}
+	for _, s := range c.servers {
+		if now := c.present(s); s.inTables && now < 1 {
+			s.share = min(s.share/total, coldSafety*c.set.FallMultiple*now/ready)
+			cold += s.share
 		}
 	}
 	c.fit = 1
-	if open < 1e-9 {
-		c.fit = max(fitLeast, 1-left)
+	if warm == 0 {
+		c.fit = max(fitLeast, cold)
 	}
 	for _, s := range c.servers {
-		if !s.capped && open >= 1e-9 {
-			s.share *= left / open
+		if c.present(s) == 1 && warm > 0 {
+			s.share *= (1 - cold) / warm
+		} else {
+			s.share /= c.fit
 		}
-		s.share /= c.fit
 	}
+	return total > 0
 }
 
 // zoneTables splits the shares into one weight per proxy zone and server. Crossing zones has a price,
@@ -586,7 +571,7 @@
 }
 
 func (c *Controller) probed(e Probed) {
-	if s := c.find(e.Server); s != nil {
+	if s := c.server(e.Server); s != nil {
 		s.alive++
 		if !e.OK && !e.Refused {
 			s.alive = 0
@@ -604,9 +589,9 @@
 // a share of that would let in all of it at once.
 func (c *Controller) admission() {
 	var aims, worth, offered, admitted, requests float64
-	levels := c.wantedLevels()
+	levels, demand := c.wantedLevels(), c.demands()
 	for k, class := range c.set.Classes {
-		d := c.classDemand(k)
+		d := demand[k]
 		aims += class.Worth * (d + 1e-3) / class.Aim
 		worth += class.Worth * (d + 1e-3)
 		offered += d * class.Aim
@@ -643,38 +628,37 @@
 	}
 }
 
-func (z *zoneSum) fade(by float64) {
-	z.tries *= by
-	z.failed *= by
-	z.answered *= by
-	z.time *= by
+func (z *tally) fade(by float64) {
+	*z = tally{z.tries * by, z.failed * by, z.answered * by, z.time * by}
 }
 
-// classDemand is what comes to the joined proxies of a class, requests a second.
-func (c *Controller) classDemand(class int) float64 {
-	sum := 0.0
+// demands is what comes to the joined proxies, requests a second by class.
+func (c *Controller) demands() []float64 {
+	sums := make([]float64, len(c.set.Classes))
 	for _, p := range c.proxies {
-		if p.joined {
-			sum += p.demand[class]
+		for k := range sums {
+			if p.joined {
+				sums[k] += p.demand[k]
+			}
 		}
 	}
-	return sum
+	return sums
 }
 
 // wantedLevels gives each class its level as a share: the classes with the least worth for their work
 // (told by the aim, the only figure known of it) give way first.
 func (c *Controller) wantedLevels() []float64 {
-	n := len(c.set.Classes)
-	levels, order, work := make([]float64, n), make([]int, n), make([]float64, n)
+	work := c.demands()
+	levels, order := make([]float64, len(work)), make([]int, len(work))
 	total := 0.0
 	for k, class := range c.set.Classes {
 		levels[k], order[k] = 1, k
-		work[k] = c.classDemand(k) * class.Aim
+		work[k] *= class.Aim
 		total += work[k]
 	}
-	sort.SliceStable(order, func(i, j int) bool {
-		a, b := c.set.Classes[order[i]], c.set.Classes[order[j]]
-		return a.Worth/a.Aim < b.Worth/b.Aim
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := c.set.Classes[i], c.set.Classes[j]
+		return cmp.Compare(a.Worth/a.Aim, b.Worth/b.Aim)
 	})
 	cut := max(c.shed, 1-c.fit) * total
 	for _, k := range order {
@@ -701,14 +685,14 @@
 	}
 	c.queue = max(0, c.queue-(c.now-c.drained)*c.set.LinesPerSec/1000*paceSure)
 	c.drained = c.now
-	c.shares()
+	some := c.shares()
 	tables, levels := c.zoneTables(), c.wantedLevels()
 	for _, p := range c.proxies {
 		p.touched = 0
 	}
 	c.withdrawals(tables)
 	for _, p := range c.proxies {
-		if p.joined && p.zone < len(tables) {
+		if p.joined && p.zone < len(tables) && some {
 			c.update(p, tables[p.zone], levels)
 		}
 	}
@@ -779,55 +763,36 @@
 	if p.bound && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
 		return
 	}
-	moved, any := make([]bool, len(table)), false
-	lines := 0.0
-	for i, s := range c.servers {
-		want, have := table[i], p.lines[s.ID]
-		any = any || want > 0
-		// A withdrawn server's line is left as it is; it gets its new weight when the server returns.
-		moved[i] = !s.sentOut && math.Abs(want-have) > moveLeast*have
-		if moved[i] {
-			lines++
-		}
-	}
-	rates := make([]float64, len(levels))
-	for k, level := range levels {
-		rates[k] = level
-		if c.set.Admission == AdmitRate {
-			rates[k] = unlimited
-			if level < 1 {
-				rates[k] = level * p.demand[k]
-			}
-		}
-		if levelMoved(rates[k], p.levels[k]) {
-			lines++
-		}
-	}
-	share := ordinaryShare
+	whole, share := float64(len(table)+len(levels)+2), ordinaryShare
 	if !p.bound {
-		lines, share = float64(len(c.servers)+len(levels)+2), urgentShare
+		share = urgentShare
 	}
-	if !any || lines == 0 || !c.mayWrite(p, lines, share) {
+	if !c.mayWrite(p, whole, share) {
 		return
 	}
+	before := len(c.out)
 	for i, s := range c.servers {
-		if moved[i] {
+		// A withdrawn server's line is left as it is; it gets its new weight when the server returns.
+		if have := p.lines[s.ID]; !s.sentOut && math.Abs(table[i]-have) > moveLeast*have {
 			p.setLine(c, s.ID, table[i])
 		}
 	}
-	for k, rate := range rates {
-		if levelMoved(rate, p.levels[k]) {
-			p.levels[k] = rate
-			c.out = append(c.out, Admit{Table: TableID(p.id), Mask: 1 << k, Level: rate, Retry: retry})
+	for k, level := range levels {
+		if c.set.Admission == AdmitRate && level < 1 {
+			level *= p.demand[k]
+		} else if c.set.Admission == AdmitRate {
+			level = unlimited
+		}
+		if !p.bound || math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
+			p.levels[k] = level
+			c.out = append(c.out, Admit{Table: TableID(p.id), Mask: 1 << k, Level: level, Retry: retry})
 		}
 	}
-	if !p.bound {
-		p.bound = true
-		c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
+	if p.bound {
+		p.touched += float64(len(c.out) - before)
+		return
 	}
-	p.touched += lines
-}
-
-func levelMoved(want, have float64) bool {
-	return have < 0 || math.Abs(want-have) > levelLeast*have
+	p.bound = true
+	p.touched += whole
+	c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
 }
