--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -94,6 +94,9 @@
 	for i, c := range j.Classes {
 		class := rules.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth,
 			LateWorth: c.LateWorth, Window: c.Window, OwnZone: i < len(x.StaysLocal) && x.StaysLocal[i]}
+		if !(c.Aim > 0) || !(c.Deadline > 0) {
+			return rules.Settings{}, fmt.Errorf("settings: class %q lacks its aim or its deadline", c.Name)
+		}
 		switch c.Idempotency {
 		case "read_like":
 			class.Effect = rules.Safe
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -705,7 +705,6 @@
 			marked, c.token = true, (c.token+1)%65536
 			c.out = append(c.out, Mark{Token: c.token})
 		}
-		c.queue += p.touched + c.set.HeadLines + 1
 		p.writes = append(p.writes, c.now)
 		p.waiting, p.lastSent, p.token = true, c.now, c.token
 	}
@@ -723,6 +722,15 @@
 	return c.queue+lines+c.set.HeadLines <= share*c.set.QueueLines
 }
 
+// touch counts lines of this step's message to a proxy into the channel.
+func (c *Controller) touch(p *proxy, lines float64) {
+	if p.touched == 0 && lines > 0 {
+		c.queue += c.set.HeadLines + 1
+	}
+	c.queue += lines
+	p.touched += lines
+}
+
 // withdrawals go first and wait for no answer. They guard the rule on drains: a server that drains or
 // is gone gets nothing more, whoever wrote the tables. A server comes back with its new weight.
 func (c *Controller) withdrawals(tables [][]float64) {
@@ -743,7 +751,7 @@
 			if !p.joined {
 				continue
 			}
-			p.touched += 2
+			c.touch(p, 2)
 			if p.bound && !out && p.zone < len(tables) {
 				p.setLine(c, s.ID, tables[p.zone][i])
 			}
@@ -789,10 +797,10 @@
 		}
 	}
 	if p.bound {
-		p.touched += float64(len(c.out) - before)
+		c.touch(p, float64(len(c.out)-before))
 		return
 	}
 	p.bound = true
-	p.touched += whole
+	c.touch(p, whole)
 	c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
 }
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,740 @@
+package rules
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+func settings() Settings {
+	return Settings{
+		Instances: 1, Zones: 2, Proxies: 2, Probes: true, Admission: AdmitShare, ReportPeriod: 1000,
+		QueueLines: 1000, LinesPerSec: 1000, HeadLines: 3, MessagesMost: 20, MessagesOver: 10000,
+		DrainGrace: 1500, ColdFor: 18000, StartCapacity: 0.2, FallMultiple: 2.5, FallAfter: 3000,
+		Classes: []Class{
+			{Name: "view", Aim: 1000, Deadline: 4000, Worth: 1, Effect: Safe},
+			{Name: "post", Aim: 500, Deadline: 2000, Worth: 5, Effect: Keyed, Scope: ScopeAll, Window: 1200},
+			{Name: "pay", Aim: 500, Deadline: 1500, Worth: 2, Effect: Unsafe},
+		},
+	}
+}
+
+// fleet drives a controller and keeps what its proxies were told.
+type fleet struct {
+	t        *testing.T
+	c        *Controller
+	now      float64
+	tables   map[TableID]map[ServerID]float64
+	bound    map[ProxyID]TableID
+	out      map[ServerID]bool
+	last     []Action
+	messages map[ProxyID]int
+}
+
+func newFleet(t *testing.T, set Settings, servers ...Server) *fleet {
+	t.Helper()
+	f := &fleet{t: t, c: New(set, 7), now: 50000, tables: map[TableID]map[ServerID]float64{},
+		bound: map[ProxyID]TableID{}, out: map[ServerID]bool{}, messages: map[ProxyID]int{}}
+	f.step(List{Kind: ListCached, Servers: servers})
+	return f
+}
+
+func ready(id ServerID, zone int) Server { return Server{ID: id, Weight: 1, Zone: zone, State: Ready} }
+
+func fourServers() []Server { return []Server{ready(1, 0), ready(2, 0), ready(3, 1), ready(4, 1)} }
+
+func (f *fleet) step(events ...Event) []Action {
+	f.last = f.c.Step(f.now, events)
+	for _, a := range f.last {
+		switch a := a.(type) {
+		case SetWeight:
+			if f.tables[a.Table] == nil {
+				f.tables[a.Table] = map[ServerID]float64{}
+			}
+			if a.Weight < 0 || math.IsNaN(a.Weight) || math.IsInf(a.Weight, 0) {
+				f.t.Fatalf("weight %v ordered", a.Weight)
+			}
+			f.tables[a.Table][a.Server] = a.Weight
+		case Bind:
+			f.bound[a.Proxy] = a.Table
+		case Withdraw:
+			f.out[a.Server] = a.Out
+		}
+	}
+	return f.last
+}
+
+func (f *fleet) after(ms float64, events ...Event) []Action {
+	f.now += ms
+	return f.step(events...)
+}
+
+// ack answers the last mark on behalf of a proxy.
+func (f *fleet) ack(p ProxyID) Ack { return Ack{Proxy: p, Token: f.c.token} }
+
+func (f *fleet) share(p ProxyID, id ServerID) float64 {
+	sum := 0.0
+	table := f.tables[f.bound[p]]
+	for s, w := range table {
+		if !f.out[s] {
+			sum += w
+		}
+	}
+	if sum == 0 || f.out[id] {
+		return 0
+	}
+	return table[id] / sum
+}
+
+func count[A Action](actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(A); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func heard(id ServerID, zone int, tries, failed, latency float64) Heard {
+	return Heard{Server: id, Zone: zone, Tries: tries, Failed: failed, Latency: latency, Period: 1000}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+// calm makes the controller see an idle fleet.
+func (f *fleet) calm() {
+	for range 6 {
+		f.after(1000, heard(1, 0, 50, 0, 100), heard(2, 0, 50, 0, 100), heard(3, 1, 50, 0, 100),
+			heard(4, 1, 50, 0, 100), Demand{Proxy: 1, Class: 0, Requests: 200, Period: 1000})
+	}
+}
+
+func TestRoundByHand(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	// Speeds 1/100 for three servers and 1/400 for one: mean 0.008125, errors 0.2308 and -0.6923.
+	reports := []Event{heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100),
+		heard(4, 1, 10, 0, 400)}
+	f.after(roundTime, reports...)
+	fast, slow := 0.01/0.008125-1, 0.0025/0.008125-1
+	s1, s4 := f.c.server(1), f.c.server(4)
+	if !near(s1.sum, fast) || !near(s4.sum, slow) {
+		t.Fatalf("sums %v and %v, want %v and %v", s1.sum, s4.sum, fast, slow)
+	}
+	want1, want4 := 1+approach*(fast+fast/tI), 1+approach*(slow+slow/tI)
+	if !near(s1.factor, want1) || !near(s4.factor, want4) {
+		t.Fatalf("factors %v and %v, want %v and %v", s1.factor, s4.factor, want1, want4)
+	}
+	f.after(roundTime, reports...)
+	sum := fast*(1-tDecay/tI) + fast
+	if !near(s1.sum, sum) {
+		t.Fatalf("second sum %v, want the first decayed plus the error, %v", s1.sum, sum)
+	}
+	if want := want1 + approach*(min(factorHigh, 1+fast+sum/tI)-want1); !near(s1.factor, want) {
+		t.Fatalf("second factor %v, want %v", s1.factor, want)
+	}
+}
+
+func TestErrorIsAveragedOverThreeRounds(t *testing.T) {
+	s := &server{factor: 1}
+	for _, e := range []float64{0.9, 0.3, 0.3, -0.3} {
+		s.learn(e)
+	}
+	if want := []float64{0.3, 0.3, -0.3}; !reflect.DeepEqual(s.errors, want) {
+		t.Fatalf("errors kept %v, want %v", s.errors, want)
+	}
+}
+
+func TestDeadBandLeavesWeightAndSumAlone(t *testing.T) {
+	s := &server{factor: 1.2, sum: 0.5}
+	s.learn(0.09)
+	if s.factor != 1.2 || s.sum != 0.5 {
+		t.Fatalf("factor %v and sum %v moved inside the dead band", s.factor, s.sum)
+	}
+	s.learn(0.5)
+	if s.factor == 1.2 || s.sum == 0.5 {
+		t.Fatal("factor and sum did not move outside the dead band")
+	}
+}
+
+func TestSumIsCappedAndFactorBounded(t *testing.T) {
+	s := &server{factor: 1, sum: 10 * sumCap}
+	for range 100 {
+		s.learn(1000)
+	}
+	if s.sum != sumCap || s.factor > factorHigh || s.factor < factorHigh-0.01 {
+		t.Fatalf("sum %v and factor %v, want the cap and the upper bound", s.sum, s.factor)
+	}
+	for range 100 {
+		s.learn(-1000)
+	}
+	if s.sum != -sumCap || s.factor < factorLow || s.factor > factorLow+0.01 {
+		t.Fatalf("sum %v and factor %v, want the cap and the lower bound", s.sum, s.factor)
+	}
+}
+
+func TestSpeedAveragesZonesAtOrAboveTheirMean(t *testing.T) {
+	s := &server{zones: []tally{{answered: 10, time: 1000}, {answered: 10, time: 2000}, {answered: 10, time: 10000}}}
+	// Zone speeds 0.01, 0.005, 0.001: mean 0.00533, only the first is at or above it.
+	if got := s.speed(); !near(got, 0.01) {
+		t.Fatalf("speed %v, want 0.01", got)
+	}
+	if got := (&server{zones: make([]tally, 2)}).speed(); got != 0 {
+		t.Fatalf("speed without answers %v, want 0", got)
+	}
+}
+
+func TestFailureClampReplacesSpeed(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	// Server 4 is as fast as the rest but fails half its tries: rates 1, 1, 1, 0.5, mean 0.875.
+	f.after(roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100),
+		heard(4, 1, 10, 5, 100))
+	if got, want := f.c.server(4).errors[0], 0.5/0.875-1; !near(got, want) {
+		t.Fatalf("error %v, want the failure clamp's %v", got, want)
+	}
+	if got := f.c.server(1).errors[0]; got != 0 {
+		t.Fatalf("error %v of a server with a good rate, want its speed's 0", got)
+	}
+}
+
+func TestRoundWaitsForCoverage(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 400)) // two of four
+	if len(f.c.server(1).errors) != 0 {
+		t.Fatal("a round ran with half of the servers heard")
+	}
+	f.after(roundTime, heard(3, 1, 10, 0, 100)) // three of four
+	if len(f.c.server(1).errors) != 1 {
+		t.Fatal("no round with three quarters of the servers heard")
+	}
+	f.after(2 * heardFor)
+	if len(f.c.server(1).errors) != 1 {
+		t.Fatal("reports older than a minute counted as fresh")
+	}
+}
+
+func TestMissedRoundsDoNotRunInABurst(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	for range 3 {
+		f.c.nextRound = 0
+		f.after(20*roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100))
+	}
+	if got := len(f.c.server(1).errors); got != 3 {
+		t.Fatalf("%d rounds in three turns after standing still, want 3", got)
+	}
+	f.step()
+	if f.c.nextRound <= f.now {
+		t.Fatal("the next round is due at once")
+	}
+}
+
+func TestNewProxyGetsTheWholeTable(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	actions := f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10, Fresh: true})
+	if count[Bind](actions) != 1 || count[SetWeight](actions) != 4 || count[Mark](actions) != 1 {
+		t.Fatalf("actions %v, want a bind, four lines and a mark", actions)
+	}
+	if count[Admit](actions) != 3 {
+		t.Fatalf("%d levels, want one for each class", count[Admit](actions))
+	}
+}
+
+func TestOrdinaryChangesWaitForTheAnswer(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.c.server(1).factor = 0.4
+	if got := count[SetWeight](f.after(messageGap + 100)); got != 0 {
+		t.Fatalf("%d lines before the answer", got)
+	}
+	f.c.server(1).factor = 0.3 // merges with the change before
+	if got := count[SetWeight](f.after(100, f.ack(1))); got == 0 {
+		t.Fatal("no lines after the answer")
+	}
+	f.c.server(1).factor = 1
+	if got := count[SetWeight](f.after(ackWait + 1)); got == 0 {
+		t.Fatal("no lines after the longest wait")
+	}
+}
+
+func TestOnlyMovedLinesGo(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	for range 20 {
+		if got := count[SetWeight](f.after(1000, f.ack(1))); got != 0 {
+			t.Fatalf("%d lines though nothing moved", got)
+		}
+	}
+}
+
+func TestDrainGoesAtOnceWhoeverWroteTheTable(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10}) // not answered yet
+	f.after(10, List{Kind: ListChanges, Servers: []Server{{ID: 1, Weight: 1, State: Draining}}})
+	if !f.out[1] {
+		t.Fatal("a draining server was not withdrawn in the same turn")
+	}
+	f.after(10, List{Kind: ListFull, Servers: fourServers()[:3]})
+	if !f.out[4] {
+		t.Fatal("a server missing from a whole list was not withdrawn")
+	}
+	if f.out[1] {
+		t.Fatal("a server that is ready again stays withdrawn")
+	}
+}
+
+func TestReturningServerGetsItsNewWeightWithTheOrder(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	full := f.share(1, 1)
+	if got := f.c.weight(f.c.server(1)); got != 1 {
+		t.Fatalf("weight %v of a warm server, want the listed 1", got)
+	}
+	f.after(10, List{Kind: ListChanges, Servers: []Server{{ID: 1, Weight: 1, State: Gone}}})
+	back := ready(1, 0)
+	back.StartedAt = f.now
+	f.after(10, List{Kind: ListChanges, Servers: []Server{back}})
+	if f.out[1] {
+		t.Fatal("the server stays withdrawn though the fleet is calm")
+	}
+	if got := f.c.weight(f.c.server(1)); got != startShare {
+		t.Fatalf("weight %v of a started server, want the start share %v", got, startShare)
+	}
+	if got := f.share(1, 1); got > 0.5*full || got == 0 {
+		t.Fatalf("a started server gets %v of the traffic at once, before it had %v", got, full)
+	}
+}
+
+func TestColdBudgetHoldsOverAllProxies(t *testing.T) {
+	servers := fourServers()
+	for i := range 3 { // three of four start cold together
+		servers[i].StartedAt = 49000
+	}
+	f := newFleet(t, settings(), servers...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 60}, Joined{Proxy: 2, Zone: 1, Rate: 40})
+	f.calm()
+	f.after(3000, f.ack(1), f.ack(2))
+	for id := ServerID(1); id <= 3; id++ {
+		now := f.c.present(f.c.server(id))
+		share := 0.6*f.share(1, id) + 0.4*f.share(2, id)
+		// If the whole fleet ran full, this is the multiple of its present capacity that it would get.
+		if multiple := share * 4 / now; multiple > f.c.set.FallMultiple {
+			t.Errorf("server %d would get %.2f times what it can do, the limit is %.2f", id, multiple,
+				f.c.set.FallMultiple)
+		}
+		if f.share(1, id)+f.share(2, id) == 0 {
+			t.Errorf("cold server %d gets nothing though the fleet is calm", id)
+		}
+	}
+}
+
+func TestAllColdShedsInsteadOfPushingOver(t *testing.T) {
+	servers := fourServers()
+	for i := range servers {
+		servers[i].StartedAt = 50000
+	}
+	f := newFleet(t, settings(), servers...)
+	f.c.pressure = 0.5
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10}, Demand{Proxy: 1, Class: 0, Requests: 100, Period: 1000})
+	f.after(10, Demand{Proxy: 1, Class: 0, Requests: 100, Period: 1000})
+	if f.c.fit > 0.5 || f.c.fit < fitLeast {
+		t.Fatalf("demand let in %v with every server at %v of its capacity", f.c.fit, f.c.present(f.c.server(1)))
+	}
+	if level := f.c.wantedLevels()[0]; level > 0.5 {
+		t.Fatalf("level %v with every server cold", level)
+	}
+}
+
+// A collapse sends all traffic to the lines that have not failed yet; met on a zone-loss day, where a
+// cold server was sent five times what it could do.
+func TestColdServerStaysOutOfACollapse(t *testing.T) {
+	servers := fourServers()
+	servers[0].StartedAt = 49000
+	f := newFleet(t, settings(), servers...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	if !f.out[1] {
+		t.Fatal("a cold server is let in before the state of the fleet is known")
+	}
+	f.calm()
+	if f.out[1] {
+		t.Fatal("a cold server stays out though the fleet answers")
+	}
+	for range 4 {
+		f.after(1000, heard(2, 0, 50, 40, 900), heard(3, 1, 50, 40, 900), heard(4, 1, 50, 40, 900))
+	}
+	if !f.out[1] {
+		t.Fatalf("a cold server is kept in at pressure %v", f.c.pressure)
+	}
+	f.after(20000)
+	if f.out[1] {
+		t.Fatal("a server that is warm by now stays out")
+	}
+}
+
+func TestLastLineKeepsAServer(t *testing.T) {
+	set := settings()
+	servers := fourServers()
+	for i := range servers {
+		servers[i].StartedAt = 50000
+	}
+	f := newFleet(t, set, servers...) // all cold and the fleet's state unknown: all held
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	sum := 0.0
+	for id := ServerID(1); id <= 4; id++ {
+		sum += f.share(1, id)
+	}
+	if !near(sum, 1) {
+		t.Fatalf("the proxy was left with %v of a table", sum)
+	}
+}
+
+func TestDoubtNeverKeepsOutTheFleet(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	for range 3 {
+		f.after(1000, heard(1, 0, 20, 20, 0), heard(2, 0, 20, 20, 0), heard(3, 1, 20, 20, 0), heard(4, 1, 20, 0, 100))
+	}
+	out := 0
+	for _, gone := range f.out {
+		if gone {
+			out++
+		}
+	}
+	if float64(out) > doubtMost*4 {
+		t.Fatalf("%d of 4 servers withdrawn on doubt", out)
+	}
+}
+
+func TestSilentServerIsWithdrawnAndComesBackEased(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	probes := 0
+	for range 3 {
+		probes += count[Probe](f.after(1000, heard(1, 0, 10, 0, 0), heard(2, 0, 10, 0, 100)))
+	}
+	if !f.out[1] || probes == 0 {
+		t.Fatalf("withdrawn %v, %d probes; want the silent server out and probed", f.out[1], probes)
+	}
+	f.after(holdFirst, Probed{Server: 1}, Probed{Server: 1, OK: true})
+	if !f.out[1] {
+		t.Fatal("one answered probe was enough")
+	}
+	f.after(100, Probed{Server: 1, OK: true}, heard(2, 0, 10, 0, 100), heard(3, 0, 10, 0, 100))
+	f.after(100)
+	if f.out[1] {
+		t.Fatal("two answered probes did not bring the server back")
+	}
+	early := f.c.weight(f.c.server(1))
+	f.after(returnTime)
+	if late := f.c.weight(f.c.server(1)); early > 0.5*late {
+		t.Fatalf("weight %v at its return, %v later: not eased", early, late)
+	}
+	if f.c.server(1).hold <= holdFirst {
+		t.Fatal("a relapse would not keep the server out for longer")
+	}
+}
+
+// A doubted server that returned was once held out as cold in an overload, when capacity was scarcest.
+func TestReturnedServerIsNotHeldAsCold(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.c.pressure = collapse + 1
+	f.c.server(1).returnedAt = f.now
+	f.after(10)
+	if !f.c.server(1).usable() {
+		t.Fatal("a returned server that never restarted is held as cold")
+	}
+}
+
+func TestNewProcessDropsStaleJudgement(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	s := f.c.server(1)
+	s.sum, s.factor, s.doubted, s.dry = -3, 0.2, true, 40
+	back := ready(1, 0)
+	back.StartedAt = f.now
+	f.after(10, List{Kind: ListChanges, Servers: []Server{back}})
+	if s.sum != 0 || s.factor != 1 || s.doubted || s.dry != 0 {
+		t.Fatalf("a new process keeps sum %v, factor %v, doubt %v", s.sum, s.factor, s.doubted)
+	}
+}
+
+func TestZoneTablesKeepTrafficHomeAndSpillTheRest(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 50}, Joined{Proxy: 2, Zone: 1, Rate: 50})
+	if home := f.share(1, 1) + f.share(1, 2); home < 0.95 {
+		t.Fatalf("%v of a balanced zone's traffic stays home", home)
+	}
+	f = newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 90}, Joined{Proxy: 2, Zone: 1, Rate: 10})
+	load := 0.9*(f.share(1, 1)+f.share(1, 2)) + 0.1*(f.share(2, 1)+f.share(2, 2))
+	if load > 0.62 || load < 0.5 {
+		t.Fatalf("the busy zone's servers get %v of all traffic, want about half and the slack", load)
+	}
+}
+
+// overload feeds reports of a fleet whose answers take this long; demand is 200 views a second.
+func (f *fleet) overload(latency, demand float64) {
+	f.after(1000, heard(1, 0, 50, 0, latency), heard(2, 0, 50, 0, latency), heard(3, 1, 50, 0, latency),
+		heard(4, 1, 50, 0, latency), Demand{Proxy: 1, Class: 0, Requests: demand, Period: 1000},
+		Demand{Proxy: 1, Class: 1, Requests: 20, Period: 1000})
+}
+
+func TestAdmissionShedsLeastWorthPerWorkFirst(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	for range 5 {
+		f.overload(800, 200)
+	}
+	levels := f.c.wantedLevels()
+	if levels[0] >= 1 || levels[1] != 1 || levels[2] != 1 {
+		t.Fatalf("levels %v, want only the first class cut", levels)
+	}
+}
+
+// Refused requests come again; when the limit was a share, all of them came in at once.
+func TestRecoveryDoesNotFollowSwollenDemand(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	for range 8 {
+		f.overload(800, 600) // repeats swell the demand
+	}
+	let := f.c.wantedLevels()[0] * f.c.demands()[0]
+	f.overload(100, 600)
+	f.overload(100, 600)
+	f.overload(100, 600)
+	if now := f.c.wantedLevels()[0] * f.c.demands()[0]; now > 1.6*let {
+		t.Fatalf("%v requests a second let in, %v three seconds before", now, let)
+	}
+	for range 60 {
+		f.overload(100, 200)
+	}
+	if level := f.c.wantedLevels()[0]; level != 1 {
+		t.Fatalf("level %v a minute after the overload", level)
+	}
+}
+
+// A few very heavy requests once held the mean answer time up and half the requests were refused.
+func TestFewSlowServersDoNotCauseShedding(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	for range 10 {
+		f.after(1000, heard(1, 0, 50, 0, 5000), heard(2, 0, 50, 0, 100), heard(3, 1, 50, 0, 100),
+			heard(4, 1, 50, 0, 100), Demand{Proxy: 1, Class: 0, Requests: 200, Period: 1000})
+	}
+	if f.c.shed != 0 {
+		t.Fatalf("shedding %v with three of four servers idle", f.c.shed)
+	}
+}
+
+// The average of the first seconds was once taken for all the fleet can do, which locked the limit.
+func TestFirstSecondsDoNotLookLikeTheLimit(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.after(1000)
+	f.overload(100, 200)
+	f.overload(100, 200)
+	// 200 answers a second of class 0 and 1, in units of their aims.
+	if want := 200.0 * 900; f.c.able < want {
+		t.Fatalf("ability %v after two reports, want at least %v", f.c.able, want)
+	}
+}
+
+func TestRatesArePerProxy(t *testing.T) {
+	set := settings()
+	set.Admission = AdmitRate
+	f := newFleet(t, set, fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	for _, a := range f.last {
+		if a, ok := a.(Admit); ok && a.Level < unlimited {
+			t.Fatalf("rate %v ordered without overload", a.Level)
+		}
+	}
+	f.calm()
+	var rate float64
+	for range 6 {
+		f.overload(900, 200)
+		f.c.proxy(1).waiting = false
+		for _, a := range f.last {
+			if a, ok := a.(Admit); ok && a.Mask == 1 {
+				rate = a.Level
+			}
+		}
+	}
+	if rate <= 0 || rate >= 200 {
+		t.Fatalf("rate %v for a proxy that gets 200 a second in an overload", rate)
+	}
+}
+
+func TestDiscoveryIsAskedAgainAfterFailure(t *testing.T) {
+	set := settings()
+	set.AskDiscovery = true
+	f := newFleet(t, set, fourServers()...)
+	if count[Watch](f.last) != 1 {
+		t.Fatal("discovery on request was not asked at the start")
+	}
+	if count[Watch](f.after(100, List{Kind: ListFailed})) != 0 {
+		t.Fatal("asked again at once after a failure")
+	}
+	if count[Watch](f.after(2*askPause)) != 1 {
+		t.Fatal("not asked again after a failure")
+	}
+	f.after(100, List{Kind: ListChanges})
+	if count[Watch](f.after(10*askAgain)) != 0 {
+		t.Fatal("asked again while subscribed")
+	}
+	f.after(100, List{Kind: ListFailed})
+	if count[Watch](f.after(2*askPause)) != 1 {
+		t.Fatal("not asked again after the subscription broke")
+	}
+	set.AskDiscovery = false
+	if f := newFleet(t, set, fourServers()...); count[Watch](f.last) != 0 {
+		t.Fatal("asked though changes are pushed")
+	}
+}
+
+func TestOddEventsChangeNothing(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	f.after(3000, f.ack(1))
+	actions := f.after(1, Ack{Proxy: 99, Token: 5}, Left{Proxy: 98}, heard(77, 0, 5, 5, 0), heard(1, 9, 5, 5, 0),
+		heard(1, 0, 0, 0, 0), Demand{Proxy: 97, Requests: 5, Period: 1000}, Probed{Server: 55}, Tick{Token: 12},
+		Demand{Proxy: 1, Class: 9, Requests: 5, Period: 1000}, Demand{Proxy: 1, Requests: 5})
+	if len(actions) != 0 {
+		t.Fatalf("actions %v on events that concern nobody", actions)
+	}
+	if len(f.c.proxies) != 1 || len(f.c.servers) != 4 {
+		t.Fatal("odd events made proxies or servers")
+	}
+}
+
+func TestSlicesAreLeftAlone(t *testing.T) {
+	set := settings()
+	set.Slices = 64
+	f := newFleet(t, set, fourServers()...)
+	actions := f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	if count[Bind](actions)+count[SetWeight](actions) != 0 {
+		t.Fatalf("actions %v at a site with slices", actions)
+	}
+}
+
+// storm returns a random but legal run of events, the same for the same seed.
+func storm(seed uint64, turns int) (times []float64, batches [][]Event) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	now := 1000.0
+	for range turns {
+		now += float64(r.IntN(400))
+		var events []Event
+		for range r.IntN(6) {
+			id, px := ServerID(1+r.IntN(8)), ProxyID(r.IntN(5))
+			switch r.IntN(9) {
+			case 0:
+				events = append(events, Joined{Proxy: px, Zone: r.IntN(3), Rate: 20 * r.Float64(), Fresh: r.IntN(2) == 0})
+			case 1:
+				events = append(events, Left{Proxy: px})
+			case 2:
+				events = append(events, List{Kind: ListKind(r.IntN(4)), Servers: []Server{{ID: id, Weight: r.Float64(),
+					Zone: r.IntN(3), State: State(r.IntN(3)), StartedAt: now * r.Float64()}}})
+			case 3:
+				events = append(events, Probed{Server: id, OK: r.IntN(2) == 0})
+			case 4:
+				events = append(events, Ack{Proxy: px, Token: uint32(r.IntN(200))})
+			case 5:
+				events = append(events, Demand{Proxy: px, Class: r.IntN(4), Requests: float64(r.IntN(200)), Period: 1000})
+			default:
+				n := float64(r.IntN(60))
+				events = append(events, Heard{Server: id, Zone: r.IntN(3), Tries: n, Failed: n * r.Float64(),
+					Latency: float64(r.IntN(3)) * 700 * r.Float64(), Period: 1000})
+			}
+		}
+		times, batches = append(times, now), append(batches, events)
+	}
+	return times, batches
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	for seed := range uint64(20) {
+		a, b := New(settings(), seed), New(settings(), seed)
+		times, batches := storm(seed, 400)
+		for i := range times {
+			if x, y := a.Step(times[i], batches[i]), b.Step(times[i], batches[i]); !reflect.DeepEqual(x, y) {
+				t.Fatalf("seed %d, turn %d: %v and %v", seed, i, x, y)
+			}
+		}
+	}
+}
+
+// Safe repeats, the channel's lines and the messages to one proxy, in storms of events.
+func TestRulesHoldInStorms(t *testing.T) {
+	for seed := range uint64(40) {
+		set := settings()
+		set.QueueLines, set.LinesPerSec, set.MessagesMost = 200, 130, 8
+		if seed%2 == 1 {
+			set.Admission, set.QueueLines, set.LinesPerSec, set.MessagesMost = AdmitRate, 100, 20, 0
+		}
+		c := New(set, seed)
+		times, batches := storm(seed, 800)
+		queue, last := 0.0, times[0]
+		joined, inTable := map[ProxyID]bool{}, map[ProxyID]bool{}
+		sent := map[ProxyID][]float64{}
+		for i, now := range times {
+			queue, last = max(0, queue-(now-last)*set.LinesPerSec/1000*0.7), now // slower than stated
+			for _, e := range batches[i] {
+				switch e := e.(type) {
+				case Joined:
+					joined[e.Proxy], inTable[e.Proxy], sent[e.Proxy] = true, false, nil
+				case Left:
+					joined[e.Proxy] = false
+				}
+			}
+			lines := map[ProxyID]float64{}
+			for _, a := range c.Step(now, batches[i]) {
+				switch a := a.(type) {
+				case SetWeight:
+					if inTable[ProxyID(a.Table)] && joined[ProxyID(a.Table)] {
+						lines[ProxyID(a.Table)]++
+					}
+				case Admit:
+					if a.Retry > RetryProof {
+						t.Fatalf("seed %d: retry method %d may take effect twice", seed, a.Retry)
+					}
+					if a.Level < 0 || math.IsNaN(a.Level) {
+						t.Fatalf("seed %d: level %v", seed, a.Level)
+					}
+				case Bind:
+					if !joined[a.Proxy] {
+						t.Fatalf("seed %d: proxy %d bound without a stream", seed, a.Proxy)
+					}
+					inTable[a.Proxy] = true
+					lines[a.Proxy] += 13
+				case Withdraw:
+					for p, on := range joined {
+						if on {
+							lines[p]++
+						}
+					}
+				}
+			}
+			for p, n := range lines {
+				queue += n + set.HeadLines + 1
+				sent[p] = append(sent[p], now)
+				within := 0
+				for _, at := range sent[p] {
+					if now-at <= set.MessagesOver {
+						within++
+					}
+				}
+				if set.MessagesMost > 0 && within > set.MessagesMost {
+					t.Fatalf("seed %d: %d messages to proxy %d within %v ms", seed, within, p, set.MessagesOver)
+				}
+			}
+			if queue > set.QueueLines {
+				t.Fatalf("seed %d, turn %d: %v lines wait, %v may", seed, i, queue, set.QueueLines)
+			}
+		}
+	}
+}
