--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,7 +23,7 @@
 	factorLow  = 0.1   // least factor on a listed weight
 	factorHigh = 1.5   // largest factor
 	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
-	approach   = 0.15  // of the way to the computed factor that a round goes: the whole way swings under load
+	approach   = 0.15  // of the way that a round goes to the computed factor; the whole way swings
 	errorsKept = 3     // rounds over which a server's error is averaged
 	roundTime  = 2500.0
 	coverage   = 0.6     // share of the usable servers that must have been heard
@@ -50,10 +50,11 @@
 
 	pressureUnknown = 5.0    // assumed before the first reports: others may have left the fleet in any state
 	collapse        = 2.0    // pressure over which cold servers are kept out
-	aimShare        = 0.3    // of the aim: the idle answer time is taken to be no longer
-	baseShare       = 1.2    // of the idle answer time that is wanted at most, plus
-	waitShare       = 0.1    // of the aim, for waiting
+	aimShare        = 0.5    // of the aim: the idle answer time is taken to be no longer
+	baseShare       = 1.1    // of the idle answer time that is wanted at most, plus
+	waitShare       = 0.08   // of the aim, for waiting
 	failWeight      = 1.0    // what a failing try adds to the pressure
+	filledEnough    = 0.9    // of that average before it tells the idle answer time
 	fleetTime       = 1000   // time over which the fleet's answers are averaged
 	ableDecay       = 0.98   // what is left after a step of the most that the fleet answered
 	shedFrom        = 0.8    // pressure from which work is held against what the fleet can do
@@ -133,7 +134,7 @@
 	askAt     float64
 	nextTick  float64
 	nextRound float64
-	nextShed  float64
+	lastShed  float64
 	fleet     tally   // recent answers of all servers, decayed
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
@@ -159,7 +160,7 @@
 func (c *Controller) Step(now float64, events []Event) []Action {
 	c.now, c.out = now, nil
 	if !c.started {
-		c.started, c.drained, c.nextRound = true, now, now+roundTime
+		c.started, c.drained, c.lastShed, c.nextRound = true, now, now, now+roundTime
 		c.askAt = now
 	}
 	for _, e := range events {
@@ -196,9 +197,9 @@
 	if now >= c.nextRound {
 		c.runRound()
 	}
-	if now >= c.nextShed {
-		c.nextShed = now + shedStep
-		c.admission()
+	if now-c.lastShed >= max(shedStep, c.set.ReportPeriod) { // so that each look has a whole report
+		c.admission(now - c.lastShed)
+		c.lastShed = now
 	}
 	c.publish()
 	return c.out
@@ -587,7 +588,7 @@
 // are seconds old, and a level that builds on its own past levels swings between flood and famine. The
 // limit is kept in work a second, not as a share: what is refused comes again and swells the demand, and
 // a share of that would let in all of it at once.
-func (c *Controller) admission() {
+func (c *Controller) admission(span float64) {
 	var aims, worth, offered, admitted, requests float64
 	levels, demand := c.wantedLevels(), c.demands()
 	for k, class := range c.set.Classes {
@@ -602,18 +603,18 @@
 		return
 	}
 	latency := c.latency()
-	if latency > 0 {
+	if latency > 0 && c.filled > filledEnough {
 		c.base = min(c.base, latency)
 	}
 	aim := worth / aims
 	wanted := baseShare*min(c.base, aimShare*aim) + waitShare*aim
 	c.pressure = latency/wanted + failWeight*c.fleet.failed/c.fleet.tries
 	// Work answered a second, in units of the aims, which are all that is known of a class's work.
-	decay := math.Exp(-shedStep / fleetTime)
+	decay := math.Exp(-span / fleetTime)
 	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
-	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / shedStep * admitted / requests
-	c.able = max(answered, c.able*ableDecay)
-	c.limit *= limitGrow
+	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
+	c.able = max(answered, c.able*math.Pow(ableDecay, span/1000))
+	c.limit *= math.Pow(limitGrow, span/1000)
 	if c.pressure > shedFrom {
 		c.limit = min(c.limit, c.able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
 	}
