--- a/rules/rules.go
+++ b/rules/rules.go
@@ -53,7 +53,6 @@
 	aimShare        = 0.5    // of the aim: the idle answer time is taken to be no longer
 	baseShare       = 1.1    // of the idle answer time that is wanted at most, plus
 	waitShare       = 0.08   // of the aim, for waiting
-	failWeight      = 1.0    // what a failing try adds to the pressure
 	filledEnough    = 0.9    // of that average before it tells the idle answer time
 	fleetTime       = 1000   // time over which the fleet's answers are averaged
 	ableDecay       = 0.98   // what is left after a step of the most that the fleet answered
@@ -139,7 +138,8 @@
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
 	filled    float64 // how far the fleet's average has filled since the start
-	able      float64 // most work a second that the fleet lately answered
+	listed    float64 // weight that the list shows ready, less for cold servers
+	able      float64 // most work a second that the fleet lately answered, for each weight listed ready
 	limit     float64 // work a second that may come in
 	shed      float64 // share of the offered work that is refused
 	fit       float64 // share of the demand that cold servers leave room for
@@ -443,9 +443,11 @@
 // servers count again, doubted or not.
 func (c *Controller) shares() (some bool) {
 	var ready, usable float64
+	c.listed = 0
 	for _, s := range c.servers {
 		if s.State == Ready {
 			ready++
+			c.listed += s.Weight * max(startShare, c.present(s))
 		}
 		if s.usable() {
 			usable++
@@ -607,16 +609,16 @@
 		c.base = min(c.base, latency)
 	}
 	aim := worth / aims
-	wanted := baseShare*min(c.base, aimShare*aim) + waitShare*aim
-	c.pressure = latency/wanted + failWeight*c.fleet.failed/c.fleet.tries
+	c.pressure = c.fleet.failed/c.fleet.tries +
+		latency/(baseShare*min(c.base, aimShare*aim)+waitShare*aim)
 	// Work answered a second, in units of the aims, which are all that is known of a class's work.
 	decay := math.Exp(-span / fleetTime)
 	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
 	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
-	c.able = max(answered, c.able*math.Pow(ableDecay, span/1000))
+	c.able = max(answered/max(1e-9, c.listed), c.able*math.Pow(ableDecay, span/1000))
 	c.limit *= math.Pow(limitGrow, span/1000)
 	if c.pressure > shedFrom {
-		c.limit = min(c.limit, c.able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
+		c.limit = min(c.limit, c.able*c.listed*max(roomLeast, 1+roomSlope*(1-c.pressure)))
 	}
 	before := c.shed
 	c.shed = max(0, min(shedMost, 1-c.limit/offered))
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -538,8 +538,24 @@
 	f.overload(100, 200)
 	f.overload(100, 200)
 	// 200 answers a second of class 0 and 1, in units of their aims.
-	if want := 200.0 * 900; f.c.able < want {
-		t.Fatalf("ability %v after two reports, want at least %v", f.c.able, want)
+	if want := 200.0 * 900; f.c.able*f.c.listed < want {
+		t.Fatalf("ability %v after two reports, want at least %v", f.c.able*f.c.listed, want)
+	}
+}
+
+// A lost zone once left the limit at what the whole fleet had answered before.
+func TestLimitFollowsTheServersListed(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10})
+	f.calm()
+	for range 3 {
+		f.overload(600, 200)
+	}
+	before := f.c.limit
+	f.after(10, List{Kind: ListFull, Servers: fourServers()[:2]})
+	f.after(1000, heard(1, 0, 50, 0, 600), heard(2, 0, 50, 0, 600))
+	if f.c.limit > 0.6*before {
+		t.Fatalf("limit %v with half of the servers gone, %v before", f.c.limit, before)
 	}
 }
 
