--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 	doubtMost   = 0.4     // share of the ready servers that doubt may keep out
 	holdFirst   = 3000.0  // a doubted server stays out at least this long; doubled each time it relapses
 	holdMost    = 24000.0 // at most
-	returnTime  = 6000    // from its end until a doubted server has its whole weight again
+	returnTime  = 10000   // from its end until a doubted server has its whole weight again
 	probePause  = 1000.0  // between two probes of a doubted server
 	probesAlive = 2       // answers in a row that end a doubt
 
