Leave rejoining proxies their tables for a moment after a planner's start

Cause: a restarted planner knows nothing of the load and gave every rejoining proxy unlimited levels and even weights at once.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -28,6 +28,7 @@
 		ReloadsMax   int     `json:"reloads-max"`
 		CountedOver  float64 `json:"counted-over"`
 		Interval     float64 `json:"interval"`
+		Bare         float64 `json:"bare"`
 		ProxyCount   int     `json:"proxy-count"`
 		Ranges       int     `json:"ranges"`
 		RetryDefault int     `json:"retry-default"`
@@ -74,7 +75,7 @@
 		AskDiscovery: j.Discovery == "on_request", Probes: j.Permissions.Probes, Slices: x.Ranges,
 		TryAims: x.TryAims, ReportPeriod: x.Interval, QueueLines: x.PendingMax, LinesPerSec: x.EgressPerS,
 		HeadLines: x.PerMessage, MessagesMost: x.ReloadsMax, MessagesOver: x.CountedOver,
-		DrainGrace: r.Grace, ColdFor: r.Cold, StartCapacity: r.StartCap, FallMultiple: r.FallMultiple,
+		DrainGrace: r.Grace, Bare: x.Bare, ColdFor: r.Cold, StartCapacity: r.StartCap, FallMultiple: r.FallMultiple,
 		FallAfter: r.TipAfter,
 	}
 	if x.RetryDefault < 0 || x.RetryDefault > int(rules.RetryTwice) {
--- a/rules/api.go
+++ b/rules/api.go
@@ -88,6 +88,7 @@
 	MessagesMost  int     // most messages to one proxy within MessagesOver; 0: no limit
 	MessagesOver  float64
 	DrainGrace    float64
+	Bare          float64 // a joined proxy may be without a line for this long
 	ColdFor       float64 // a started server is warm after this time at the latest
 	StartCapacity float64 // share of its capacity that a server starts with at least
 	FallMultiple  float64 // a cold server sent more than this multiple of its capacity
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,6 @@
 	roundTime  = 2500.0
 	coverage   = 0.6     // share of the usable servers that must have been heard
 	heardFor   = 60000.0 // how long a report of a server counts for that
-	stallLog   = 2       // rounds without coverage before the operators are told
 
 	fitLeast   = 0.05 // of the demand is let in even if all servers are cold
 	startShare = 0.25 // of its weight that a started server gets at once
@@ -64,6 +63,7 @@
 	shedStep        = 1000.0 // between two looks at the pressure
 	unlimited       = 1e6    // a rate that never binds
 
+	keepShare     = 0.6    // of the longest time without a line: proxies keep their tables after our start
 	ackWait       = 2000.0 // a message's answers are waited for this long
 	messageGap    = 500.0  // between two ordinary messages to one proxy
 	moveLeast     = 0.1    // relative change of a line that is worth an order
@@ -109,6 +109,7 @@
 	zone     int
 	joined   bool
 	bound    bool
+	holds    bool // more than a standing table, from before it joined
 	rate     float64
 	demand   []float64            // requests a second by class
 	lines    map[ServerID]float64 // the table as ordered so far
@@ -129,6 +130,7 @@
 	servers   []*server // by id
 	proxies   []*proxy  // by id
 	started   bool
+	bornAt    float64
 	watching  bool
 	askAt     float64
 	nextTick  float64
@@ -146,7 +148,6 @@
 	queue     float64 // lines thought to wait in the channel
 	drained   float64 // when queue was last brought up to date
 	token     uint32
-	stalled   int // rounds that waited for coverage, in a row
 	logged    int
 }
 
@@ -160,7 +161,7 @@
 func (c *Controller) Step(now float64, events []Event) []Action {
 	c.now, c.out = now, nil
 	if !c.started {
-		c.started, c.drained, c.lastShed, c.nextRound = true, now, now, now+roundTime
+		c.started, c.bornAt, c.drained, c.lastShed, c.nextRound = true, now, now, now, now+roundTime
 		c.askAt = now
 	}
 	for _, e := range events {
@@ -168,7 +169,11 @@
 		case List:
 			c.list(e)
 		case Probed:
-			c.probed(e)
+			if s := c.server(e.Server); s != nil && (e.OK || e.Refused) {
+				s.alive++
+			} else if s != nil {
+				s.alive = 0
+			}
 		case Joined:
 			c.join(e)
 		case Left:
@@ -276,6 +281,7 @@
 		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 	}
 	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, e.Zone, nil
+	p.holds = !e.Fresh
 }
 
 // ---- estimates ----
@@ -352,12 +358,9 @@
 		}
 	}
 	if ready == 0 || fresh < coverage*ready {
-		if c.stalled++; c.stalled == stallLog {
-			c.log("round waits: %v of %v servers heard", fresh, ready)
-		}
+		c.log("round waits: %v of %v servers heard", fresh, ready)
 		return
 	}
-	c.stalled = 0
 	var speeds, rates, n, m float64
 	for _, s := range c.servers {
 		if s.usable() && s.round.tries > 0 {
@@ -573,15 +576,6 @@
 	}
 }
 
-func (c *Controller) probed(e Probed) {
-	if s := c.server(e.Server); s != nil {
-		s.alive++
-		if !e.OK && !e.Refused {
-			s.alive = 0
-		}
-	}
-}
-
 // ---- admission and retries ----
 
 // admission sheds work when answers come too late for their aims, least worth per work first.
@@ -699,17 +693,16 @@
 			c.update(p, tables[p.zone], levels)
 		}
 	}
-	marked := false
+	next := (c.token + 1) % 65536
 	for _, p := range c.proxies {
-		if p.touched == 0 {
-			continue
-		}
-		if !marked {
-			marked, c.token = true, (c.token+1)%65536
-			c.out = append(c.out, Mark{Token: c.token})
+		if p.touched > 0 {
+			c.token = next
+			p.writes = append(p.writes, c.now)
+			p.waiting, p.lastSent, p.token = true, c.now, next
 		}
-		p.writes = append(p.writes, c.now)
-		p.waiting, p.lastSent, p.token = true, c.now, c.token
+	}
+	if c.token == next {
+		c.out = append(c.out, Mark{Token: next})
 	}
 }
 
@@ -774,6 +767,11 @@
 	if p.bound && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
 		return
 	}
+	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet. It
+	// guards against a flood after a restart; if their servers are gone it must end before the rule's limit.
+	if !p.bound && p.holds && c.now-c.bornAt < keepShare*c.set.Bare {
+		return
+	}
 	whole, share := float64(len(table)+len(levels)+2), ordinaryShare
 	if !p.bound {
 		share = urgentShare
