--- a/rules/rules.go
+++ b/rules/rules.go
@@ -140,6 +140,7 @@
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
 	filled    float64 // how far the fleet's average has filled since the start
+	outs      bool    // some server may hold no line
 	listed    float64 // weight that the list shows ready, less for cold servers
 	able      float64 // most work a second that the fleet lately answered, for each weight listed ready
 	limit     float64 // work a second that may come in
@@ -446,7 +447,7 @@
 // servers count again, doubted or not.
 func (c *Controller) shares() (some bool) {
 	var ready, usable float64
-	c.listed = 0
+	c.listed, c.outs = 0, false
 	for _, s := range c.servers {
 		if s.State == Ready {
 			ready++
@@ -460,6 +461,7 @@
 	for _, s := range c.servers {
 		s.share = 0
 		s.inTables = s.usable() || usable == 0 && s.State == Ready
+		c.outs = c.outs || !s.inTables
 		if s.inTables {
 			s.share = c.weight(s)
 			total += s.share
@@ -767,9 +769,9 @@
 	if p.bound && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
 		return
 	}
-	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet. It
-	// guards against a flood after a restart; if their servers are gone it must end before the rule's limit.
-	if !p.bound && p.holds && c.now-c.bornAt < keepShare*c.set.Bare {
+	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet:
+	// guards against a flood after a restart. Not if a server is out: a proxy learns that with its table.
+	if !p.bound && p.holds && !c.outs && c.now-c.bornAt < keepShare*c.set.Bare {
 		return
 	}
 	whole, share := float64(len(table)+len(levels)+2), ordinaryShare
