--- a/rules/rules.go
+++ b/rules/rules.go
@@ -129,7 +129,6 @@
 	out       []Action
 	servers   []*server // by id
 	proxies   []*proxy  // by id
-	started   bool
 	bornAt    float64
 	watching  bool
 	askAt     float64
@@ -161,9 +160,8 @@
 // Step takes what happened at now and returns what to do.
 func (c *Controller) Step(now float64, events []Event) []Action {
 	c.now, c.out = now, nil
-	if !c.started {
-		c.started, c.bornAt, c.drained, c.lastShed, c.nextRound = true, now, now, now, now+roundTime
-		c.askAt = now
+	if c.nextRound == 0 { // the first turn
+		c.bornAt, c.drained, c.lastShed, c.nextRound = now, now, now, now+roundTime
 	}
 	for _, e := range events {
 		switch e := e.(type) {
@@ -612,9 +610,10 @@
 	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
 	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
 	c.able = max(answered/max(1e-9, c.listed), c.able*math.Pow(ableDecay, span/1000))
-	c.limit *= math.Pow(limitGrow, span/1000)
-	if c.pressure > shedFrom {
-		c.limit = min(c.limit, c.able*c.listed*max(roomLeast, 1+roomSlope*(1-c.pressure)))
+	able := c.able * c.listed
+	c.limit = max(c.limit*math.Pow(limitGrow, span/1000), able*roomLeast)
+	if c.pressure > shedFrom && c.filled > filledEnough { // a first report may tell of a part of the proxies
+		c.limit = min(c.limit, able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
 	}
 	before := c.shed
 	c.shed = max(0, min(shedMost, 1-c.limit/offered))
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -217,7 +217,6 @@
 func TestMissedRoundsDoNotRunInABurst(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
 	for range 3 {
-		f.c.nextRound = 0
 		f.after(20*roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100))
 	}
 	if got := len(f.c.server(1).errors); got != 3 {
@@ -584,6 +583,25 @@
 	}
 }
 
+// After a restart the first reports told of a few proxies only; the limit made from them took half a minute
+// to grow back.
+func TestFirstReportsMakeNoLimit(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10, Fresh: true})
+	f.after(1000, heard(1, 0, 5, 2, 900), Demand{Proxy: 1, Class: 0, Requests: 30, Period: 1000})
+	if f.c.pressure < shedFrom || !math.IsInf(f.c.limit, 1) {
+		t.Fatalf("limit %v at pressure %v from the first report", f.c.limit, f.c.pressure)
+	}
+	for range 3 {
+		f.overload(900, 200)
+	}
+	f.c.limit = 1 // however it came to be that low
+	f.overload(900, 200)
+	if least := roomLeast * f.c.able * f.c.listed; f.c.limit < least {
+		t.Fatalf("limit %v, half of what the fleet answers is %v", f.c.limit, least)
+	}
+}
+
 // The first reports hold only what was answered quickly; taken for idle, they locked the limit at half load.
 func TestFirstAnswersDoNotTellTheIdleTime(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
