--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,7 +33,6 @@
 	startShare = 0.25 // of its weight that a started server gets at once
 	coldSafety = 0.6  // of the cold budget that we plan to use
 	zoneSlack  = 0.15 // a zone may take this much over its even share before it spills to others
-	awayShare  = 0.04 // of every table spread over all zones, so that a lost zone leaves lines to pick
 
 	demandStep = 0.6 // of the way that the demand moves towards a report
 
@@ -519,14 +518,12 @@
 				tables[z][i] = s.share
 				continue
 			}
-			part := s.share / room[s.Zone]
-			w := 0.0
+			part := s.share / room[s.Zone] / demand[z]
 			if s.Zone == z {
-				w = local[z] / demand[z] * part
+				tables[z][i] = local[z] * part
 			} else if spare > 0 {
-				w = (demand[z] - local[z]) / demand[z] * max(0, room[s.Zone]-local[s.Zone]) / spare * part
+				tables[z][i] = (demand[z] - local[z]) * max(0, room[s.Zone]-local[s.Zone]) / spare * part
 			}
-			tables[z][i] = (1-awayShare)*w + awayShare*s.share
 		}
 	}
 	return tables
@@ -765,7 +762,11 @@
 // update writes the changed lines and levels of one proxy's table, once its last message was answered or
 // has been waited for; a new proxy gets the whole table at once.
 func (c *Controller) update(p *proxy, table, levels []float64) {
-	if p.bound && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
+	some := false // a line that is not withdrawn; a proxy without one (a lost zone) must not wait
+	for _, s := range c.servers {
+		some = some || p.lines[s.ID] > 0 && !s.sentOut
+	}
+	if p.bound && some && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
 		return
 	}
 	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet:
@@ -774,7 +775,7 @@
 		return
 	}
 	whole, share := float64(len(table)+len(levels)+2), ordinaryShare
-	if !p.bound {
+	if !p.bound || !some {
 		share = urgentShare
 	}
 	if !c.mayWrite(p, whole, share) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -411,6 +411,20 @@
 	}
 }
 
+// With tables that stay home, a lost zone takes all of a proxy's lines at once.
+func TestProxyOfALostZoneDoesNotWait(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10, Fresh: true}, Joined{Proxy: 2, Zone: 1, Rate: 10, Fresh: true})
+	f.calm()
+	f.after(3000, f.ack(1), f.ack(2))
+	f.c.server(1).factor = 1.5
+	f.after(messageGap+1, f.ack(2)) // proxy 1 has a message under way
+	f.after(10, List{Kind: ListFull, Servers: fourServers()[2:]})
+	if f.share(1, 3)+f.share(1, 4) == 0 {
+		t.Fatal("a proxy without a line waits for the answer to its last message")
+	}
+}
+
 func TestDoubtNeverKeepsOutTheFleet(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
 	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10, Fresh: true})
