--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -415,7 +415,6 @@
 func TestProxyOfALostZoneDoesNotWait(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
 	f.after(10, Joined{Proxy: 1, Zone: 0, Rate: 10, Fresh: true}, Joined{Proxy: 2, Zone: 1, Rate: 10, Fresh: true})
-	f.calm()
 	f.after(3000, f.ack(1), f.ack(2))
 	f.c.server(1).factor = 1.5
 	f.after(messageGap+1, f.ack(2)) // proxy 1 has a message under way
