--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,21 +46,20 @@
 	probePause  = 1000.0  // between two probes of a doubted server
 	probesAlive = 2       // answers in a row that end a doubt
 
-	pressureUnknown = 5.0    // assumed before the first reports: others may have left the fleet in any state
-	collapse        = 2.0    // pressure over which cold servers are kept out
-	aimShare        = 0.5    // of the aim: the idle answer time is taken to be no longer
-	baseShare       = 1.1    // of the idle answer time that is wanted at most, plus
-	waitShare       = 0.08   // of the aim, for waiting
-	filledEnough    = 0.9    // of that average before it tells the idle answer time
-	fleetTime       = 1000   // time over which the fleet's answers are averaged
-	ableDecay       = 0.98   // what is left after a step of the most that the fleet answered
-	shedFrom        = 0.8    // pressure from which work is held against what the fleet can do
-	roomSlope       = 0.5    // of what the fleet can do that is refused for each point of pressure over 1
-	roomLeast       = 0.5    // of it that is let in at any pressure
-	limitGrow       = 1.06   // of the limit at each step without pressure
-	shedMost        = 0.9    // of the work may be refused
-	shedStep        = 1000.0 // between two looks at the pressure
-	unlimited       = 1e6    // a rate that never binds
+	collapse     = 1.6    // pressure over which cold servers are kept out
+	aimShare     = 0.5    // of the aim: the idle answer time is taken to be no longer
+	baseShare    = 1.1    // of the idle answer time that is wanted at most, plus
+	waitShare    = 0.08   // of the aim, for waiting
+	filledEnough = 0.9    // of that average before it tells the idle answer time
+	fleetTime    = 1000   // time over which the fleet's answers are averaged
+	ableDecay    = 0.98   // what is left after a step of the most that the fleet answered
+	shedFrom     = 0.8    // pressure from which work is held against what the fleet can do
+	roomSlope    = 0.5    // of what the fleet can do that is refused for each point of pressure over 1
+	roomLeast    = 0.5    // of it that is let in at any pressure
+	limitGrow    = 1.06   // of the limit at each step without pressure
+	shedMost     = 0.9    // of the work may be refused
+	shedStep     = 1000.0 // between two looks at the pressure
+	unlimited    = 1e6    // a rate that never binds
 
 	keepShare     = 0.6    // of the longest time without a line: proxies keep their tables after our start
 	ackWait       = 2000.0 // a message's answers are waited for this long
@@ -152,7 +151,7 @@
 
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
-	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, pressure: pressureUnknown,
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1,
 		limit: math.Inf(1), base: math.Inf(1)}
 }
 
@@ -550,7 +549,7 @@
 	for _, s := range c.servers {
 		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
 		// that have not failed yet: a cold server is not put there before the fleet answers again.
-		s.held = c.present(s) < 1 && c.pressure > collapse
+		s.held = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
 		if s.State != Ready {
 			continue
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -378,6 +378,11 @@
 	if !f.out[1] {
 		t.Fatal("a cold server is let in before the state of the fleet is known")
 	}
+	f.after(1000, heard(2, 0, 5, 0, 100)) // the first, partial report of a collapsed fleet once looked calm
+	f.after(1000)
+	if !f.out[1] {
+		t.Fatal("a cold server is let in on a first report")
+	}
 	f.calm()
 	if f.out[1] {
 		t.Fatal("a cold server stays out though the fleet answers")
