--- a/rules/rules.go
+++ b/rules/rules.go
@@ -558,12 +558,10 @@
 			kept++
 			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
 			s.hold = min(holdMost, 2*s.hold)
-			c.log("server %d out: %v tries without an answer", s.ID, s.dry)
 		}
 		if s.doubted && c.now >= s.until && (s.alive >= probesAlive || !c.set.Probes) {
 			s.doubted, s.dry, s.returnedAt, s.errors = false, 0, c.now, nil
 			kept--
-			c.log("server %d back in", s.ID)
 		}
 		if s.doubted && c.set.Probes && c.now >= s.nextProbe {
 			s.nextProbe = c.now + probePause
@@ -749,6 +747,8 @@
 				p.setLine(c, s.ID, tables[p.zone][i])
 			}
 		}
+		c.log("server %d out %t: listed %d, doubted %t after %v tries, held as cold %t", s.ID, out, s.State,
+			s.doubted, s.dry, s.held)
 		c.out = append(c.out, Withdraw{Server: s.ID, Out: out})
 	}
 }
