Give each proxy a dealt part of the fleet, with weights fitted to how servers are held

Full tables for every proxy neither fit the channel nor the servers' connections. Each proxy now gets lines sized from the settings, its own zone first, dealt to the server held least; a correction of the weights keeps each server's load at its share. Looks each 100 ms. A server that the list drops stays in use where only draining binds.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -29,6 +29,8 @@
 		CountedOver  float64 `json:"counted-over"`
 		Interval     float64 `json:"interval"`
 		Bare         float64 `json:"bare"`
+		ConnsLeast   float64 `json:"min-conn-cap"`
+		LocalFirst   bool    `json:"local-first"`
 		ProxyCount   int     `json:"proxy-count"`
 		Ranges       int     `json:"ranges"`
 		RetryDefault int     `json:"retry-default"`
@@ -48,6 +50,7 @@
 		Grace        float64 `json:"stop-sending-within"`
 		FallMultiple float64 `json:"fall-multiple"`
 		TipAfter     float64 `json:"tip-after"`
+		DrainOnly    bool    `json:"drain-binds-alone"`
 	} `json:"rules"`
 }
 
@@ -76,7 +79,7 @@
 		TryAims: x.TryAims, ReportPeriod: x.Interval, QueueLines: x.PendingMax, LinesPerSec: x.EgressPerS,
 		HeadLines: x.PerMessage, MessagesMost: x.ReloadsMax, MessagesOver: x.CountedOver,
 		DrainGrace: r.Grace, Bare: x.Bare, ColdFor: r.Cold, StartCapacity: r.StartCap, FallMultiple: r.FallMultiple,
-		FallAfter: r.TipAfter,
+		FallAfter: r.TipAfter, ConnsLeast: x.ConnsLeast, LocalFirst: x.LocalFirst, DrainOnly: r.DrainOnly,
 	}
 	if x.RetryDefault < 0 || x.RetryDefault > int(rules.RetryTwice) {
 		return rules.Settings{}, fmt.Errorf("settings: extra.retry-default %d is not a retry method", x.RetryDefault)
--- a/rules/api.go
+++ b/rules/api.go
@@ -88,6 +88,9 @@
 	MessagesMost  int     // most messages to one proxy within MessagesOver; 0: no limit
 	MessagesOver  float64
 	DrainGrace    float64
+	ConnsLeast    float64 // connections that the smallest servers accept; 0: not known
+	LocalFirst    bool    // a proxy joins a controller of its own zone if there is one
+	DrainOnly     bool    // a server that the list drops may stay in use; only draining binds
 	Bare          float64 // a joined proxy may be without a line for this long
 	ColdFor       float64 // a started server is warm after this time at the latest
 	StartCapacity float64 // share of its capacity that a server starts with at least
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 )
@@ -34,10 +35,21 @@
 	coldSafety = 0.6  // of the cold budget that we plan to use
 	zoneSlack  = 0.15 // a zone may take this much over its even share before it spills to others
 
-	demandStep = 0.6 // of the way that the demand moves towards a report
+	demandTime = 1500.0  // time over which the demand of a class at a proxy is averaged
+	usualTime  = 15000.0 // and the usual rate of a proxy
 
-	tickTime    = 250.0   // between two looks at everything
+	connShare  = 0.25 // of the connections that a small server takes: what all tables together may open
+	tableShare = 0.5  // of the channel's queue: what one table for every proxy may take
+	linesLeast = 4    // of a table
+	linesOver  = 1.3  // times its size that a table may grow to before it gives lines back
+	starved    = 0.4  // of its part of the traffic: a server held for less than that is dealt once more
+	fitSteps   = 3    // of fitting the weights to the tables, each look
+	fitLow     = 0.2  // least and
+	fitHigh    = 5.0  // largest correction of a weight for how the server is held
+
+	lookTime    = 100.0   // between two looks at everything
 	dryTries    = 6.0     // tries in a row without one answer that cast doubt on a server
+	dryUnlisted = 2.0     // the same of a server that the list dropped
 	dryLatency  = 3.0     // and for at least this many mean answer times
 	doubtMost   = 0.4     // share of the ready servers that doubt may keep out
 	holdFirst   = 3000.0  // a doubted server stays out at least this long; doubled each time it relapses
@@ -60,12 +72,15 @@
 	shedMost     = 0.9    // of the work may be refused
 	shedStep     = 1000.0 // between two looks at the pressure
 	unlimited    = 1e6    // a rate that never binds
+	rateRoom     = 0.5    // square roots of a proxy's rate that are let in over it
 
 	keepShare     = 0.6    // of the longest time without a line: proxies keep their tables after our start
 	ackWait       = 2000.0 // a message's answers are waited for this long
+	urgentGap     = 250.0  // between two urgent messages to one proxy
 	messageGap    = 500.0  // between two ordinary messages to one proxy
 	moveLeast     = 0.1    // relative change of a line that is worth an order
 	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep
+	ordinaryPace  = 0.1    // of the channel's usual pace that ordinary orders may use in the long run
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
 	urgentShare   = 0.8    // and urgent ones
 	levelLeast    = 0.05   // relative change of a level that is worth an order
@@ -91,15 +106,25 @@
 	dry        float64 // tries since the last answer
 	drySince   float64
 	doubted    bool    // kept out by our own judgement
-	held       bool    // cold, and kept out while the fleet is failing
+	kept       bool    // cold, and kept out while the fleet is failing
 	hold       float64 // how long the next doubt lasts at least
 	until      float64 // a doubt lasts at least until then
 	returnedAt float64 // end of the last doubt
 	nextProbe  float64
 	alive      int     // probes answered in a row
-	sentOut    bool    // what the proxies were told
+	unlisted   bool    // the list dropped it, which does not bind
 	inTables   bool    // may hold a line now
 	share      float64 // of the traffic of all proxies
+	target     float64 // the same in requests a second of our own proxies
+	held       float64 // requests a second of the tables that hold it, each spread evenly over its lines
+	fitted     float64 // correction of its weight for how it is held
+	seen       *proxy  // whose table is being dealt
+}
+
+// line is a server in a proxy's table. A line that is not wanted any more has want 0.
+type line struct {
+	s          *server
+	want, sent float64 // weights
 }
 
 type proxy struct {
@@ -107,16 +132,27 @@
 	zone     int
 	joined   bool
 	bound    bool
-	holds    bool // more than a standing table, from before it joined
-	rate     float64
-	demand   []float64            // requests a second by class
-	lines    map[ServerID]float64 // the table as ordered so far
-	levels   []float64            // by class, as ordered so far
-	writes   []float64            // times of recent messages
-	waiting  bool                 // for an answer
+	holds    bool      // more than a standing table, from before it joined
+	usual    float64   // requests a second, averaged for long
+	demand   []float64 // requests a second by class
+	lines    []line
+	levels   []float64 // by class, as ordered so far
+	writes   []float64 // times of recent messages
+	waiting  bool      // for an answer
 	lastSent float64
 	token    uint32
-	touched  float64 // lines of this step's message
+	urgent   bool    // its table has a line that must go, or none that works
+	need     float64 // requests a second that its table sends elsewhere than wanted
+}
+
+// zone is the state of one zone in shares of all traffic.
+type zone struct {
+	demand float64 // of our own proxies there, in requests a second
+	room   float64 // share of all traffic that its servers get
+	part   float64 // share of all traffic that comes up there
+	over   float64 // of that, what its servers have no room for
+	spare  float64 // room for others
+	flow   float64 // requests a second of our own proxies to its servers
 }
 
 // Controller decides for the proxies joined to it.
@@ -130,7 +166,7 @@
 	bornAt    float64
 	watching  bool
 	askAt     float64
-	nextTick  float64
+	nextLook  float64
 	nextRound float64
 	lastShed  float64
 	fleet     tally   // recent answers of all servers, decayed
@@ -138,13 +174,18 @@
 	base      float64 // least answer time met so far
 	filled    float64 // how far the fleet's average has filled since the start
 	outs      bool    // some server may hold no line
+	zones     []zone
+	joined    float64 // proxies, and
+	usual     float64 // their usual requests a second
+	usable    float64 // servers in tables
 	listed    float64 // weight that the list shows ready, less for cold servers
 	able      float64 // most work a second that the fleet lately answered, for each weight listed ready
 	limit     float64 // work a second that may come in
 	shed      float64 // share of the offered work that is refused
 	fit       float64 // share of the demand that cold servers leave room for
 	queue     float64 // lines thought to wait in the channel
-	drained   float64 // when queue was last brought up to date
+	pace      float64 // lines that ordinary orders may use now
+	drained   float64 // when both were last brought up to date
 	token     uint32
 	logged    int
 }
@@ -152,7 +193,7 @@
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
 	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1,
-		limit: math.Inf(1), base: math.Inf(1)}
+		limit: math.Inf(1), base: math.Inf(1), zones: make([]zone, max(1, set.Zones))}
 }
 
 // Step takes what happened at now and returns what to do.
@@ -187,10 +228,11 @@
 			c.demand(e)
 		}
 	}
-	if now >= c.nextTick {
-		c.nextTick = now + tickTime
-		c.out = append(c.out, Timer{Delay: tickTime})
+	if now < c.nextLook { // events only add up until the next look
+		return c.out
 	}
+	c.nextLook = now + lookTime
+	c.out = append(c.out, Timer{Delay: lookTime})
 	if c.set.AskDiscovery && !c.watching && now >= c.askAt { // discovery that speaks only when asked
 		c.askAt = now + askAgain
 		c.out = append(c.out, Watch{})
@@ -215,14 +257,13 @@
 
 // ---- events ----
 
+func byID(s *server, id ServerID) int { return cmp.Compare(s.ID, id) }
+
 func (c *Controller) server(id ServerID) *server {
-	i, ok := slices.BinarySearchFunc(c.servers, id, func(s *server, id ServerID) int {
-		return cmp.Compare(s.ID, id)
-	})
-	if !ok {
-		return nil
+	if i, ok := slices.BinarySearchFunc(c.servers, id, byID); ok {
+		return c.servers[i]
 	}
-	return c.servers[i]
+	return nil
 }
 
 func (c *Controller) proxy(id ProxyID) *proxy {
@@ -247,38 +288,48 @@
 	listed := map[ServerID]bool{}
 	for _, entry := range e.Servers {
 		listed[entry.ID] = true
-		s := c.server(entry.ID)
-		if s == nil {
-			s = &server{factor: 1, hold: holdFirst, zones: make([]tally, c.set.Zones)}
-			s.Server = entry
-			c.servers = append(c.servers, s)
-			slices.SortFunc(c.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+		entry.Zone = min(entry.Zone, len(c.zones)-1)
+		i, known := slices.BinarySearchFunc(c.servers, entry.ID, byID)
+		if !known {
+			c.servers = slices.Insert(c.servers, i, &server{Server: entry, factor: 1, fitted: 1, hold: holdFirst,
+				zones: make([]tally, len(c.zones))})
 		}
-		if entry.StartedAt > s.StartedAt {
-			// A new process: what was held against the old one, and its stale sum, no longer counts.
-			s.errors, s.sum, s.factor, s.dry, s.doubted = nil, 0, 1, 0, false
-		}
-		s.Server = entry
+		c.servers[i].entry(entry, c.set.DrainOnly)
 	}
 	if e.Kind == ListFull || e.Kind == ListCached {
 		for _, s := range c.servers {
 			if !listed[s.ID] {
-				s.State = Gone
+				gone := s.Server
+				gone.State = Gone
+				s.entry(gone, c.set.DrainOnly)
 			}
 		}
 	}
 }
 
+// entry takes what the list says of a server. Where only draining binds, a ready server that the list drops
+// stays in use while it answers: guards against a list that is wrong, or behind. A dead one is found by doubt.
+func (s *server) entry(e Server, drainOnly bool) {
+	if e.StartedAt > s.StartedAt {
+		// A new process: what was held against the old one, and its stale sum, no longer counts.
+		s.errors, s.sum, s.factor, s.dry, s.doubted = nil, 0, 1, 0, false
+	}
+	s.unlisted = drainOnly && e.State == Gone && s.State == Ready
+	if s.unlisted {
+		e.State = Ready
+	}
+	s.Server = e
+}
+
 func (c *Controller) join(e Joined) {
 	p, n := c.proxy(e.Proxy), len(c.set.Classes)
 	if p == nil {
-		p = &proxy{id: e.Proxy, rate: e.Rate, demand: make([]float64, n), levels: make([]float64, n),
-			lines: map[ServerID]float64{}}
+		p = &proxy{id: e.Proxy, usual: e.Rate, demand: make([]float64, n), levels: slices.Repeat([]float64{-1}, n)}
 		c.proxies = append(c.proxies, p)
 		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 	}
-	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, e.Zone, nil
-	p.holds = !e.Fresh
+	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, min(e.Zone, len(c.zones)-1), nil
+	p.holds = !e.Fresh // its table, as we know it, stays: a proxy that comes back is bound to it again
 }
 
 // ---- estimates ----
@@ -314,11 +365,12 @@
 	if p == nil || e.Class >= len(p.demand) || e.Period <= 0 {
 		return
 	}
-	p.demand[e.Class] += demandStep * (e.Requests/e.Period*1000 - p.demand[e.Class])
-	p.rate = 0
+	p.demand[e.Class] += (1 - math.Exp(-e.Period/demandTime)) * (e.Requests/e.Period*1000 - p.demand[e.Class])
+	rate := 0.0
 	for _, d := range p.demand {
-		p.rate += d
+		rate += d
 	}
+	p.usual += (1 - math.Exp(-e.Period/usualTime)) * (rate - p.usual) / float64(len(p.demand))
 }
 
 // latency is the mean answer time of the median server: a few sick servers or a few heavy requests don't
@@ -340,7 +392,7 @@
 // ---- round: the design ----
 
 // usable says whether a server may hold a line.
-func (s *server) usable() bool { return s.State == Ready && !s.doubted && !s.held }
+func (s *server) usable() bool { return s.State == Ready && !s.doubted && !s.kept }
 
 // runRound is one step of the feedback loop, when enough of the fleet was heard.
 func (c *Controller) runRound() {
@@ -443,7 +495,7 @@
 // servers count again, doubted or not.
 func (c *Controller) shares() (some bool) {
 	var ready, usable float64
-	c.listed, c.outs = 0, false
+	c.listed, c.outs, c.usable = 0, false, 0
 	for _, s := range c.servers {
 		if s.State == Ready {
 			ready++
@@ -461,6 +513,7 @@
 		if s.inTables {
 			s.share = c.weight(s)
 			total += s.share
+			c.usable++
 			if c.present(s) == 1 {
 				warm += s.share
 			}
@@ -486,48 +539,238 @@
 	return total > 0
 }
 
-// zoneTables splits the shares into one weight per proxy zone and server. Crossing zones has a price,
-// so a zone's proxies use its own servers as far as these have room and spill only the rest.
-func (c *Controller) zoneTables() [][]float64 {
-	zones := c.set.Zones
-	demand, room, local := make([]float64, zones), make([]float64, zones), make([]float64, zones)
-	total := 0.0
+// targets splits the shares by proxy zone. Crossing zones has a price, so a zone's proxies use its own servers
+// as far as these have room and spill only the rest. Proxies of other controllers count as their zones' load:
+// where proxies join controllers of their own zone, those that we don't see are in the zones that we don't see.
+func (c *Controller) targets() {
+	clear(c.zones)
+	c.joined, c.usual = 0, 0
 	for _, p := range c.proxies {
-		if p.joined && p.zone < zones {
-			demand[p.zone] += p.rate + 1e-3
-			total += p.rate + 1e-3
+		if p.joined {
+			c.joined++
+			c.usual += p.usual + 1e-3
+			c.zones[p.zone].demand += p.usual + 1e-3
 		}
 	}
+	unseen, hidden, spare := 0.0, 0.0, 0.0 // traffic of proxies that we don't see, and room of zones without ours
+	if c.set.LocalFirst && c.joined > 0 {
+		unseen = max(0, float64(c.set.Proxies)-c.joined) * c.usual / c.joined
+	}
 	for _, s := range c.servers {
-		if s.Zone < zones {
-			room[s.Zone] += s.share
-		}
-	}
-	spare := 0.0
-	for z := range zones {
-		demand[z] /= max(total, 1e-9)
-		local[z] = min(demand[z], room[z]*(1+zoneSlack))
-		spare += max(0, room[z]-local[z])
-	}
-	tables := make([][]float64, zones)
-	for z := range zones {
-		tables[z] = make([]float64, len(c.servers))
-		for i, s := range c.servers {
-			if s.Zone >= zones || room[s.Zone] <= 0 || demand[z] <= 0 {
-				tables[z][i] = s.share
-				continue
+		c.zones[s.Zone].room += s.share
+		if c.zones[s.Zone].demand == 0 {
+			hidden += s.share
+		}
+	}
+	for i := range c.zones {
+		z := &c.zones[i]
+		if z.part = z.demand / (c.usual + unseen); z.demand == 0 && hidden > 0 {
+			z.part = unseen / (c.usual + unseen) * z.room / hidden
+		}
+		z.over = max(0, z.part-z.room*(1+zoneSlack))
+		z.spare = max(0, z.room-z.part)
+		spare += z.spare
+		if z.part > 0 {
+			z.over /= z.part
+		}
+	}
+	for i := range c.zones {
+		z := &c.zones[i]
+		z.flow += z.demand * (1 - z.over)
+		for j := range c.zones {
+			if y := &c.zones[j]; spare > 0 {
+				y.flow += z.demand * z.over * y.spare / spare
+			} else {
+				y.flow += z.demand * z.over * y.room
+			}
+		}
+	}
+	for _, s := range c.servers {
+		s.target = 0
+		if z := c.zones[s.Zone]; z.room > 0 {
+			s.target = s.share / z.room * z.flow
+		}
+	}
+}
+
+// size is the number of lines of a proxy's table: what the servers' connection limits and the channel allow
+// with every proxy at that, more for a proxy with more traffic.
+func (c *Controller) size(p *proxy) float64 {
+	n, mean := max(1, c.joined, float64(c.set.Proxies)), math.Inf(1)
+	if c.set.ConnsLeast > 0 {
+		mean = connShare * c.set.ConnsLeast * c.usable / n
+	}
+	mean = min(mean, tableShare*c.set.QueueLines/n-c.set.HeadLines)
+	return max(linesLeast, mean*(1+p.usual*c.joined/c.usual)/2)
+}
+
+// deal gives each proxy its part of the fleet: its own zone first, others only for what spills. It starts from
+// the tables as they are and changes few lines when servers come and go; each new line is for the server that
+// is held least for its target. On a small fleet every table holds all servers of the zone.
+func (c *Controller) deal() {
+	for _, s := range c.servers {
+		s.held = 0
+	}
+	for _, p := range c.proxies {
+		if !p.joined {
+			continue
+		}
+		n := p.prune(c.zones[p.zone].over > 0)
+		for _, l := range p.lines {
+			if l.want > 0 {
+				l.s.held += p.usual / n
+			}
+		}
+	}
+	for _, p := range c.proxies {
+		if !p.joined {
+			continue
+		}
+		var home, away float64
+		for _, l := range p.lines {
+			if l.s.seen = p; l.want > 0 && l.s.Zone == p.zone {
+				home++
+			} else if l.want > 0 {
+				away++
 			}
-			part := s.share / room[s.Zone] / demand[z]
-			if s.Zone == z {
-				tables[z][i] = local[z] * part
-			} else if spare > 0 {
-				tables[z][i] = (demand[z] - local[z]) * max(0, room[s.Zone]-local[s.Zone]) / spare * part
+		}
+		size, over := c.size(p), c.zones[p.zone].over
+		far := 0.0
+		if over > 0 {
+			far = max(1, math.Round(size*over))
+		}
+		for home < size-far && c.add(p, true, size) {
+			home++
+		}
+		for away < far && c.add(p, false, size) {
+			away++
+		}
+		for home+away > linesOver*size+1 && home > 1 {
+			p.giveBack()
+			home--
+		}
+	}
+	for _, s := range c.servers { // newcomers, and servers whose holders left
+		var best *proxy
+		for _, p := range c.proxies {
+			if s.held < starved*s.target && p.joined && p.zone == s.Zone && !p.has(s) &&
+				(best == nil || p.usual*float64(len(best.lines)) > best.usual*float64(len(p.lines))) {
+				best = p
 			}
 		}
+		if best != nil {
+			best.take(s, float64(len(best.lines)+1))
+		}
 	}
-	return tables
 }
 
+// prune unwants lines that lead nowhere, forgets those that the proxy no longer has, and counts the rest.
+func (p *proxy) prune(spills bool) (n float64) {
+	kept := p.lines[:0]
+	for _, l := range p.lines {
+		if !l.s.inTables || l.s.Zone != p.zone && !spills {
+			l.want = 0
+		}
+		if l.want > 0 {
+			n++
+		}
+		if l.want > 0 || l.sent > 0 {
+			kept = append(kept, l)
+		}
+	}
+	p.lines = kept
+	return n
+}
+
+func (p *proxy) has(s *server) bool {
+	return slices.ContainsFunc(p.lines, func(l line) bool { return l.s == s && l.want > 0 })
+}
+
+// take gives a proxy a line for a server; its weight comes with weigh.
+func (p *proxy) take(s *server, size float64) {
+	s.seen, s.held = p, s.held+p.usual/size
+	i := slices.IndexFunc(p.lines, func(l line) bool { return l.s == s })
+	if i < 0 {
+		i, p.lines = len(p.lines), append(p.lines, line{s: s})
+	}
+	p.lines[i].want = 1
+}
+
+// add deals a proxy one more server of its own zone, or of others: the least held for its target.
+func (c *Controller) add(p *proxy, home bool, size float64) bool {
+	var best *server
+	for _, s := range c.servers {
+		if s.target > 0 && s.seen != p && (s.Zone == p.zone) == home &&
+			(best == nil || s.held*best.target < best.held*s.target) {
+			best = s
+		}
+	}
+	if best != nil {
+		p.take(best, size)
+	}
+	return best != nil
+}
+
+// giveBack unwants the line for the server of the own zone that is held most for its target.
+func (p *proxy) giveBack() {
+	most := -1
+	for i, l := range p.lines {
+		if l.want > 0 && l.s.Zone == p.zone &&
+			(most < 0 || l.s.held*p.lines[most].s.target > p.lines[most].s.held*l.s.target) {
+			most = i
+		}
+	}
+	p.lines[most].want = 0
+}
+
+// weigh sets the weights of all lines: a server's share, corrected for how it is held, so that the traffic it
+// gets from all our tables follows its share although each table holds only a part of the fleet.
+func (c *Controller) weigh() {
+	for range fitSteps {
+		for _, s := range c.servers {
+			s.held = 0
+		}
+		for _, p := range c.proxies {
+			sum := 0.0
+			for _, l := range p.lines {
+				if l.want > 0 {
+					sum += l.s.share * l.s.fitted
+				}
+			}
+			for _, l := range p.lines {
+				if l.want > 0 && p.joined {
+					l.s.held += (p.usual + 1e-3) * l.s.share * l.s.fitted / sum
+				}
+			}
+		}
+		for _, s := range c.servers {
+			if s.held > 0 {
+				s.fitted = max(fitLow, min(fitHigh, s.fitted*math.Sqrt(s.target/s.held)))
+			}
+		}
+	}
+	for _, p := range c.proxies {
+		p.urgent, p.need = true, 0
+		sum := 0.0
+		for i := range p.lines {
+			if l := &p.lines[i]; l.want > 0 {
+				l.want = l.s.share * l.s.fitted * c.usable
+				sum += l.want
+				p.urgent = p.urgent && l.sent == 0
+			}
+		}
+		for _, l := range p.lines {
+			p.urgent = p.urgent || l.sent > 0 && !l.s.inTables
+			if l.moved() {
+				p.need += math.Abs(l.want-l.sent) / max(1e-9, sum) * p.usual
+			}
+		}
+		p.urgent = p.urgent || !p.bound
+	}
+}
+
+func (l line) moved() bool { return math.Abs(l.want-l.sent) > moveLeast*l.sent }
+
 // ---- health ----
 
 // health keeps out servers that answer nothing and lets them in again.
@@ -538,8 +781,9 @@
 // probes are answered.
 func (c *Controller) health() {
 	var ready, kept float64
+	latency := c.latency()
 	for _, s := range c.servers {
-		if s.State == Ready {
+		if s.State == Ready && !s.unlisted {
 			ready++
 			if s.doubted {
 				kept++
@@ -549,19 +793,24 @@
 	for _, s := range c.servers {
 		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
 		// that have not failed yet: a cold server is not put there before the fleet answers again.
-		s.held = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
+		s.kept = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
 		if s.State != Ready {
 			continue
 		}
-		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*c.latency()
-		if !s.doubted && dry && kept+1 <= doubtMost*ready {
+		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*latency
+		if s.unlisted {
+			dry = s.dry >= dryUnlisted
+		}
+		if !s.doubted && dry && (s.unlisted || kept+1 <= doubtMost*ready) {
 			kept++
 			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
 			s.hold = min(holdMost, 2*s.hold)
+			c.log("server %d out after %v tries without an answer, unlisted %t", s.ID, s.dry, s.unlisted)
 		}
 		if s.doubted && c.now >= s.until && (s.alive >= probesAlive || !c.set.Probes) {
 			s.doubted, s.dry, s.returnedAt, s.errors = false, 0, c.now, nil
 			kept--
+			c.log("server %d back", s.ID)
 		}
 		if s.doubted && c.set.Probes && c.now >= s.nextProbe {
 			s.nextProbe = c.now + probePause
@@ -670,27 +919,37 @@
 
 // ---- publisher ----
 
-// publish brings the proxies from what they were sent to what is wanted; each proxy has its own table.
+// publish brings the proxies from what they were sent to what is wanted, most needed first; each has its own
+// table. Urgent messages wait for no answer: a line that must go (the rule on drains), a table that works no
+// more, and a proxy without a table of ours.
 func (c *Controller) publish() {
 	if c.set.Slices > 0 {
 		return // slices of a key space are not decided here
 	}
-	c.queue = max(0, c.queue-(c.now-c.drained)*c.set.LinesPerSec/1000*paceSure)
+	span := c.now - c.drained
+	c.queue = max(0, c.queue-span*c.set.LinesPerSec/1000*paceSure)
+	c.pace = min(c.pace+span*c.set.LinesPerSec/1000*ordinaryPace, c.set.LinesPerSec*ordinaryPace)
 	c.drained = c.now
-	some := c.shares()
-	tables, levels := c.zoneTables(), c.wantedLevels()
-	for _, p := range c.proxies {
-		p.touched = 0
+	if !c.shares() {
+		return
 	}
-	c.withdrawals(tables)
-	for _, p := range c.proxies {
-		if p.joined && p.zone < len(tables) && some {
-			c.update(p, tables[p.zone], levels)
+	c.targets()
+	c.deal()
+	c.weigh()
+	levels, demand := c.wantedLevels(), c.demands()
+	due := slices.DeleteFunc(slices.Clone(c.proxies), func(p *proxy) bool { return !p.joined })
+	slices.SortStableFunc(due, func(a, b *proxy) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
 		}
-	}
+		return cmp.Compare(b.need, a.need)
+	})
 	next := (c.token + 1) % 65536
-	for _, p := range c.proxies {
-		if p.touched > 0 {
+	for _, p := range due {
+		if c.update(p, levels, demand) {
 			c.token = next
 			p.writes = append(p.writes, c.now)
 			p.waiting, p.lastSent, p.token = true, c.now, next
@@ -710,99 +969,74 @@
 	if c.set.MessagesMost > 0 && float64(len(p.writes)+1) > share*float64(c.set.MessagesMost) {
 		return false
 	}
-	return c.queue+lines+c.set.HeadLines <= share*c.set.QueueLines
-}
-
-// touch counts lines of this step's message to a proxy into the channel.
-func (c *Controller) touch(p *proxy, lines float64) {
-	if p.touched == 0 && lines > 0 {
-		c.queue += c.set.HeadLines + 1
-	}
-	c.queue += lines
-	p.touched += lines
+	return c.queue+lines <= share*c.set.QueueLines
 }
 
-// withdrawals go first and wait for no answer. They guard the rule on drains: a server that drains or
-// is gone gets nothing more, whoever wrote the tables. A server comes back with its new weight.
-func (c *Controller) withdrawals(tables [][]float64) {
-	for i, s := range c.servers {
-		out := !s.inTables
-		if out == s.sentOut {
-			continue
-		}
-		free := true
-		for _, p := range c.proxies {
-			free = free && (!p.joined || c.mayWrite(p, 2*float64(len(c.proxies)), urgentShare))
-		}
-		if !free {
-			return
-		}
-		s.sentOut = out
-		for _, p := range c.proxies {
-			if !p.joined {
-				continue
-			}
-			c.touch(p, 2)
-			if p.bound && !out && p.zone < len(tables) {
-				p.setLine(c, s.ID, tables[p.zone][i])
-			}
-		}
-		c.log("server %d out %t: listed %d, doubted %t after %v tries, held as cold %t", s.ID, out, s.State,
-			s.doubted, s.dry, s.held)
-		c.out = append(c.out, Withdraw{Server: s.ID, Out: out})
-	}
-}
-
-func (p *proxy) setLine(c *Controller, id ServerID, weight float64) {
-	p.lines[id] = weight
-	c.out = append(c.out, SetWeight{Table: TableID(p.id), Server: id, Weight: weight})
-}
-
-// update writes the changed lines and levels of one proxy's table, once its last message was answered or
-// has been waited for; a new proxy gets the whole table at once.
-func (c *Controller) update(p *proxy, table, levels []float64) {
-	some := false // a line that is not withdrawn; a proxy without one (a lost zone) must not wait
-	for _, s := range c.servers {
-		some = some || p.lines[s.ID] > 0 && !s.sentOut
+// update writes the changed lines and levels of one proxy's table, once its last message was answered or has
+// been waited for; a new proxy gets the whole table at once.
+func (c *Controller) update(p *proxy, levels, demand []float64) bool {
+	waited, share := c.now-p.lastSent, ordinaryShare
+	if p.urgent {
+		share = urgentShare
 	}
-	if p.bound && some && (c.now-p.lastSent < messageGap || p.waiting && c.now-p.lastSent < ackWait) {
-		return
+	if p.bound && (waited < urgentGap || !p.urgent && (waited < messageGap || p.waiting && waited < ackWait)) {
+		return false
 	}
 	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet:
 	// guards against a flood after a restart. Not if a server is out: a proxy learns that with its table.
 	if !p.bound && p.holds && !c.outs && c.now-c.bornAt < keepShare*c.set.Bare {
-		return
+		return false
 	}
-	whole, share := float64(len(table)+len(levels)+2), ordinaryShare
-	if !p.bound || !some {
-		share = urgentShare
+	var orders []Action
+	for k := range levels {
+		if level := c.level(p, levels[k], demand[k]); math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
+			orders = append(orders, Admit{Table: TableID(p.id), Mask: 1 << k, Level: level, Retry: retry})
+		}
 	}
-	if !c.mayWrite(p, whole, share) {
-		return
+	if !p.urgent && len(orders) == 0 && c.pace < 0 {
+		return false
 	}
-	before := len(c.out)
-	for i, s := range c.servers {
-		// A withdrawn server's line is left as it is; it gets its new weight when the server returns.
-		if have := p.lines[s.ID]; !s.sentOut && math.Abs(table[i]-have) > moveLeast*have {
-			p.setLine(c, s.ID, table[i])
+	lines := c.set.HeadLines + 1
+	for _, l := range p.lines {
+		if l.moved() {
+			orders = append(orders, SetWeight{Table: TableID(p.id), Server: l.s.ID, Weight: l.want})
 		}
 	}
-	for k, level := range levels {
-		if c.set.Admission == AdmitRate && level < 1 {
-			level *= p.demand[k]
-		} else if c.set.Admission == AdmitRate {
-			level = unlimited
+	if p.bound {
+		lines += float64(len(orders))
+	} else {
+		lines += float64(len(p.lines) + len(levels) + 1)
+		orders = append(orders, Bind{Proxy: p.id, Table: TableID(p.id)})
+	}
+	if len(orders) == 0 || !c.mayWrite(p, lines, share) {
+		return false
+	}
+	c.out = append(c.out, orders...)
+	c.queue += lines
+	c.pace -= lines
+	p.bound = true
+	for _, o := range orders {
+		if o, ok := o.(Admit); ok {
+			p.levels[bits.TrailingZeros16(o.Mask)] = o.Level
 		}
-		if !p.bound || math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
-			p.levels[k] = level
-			c.out = append(c.out, Admit{Table: TableID(p.id), Mask: 1 << k, Level: level, Retry: retry})
+	}
+	for i := range p.lines {
+		if l := &p.lines[i]; l.moved() {
+			l.sent = l.want
 		}
 	}
-	if p.bound {
-		c.touch(p, float64(len(c.out)-before))
-		return
+	return true
+}
+
+// level is what a proxy is told of a class's level. A rate is its usual part of the fleet's demand, with room
+// for chance: a proxy with few requests would else refuse what the fleet has room for.
+func (c *Controller) level(p *proxy, level, demand float64) float64 {
+	if c.set.Admission != AdmitRate {
+		return level
 	}
-	p.bound = true
-	c.touch(p, whole)
-	c.out = append(c.out, Bind{Proxy: p.id, Table: TableID(p.id)})
+	if level >= 1 {
+		return unlimited
+	}
+	rate := level * demand * p.usual / c.usual
+	return rate + rateRoom*math.Sqrt(rate)
 }
