--- a/rules/rules.go
+++ b/rules/rules.go
@@ -4,13 +4,12 @@
 //
 // The ordinary path: each round compares a server's speed with the fleet's mean and sets its weight to
 // listed x (1 + kP*e + kP/tI*sum). Everything else here keeps that path safe when things fail.
-// Reading order: constants, state, events, estimates, round, health, admission and retries, publisher.
+// Reading order: constants, state, events, estimates, round, health, admission, dealing, publisher.
 
 import (
 	"cmp"
 	"fmt"
 	"math"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 )
@@ -30,22 +29,12 @@
 	coverage   = 0.6     // share of the usable servers that must have been heard
 	heardFor   = 60000.0 // how long a report of a server counts for that
 
-	fitLeast   = 0.05 // of the demand is let in even if all servers are cold
-	startShare = 0.25 // of its weight that a started server gets at once
-	coldSafety = 0.6  // of the cold budget that we plan to use
-	zoneSlack  = 0.15 // a zone may take this much over its even share before it spills to others
-
-	demandTime = 1500.0  // time over which the demand of a class at a proxy is averaged
-	usualTime  = 15000.0 // and the usual rate of a proxy
-
-	connShare  = 0.25 // of the connections that a small server takes: what all tables together may open
-	tableShare = 0.5  // of the channel's queue: what one table for every proxy may take
-	linesLeast = 4    // of a table
-	linesOver  = 1.3  // times its size that a table may grow to before it gives lines back
-	starved    = 0.4  // of its part of the traffic: a server held for less than that is dealt once more
-	fitSteps   = 3    // of fitting the weights to the tables, each look
-	fitLow     = 0.2  // least and
-	fitHigh    = 5.0  // largest correction of a weight for how the server is held
+	fitLeast   = 0.05   // of the demand is let in even if all servers are cold
+	startShare = 0.25   // of its weight that a started server gets at once
+	coldSafety = 0.6    // of the cold budget that we plan to use
+	zoneSlack  = 0.15   // a zone may take this much over its even share before it spills to others
+	demandTime = 1500.0 // time over which the demand of a class at a proxy is averaged
+	usualTime  = 4000.0 // and the usual rate of a proxy
 
 	lookTime    = 100.0   // between two looks at everything
 	dryTries    = 6.0     // tries in a row without one answer that cast doubt on a server
@@ -74,26 +63,42 @@
 	unlimited    = 1e6    // a rate that never binds
 	rateRoom     = 0.5    // square roots of a proxy's rate that are let in over it
 
-	keepShare     = 0.6    // of the longest time without a line: proxies keep their tables after our start
+	connShare  = 0.25 // of the connections that a small server takes: what all tables together may open
+	tableShare = 0.5  // of the channel's queue: what one table for every proxy may take
+	linesLeast = 4    // of a table
+	sizeOver   = 1.3  // times its size that a table may grow to
+	starved    = 0.4  // of its part of the traffic: a server held for less than that is dealt once more
+	fitSteps   = 3    // of fitting the weights to the tables, each look
+	fitMost    = 5.0  // largest correction of a weight for how the server is held, up or down
+
 	ackWait       = 2000.0 // a message's answers are waited for this long
-	urgentGap     = 250.0  // between two urgent messages to one proxy
 	messageGap    = 500.0  // between two ordinary messages to one proxy
+	urgentGap     = 250.0  // between two urgent ones
 	moveLeast     = 0.1    // relative change of a line that is worth an order
+	levelLeast    = 0.05   // relative change of a level that is worth an order
 	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep
-	ordinaryPace  = 0.1    // of the channel's usual pace that ordinary orders may use in the long run
+	ordinaryPace  = 0.1    // of that pace that ordinary orders may use in the long run
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
 	urgentShare   = 0.8    // and urgent ones
-	levelLeast    = 0.05   // relative change of a level that is worth an order
 	askAgain      = 8000.0 // when discovery does not answer at all
 	askPause      = 800.0  // before discovery is asked again, plus as much by chance
 	logMost       = 150    // lines of log from one controller
 )
 
+// Safe repeats: guards the rule that nothing takes effect twice. Proxies try again only after proof that
+// the first try never ran, whatever the class. (Trying safe classes again after any failure was measured
+// and cost more than it won: the abandoned try still runs, and under load the work doubles.)
+const retry = RetryProof
+
 // tally sums up reports; time is that of all answers together.
 type tally struct{ tries, failed, answered, time float64 }
 
 func (z tally) rate() float64 { return 1 - z.failed/z.tries }
 
+func (z *tally) fade(by float64) {
+	*z = tally{z.tries * by, z.failed * by, z.answered * by, z.time * by}
+}
+
 type server struct {
 	Server
 	round      tally     // what was heard this round
@@ -107,35 +112,37 @@
 	drySince   float64
 	doubted    bool    // kept out by our own judgement
 	kept       bool    // cold, and kept out while the fleet is failing
+	unlisted   bool    // the list dropped it, which does not bind
 	hold       float64 // how long the next doubt lasts at least
 	until      float64 // a doubt lasts at least until then
 	returnedAt float64 // end of the last doubt
 	nextProbe  float64
 	alive      int     // probes answered in a row
-	unlisted   bool    // the list dropped it, which does not bind
 	inTables   bool    // may hold a line now
 	share      float64 // of the traffic of all proxies
 	target     float64 // the same in requests a second of our own proxies
-	held       float64 // requests a second of the tables that hold it, each spread evenly over its lines
+	held       float64 // what our tables bring it, in requests a second
 	fitted     float64 // correction of its weight for how it is held
-	seen       *proxy  // whose table is being dealt
+	seen       *proxy  // whose table is being dealt and holds it
 }
 
-// line is a server in a proxy's table. A line that is not wanted any more has want 0.
+// line is a server in a proxy's table. One that is not wanted any more has want 0.
 type line struct {
 	s          *server
 	want, sent float64 // weights
 }
 
+func (l line) moved() bool { return math.Abs(l.want-l.sent) > moveLeast*l.sent }
+
 type proxy struct {
 	id       ProxyID
 	zone     int
 	joined   bool
 	bound    bool
-	holds    bool      // more than a standing table, from before it joined
-	usual    float64   // requests a second, averaged for long
-	demand   []float64 // requests a second by class
+	usual    float64   // requests a second
+	demand   []float64 // the same by class, lately
 	lines    []line
+	have     float64   // lines that are wanted
 	levels   []float64 // by class, as ordered so far
 	writes   []float64 // times of recent messages
 	waiting  bool      // for an answer
@@ -145,14 +152,14 @@
 	need     float64 // requests a second that its table sends elsewhere than wanted
 }
 
-// zone is the state of one zone in shares of all traffic.
+// zone is the traffic of one zone, in shares of all.
 type zone struct {
-	demand float64 // of our own proxies there, in requests a second
-	room   float64 // share of all traffic that its servers get
-	part   float64 // share of all traffic that comes up there
-	over   float64 // of that, what its servers have no room for
-	spare  float64 // room for others
-	flow   float64 // requests a second of our own proxies to its servers
+	own   float64 // of our own proxies there, in requests a second
+	part  float64 // of all proxies there
+	room  float64 // what its servers should get
+	over  float64 // of its proxies' traffic, what its servers have no room for
+	spare float64 // room for others
+	flow  float64 // requests a second from all our proxies to its servers
 }
 
 // Controller decides for the proxies joined to it.
@@ -161,9 +168,15 @@
 	rng       *rand.Rand
 	now       float64
 	out       []Action
-	servers   []*server // by id
-	proxies   []*proxy  // by id
-	bornAt    float64
+	servers   []*server // sorted by id
+	proxies   []*proxy  // sorted by id
+	server    map[ServerID]*server
+	proxy     map[ProxyID]*proxy
+	zones     []zone
+	joined    float64   // proxies
+	usual     float64   // their requests a second
+	demands   []float64 // the same by class, lately
+	usable    float64   // servers in tables
 	watching  bool
 	askAt     float64
 	nextLook  float64
@@ -173,11 +186,6 @@
 	pressure  float64 // how late answers come; 1 is the most that is wanted
 	base      float64 // least answer time met so far
 	filled    float64 // how far the fleet's average has filled since the start
-	outs      bool    // some server may hold no line
-	zones     []zone
-	joined    float64 // proxies, and
-	usual     float64 // their usual requests a second
-	usable    float64 // servers in tables
 	listed    float64 // weight that the list shows ready, less for cold servers
 	able      float64 // most work a second that the fleet lately answered, for each weight listed ready
 	limit     float64 // work a second that may come in
@@ -192,22 +200,23 @@
 
 // New returns a controller that knows only its settings.
 func New(set Settings, seed uint64) *Controller {
-	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1,
-		limit: math.Inf(1), base: math.Inf(1), zones: make([]zone, max(1, set.Zones))}
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, limit: math.Inf(1), base: math.Inf(1),
+		zones: make([]zone, max(1, set.Zones)), demands: make([]float64, len(set.Classes)),
+		server: map[ServerID]*server{}, proxy: map[ProxyID]*proxy{}}
 }
 
-// Step takes what happened at now and returns what to do.
+// Step takes what happened at now and returns what to do. Events only add up between two looks.
 func (c *Controller) Step(now float64, events []Event) []Action {
 	c.now, c.out = now, nil
 	if c.nextRound == 0 { // the first turn
-		c.bornAt, c.drained, c.lastShed, c.nextRound = now, now, now, now+roundTime
+		c.drained, c.lastShed, c.nextRound = now, now, now+roundTime
 	}
 	for _, e := range events {
 		switch e := e.(type) {
 		case List:
 			c.list(e)
 		case Probed:
-			if s := c.server(e.Server); s != nil && (e.OK || e.Refused) {
+			if s := c.server[e.Server]; s != nil && (e.OK || e.Refused) {
 				s.alive++
 			} else if s != nil {
 				s.alive = 0
@@ -215,11 +224,11 @@
 		case Joined:
 			c.join(e)
 		case Left:
-			if p := c.proxy(e.Proxy); p != nil {
+			if p := c.proxy[e.Proxy]; p != nil {
 				p.joined = false
 			}
 		case Ack:
-			if p := c.proxy(e.Proxy); p != nil && e.Token == p.token {
+			if p := c.proxy[e.Proxy]; p != nil && e.Token == p.token {
 				p.waiting = false
 			}
 		case Heard:
@@ -228,8 +237,8 @@
 			c.demand(e)
 		}
 	}
-	if now < c.nextLook { // events only add up until the next look
-		return c.out
+	if now < c.nextLook {
+		return nil
 	}
 	c.nextLook = now + lookTime
 	c.out = append(c.out, Timer{Delay: lookTime})
@@ -257,25 +266,6 @@
 
 // ---- events ----
 
-func byID(s *server, id ServerID) int { return cmp.Compare(s.ID, id) }
-
-func (c *Controller) server(id ServerID) *server {
-	if i, ok := slices.BinarySearchFunc(c.servers, id, byID); ok {
-		return c.servers[i]
-	}
-	return nil
-}
-
-func (c *Controller) proxy(id ProxyID) *proxy {
-	i, ok := slices.BinarySearchFunc(c.proxies, id, func(p *proxy, id ProxyID) int {
-		return cmp.Compare(p.id, id)
-	})
-	if !ok {
-		return nil
-	}
-	return c.proxies[i]
-}
-
 // list follows discovery. A server missing from a whole list is gone.
 func (c *Controller) list(e List) {
 	if e.Kind == ListFailed {
@@ -289,53 +279,50 @@
 	for _, entry := range e.Servers {
 		listed[entry.ID] = true
 		entry.Zone = min(entry.Zone, len(c.zones)-1)
-		i, known := slices.BinarySearchFunc(c.servers, entry.ID, byID)
-		if !known {
-			c.servers = slices.Insert(c.servers, i, &server{Server: entry, factor: 1, fitted: 1, hold: holdFirst,
-				zones: make([]tally, len(c.zones))})
+		s := c.server[entry.ID]
+		if s == nil {
+			s = &server{Server: entry, factor: 1, fitted: 1, hold: holdFirst, zones: make([]tally, len(c.zones))}
+			c.server[entry.ID], c.servers = s, append(c.servers, s)
 		}
-		c.servers[i].entry(entry, c.set.DrainOnly)
+		s.follow(entry, c.set.DrainOnly)
 	}
-	if e.Kind == ListFull || e.Kind == ListCached {
-		for _, s := range c.servers {
-			if !listed[s.ID] {
-				gone := s.Server
-				gone.State = Gone
-				s.entry(gone, c.set.DrainOnly)
-			}
+	slices.SortFunc(c.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	for _, s := range c.servers {
+		if gone := s.Server; !listed[s.ID] && (e.Kind == ListFull || e.Kind == ListCached) {
+			gone.State = Gone
+			s.follow(gone, c.set.DrainOnly)
 		}
 	}
 }
 
-// entry takes what the list says of a server. Where only draining binds, a ready server that the list drops
-// stays in use while it answers: guards against a list that is wrong, or behind. A dead one is found by doubt.
-func (s *server) entry(e Server, drainOnly bool) {
+// follow takes what the list says of a server. Where only draining binds, a ready server that the list drops
+// stays in use while it answers: guards against a list that is wrong or behind. A dead one falls into doubt.
+func (s *server) follow(e Server, drainOnly bool) {
 	if e.StartedAt > s.StartedAt {
 		// A new process: what was held against the old one, and its stale sum, no longer counts.
 		s.errors, s.sum, s.factor, s.dry, s.doubted = nil, 0, 1, 0, false
 	}
-	s.unlisted = drainOnly && e.State == Gone && s.State == Ready
-	if s.unlisted {
+	if s.unlisted = drainOnly && e.State == Gone && s.State == Ready; s.unlisted {
 		e.State = Ready
 	}
 	s.Server = e
 }
 
+// join takes a proxy in. The lines and levels of its table stay as we know them: it is bound to it again.
 func (c *Controller) join(e Joined) {
-	p, n := c.proxy(e.Proxy), len(c.set.Classes)
+	p, n := c.proxy[e.Proxy], len(c.set.Classes)
 	if p == nil {
 		p = &proxy{id: e.Proxy, usual: e.Rate, demand: make([]float64, n), levels: slices.Repeat([]float64{-1}, n)}
-		c.proxies = append(c.proxies, p)
+		c.proxy[e.Proxy], c.proxies = p, append(c.proxies, p)
 		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 	}
 	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, min(e.Zone, len(c.zones)-1), nil
-	p.holds = !e.Fresh // its table, as we know it, stays: a proxy that comes back is bound to it again
 }
 
 // ---- estimates ----
 
 func (c *Controller) heard(e Heard) {
-	s := c.server(e.Server)
+	s := c.server[e.Server]
 	if s == nil || e.Zone >= len(s.zones) || e.Tries <= 0 {
 		return
 	}
@@ -360,8 +347,9 @@
 	s.dry += e.Tries
 }
 
+// demand counts a report for as much as the time it covers: late ones cover many periods.
 func (c *Controller) demand(e Demand) {
-	p := c.proxy(e.Proxy)
+	p := c.proxy[e.Proxy]
 	if p == nil || e.Class >= len(p.demand) || e.Period <= 0 {
 		return
 	}
@@ -397,28 +385,26 @@
 // runRound is one step of the feedback loop, when enough of the fleet was heard.
 func (c *Controller) runRound() {
 	c.nextRound = c.now + roundTime
-	var ready, fresh float64
+	var ready, fresh, speeds, rates, n, m float64
 	for _, s := range c.servers {
-		if s.usable() {
-			ready++
-			if s.lastHeard > 0 && c.now-s.lastHeard <= heardFor {
-				fresh++
-			}
+		if !s.usable() {
+			continue
 		}
-	}
-	if ready == 0 || fresh < coverage*ready {
-		c.log("round waits: %v of %v servers heard", fresh, ready)
-		return
-	}
-	var speeds, rates, n, m float64
-	for _, s := range c.servers {
-		if s.usable() && s.round.tries > 0 {
+		ready++
+		if s.lastHeard > 0 && c.now-s.lastHeard <= heardFor {
+			fresh++
+		}
+		if s.round.tries > 0 {
 			rates, m = rates+s.round.rate(), m+1
 		}
-		if s.usable() && s.speed() > 0 {
+		if s.speed() > 0 {
 			speeds, n = speeds+s.speed(), n+1
 		}
 	}
+	if ready == 0 || fresh < coverage*ready {
+		c.log("round waits: %v of %v servers heard", fresh, ready)
+		return
+	}
 	for _, s := range c.servers {
 		if s.usable() {
 			e := 0.0 // unheard servers count as average
@@ -493,9 +479,9 @@
 // share stays under what it can do if the whole fleet ran full, so that planners need not agree.
 // Last line: guards the rule that no proxy is left without a server. If none is usable, all ready
 // servers count again, doubted or not.
-func (c *Controller) shares() (some bool) {
-	var ready, usable float64
-	c.listed, c.outs, c.usable = 0, false, 0
+func (c *Controller) shares() bool {
+	var ready, usable, total, warm, cold float64 // servers; weight of all and of the warm ones, share of the cold
+	c.listed, c.usable, c.fit = 0, 0, 1
 	for _, s := range c.servers {
 		if s.State == Ready {
 			ready++
@@ -505,12 +491,9 @@
 			usable++
 		}
 	}
-	var total, warm, cold float64 // weight of all and of the warm ones, share of the cold ones
 	for _, s := range c.servers {
 		s.share = 0
-		s.inTables = s.usable() || usable == 0 && s.State == Ready
-		c.outs = c.outs || !s.inTables
-		if s.inTables {
+		if s.inTables = s.usable() || usable == 0 && s.State == Ready; s.inTables {
 			s.share = c.weight(s)
 			total += s.share
 			c.usable++
@@ -525,7 +508,6 @@
 			cold += s.share
 		}
 	}
-	c.fit = 1
 	if warm == 0 {
 		c.fit = max(fitLeast, cold)
 	}
@@ -539,156 +521,280 @@
 	return total > 0
 }
 
+// ---- health ----
+
+// health keeps out servers that answer nothing and lets them in again.
+//
+// It guards against whatever swallows requests: hung or silent servers, cut links, dead processes that
+// the list still shows. It could harm when everything is slow at once; so doubt never keeps out more
+// than a share of the fleet, and a server is let in again, at a fraction of its weight, as soon as its
+// probes are answered.
+func (c *Controller) health() {
+	var ready, out float64
+	for _, s := range c.servers {
+		if s.State == Ready && !s.unlisted {
+			ready++
+			if s.doubted {
+				out++
+			}
+		}
+	}
+	latency := c.latency()
+	for _, s := range c.servers {
+		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
+		// that have not failed yet: a cold server is not put there before the fleet answers again.
+		s.kept = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
+		if s.State != Ready {
+			continue
+		}
+		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*latency && out+1 <= doubtMost*ready
+		if !s.doubted && (dry || s.unlisted && s.dry >= dryUnlisted) {
+			out++
+			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
+			s.hold = min(holdMost, 2*s.hold)
+			c.log("server %d out: %v tries without an answer, listed %t", s.ID, s.dry, !s.unlisted)
+		}
+		if s.doubted && c.now >= s.until && (s.alive >= probesAlive || !c.set.Probes) {
+			out--
+			s.doubted, s.dry, s.returnedAt, s.errors = false, 0, c.now, nil
+			c.log("server %d back", s.ID)
+		}
+		if s.doubted && c.set.Probes && c.now >= s.nextProbe {
+			s.nextProbe = c.now + probePause
+			c.out = append(c.out, Probe{Server: s.ID})
+		}
+	}
+}
+
+// ---- admission ----
+
+// admission sheds work when answers come too late for their aims, least worth per work first.
+//
+// What may come in is held against what the fleet lately answered, not against the last level: reports
+// are seconds old, and a level that builds on its own past levels swings between flood and famine. The
+// limit is kept in work a second, not as a share: what is refused comes again and swells the demand, and
+// a share of that would let in all of it at once.
+func (c *Controller) admission(span float64) {
+	var aims, worth, offered, admitted, requests float64
+	levels := c.wantedLevels()
+	for k, class := range c.set.Classes {
+		d := c.demands[k]
+		aims += class.Worth * (d + 1e-3) / class.Aim
+		worth += class.Worth * (d + 1e-3)
+		offered += d * class.Aim
+		admitted += d * class.Aim * levels[k]
+		requests += d * levels[k]
+	}
+	if c.fleet.tries < 1 || requests < 1e-9 {
+		return
+	}
+	latency := c.latency()
+	if latency > 0 && c.filled > filledEnough {
+		c.base = min(c.base, latency)
+	}
+	aim := worth / aims
+	c.pressure = c.fleet.failed/c.fleet.tries +
+		latency/(baseShare*min(c.base, aimShare*aim)+waitShare*aim)
+	// Work answered a second, in units of the aims, which are all that is known of a class's work.
+	decay := math.Exp(-span / fleetTime)
+	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
+	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
+	c.able = max(answered/max(1e-9, c.listed), c.able*math.Pow(ableDecay, span/1000))
+	able := c.able * c.listed
+	c.limit = max(c.limit*math.Pow(limitGrow, span/1000), able*roomLeast)
+	if c.pressure > shedFrom && c.filled > filledEnough { // a first report may tell of a part of the proxies
+		c.limit = min(c.limit, able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
+	}
+	before := c.shed
+	c.shed = max(0, min(shedMost, 1-c.limit/offered))
+	if (before == 0) != (c.shed == 0) {
+		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, c.pressure)
+	}
+	c.fleet.fade(decay)
+	for _, s := range c.servers {
+		s.recent.fade(decay)
+	}
+}
+
+// wantedLevels gives each class its level as a share: the classes with the least worth for their work
+// (told by the aim, the only figure known of it) give way first.
+func (c *Controller) wantedLevels() []float64 {
+	work, order := slices.Clone(c.demands), make([]int, len(c.demands))
+	total := 0.0
+	for k, class := range c.set.Classes {
+		order[k] = k
+		work[k] *= class.Aim
+		total += work[k]
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := c.set.Classes[i], c.set.Classes[j]
+		return cmp.Compare(a.Worth/a.Aim, b.Worth/b.Aim)
+	})
+	levels, cut := slices.Repeat([]float64{1}, len(work)), max(c.shed, 1-c.fit)*total
+	for _, k := range order {
+		if work[k] > 0 && cut > 0 {
+			part := min(cut, work[k])
+			levels[k] = 1 - part/work[k]
+			cut -= part
+		}
+	}
+	return levels
+}
+
+// level is what a proxy is told of a class's level. A rate is its usual part of the fleet's demand, with room
+// for chance: a proxy with few requests would else refuse what the fleet has room for.
+func (c *Controller) level(p *proxy, k int, level float64) float64 {
+	if c.set.Admission != AdmitRate {
+		return level
+	}
+	if level >= 1 {
+		return unlimited
+	}
+	rate := level * c.demands[k] * p.usual / c.usual
+	return rate + rateRoom*math.Sqrt(rate)
+}
+
+// ---- dealing: which servers a proxy's table holds ----
+
 // targets splits the shares by proxy zone. Crossing zones has a price, so a zone's proxies use its own servers
 // as far as these have room and spill only the rest. Proxies of other controllers count as their zones' load:
 // where proxies join controllers of their own zone, those that we don't see are in the zones that we don't see.
 func (c *Controller) targets() {
 	clear(c.zones)
-	c.joined, c.usual = 0, 0
+	clear(c.demands)
+	c.joined, c.usual = 0, 1e-3
 	for _, p := range c.proxies {
 		if p.joined {
+			for k, d := range p.demand {
+				c.demands[k] += d
+			}
 			c.joined++
 			c.usual += p.usual + 1e-3
-			c.zones[p.zone].demand += p.usual + 1e-3
+			c.zones[p.zone].own += p.usual + 1e-3
 		}
 	}
-	unseen, hidden, spare := 0.0, 0.0, 0.0 // traffic of proxies that we don't see, and room of zones without ours
+	unseen, hidden, spare := 0.0, 0.0, 1e-9 // traffic of proxies that we don't see, and room of zones without ours
 	if c.set.LocalFirst && c.joined > 0 {
 		unseen = max(0, float64(c.set.Proxies)-c.joined) * c.usual / c.joined
 	}
 	for _, s := range c.servers {
 		c.zones[s.Zone].room += s.share
-		if c.zones[s.Zone].demand == 0 {
+		if c.zones[s.Zone].own == 0 {
 			hidden += s.share
 		}
 	}
 	for i := range c.zones {
 		z := &c.zones[i]
-		if z.part = z.demand / (c.usual + unseen); z.demand == 0 && hidden > 0 {
+		if z.part = z.own / (c.usual + unseen); z.own == 0 && hidden > 0 {
 			z.part = unseen / (c.usual + unseen) * z.room / hidden
 		}
-		z.over = max(0, z.part-z.room*(1+zoneSlack))
-		z.spare = max(0, z.room-z.part)
+		z.over = max(0, 1-z.room*(1+zoneSlack)/max(1e-9, z.part))
+		z.spare = max(0, z.room-z.part) + 1e-9*z.room
 		spare += z.spare
-		if z.part > 0 {
-			z.over /= z.part
-		}
 	}
 	for i := range c.zones {
-		z := &c.zones[i]
-		z.flow += z.demand * (1 - z.over)
+		c.zones[i].flow += c.zones[i].own * (1 - c.zones[i].over)
 		for j := range c.zones {
-			if y := &c.zones[j]; spare > 0 {
-				y.flow += z.demand * z.over * y.spare / spare
-			} else {
-				y.flow += z.demand * z.over * y.room
-			}
+			c.zones[j].flow += c.zones[i].own * c.zones[i].over * c.zones[j].spare / spare
 		}
 	}
 	for _, s := range c.servers {
-		s.target = 0
-		if z := c.zones[s.Zone]; z.room > 0 {
-			s.target = s.share / z.room * z.flow
-		}
+		s.target = s.share / max(1e-9, c.zones[s.Zone].room) * c.zones[s.Zone].flow
 	}
 }
 
 // size is the number of lines of a proxy's table: what the servers' connection limits and the channel allow
 // with every proxy at that, more for a proxy with more traffic.
 func (c *Controller) size(p *proxy) float64 {
-	n, mean := max(1, c.joined, float64(c.set.Proxies)), math.Inf(1)
+	n := max(1, c.joined, float64(c.set.Proxies))
+	mean := tableShare*c.set.QueueLines/n - c.set.HeadLines
 	if c.set.ConnsLeast > 0 {
-		mean = connShare * c.set.ConnsLeast * c.usable / n
+		mean = min(mean, connShare*c.set.ConnsLeast*c.usable/n)
 	}
-	mean = min(mean, tableShare*c.set.QueueLines/n-c.set.HeadLines)
 	return max(linesLeast, mean*(1+p.usual*c.joined/c.usual)/2)
 }
 
 // deal gives each proxy its part of the fleet: its own zone first, others only for what spills. It starts from
-// the tables as they are and changes few lines when servers come and go; each new line is for the server that
-// is held least for its target. On a small fleet every table holds all servers of the zone.
+// the tables as they are, so that few lines change when servers come and go; each new line is for the server
+// that is held least for its target. On a small fleet every table holds all servers of its zone.
 func (c *Controller) deal() {
 	for _, s := range c.servers {
-		s.held = 0
+		s.held, s.seen = 0, nil
 	}
 	for _, p := range c.proxies {
-		if !p.joined {
-			continue
+		p.have = 0
+		for i := range p.lines {
+			if l := &p.lines[i]; !l.s.inTables || l.s.Zone != p.zone && c.zones[p.zone].over == 0 {
+				l.want = 0
+			} else if l.want > 0 {
+				p.have++
+			}
 		}
-		n := p.prune(c.zones[p.zone].over > 0)
+		p.lines = slices.DeleteFunc(p.lines, func(l line) bool { return l.want == 0 && l.sent == 0 })
 		for _, l := range p.lines {
-			if l.want > 0 {
-				l.s.held += p.usual / n
+			if l.want > 0 && p.joined {
+				l.s.held += p.usual / p.have
 			}
 		}
 	}
 	for _, p := range c.proxies {
-		if !p.joined {
-			continue
-		}
-		var home, away float64
-		for _, l := range p.lines {
-			if l.s.seen = p; l.want > 0 && l.s.Zone == p.zone {
-				home++
-			} else if l.want > 0 {
-				away++
+		if p.joined {
+			size, far := c.size(p), 0.0
+			if over := c.zones[p.zone].over; over > 0 {
+				far = max(1, math.Round(size*over))
 			}
-		}
-		size, over := c.size(p), c.zones[p.zone].over
-		far := 0.0
-		if over > 0 {
-			far = max(1, math.Round(size*over))
-		}
-		for home < size-far && c.add(p, true, size) {
-			home++
-		}
-		for away < far && c.add(p, false, size) {
-			away++
-		}
-		for home+away > linesOver*size+1 && home > 1 {
-			p.giveBack()
-			home--
+			c.fill(p, true, size-far)
+			c.fill(p, false, far)
 		}
 	}
-	for _, s := range c.servers { // newcomers, and servers whose holders left
+	for _, s := range c.servers { // newcomers, and servers whose proxies left
 		var best *proxy
 		for _, p := range c.proxies {
-			if s.held < starved*s.target && p.joined && p.zone == s.Zone && !p.has(s) &&
-				(best == nil || p.usual*float64(len(best.lines)) > best.usual*float64(len(p.lines))) {
+			if s.held < starved*s.target && p.joined && p.zone == s.Zone && !p.holds(s) &&
+				(best == nil || p.usual*best.have > best.usual*p.have) {
 				best = p
 			}
 		}
 		if best != nil {
-			best.take(s, float64(len(best.lines)+1))
+			best.take(s)
+			if best.have > sizeOver*c.size(best) {
+				best.giveBack()
+			}
 		}
 	}
 }
 
-// prune unwants lines that lead nowhere, forgets those that the proxy no longer has, and counts the rest.
-func (p *proxy) prune(spills bool) (n float64) {
-	kept := p.lines[:0]
+// fill deals a proxy servers of its own zone, or of others, until its table holds enough of them.
+func (c *Controller) fill(p *proxy, home bool, lines float64) {
 	for _, l := range p.lines {
-		if !l.s.inTables || l.s.Zone != p.zone && !spills {
-			l.want = 0
+		if l.want > 0 && (l.s.Zone == p.zone) == home {
+			l.s.seen = p
+			lines--
 		}
-		if l.want > 0 {
-			n++
+	}
+	for ; lines > 0; lines-- {
+		var best *server
+		for _, s := range c.servers {
+			if s.target > 0 && s.seen != p && (s.Zone == p.zone) == home &&
+				(best == nil || s.held*best.target < best.held*s.target) {
+				best = s
+			}
 		}
-		if l.want > 0 || l.sent > 0 {
-			kept = append(kept, l)
+		if best == nil {
+			return
 		}
+		p.take(best)
 	}
-	p.lines = kept
-	return n
 }
 
-func (p *proxy) has(s *server) bool {
+func (p *proxy) holds(s *server) bool {
 	return slices.ContainsFunc(p.lines, func(l line) bool { return l.s == s && l.want > 0 })
 }
 
 // take gives a proxy a line for a server; its weight comes with weigh.
-func (p *proxy) take(s *server, size float64) {
-	s.seen, s.held = p, s.held+p.usual/size
+func (p *proxy) take(s *server) {
+	p.have++
+	s.seen, s.held = p, s.held+p.usual/p.have
 	i := slices.IndexFunc(p.lines, func(l line) bool { return l.s == s })
 	if i < 0 {
 		i, p.lines = len(p.lines), append(p.lines, line{s: s})
@@ -696,27 +802,11 @@
 	p.lines[i].want = 1
 }
 
-// add deals a proxy one more server of its own zone, or of others: the least held for its target.
-func (c *Controller) add(p *proxy, home bool, size float64) bool {
-	var best *server
-	for _, s := range c.servers {
-		if s.target > 0 && s.seen != p && (s.Zone == p.zone) == home &&
-			(best == nil || s.held*best.target < best.held*s.target) {
-			best = s
-		}
-	}
-	if best != nil {
-		p.take(best, size)
-	}
-	return best != nil
-}
-
-// giveBack unwants the line for the server of the own zone that is held most for its target.
+// giveBack unwants the line of a full table for the server that is held most for its target.
 func (p *proxy) giveBack() {
-	most := -1
+	most := 0
 	for i, l := range p.lines {
-		if l.want > 0 && l.s.Zone == p.zone &&
-			(most < 0 || l.s.held*p.lines[most].s.target > p.lines[most].s.held*l.s.target) {
+		if l.want > 0 && l.s.held*p.lines[most].s.target > p.lines[most].s.held*l.s.target {
 			most = i
 		}
 	}
@@ -731,228 +821,75 @@
 			s.held = 0
 		}
 		for _, p := range c.proxies {
-			sum := 0.0
+			sum := p.weigh(1)
 			for _, l := range p.lines {
-				if l.want > 0 {
-					sum += l.s.share * l.s.fitted
-				}
-			}
-			for _, l := range p.lines {
-				if l.want > 0 && p.joined {
-					l.s.held += (p.usual + 1e-3) * l.s.share * l.s.fitted / sum
+				if p.joined {
+					l.s.held += (p.usual + 1e-3) * l.want / sum
 				}
 			}
 		}
 		for _, s := range c.servers {
 			if s.held > 0 {
-				s.fitted = max(fitLow, min(fitHigh, s.fitted*math.Sqrt(s.target/s.held)))
+				s.fitted = max(1/fitMost, min(fitMost, s.fitted*math.Sqrt(s.target/s.held)))
 			}
 		}
 	}
 	for _, p := range c.proxies {
-		p.urgent, p.need = true, 0
-		sum := 0.0
-		for i := range p.lines {
-			if l := &p.lines[i]; l.want > 0 {
-				l.want = l.s.share * l.s.fitted * c.usable
-				sum += l.want
-				p.urgent = p.urgent && l.sent == 0
-			}
-		}
+		sum, works := p.weigh(c.usable), false
+		p.urgent, p.need = !p.bound, 0
 		for _, l := range p.lines {
+			works = works || l.want > 0 && l.sent > 0
 			p.urgent = p.urgent || l.sent > 0 && !l.s.inTables
 			if l.moved() {
-				p.need += math.Abs(l.want-l.sent) / max(1e-9, sum) * p.usual
-			}
-		}
-		p.urgent = p.urgent || !p.bound
-	}
-}
-
-func (l line) moved() bool { return math.Abs(l.want-l.sent) > moveLeast*l.sent }
-
-// ---- health ----
-
-// health keeps out servers that answer nothing and lets them in again.
-//
-// It guards against whatever swallows requests: hung or silent servers, cut links, dead processes that
-// the list still shows. It could harm when everything is slow at once; so doubt never keeps out more
-// than a share of the fleet, and a server is let in again, at a fraction of its weight, as soon as its
-// probes are answered.
-func (c *Controller) health() {
-	var ready, kept float64
-	latency := c.latency()
-	for _, s := range c.servers {
-		if s.State == Ready && !s.unlisted {
-			ready++
-			if s.doubted {
-				kept++
-			}
-		}
-	}
-	for _, s := range c.servers {
-		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
-		// that have not failed yet: a cold server is not put there before the fleet answers again.
-		s.kept = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
-		if s.State != Ready {
-			continue
-		}
-		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*latency
-		if s.unlisted {
-			dry = s.dry >= dryUnlisted
-		}
-		if !s.doubted && dry && (s.unlisted || kept+1 <= doubtMost*ready) {
-			kept++
-			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
-			s.hold = min(holdMost, 2*s.hold)
-			c.log("server %d out after %v tries without an answer, unlisted %t", s.ID, s.dry, s.unlisted)
-		}
-		if s.doubted && c.now >= s.until && (s.alive >= probesAlive || !c.set.Probes) {
-			s.doubted, s.dry, s.returnedAt, s.errors = false, 0, c.now, nil
-			kept--
-			c.log("server %d back", s.ID)
-		}
-		if s.doubted && c.set.Probes && c.now >= s.nextProbe {
-			s.nextProbe = c.now + probePause
-			c.out = append(c.out, Probe{Server: s.ID})
-		}
-	}
-}
-
-// ---- admission and retries ----
-
-// admission sheds work when answers come too late for their aims, least worth per work first.
-//
-// What may come in is held against what the fleet lately answered, not against the last level: reports
-// are seconds old, and a level that builds on its own past levels swings between flood and famine. The
-// limit is kept in work a second, not as a share: what is refused comes again and swells the demand, and
-// a share of that would let in all of it at once.
-func (c *Controller) admission(span float64) {
-	var aims, worth, offered, admitted, requests float64
-	levels, demand := c.wantedLevels(), c.demands()
-	for k, class := range c.set.Classes {
-		d := demand[k]
-		aims += class.Worth * (d + 1e-3) / class.Aim
-		worth += class.Worth * (d + 1e-3)
-		offered += d * class.Aim
-		admitted += d * class.Aim * levels[k]
-		requests += d * levels[k]
-	}
-	if c.fleet.tries < 1 || requests < 1e-9 {
-		return
-	}
-	latency := c.latency()
-	if latency > 0 && c.filled > filledEnough {
-		c.base = min(c.base, latency)
-	}
-	aim := worth / aims
-	c.pressure = c.fleet.failed/c.fleet.tries +
-		latency/(baseShare*min(c.base, aimShare*aim)+waitShare*aim)
-	// Work answered a second, in units of the aims, which are all that is known of a class's work.
-	decay := math.Exp(-span / fleetTime)
-	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
-	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
-	c.able = max(answered/max(1e-9, c.listed), c.able*math.Pow(ableDecay, span/1000))
-	able := c.able * c.listed
-	c.limit = max(c.limit*math.Pow(limitGrow, span/1000), able*roomLeast)
-	if c.pressure > shedFrom && c.filled > filledEnough { // a first report may tell of a part of the proxies
-		c.limit = min(c.limit, able*max(roomLeast, 1+roomSlope*(1-c.pressure)))
-	}
-	before := c.shed
-	c.shed = max(0, min(shedMost, 1-c.limit/offered))
-	if (before == 0) != (c.shed == 0) {
-		c.log("shedding now %.2f of the work, pressure %.2f", c.shed, c.pressure)
-	}
-	c.fleet.fade(decay)
-	for _, s := range c.servers {
-		s.recent.fade(decay)
-	}
-}
-
-func (z *tally) fade(by float64) {
-	*z = tally{z.tries * by, z.failed * by, z.answered * by, z.time * by}
-}
-
-// demands is what comes to the joined proxies, requests a second by class.
-func (c *Controller) demands() []float64 {
-	sums := make([]float64, len(c.set.Classes))
-	for _, p := range c.proxies {
-		for k := range sums {
-			if p.joined {
-				sums[k] += p.demand[k]
+				p.need += math.Abs(l.want-l.sent) / sum * p.usual
 			}
 		}
+		p.urgent = p.urgent || !works && p.have > 0
 	}
-	return sums
 }
 
-// wantedLevels gives each class its level as a share: the classes with the least worth for their work
-// (told by the aim, the only figure known of it) give way first.
-func (c *Controller) wantedLevels() []float64 {
-	work := c.demands()
-	levels, order := make([]float64, len(work)), make([]int, len(work))
-	total := 0.0
-	for k, class := range c.set.Classes {
-		levels[k], order[k] = 1, k
-		work[k] *= class.Aim
-		total += work[k]
-	}
-	slices.SortStableFunc(order, func(i, j int) int {
-		a, b := c.set.Classes[i], c.set.Classes[j]
-		return cmp.Compare(a.Worth/a.Aim, b.Worth/b.Aim)
-	})
-	cut := max(c.shed, 1-c.fit) * total
-	for _, k := range order {
-		if work[k] > 0 && cut > 0 {
-			part := min(cut, work[k])
-			levels[k] = 1 - part/work[k]
-			cut -= part
+// weigh sets the weights of a proxy's lines, in which a mean server has the given weight, and sums them up.
+func (p *proxy) weigh(mean float64) (sum float64) {
+	for i := range p.lines {
+		if l := &p.lines[i]; l.want > 0 {
+			l.want = max(1e-9, l.s.share*l.s.fitted*mean)
+			sum += l.want
 		}
 	}
-	return levels
+	return max(1e-9, sum)
 }
 
-// Safe repeats: guards the rule that nothing takes effect twice. Proxies try again only after proof that
-// the first try never ran, whatever the class. (Trying safe classes again after any failure was measured
-// and cost more than it won: the abandoned try still runs, and under load the work doubles.)
-const retry = RetryProof
-
 // ---- publisher ----
 
 // publish brings the proxies from what they were sent to what is wanted, most needed first; each has its own
-// table. Urgent messages wait for no answer: a line that must go (the rule on drains), a table that works no
-// more, and a proxy without a table of ours.
+// table. Urgent messages wait for no answer: for a line that must go (which guards the rule on drains), a
+// table that works no more, and a proxy without a table of ours.
 func (c *Controller) publish() {
 	if c.set.Slices > 0 {
 		return // slices of a key space are not decided here
 	}
-	span := c.now - c.drained
-	c.queue = max(0, c.queue-span*c.set.LinesPerSec/1000*paceSure)
-	c.pace = min(c.pace+span*c.set.LinesPerSec/1000*ordinaryPace, c.set.LinesPerSec*ordinaryPace)
-	c.drained = c.now
+	sent := (c.now - c.drained) / 1000 * c.set.LinesPerSec
+	c.queue, c.drained = max(0, c.queue-sent*paceSure), c.now
+	c.pace = min(c.pace+sent*ordinaryPace, c.set.LinesPerSec*ordinaryPace)
 	if !c.shares() {
 		return
 	}
 	c.targets()
 	c.deal()
 	c.weigh()
-	levels, demand := c.wantedLevels(), c.demands()
+	levels := c.wantedLevels()
 	due := slices.DeleteFunc(slices.Clone(c.proxies), func(p *proxy) bool { return !p.joined })
 	slices.SortStableFunc(due, func(a, b *proxy) int {
 		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
+			return map[bool]int{true: -1, false: 1}[a.urgent]
 		}
 		return cmp.Compare(b.need, a.need)
 	})
 	next := (c.token + 1) % 65536
 	for _, p := range due {
-		if c.update(p, levels, demand) {
-			c.token = next
+		if c.update(p, levels) {
 			p.writes = append(p.writes, c.now)
-			p.waiting, p.lastSent, p.token = true, c.now, next
+			p.bound, p.waiting, p.lastSent, p.token, c.token = true, true, c.now, next, next
 		}
 	}
 	if c.token == next {
@@ -960,64 +897,44 @@
 	}
 }
 
-// mayWrite guards the channel's limits, each only up to a share: lines that wait, for which the channel is
-// thought to run slower than stated, and messages to one proxy within the span.
-func (c *Controller) mayWrite(p *proxy, lines, share float64) bool {
-	for len(p.writes) > 0 && c.now-p.writes[0] > c.set.MessagesOver {
-		p.writes = p.writes[1:]
-	}
-	if c.set.MessagesMost > 0 && float64(len(p.writes)+1) > share*float64(c.set.MessagesMost) {
-		return false
-	}
-	return c.queue+lines <= share*c.set.QueueLines
-}
-
 // update writes the changed lines and levels of one proxy's table, once its last message was answered or has
 // been waited for; a new proxy gets the whole table at once.
-func (c *Controller) update(p *proxy, levels, demand []float64) bool {
-	waited, share := c.now-p.lastSent, ordinaryShare
+func (c *Controller) update(p *proxy, levels []float64) bool {
+	waited, gap, share := c.now-p.lastSent, messageGap, ordinaryShare
 	if p.urgent {
-		share = urgentShare
-	}
-	if p.bound && (waited < urgentGap || !p.urgent && (waited < messageGap || p.waiting && waited < ackWait)) {
-		return false
+		gap, share = urgentGap, urgentShare
 	}
-	// After a start of ours, proxies hold tables and levels made with more knowledge than we have yet:
-	// guards against a flood after a restart. Not if a server is out: a proxy learns that with its table.
-	if !p.bound && p.holds && !c.outs && c.now-c.bornAt < keepShare*c.set.Bare {
+	if p.bound && (waited < gap || p.waiting && !p.urgent && waited < ackWait) {
 		return false
 	}
 	var orders []Action
 	for k := range levels {
-		if level := c.level(p, levels[k], demand[k]); math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
+		level := c.level(p, k, levels[k])
+		if math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
 			orders = append(orders, Admit{Table: TableID(p.id), Mask: 1 << k, Level: level, Retry: retry})
 		}
 	}
 	if !p.urgent && len(orders) == 0 && c.pace < 0 {
 		return false
 	}
-	lines := c.set.HeadLines + 1
 	for _, l := range p.lines {
 		if l.moved() {
 			orders = append(orders, SetWeight{Table: TableID(p.id), Server: l.s.ID, Weight: l.want})
 		}
 	}
-	if p.bound {
-		lines += float64(len(orders))
-	} else {
-		lines += float64(len(p.lines) + len(levels) + 1)
+	lines := float64(len(orders)) + c.set.HeadLines + 1
+	if !p.bound {
+		lines = float64(len(p.lines)+len(levels)) + c.set.HeadLines + 2
 		orders = append(orders, Bind{Proxy: p.id, Table: TableID(p.id)})
 	}
 	if len(orders) == 0 || !c.mayWrite(p, lines, share) {
 		return false
 	}
+	c.queue, c.pace = c.queue+lines, c.pace-lines
 	c.out = append(c.out, orders...)
-	c.queue += lines
-	c.pace -= lines
-	p.bound = true
-	for _, o := range orders {
-		if o, ok := o.(Admit); ok {
-			p.levels[bits.TrailingZeros16(o.Mask)] = o.Level
+	for k := range levels {
+		if level := c.level(p, k, levels[k]); math.Abs(level-p.levels[k]) > levelLeast*p.levels[k] {
+			p.levels[k] = level
 		}
 	}
 	for i := range p.lines {
@@ -1028,15 +945,14 @@
 	return true
 }
 
-// level is what a proxy is told of a class's level. A rate is its usual part of the fleet's demand, with room
-// for chance: a proxy with few requests would else refuse what the fleet has room for.
-func (c *Controller) level(p *proxy, level, demand float64) float64 {
-	if c.set.Admission != AdmitRate {
-		return level
+// mayWrite guards the channel's limits, each only up to a share: lines that wait, for which the channel is
+// thought to run slower than stated, and messages to one proxy within the span.
+func (c *Controller) mayWrite(p *proxy, lines, share float64) bool {
+	for len(p.writes) > 0 && c.now-p.writes[0] > c.set.MessagesOver {
+		p.writes = p.writes[1:]
 	}
-	if level >= 1 {
-		return unlimited
+	if c.set.MessagesMost > 0 && float64(len(p.writes)+1) > share*float64(c.set.MessagesMost) {
+		return false
 	}
-	rate := level * demand * p.usual / c.usual
-	return rate + rateRoom*math.Sqrt(rate)
+	return c.queue+lines <= share*c.set.QueueLines
 }
