Size tables by their proxy's traffic and no larger than useful

Sizes are now three quarters in proportion to traffic and at most eight lines or four for each server that the traffic fills. Smaller tables for all (a share of 0.25 or 0.35 of the channel) and larger ones were measured and are worse.

--- a/rules/dealing_test.go
+++ b/rules/dealing_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+// Where servers squeezed their connections, tables of many lines for little traffic found most of them full.
+func TestTablesAreNoLargerThanUseful(t *testing.T) {
+	set := largeSettings(45)
+	set.ConnsLeast = 0 // the connections would not be the limit
+	f := newFleet(t, set, manyServers(111, 3)...)
+	f.after(100, manyProxies(45, 3)...)
+	for range 20 {
+		f.after(1000, f.acks()...)
+	}
+	lines := 0
+	for p := range f.bound {
+		lines += len(f.linesOf(p))
+	}
+	if mean, most := float64(lines)/45, max(linesMany, linesUseful*111.0/45); mean > 1.2*most {
+		t.Fatalf("%v lines in a mean table, want about %v", mean, most)
+	}
+	if few, many := len(f.linesOf(0)), len(f.linesOf(6)); few >= many {
+		t.Fatalf("%d lines for one request a second, %d for seven", few, many)
+	}
+}
+
 func TestLoadFollowsTheDesignsWeightThroughParts(t *testing.T) {
 	f := largeFleet(t, 120, 200)
 	s := f.c.servers[10]
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,13 +63,15 @@
 	unlimited    = 1e6    // a rate that never binds
 	rateRoom     = 0.5    // square roots of a proxy's rate that are let in over it
 
-	connShare  = 0.25 // of the connections that a small server takes: what all tables together may open
-	tableShare = 0.5  // of the channel's queue: what one table for every proxy may take
-	linesLeast = 4    // of a table
-	sizeOver   = 1.3  // times its size that a table may grow to
-	starved    = 0.4  // of its part of the traffic: a server held for less than that is dealt once more
-	fitSteps   = 3    // of fitting the weights to the tables, each look
-	fitMost    = 5.0  // largest correction of a weight for how the server is held, up or down
+	connShare   = 0.25 // of the connections that a small server takes: what all tables together may open
+	tableShare  = 0.5  // of the channel's queue: what one table for every proxy may take
+	linesLeast  = 4    // of any table
+	linesMany   = 8    // of a mean one, at most, or
+	linesUseful = 4    // for each server that its traffic fills
+	sizeOver    = 1.3  // times its size that a table may grow to
+	starved     = 0.4  // of its part of the traffic: a server held for less than that is dealt once more
+	fitSteps    = 3    // of fitting the weights to the tables, each look
+	fitMost     = 5.0  // largest correction of a weight for how the server is held, up or down
 
 	ackWait       = 2000.0 // a message's answers are waited for this long
 	messageGap    = 500.0  // between two ordinary messages to one proxy
@@ -115,11 +117,10 @@
 		case List:
 			c.list(e)
 		case Probed:
-			if s := c.server[e.Server]; s != nil {
+			if s := c.server[e.Server]; s != nil && (e.OK || e.Refused) {
 				s.alive++
-				if !e.OK && !e.Refused {
-					s.alive = 0
-				}
+			} else if s != nil {
+				s.alive = 0
 			}
 		case Joined:
 			c.join(e)
@@ -222,9 +223,9 @@
 	if s == nil || e.Zone >= len(s.zones) || e.Tries <= 0 {
 		return
 	}
-	answered := 0.0
-	if e.Latency > 0 {
-		answered = max(0, e.Tries-e.Failed)
+	answered := max(0, e.Tries-e.Failed)
+	if e.Latency <= 0 {
+		answered = 0
 	}
 	for _, sum := range []*tally{&s.round, &s.zones[e.Zone], &s.recent, &c.fleet} {
 		sum.tries += e.Tries
@@ -297,7 +298,7 @@
 			speeds, n = speeds+s.speed(), n+1
 		}
 	}
-	if ready == 0 || fresh < coverage*ready {
+	if fresh == 0 || fresh < coverage*ready {
 		c.log("round waits: %v of %v servers heard", fresh, ready)
 		return
 	}
@@ -332,19 +333,15 @@
 }
 
 // speed is the inverse mean latency, averaged over the proxy zones at or above their mean; 0: no answer.
-func (s *server) speed() float64 {
-	mean := 0.0
-	for range 2 {
+func (s *server) speed() (mean float64) {
+	for range 2 { // over all zones, then over those at or above that mean
 		sum, n := 0.0, 0.0
 		for _, z := range s.zones {
 			if z.time > 0 && z.answered/z.time >= mean*0.999999 {
 				sum, n = sum+z.answered/z.time, n+1
 			}
 		}
-		if n == 0 {
-			return 0
-		}
-		mean = sum / n
+		mean = sum / max(1, n)
 	}
 	return mean
 }
@@ -370,10 +367,9 @@
 }
 
 // shares fixes each server's part of the traffic of all proxies; false: no server may hold a line.
-// Cold budget: guards the rule that a started server is never pushed over by all proxies together. Its
-// share stays under what it can do if the whole fleet ran full, so that planners need not agree.
-// Last line: guards the rule that no proxy is left without a server. If none is usable, all ready
-// servers count again, doubted or not.
+// Cold budget: guards the rule that a started server is never pushed over by all proxies together. Its share
+// stays under what it can do if the whole fleet ran full, so that planners need not agree. Last line: guards
+// the rule that no proxy is left without a server. If none is usable, all ready ones count, doubted or not.
 func (c *Controller) shares() bool {
 	var ready, usable, total, warm, cold float64 // servers; weight of all and the warm, share of the cold
 	c.listed, c.usable, c.fit = 0, 0, 1
@@ -433,8 +429,8 @@
 	}
 	latency := c.latency()
 	for _, s := range c.servers {
-		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few lines
-		// that have not failed yet: a cold server is not put there before the fleet answers again.
+		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few that have
+		// not failed yet: no cold server is put there before the fleet answers again.
 		s.kept = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
 		if s.State != Ready {
 			continue
@@ -551,7 +547,7 @@
 			c.zones[p.zone].own += p.usual + 1e-3
 		}
 	}
-	unseen, hidden, spare := 0.0, 0.0, 1e-9 // traffic of proxies not seen, room of the zones without ours
+	unseen, hidden, spare := 0.0, 0.0, 1e-9 // traffic of proxies not seen, room of zones without ours
 	if c.set.LocalFirst && c.joined > 0 {
 		unseen = max(0, float64(c.set.Proxies)-c.joined) * c.usual / c.joined
 	}
@@ -581,15 +577,16 @@
 	}
 }
 
-// size is the number of lines of a proxy's table: what the servers' connection limits and the channel allow
-// with every proxy at that, more for a proxy with more traffic.
+// size is the number of lines of a proxy's table, in part by its traffic: no more than the servers' connection
+// limits and the channel allow with every proxy at that, nor many more servers than its traffic fills. Guards
+// against full connections; a table of fewer lines could be without a server for longer when many die.
 func (c *Controller) size(p *proxy) float64 {
 	n := max(1, c.joined, float64(c.set.Proxies))
-	mean := tableShare*c.set.QueueLines/n - c.set.HeadLines
+	mean := min(tableShare*c.set.QueueLines/n-c.set.HeadLines, max(linesMany, linesUseful*c.usable/n))
 	if c.set.ConnsLeast > 0 {
 		mean = min(mean, connShare*c.set.ConnsLeast*c.usable/n)
 	}
-	return max(linesLeast, mean*(1+p.usual*c.joined/c.usual)/2)
+	return max(linesLeast, mean*(1+3*p.usual*c.joined/c.usual)/4)
 }
 
 // deal gives each proxy its part of the fleet: its own zone first, others only for what spills. It starts
