--- a/rules/rules.go
+++ b/rules/rules.go
@@ -577,7 +577,7 @@
 	}
 }
 
-// size is the number of lines of a proxy's table, in part by its traffic: no more than the servers' connection
+// size is the number of lines of a proxy's table, mostly by its traffic: no more than servers' connection
 // limits and the channel allow with every proxy at that, nor many more servers than its traffic fills. Guards
 // against full connections; a table of fewer lines could be without a server for longer when many die.
 func (c *Controller) size(p *proxy) float64 {
