Empty the tables when nothing is listed any more, and test growth and churn

A list without any ready server left the tables as they were: servers that are gone kept their traffic beyond the grace. Tables are emptied now and filled again without waiting for an answer. Also tested: newcomers are spread, churn does not make tables grow, and the new settings are read.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -23,11 +23,11 @@
   "slo": 500.0}],
  "discovery": "on_request", "something-new": {"deep": [1, 2]},
  "extra": {"bare": 2700.0, "counted-over": 10000.0, "egress-per-s": 2400.0, "interval": 2000.0, "level-kind": "ratio",
-  "pending-max": 3600.0, "per-message": 3.0, "proxy-count": 6, "ranges": 0, "reloads-max": 20,
+  "local-first": true, "min-conn-cap": 252.0, "pending-max": 3600.0, "per-message": 3.0, "proxy-count": 6, "ranges": 0, "reloads-max": 20,
   "retry-default": 1, "stays-local": [false, true, false], "try-aims": 0.8},
  "localities": ["n", "s"], "me": 1, "my-zone": 1, "permissions": {"probes": true}, "replicas-of-me": 2,
  "rules": {"cold": 18000.0, "fall-multiple": 2.5, "start-capacity": 0.17, "stop-sending-within": 2600.0,
-  "tip-after": 3000.0}}`
+  "drain-binds-alone": true, "tip-after": 3000.0}}`
 
 func unhex(t testing.TB, parts ...string) []byte {
 	t.Helper()
@@ -248,7 +248,7 @@
 		Instances: 2, Zone: 1, Zones: 2, Proxies: 6, AskDiscovery: true, Probes: true, Admission: rules.AdmitShare,
 		RetryDefault: rules.RetryProof, TryAims: 0.8, ReportPeriod: 2000, QueueLines: 3600, LinesPerSec: 2400,
 		HeadLines: 3, MessagesMost: 20, MessagesOver: 10000, DrainGrace: 2600, Bare: 2700, ColdFor: 18000, StartCapacity: 0.17,
-		FallMultiple: 2.5, FallAfter: 3000,
+		FallMultiple: 2.5, FallAfter: 3000, ConnsLeast: 252, LocalFirst: true, DrainOnly: true,
 		Classes: []rules.Class{
 			{Name: "a", Aim: 1500, Deadline: 4000, Worth: 1, LateWorth: 0.2, Effect: rules.Safe, Window: 5000},
 			{Name: "b", Aim: 600, Deadline: 2000, Worth: 5, LateWorth: 0.1, Effect: rules.Keyed, Scope: rules.ScopeCell,
--- a/rules/dealing_test.go
+++ b/rules/dealing_test.go
@@ -205,6 +205,63 @@
 	}
 }
 
+// Nobody answers for a message that emptied a table; the next one must not wait for that.
+func TestTableThatWasEmptiedDoesNotWait(t *testing.T) {
+	f := largeFleet(t, 60, 60)
+	f.after(1000, append(f.acks(), List{Kind: ListFull})...)
+	for _, s := range f.c.servers {
+		if !f.out(s.ID) {
+			t.Fatalf("server %d keeps a line though none is listed", s.ID)
+		}
+	}
+	f.after(urgentGap, List{Kind: ListFull, Servers: manyServers(60, 3)})
+	for p := range f.bound {
+		if len(f.linesOf(p)) == 0 {
+			t.Errorf("proxy %d waits without a line", p)
+		}
+	}
+}
+
+// The fleet doubles at once while the channel, not the connections, limits the tables.
+func TestNewcomersAreSpreadOverTheProxies(t *testing.T) {
+	set := largeSettings(90)
+	set.ConnsLeast, set.QueueLines = 0, 4000
+	all := manyServers(240, 3)
+	f := newFleet(t, set, all[:120]...)
+	f.after(100, manyProxies(90, 3)...)
+	for range 20 {
+		f.after(1000, f.acks()...)
+	}
+	f.after(1000, append(f.acks(), List{Kind: ListChanges, Servers: all[120:]})...)
+	for range 30 {
+		f.after(1000, f.acks()...)
+	}
+	for i := range 24 { // servers that come and go leave no tables that only grow
+		for _, state := range []State{Gone, Ready} {
+			some := append([]Server{}, all[i*10:i*10+30*(1-i/22)]...)
+			for k := range some {
+				some[k].State = state
+			}
+			f.after(1000, append(f.acks(), List{Kind: ListChanges, Servers: some})...)
+			f.after(1000, f.acks()...)
+		}
+	}
+	for range 30 {
+		f.after(1000, f.acks()...)
+	}
+	loads, mean := f.loads(), f.c.usual/240
+	for _, s := range all[120:] {
+		if l := loads[s.ID] / mean; l < 0.5 || l > 1.6 {
+			t.Errorf("newcomer %d gets %.2f of the mean load", s.ID, l)
+		}
+	}
+	for p := range f.bound {
+		if n := float64(len(f.linesOf(p))); n > sizeOver*f.c.size(f.c.proxy[p])+1 {
+			t.Errorf("proxy %d has %v lines, its size is %v", p, n, f.c.size(f.c.proxy[p]))
+		}
+	}
+}
+
 // A rolling release once kept drained servers in tables: each withdrawal counted against every proxy.
 func TestDrainsLeaveTablesInTimeAtALargeFleet(t *testing.T) {
 	f := largeFleet(t, 240, 300)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -366,11 +366,11 @@
 	return s.Weight * factor
 }
 
-// shares fixes each server's part of the traffic of all proxies; false: no server may hold a line.
+// shares fixes each server's part of the traffic of all proxies.
 // Cold budget: guards the rule that a started server is never pushed over by all proxies together. Its share
 // stays under what it can do if the whole fleet ran full, so that planners need not agree. Last line: guards
 // the rule that no proxy is left without a server. If none is usable, all ready ones count, doubted or not.
-func (c *Controller) shares() bool {
+func (c *Controller) shares() {
 	var ready, usable, total, warm, cold float64 // servers; weight of all and the warm, share of the cold
 	c.listed, c.usable, c.fit = 0, 0, 1
 	for _, s := range c.servers {
@@ -395,11 +395,11 @@
 	}
 	for _, s := range c.servers {
 		if now := c.present(s); s.inTables && now < 1 {
-			s.share = min(s.share/total, coldSafety*c.set.FallMultiple*now/ready)
+			s.share = min(s.share/max(1e-9, total), coldSafety*c.set.FallMultiple*now/ready)
 			cold += s.share
 		}
 	}
-	if warm == 0 {
+	if warm == 0 && total > 0 {
 		c.fit = max(fitLeast, cold)
 	}
 	for _, s := range c.servers {
@@ -409,7 +409,6 @@
 			s.share /= c.fit
 		}
 	}
-	return total > 0
 }
 
 // ---- health ----
@@ -725,15 +724,13 @@
 // table. Urgent messages wait for no answer: for a line that must go (which guards the rule on drains), a
 // table that works no more, and a proxy without a table of ours.
 func (c *Controller) publish() {
-	if c.set.Slices > 0 {
-		return // slices of a key space are not decided here
+	if c.set.Slices > 0 || len(c.servers) == 0 {
+		return // slices of a key space are not decided here; and without a list nothing is
 	}
 	sent := (c.now - c.drained) / 1000 * c.set.LinesPerSec
 	c.queue, c.drained = max(0, c.queue-sent*paceSure), c.now
 	c.pace = min(c.pace+sent*ordinaryPace, c.set.LinesPerSec*ordinaryPace)
-	if !c.shares() {
-		return
-	}
+	c.shares()
 	c.targets()
 	c.deal()
 	c.weigh()
