Let rounds run on the servers in our own tables

The gate now counts only servers that our tables hold. Guards against any part of the fleet that cannot be heard; could harm if tables hold very few servers, of which a minute's reports then decide.

--- a/rules/dealing_test.go
+++ b/rules/dealing_test.go
@@ -328,6 +328,36 @@
 	}
 }
 
+// A controller whose proxies stay in their zone never hears most of the fleet; its rounds once waited for good.
+func TestRoundsRunOnTheServersInOurTables(t *testing.T) {
+	set := settings()
+	set.LocalFirst, set.Proxies, set.Zones = true, 20, 4
+	f := newFleet(t, set, manyServers(16, 4)...)
+	for i := range 5 {
+		f.after(10, Joined{Proxy: ProxyID(i), Zone: 0, Rate: 10, Fresh: true})
+	}
+	for i := range 4 {
+		var reports []Event
+		for _, s := range f.c.servers {
+			if s.Zone == 0 {
+				reports = append(reports, heard(s.ID, 0, 10, 0, 100+5*float64(s.ID)))
+			}
+		}
+		f.after(roundTime, reports...)
+		if got := len(f.c.servers[0].errors); got != min(i+1, errorsKept) {
+			t.Fatalf("%d errors learnt after %d rounds with all servers in our tables heard", got, i+1)
+		}
+	}
+	f.after(2 * heardFor)
+	if got := f.c.servers[0].sum; got == 0 {
+		t.Fatal("nothing was learnt")
+	}
+	before := f.c.servers[0].sum
+	if f.after(roundTime); f.c.servers[0].sum != before {
+		t.Fatal("a round ran on figures older than a minute")
+	}
+}
+
 // A proxy with a few requests a second refuses many of them at a rate that is just their mean.
 func TestRateOfASmallProxyHasRoomForChance(t *testing.T) {
 	set := settings()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -286,9 +286,11 @@
 		if !s.usable() {
 			continue
 		}
-		ready++
-		if s.lastHeard > 0 && c.now-s.lastHeard <= heardFor {
-			fresh++
+		if s.held > 0 { // only those in our tables can be heard: a gate over all would never open in one zone
+			ready++
+			if s.lastHeard > 0 && c.now-s.lastHeard <= heardFor {
+				fresh++
+			}
 		}
 		if s.round.tries > 0 {
 			rates, m = rates+s.round.rate(), m+1
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -119,6 +119,7 @@
 
 func TestRoundByHand(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
+	f.after(1, Joined{Proxy: 1, Zone: 0, Rate: 10}, Joined{Proxy: 2, Zone: 1, Rate: 10})
 	// Speeds 1/100 for three servers and 1/400 for one: mean 0.008125, errors 0.2308 and -0.6923.
 	reports := []Event{heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100),
 		heard(4, 1, 10, 0, 400)}
@@ -193,6 +194,7 @@
 
 func TestFailureClampReplacesSpeed(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
+	f.after(1, Joined{Proxy: 1, Zone: 0, Rate: 10}, Joined{Proxy: 2, Zone: 1, Rate: 10})
 	// Server 4 is as fast as the rest but fails half its tries: rates 1, 1, 1, 0.5, mean 0.875.
 	f.after(roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100),
 		heard(4, 1, 10, 5, 100))
@@ -206,6 +208,7 @@
 
 func TestRoundWaitsForCoverage(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
+	f.after(1, Joined{Proxy: 1, Zone: 0, Rate: 10}, Joined{Proxy: 2, Zone: 1, Rate: 10})
 	f.after(roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 400)) // two of four
 	if len(f.c.server[1].errors) != 0 {
 		t.Fatal("a round ran with half of the servers heard")
@@ -222,6 +225,7 @@
 
 func TestMissedRoundsDoNotRunInABurst(t *testing.T) {
 	f := newFleet(t, settings(), fourServers()...)
+	f.after(1, Joined{Proxy: 1, Zone: 0, Rate: 10}, Joined{Proxy: 2, Zone: 1, Rate: 10})
 	for range 3 {
 		f.after(20*roundTime, heard(1, 0, 10, 0, 100), heard(2, 0, 10, 0, 100), heard(3, 1, 10, 0, 100))
 	}
