--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,7 +38,6 @@
 
 	lookTime    = 100.0   // between two looks at everything
 	dryTries    = 6.0     // tries in a row without one answer that cast doubt on a server
-	dryUnlisted = 2.0     // the same of a server that the list dropped
 	dryLatency  = 3.0     // and for at least this many mean answer times
 	doubtMost   = 0.4     // share of the ready servers that doubt may keep out
 	holdFirst   = 3000.0  // a doubted server stays out at least this long; doubled each time it relapses
@@ -435,8 +434,8 @@
 		if s.State != Ready {
 			continue
 		}
-		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*latency && out+1 <= doubtMost*ready
-		if !s.doubted && (dry || s.unlisted && s.dry >= dryUnlisted) {
+		dry := s.dry >= dryTries && c.now-s.drySince >= dryLatency*latency
+		if !s.doubted && dry && (s.unlisted || out+1 <= doubtMost*ready) {
 			out++
 			s.doubted, s.until, s.alive, s.nextProbe = true, c.now+s.hold, 0, c.now
 			s.hold = min(holdMost, 2*s.hold)
