--- a/rules/rules.go
+++ b/rules/rules.go
@@ -590,7 +590,7 @@
 
 // deal gives each proxy its part of the fleet: its own zone first, others only for what spills. It starts
 // from the tables as they are, so that few lines change when servers come and go; each new line is for the
-// server held least for its target. On a small fleet every table holds all servers of its zone.
+// server held least for its target. Few servers in a zone are all held, but by proxies with little traffic.
 func (c *Controller) deal() {
 	for _, s := range c.servers {
 		s.held, s.seen = 0, nil
