--- a/rules/dealing_test.go
+++ b/rules/dealing_test.go
@@ -494,3 +494,51 @@
 		c.Step(now+lookTime, []Event{List{Kind: ListChanges, Servers: servers[i%500 : i%500+1]}})
 	}
 }
+
+// All proxies of a site join one controller at once, over a slow channel, while a tenth of the servers drains: every
+// proxy has a table of ours within the longest time without a line, drains keep their grace, the queue its limit.
+func TestAllProxiesJoiningAtOnceFitTheChannel(t *testing.T) {
+	set := largeSettings(150)
+	set.QueueLines, set.LinesPerSec, set.Bare, set.DrainGrace = 3500, 2300, 3000, 2500
+	servers := manyServers(350, 3)
+	f := newFleet(t, set, servers...)
+	joins := manyProxies(150, 3)
+	queue, most := 0.0, 0.0
+	draining := append([]Server{}, servers[:35]...)
+	for i := range draining {
+		draining[i].State = Draining
+	}
+	for tick := range int(set.Bare / lookTime) {
+		var events []Event
+		switch tick {
+		case 0:
+			events = joins
+		case 5:
+			events = []Event{List{Kind: ListChanges, Servers: draining}}
+		}
+		queue = max(0, queue-set.LinesPerSec*lookTime/1000)
+		lines := map[TableID]float64{}
+		for _, a := range f.after(lookTime, events...) {
+			switch a := a.(type) {
+			case SetWeight:
+				lines[a.Table]++
+			case Admit:
+				lines[a.Table]++
+			case Bind:
+				lines[a.Table]++
+			}
+		}
+		for _, n := range lines {
+			queue += n + set.HeadLines + 1
+		}
+		most = max(most, queue)
+	}
+	if len(f.bound) != 150 || most > set.QueueLines {
+		t.Fatalf("%d proxies bound, %v lines waited, %v may", len(f.bound), most, set.QueueLines)
+	}
+	for _, s := range draining {
+		if !f.out(s.ID) {
+			t.Errorf("draining server %d keeps a line beyond the grace", s.ID)
+		}
+	}
+}
