--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinwood/internal/protocol"
 	"mulleinwood/internal/routing"
 	"mulleinwood/internal/transport"
@@ -31,6 +33,7 @@
 	post      func(routing.Event)
 	group     *sync.WaitGroup
 	probes    chan struct{}
+	log       zerolog.Logger // bounded
 }
 
 func (c *calls) ask(call uint64, request []byte, answer *protocol.Exchange) {
@@ -47,11 +50,15 @@
 // take returns what reads one list and posts it.
 func (c *calls) take(call uint64) func([]byte) error {
 	return func(text []byte) error {
-		list, _, err := protocol.DecodeList(text)
-		if err == nil {
-			c.post(routing.Listed{Call: call, List: list})
+		list, odd, err := protocol.DecodeList(text)
+		if err != nil {
+			return err
+		}
+		if odd > 0 {
+			c.log.Warn().Int("entries", odd).Int64("revision", list.Revision).Msg("odd entries in the list")
 		}
-		return err
+		c.post(routing.Listed{Call: call, List: list})
+		return nil
 	}
 }
 
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -77,6 +77,9 @@
 			return Config{}, fmt.Errorf("%s (or %q in %s): %w", a.variable, a.key, path, err)
 		}
 	}
+	if c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return Config{}, fmt.Errorf("%s: limits: a figure is below 0", path)
+	}
 	if len(file.Settings) == 0 {
 		return Config{}, fmt.Errorf("%s: settings are missing", path)
 	}
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 
 	"github.com/rs/zerolog"
 
@@ -20,20 +21,32 @@
 	log  zerolog.Logger // bounded
 }
 
+// linePeer is a peer that is written to in lines.
+type linePeer struct{ *transport.Conn }
+
+// Order implements routing.Peer.
+func (p linePeer) Order(o protocol.Orders) error {
+	text, err := o.Append(nil)
+	if err != nil {
+		return err
+	}
+	return p.Send(text)
+}
+
+// Beat implements routing.Peer.
+func (p linePeer) Beat() error { return p.Send(protocol.HeartbeatAnswer()) }
+
 // Accepted implements transport.Handler.
 func (p *peers) Accepted(c *transport.Conn) transport.Machine {
-	known := false
+	shown := transport.Silent
 	return &protocol.Lines{
 		Take: func(m protocol.Message) {
-			if known = known || p.names(m); known {
-				c.Rise(transport.Known)
-			} else {
-				c.Rise(transport.Stranger)
-			}
-			p.post(routing.Said{Peer: c, Message: m})
+			shown = max(shown, p.standing(m))
+			c.Rise(shown)
+			p.post(routing.Said{Peer: linePeer{c}, Message: m})
 		},
 		Bad: func(err error) error {
-			if !known { // a stranger that doesn't speak the protocol has nothing to say here
+			if shown < transport.Collector { // a stranger that doesn't speak the protocol has nothing to say here
 				return err
 			}
 			p.log.Warn().Err(err).Str("peer", c.Remote()).Msg("line skipped")
@@ -42,31 +55,24 @@
 	}
 }
 
-// names says whether a message shows its sender to be a proxy or a collector of this deployment.
-func (p *peers) names(m protocol.Message) bool {
-	zone := ""
+// standing is what a message shows of its sender: whether it is a proxy or a collector of this deployment.
+func (p *peers) standing(m protocol.Message) transport.Standing {
 	switch m := m.(type) {
 	case protocol.Attach:
-		if m.Proxy >= p.set.Rules.Proxies {
-			return false
+		if m.Proxy < p.set.Rules.Proxies && slices.Contains(p.set.ZoneNames, m.Zone) {
+			return transport.Stream
 		}
-		zone = m.Zone
 	case protocol.Collector:
-		zone = m.Zone
-	default:
-		return false
-	}
-	for _, name := range p.set.ZoneNames {
-		if name == zone {
-			return true
+		if slices.Contains(p.set.ZoneNames, m.Zone) {
+			return transport.Collector
 		}
 	}
-	return false
+	return transport.Stranger
 }
 
 // Ended implements transport.Handler.
 func (p *peers) Ended(c *transport.Conn, reason error) {
-	p.post(routing.Ended{Peer: c})
+	p.post(routing.Ended{Peer: linePeer{c}})
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, net.ErrClosed) {
 		p.log.Warn().Err(reason).Str("peer", c.Remote()).Msg("connection ended")
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -11,13 +11,16 @@
 
 	"mulleinwood/internal/routing"
 	"mulleinwood/internal/transport"
+	"mulleinwood/internal/transport/ring"
 	"mulleinwood/rules"
 )
 
 const (
-	eventsMost = 4096 // that may wait for routing, and that go into one turn
+	eventsMost = 512  // that may wait for routing, and that go into one turn
 	ownFiles   = 48   // descriptors kept for calls, the listener and the runtime
 	socketsSet = 1024 // where no limit is stated
+	memorySet  = 192  // megabytes, likewise
+	bufferPart = 4    // a fourth of the memory is for the buffers of connections
 
 	logBurst  = 200 // lines of log that may come within logPeriod; others are left out
 	logPeriod = 10 * time.Second
@@ -40,12 +43,12 @@
 		}
 	}
 	var group sync.WaitGroup
-	asks := &calls{ctx: ctx, discovery: c.Discovery, connect: c.Settings.ConnectMost, post: post, group: &group,
-		probes: make(chan struct{}, probesMost)}
 	bounded := log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod})
+	asks := &calls{ctx: ctx, discovery: c.Discovery, connect: c.Settings.ConnectMost, post: post, group: &group,
+		probes: make(chan struct{}, probesMost), log: bounded}
 	router := routing.New(c.Settings, module, asks, c.Known, bounded)
 
-	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets))
+	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets), buffers(c.Limits.MemoryMB))
 	if err != nil {
 		return fmt.Errorf("%s: %w", envListen, err)
 	}
@@ -81,6 +84,14 @@
 	return max(most-ownFiles, most/2)
 }
 
+// buffers is the memory that the buffers of all accepted connections may take together.
+func buffers(megabytes int) *ring.Budget {
+	if megabytes <= 0 {
+		megabytes = memorySet
+	}
+	return ring.NewBudget(int64(megabytes) << 20 / bufferPart)
+}
+
 // loop is the goroutine that owns the router: it gathers what waits, reads the clock once and takes a turn.
 func loop(ctx context.Context, router *routing.Router, events <-chan routing.Event) error {
 	now := clock()
@@ -119,4 +130,4 @@
 
 var _ transport.Handler = (*peers)(nil)
 var _ routing.Calls = (*calls)(nil)
-var _ routing.Peer = (*transport.Conn)(nil)
+var _ routing.Peer = linePeer{}
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -56,22 +56,42 @@
 
 var errListLong = errors.New("list over 8 MiB")
 
-// DecodeList reads one list. Members without an id or with figures that can't be are left out and counted.
-func DecodeList(text []byte) (list List, bad int, err error) {
+// DecodeList reads one list and counts the entries that are odd. An entry without an id is left out. Of others
+// what can't be is replaced by what harms least: a size by 1, a cell or a start by 0, and a phase that is not known
+// by draining, since such a server has not said that it wants work. Leaving them out would call them removed.
+func DecodeList(text []byte) (list List, odd int, err error) {
 	if err := json.Unmarshal(text, &list); err != nil {
 		return List{}, 0, fmt.Errorf("list: %w", err)
 	}
 	kept := list.Members[:0]
 	for _, m := range list.Members {
-		phase := m.Phase == PhaseUp || m.Phase == PhaseDraining || m.Phase == PhaseRemoved
-		if m.ID == "" || !phase || m.Size < 0 || m.Size > FigureMost || m.Cell < 0 || m.UpSince < 0 {
-			bad++
+		if m.ID == "" {
+			odd++
 			continue
 		}
+		if m.mend() {
+			odd++
+		}
 		kept = append(kept, m)
 	}
 	list.Members = kept
-	return list, bad, nil
+	return list, odd, nil
+}
+
+// mend replaces what can't be and says whether there was any of it.
+func (m *Member) mend() bool {
+	before := *m
+	if m.Size < 0 || m.Size > FigureMost {
+		m.Size = 1
+	}
+	if m.UpSince < 0 {
+		m.UpSince = 0
+	}
+	m.Cell = max(0, m.Cell)
+	if m.Phase != PhaseUp && m.Phase != PhaseRemoved {
+		m.Phase = PhaseDraining
+	}
+	return *m != before
 }
 
 func onlyOK(r *http.Response) error {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,10 +22,12 @@
 	Step(now float64, events []rules.Event) []rules.Action
 }
 
-// Peer is a connection at the planner's address, as far as routing uses it.
+// Peer is a connection at the planner's address, as far as routing uses it. How an order is written is the
+// peer's affair, so that peers of another protocol can stand beside those of this one.
 type Peer interface {
 	ID() uint64 // larger for connections accepted later
-	Send([]byte) error
+	Order(protocol.Orders) error
+	Beat() error // answers a heartbeat
 	Close(reason error)
 }
 
@@ -76,6 +79,9 @@
 func (CallFailed) event() {}
 func (Probed) event()     {}
 
+// shownMost is how much of a name that came from outside goes into the log.
+const shownMost = 80
+
 // ErrSuperseded ends a stream whose proxy has a newer one.
 var ErrSuperseded = errors.New("the proxy has a newer stream")
 
@@ -161,7 +167,7 @@
 		r.attach(from, m)
 	case protocol.Done:
 		if s := r.streams[from.ID()]; s == nil || int(s.proxy) != m.Proxy {
-			r.drop("answer that is not from the proxy's stream", m.Proxy)
+			r.drop("answer that is not from the proxy's stream", strconv.Itoa(m.Proxy))
 			return
 		}
 		r.pending = append(r.pending, rules.Ack{Proxy: rules.ProxyID(m.Proxy), Token: m.Mark, Elapsed: m.Took})
@@ -189,20 +195,20 @@
 func (r *Router) attach(from Peer, m protocol.Attach) {
 	zone, known := r.names.zones[m.Zone]
 	if !known || m.Proxy >= r.set.Rules.Proxies {
-		r.drop("unknown proxy or zone", m.Proxy)
+		r.drop("unknown proxy or zone", strconv.Itoa(m.Proxy)+" "+m.Zone)
 		return
 	}
 	proxy := rules.ProxyID(m.Proxy)
 	if mine := r.streams[from.ID()]; mine != nil {
 		if mine.proxy != proxy {
-			r.drop("second proxy on one stream", m.Proxy)
+			r.drop("second proxy on one stream", strconv.Itoa(m.Proxy))
 			return
 		}
 		r.leave(mine)
 	}
 	if old := r.tables.joined[proxy]; old != nil {
 		if old.peer.ID() > from.ID() { // bytes of an older connection that were late
-			r.drop("late message of an old stream", m.Proxy)
+			r.drop("late message of an old stream", strconv.Itoa(m.Proxy))
 			return
 		}
 		r.leave(old)
@@ -230,20 +236,20 @@
 }
 
 func (r *Router) answer(to Peer) {
-	if err := to.Send(protocol.HeartbeatAnswer()); err != nil {
-		r.drop("heartbeat of a peer that is gone", err)
+	if err := to.Beat(); err != nil {
+		r.drop("heartbeat of a peer that is gone", err.Error())
 	}
 }
 
 // drop counts a message that can't be used, and tells of the first, the tenth, the hundredth and so on.
-func (r *Router) drop(reason string, what any) {
+func (r *Router) drop(reason, what string) {
 	r.dropped[reason]++
 	n := r.dropped[reason]
 	for n%10 == 0 {
 		n /= 10
 	}
 	if n == 1 {
-		r.log.Warn().Str("reason", reason).Any("last", what).Int("count", r.dropped[reason]).Msg("message not used")
+		r.log.Warn().Str("reason", reason).Str("last", what[:min(len(what), shownMost)]).Int("count", r.dropped[reason]).Msg("message not used")
 	}
 }
 
@@ -352,7 +358,7 @@
 			r.calls.Fetch(r.fetch)
 		}
 	case rules.Log:
-		r.log.Info().Str("by", "rules").Msg(a.Text)
+		r.say(a.Text)
 	case rules.SetWeight:
 		r.tables.setWeight(a)
 	case rules.Bind:
@@ -369,6 +375,16 @@
 	return nil
 }
 
+// say logs a line of the module. The module knows servers by number, people by name.
+func (r *Router) say(text string) {
+	line := r.log.Info().Str("by", "rules")
+	var id int
+	if n, _ := fmt.Sscanf(text, "server %d ", &id); n == 1 && id >= 0 && id < len(r.names.servers) {
+		line = line.Str("server", r.names.servers[id].name)
+	}
+	line.Msg(text)
+}
+
 // probe tests a server, one probe at a time, never where the settings forbid it.
 func (r *Router) probe(id rules.ServerID) {
 	info := &r.names.servers[id]
--- a/internal/routing/tables.go
+++ b/internal/routing/tables.go
@@ -213,11 +213,8 @@
 		if s.replace {
 			t.whole(s)
 		}
-		text, err := s.orders.Append(nil)
+		err := s.peer.Order(s.orders)
 		s.orders, s.replace, s.touched = protocol.Orders{}, false, false
-		if err == nil {
-			err = s.peer.Send(text)
-		}
 		if err != nil {
 			failed(s, err)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,9 @@
 	ConnectMost time.Duration // a connection that takes longer has failed
 }
 
+// connectMost is taken where the settings don't say how long a connection may take to come up.
+const connectMost = time.Second
+
 type document struct {
 	Classes []struct {
 		Name        string  `json:"name"`
@@ -142,7 +145,11 @@
 		}
 		s.Classes = append(s.Classes, class)
 	}
+	connect := time.Duration(j.Permissions.DialTimeout * float64(time.Millisecond))
+	if connect <= 0 {
+		connect = connectMost
+	}
 	return Settings{Rules: s, ZoneNames: j.Localities, KindNames: j.Kinds, LoadFields: j.Report.Fields,
 		LoadReports: j.Report.Via == "pull" || j.Report.Via == "piggyback",
-		ConnectMost: time.Duration(j.Permissions.DialTimeout * float64(time.Millisecond))}, nil
+		ConnectMost: connect}, nil
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -19,6 +19,7 @@
 	strangerSize = 4 << 10 // most that a connection may hold before it has said who it is
 	inSize       = 2 << 20 // most that a known connection may hold: a line of 1 MiB and what follows it
 	outSize      = 2 << 20 // most that may wait for a peer that doesn't read
+
 )
 
 // ErrOverflow says that a peer left too much unread.
@@ -34,9 +35,10 @@
 
 // The standings, those that go first first.
 const (
-	Silent   Standing = iota // has sent no whole message
-	Stranger                 // has sent some, and has not said who it is
-	Known                    // a stream or a collector
+	Silent    Standing = iota // has sent no whole message
+	Stranger                  // has sent some, and has not said who it is
+	Collector                 // a collector; it dials again when it must
+	Stream                    // a proxy's stream, which is never shed
 )
 
 var lastID atomic.Uint64
@@ -54,9 +56,9 @@
 	wake   chan struct{}
 }
 
-func newConn(nc net.Conn) *Conn {
-	return &Conn{id: lastID.Add(1), nc: nc, in: ring.New(startSize, strangerSize), out: ring.New(startSize, outSize),
-		wake: make(chan struct{}, 1)}
+func newConn(nc net.Conn, memory *ring.Budget) *Conn {
+	return &Conn{id: lastID.Add(1), nc: nc, in: ring.New(startSize, strangerSize, memory),
+		out: ring.New(startSize, outSize, memory), wake: make(chan struct{}, 1)}
 }
 
 // ID is larger for connections accepted later.
@@ -70,7 +72,7 @@
 	if Standing(c.standing.Load()) < s {
 		c.standing.Store(int32(s))
 	}
-	if s == Known {
+	if s >= Collector {
 		c.in.SetMost(inSize)
 	}
 }
@@ -125,6 +127,8 @@
 		}
 		reason = c.reason()
 		writer.Wait()
+		c.in.Free()
+		c.out.Free()
 	}()
 	for {
 		space, err := c.in.Space()
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -80,7 +80,7 @@
 		return failed
 	}
 	failed.Stage = Receiving
-	in := ring.New(startSize, call.InMost)
+	in := ring.New(startSize, call.InMost, nil)
 	for !m.Done() {
 		space, err := in.Space()
 		if err != nil {
@@ -102,7 +102,10 @@
 		}
 		if err != nil && !m.Done() {
 			if closed := m.Close(); closed != nil || !errors.Is(err, io.EOF) {
-				failed.Err = errors.Join(err, closed)
+				failed.Err = err
+				if closed != nil {
+					failed.Err = fmt.Errorf("%w (%w)", err, closed)
+				}
 				return failed
 			}
 			return nil
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"mulleinwood/internal/transport/ring"
 )
 
 // ErrShed ends a connection that had to make room for another.
@@ -17,9 +19,10 @@
 	Ended(c *Conn, reason error)
 }
 
-// Listener accepts connections, no more than Most at a time.
+// Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory.
 type Listener struct {
-	Most int
+	Most   int
+	Memory *ring.Budget
 
 	ln    net.Listener
 	mu    sync.Mutex
@@ -28,12 +31,12 @@
 }
 
 // Listen opens the address.
-func Listen(address string, most int) (*Listener, error) {
+func Listen(address string, most int, memory *ring.Budget) (*Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Most: most, ln: ln, conns: map[uint64]*Conn{}}, nil
+	return &Listener{Most: most, Memory: memory, ln: ln, conns: map[uint64]*Conn{}}, nil
 }
 
 // Addr is the address that it listens on.
@@ -61,7 +64,7 @@
 			}
 			continue
 		}
-		c := newConn(nc)
+		c := newConn(nc, l.Memory)
 		for l.count() >= l.Most && l.shed() {
 		}
 		if l.count() >= l.Most {
@@ -87,14 +90,14 @@
 	return len(l.conns)
 }
 
-// shed closes the connection that has shown least of itself, the oldest of those; never a known one. Guards
+// shed closes the connection that has shown least of itself, the oldest of those; never a stream. Guards
 // against strangers that connect and say nothing until no descriptor is left for a proxy.
 func (l *Listener) shed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var first *Conn
 	for _, c := range l.conns {
-		if Standing(c.standing.Load()) == Known {
+		if Standing(c.standing.Load()) == Stream {
 			continue
 		}
 		if first == nil || c.standing.Load() < first.standing.Load() ||
--- a/internal/transport/ring/ring.go
+++ b/internal/transport/ring/ring.go
@@ -4,21 +4,46 @@
 import (
 	"bytes"
 	"errors"
+	"sync/atomic"
 )
 
-// ErrFull says that a buffer has reached its cap.
+// ErrFull says that a buffer has reached its cap, or all together their budget.
 var ErrFull = errors.New("buffer is full")
 
+// Budget bounds the memory of many buffers together. Buffers of several goroutines may share one.
+type Budget struct {
+	most int64
+	used atomic.Int64
+}
+
+// NewBudget returns a budget of most bytes.
+func NewBudget(most int64) *Budget { return &Budget{most: most} }
+
+// take books bytes, or gives them back if there are less than none; it says whether they were there.
+func (b *Budget) take(bytes int) bool {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(int64(bytes)) > b.most && bytes > 0 {
+		b.used.Add(int64(-bytes))
+		return false
+	}
+	return true
+}
+
 // Buffer is a ring of bytes. It starts small, doubles when it must, never beyond its cap, and gives the memory
 // back once it is empty again.
 type Buffer struct {
 	data        []byte
 	head, n     int
 	start, most int
+	budget      *Budget
 }
 
-// New returns an empty buffer. It allocates nothing until bytes come.
-func New(start, most int) *Buffer { return &Buffer{start: min(start, most), most: most} }
+// New returns an empty buffer. It allocates nothing until bytes come. The budget may be nil.
+func New(start, most int, budget *Budget) *Buffer {
+	return &Buffer{start: min(start, most), most: most, budget: budget}
+}
 
 // Len is the number of bytes held.
 func (b *Buffer) Len() int { return b.n }
@@ -32,7 +57,7 @@
 	for size < b.n+want {
 		size *= 2
 	}
-	if size = min(size, b.most); size <= len(b.data) {
+	if size = min(size, b.most); size <= len(b.data) || !b.budget.take(size-len(b.data)) {
 		return
 	}
 	data := make([]byte, size)
@@ -67,6 +92,9 @@
 	if b.n+len(p) > len(b.data) {
 		b.grow(len(p))
 	}
+	if b.n+len(p) > len(b.data) { // over the budget
+		return 0, ErrFull
+	}
 	for rest := p; len(rest) > 0; {
 		space, err := b.Space()
 		if err != nil {
@@ -121,6 +149,12 @@
 	}
 	b.head = 0
 	if len(b.data) > b.start {
-		b.data = nil
+		b.Free()
 	}
 }
+
+// Free gives up the memory and all that is held. The buffer may be used again.
+func (b *Buffer) Free() {
+	b.budget.take(-len(b.data))
+	b.data, b.head, b.n = nil, 0, 0
+}
