Keep the newest collector of each zone when descriptors run out, and say so when a newcomer is refused

At fault: shed in listener.go, which took collectors before it refused newcomers, and the reserve of 48 descriptors. Now a collector falls behind strangers only when its zone has a newer one, and rises again if it speaks; 32 descriptors are kept; a refused newcomer is logged. A test holds collectors that come and go against a proxy that comes late.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,7 +17,7 @@
 
 const (
 	eventsMost = 512  // that may wait for routing, and that go into one turn
-	ownFiles   = 48   // descriptors kept for calls, the listener and the runtime
+	ownFiles   = 32   // descriptors kept for probes (16), calls to discovery, the listener and the runtime
 	socketsSet = 1024 // where no limit is stated
 	memorySet  = 192  // megabytes, likewise
 	bufferPart = 4    // a fourth of the memory is for the buffers of connections
@@ -56,7 +56,7 @@
 		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Msg("planner starts")
 	served := make(chan error, 1)
 	group.Go(func() {
-		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded})
+		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded, collectors: map[string]*transport.Conn{}})
 		cancel()
 	})
 	if ready != nil {
@@ -81,7 +81,7 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && system.Cur < uint64(most) {
 		most = int(system.Cur)
 	}
-	return max(most-ownFiles, most/2)
+	return max(most-ownFiles, most*2/3)
 }
 
 // buffers is the memory that the buffers of all accepted connections may take together.
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -267,7 +267,7 @@
 // TestBadPeers guards against peers that don't speak the protocol, say nothing, or go away: a proxy is served
 // beside them, even where they take up every descriptor.
 func TestBadPeers(t *testing.T) {
-	f := start(t, func(_ *fleet, c *Config) { c.Limits.Sockets = 64 }, nil) // of which half are for connections
+	f := start(t, func(_ *fleet, c *Config) { c.Limits.Sockets = 64 }, nil) // of which 42 are for connections
 	defer f.stop()
 	f.until("a list", func() bool { return f.discovery.Watches() > 0 })
 	var strangers []net.Conn
@@ -295,12 +295,23 @@
 	p.Say("nonsense")
 	p.Say(`{"t":"client_stats","proxy":0,"class":"odd","tries":1}`)
 	p.Say(`{"t":"done","proxy":0,"mark":77777}`)
-	for range 40 {
+	c := f.collector("north")
+	for range 50 {
 		dial("")
 	}
+	for range 50 { // collectors that vanish and come back leave their old connections open
+		dial(`{"t":"telemetry","zone":"south"}` + "\n")
+	}
 	f.wait("a table beside strangers", p, holds("s-0", "s-2"))
 	f.phase("s-0", protocol.PhaseDraining)
 	f.wait("a drain beside strangers", p, lacks("s-0"))
+	late := f.proxy(1, "south")
+	f.wait("a table for a proxy that comes late", late, holds("s-1", "s-3"))
+	for range 100 { // reports still come through
+		if err := c.Report("s-2", 10, 0, 100, 1000); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for _, nc := range strangers {
 		nc.Close()
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -31,10 +31,14 @@
 
 // NewDiscovery starts one on the address.
 func NewDiscovery(address string) (*Discovery, error) {
-	d := &Discovery{members: map[string]protocol.Member{}, changed: map[string]int64{}, next: make(chan struct{})}
-	var err error
-	d.service, err = listen(address, d.answer)
-	return d, err
+	s, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{service: s, members: map[string]protocol.Member{}, changed: map[string]int64{},
+		next: make(chan struct{})}
+	s.serve(d.answer)
+	return d, nil
 }
 
 // Change sets members; one in the phase removed leaves the list.
@@ -128,6 +132,8 @@
 		}
 		select {
 		case <-next:
+		case <-d.over:
+			return net.ErrClosed
 		case <-time.After(quiet):
 		}
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -16,17 +16,22 @@
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 	group sync.WaitGroup
+	over  chan struct{} // closed at the end
 }
 
-func listen(address string, answer func(net.Conn, *http.Request) error) (*service, error) {
+func listen(address string) (*service, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &service{ln: ln, conns: map[net.Conn]bool{}}
+	return &service{ln: ln, conns: map[net.Conn]bool{}, over: make(chan struct{})}, nil
+}
+
+// serve answers requests until it is closed.
+func (s *service) serve(answer func(net.Conn, *http.Request) error) {
 	s.group.Go(func() {
 		for {
-			nc, err := ln.Accept()
+			nc, err := s.ln.Accept()
 			if err != nil {
 				return
 			}
@@ -48,7 +53,6 @@
 			})
 		}
 	})
-	return s, nil
 }
 
 // Addr is the address that it listens on.
@@ -76,6 +80,7 @@
 // Close ends it and waits for its goroutines.
 func (s *service) Close() {
 	s.ln.Close()
+	close(s.over)
 	s.Break()
 	s.group.Wait()
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -17,10 +17,13 @@
 
 // NewServer starts one on the address. It answers 200 with a load report.
 func NewServer(address string) (*Server, error) {
-	s := &Server{status: http.StatusOK, load: "inflight=0,util=0.10"}
-	var err error
-	s.service, err = listen(address, s.answer)
-	return s, err
+	ln, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{service: ln, status: http.StatusOK, load: "inflight=0,util=0.10"}
+	ln.serve(s.answer)
+	return s, nil
 }
 
 // Set says how probes are answered from now on. Status 0 stands for no answer at all.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -35,10 +35,10 @@
 
 // The standings, those that go first first.
 const (
-	Silent    Standing = iota // has sent no whole message
-	Stranger                  // has sent some, and has not said who it is
-	Collector                 // a collector; it dials again when it must
-	Stream                    // a proxy's stream, which is never shed
+	Silent   Standing = iota // has sent no whole message
+	Stranger                 // has sent some, and has not said who it is
+	Stale                    // was known, and another has come in its place; it may be gone without a sign
+	Known                    // a stream or a collector, which are never shed
 )
 
 var lastID atomic.Uint64
@@ -67,12 +67,15 @@
 // Remote is the peer's address, for the log.
 func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
 
+// Fall notes that another connection has come in place of this one. It rises again if its peer still speaks.
+func (c *Conn) Fall() { c.standing.Store(int32(Stale)) }
+
 // Rise notes what the peer has shown of itself. Called by the connection's machine.
 func (c *Conn) Rise(s Standing) {
 	if Standing(c.standing.Load()) < s {
 		c.standing.Store(int32(s))
 	}
-	if s >= Collector {
+	if s == Known {
 		c.in.SetMost(inSize)
 	}
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -13,10 +13,12 @@
 // ErrShed ends a connection that had to make room for another.
 var ErrShed = errors.New("shed to make room")
 
-// Handler makes the machine of an accepted connection, and hears of its end.
+// Handler makes the machine of an accepted connection, and hears of its end. It hears too of connections that were
+// refused since all others are known.
 type Handler interface {
 	Accepted(c *Conn) Machine
 	Ended(c *Conn, reason error)
+	Refused(peer string)
 }
 
 // Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory.
@@ -69,6 +71,7 @@
 		}
 		if l.count() >= l.Most {
 			nc.Close()
+			h.Refused(nc.RemoteAddr().String())
 			continue
 		}
 		l.mu.Lock()
@@ -90,14 +93,14 @@
 	return len(l.conns)
 }
 
-// shed closes the connection that has shown least of itself, the oldest of those; never a stream. Guards
+// shed closes the connection that has shown least of itself, the oldest of those; never a known one. Guards
 // against strangers that connect and say nothing until no descriptor is left for a proxy.
 func (l *Listener) shed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var first *Conn
 	for _, c := range l.conns {
-		if Standing(c.standing.Load()) == Stream {
+		if Standing(c.standing.Load()) == Known {
 			continue
 		}
 		if first == nil || c.standing.Load() < first.standing.Load() ||
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,9 +27,9 @@
 		case "end":
 			return errors.New("told to end")
 		case "hello":
-			e.c.Rise(Stream)
-		case "collect":
-			e.c.Rise(Collector)
+			e.c.Rise(Known)
+		case "stale":
+			e.c.Fall()
 		case "word":
 			e.c.Rise(Stranger)
 		case "flood":
@@ -48,10 +49,14 @@
 	mu    sync.Mutex
 	ended map[uint64]error
 	more  chan struct{}
+
+	refused atomic.Int32
 }
 
 func (h *hall) Accepted(c *Conn) Machine { return &echo{c} }
 
+func (h *hall) Refused(string) { h.refused.Add(1) }
+
 func (h *hall) Ended(c *Conn, reason error) {
 	h.mu.Lock()
 	h.ended[c.ID()] = reason
@@ -186,9 +191,21 @@
 	if !dial(t, address).closed() {
 		t.Error("a fifth connection was taken beside four known ones")
 	}
+	if n := h.refused.Load(); n != 1 {
+		t.Errorf("%d connections refused", n)
+	}
 	for _, g := range []*guest{known, silent[18], silent[19], late} {
 		g.says("still here")
 	}
+	silent[18].says("stale") // another has come in its place
+	last := dial(t, address)
+	last.says("hello")
+	if !silent[18].closed() {
+		t.Error("a stale connection stays")
+	}
+	for _, g := range []*guest{known, silent[19], late, last} {
+		g.says("still here")
+	}
 }
 
 // text is an answer that is complete at its first full stop.
