--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -211,6 +211,12 @@
 	f.discovery.SetDown(false)
 	f.wait("a change while discovery was down", north, holds("s-2"))
 
+	f.discovery.Finish() // a watch that ends in good order has ended all the same
+	f.phase("s-3", protocol.PhaseDraining)
+	f.wait("a drain after a watch has ended in good order", south, lacks("s-3"))
+	f.phase("s-3", protocol.PhaseUp)
+	f.wait("its return", south, holds("s-3"))
+
 	collector := f.collector("north")
 	swallow := time.Now() // s-0 answers nothing, until it is out
 	for s := north.State(); s.Table["s-0"] > 0; s = north.State() {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -278,9 +278,14 @@
 	g.expect("shut out", one.received(), `{"t":"assign","drop":["s-1"]}`+"\n")
 	g.expect("a table without it", two.received(), "")
 
+	g.r.Handle(Ended{Peer: one})
+	one = g.join(6, 0)
+	g.turn(rules.Bind{Proxy: 0, Table: 0})
+	g.expect("shut out again after a rejoining", one.received(),
+		`{"t":"assign","replace":true,"rows":[["s-1",1]],"drop":["s-1"]}`+"\n")
 	g.r.Handle(Ended{Peer: one})
 	g.turn(rules.Withdraw{Server: 0, Out: false})
-	one = g.join(3, 0)
+	one = g.join(7, 0)
 	g.turn(rules.Bind{Proxy: 0, Table: 0})
 	g.expect("let in while the proxy was away", one.received(),
 		`{"t":"assign","replace":true,"rows":[["s-1",1]],"undrop":["s-1"]}`+"\n")
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -25,6 +25,7 @@
 	members  map[string]protocol.Member
 	changed  map[string]int64 // revision of each member's last change
 	next     chan struct{}    // closed at the next change
+	finish   chan struct{}    // closed to end the watches in good order
 	down     bool
 	watches  int // begun so far
 }
@@ -36,7 +37,7 @@
 		return nil, err
 	}
 	d := &Discovery{service: s, members: map[string]protocol.Member{}, changed: map[string]int64{},
-		next: make(chan struct{})}
+		next: make(chan struct{}), finish: make(chan struct{})}
 	s.serve(d.answer)
 	return d, nil
 }
@@ -63,6 +64,14 @@
 	}
 }
 
+// Finish ends the watches that are open with their last chunk.
+func (d *Discovery) Finish() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.finish)
+	d.finish = make(chan struct{})
+}
+
 // Watches is how many watches have begun.
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
@@ -113,6 +122,7 @@
 func (d *Discovery) watch(nc net.Conn, from int64) error {
 	d.mu.Lock()
 	d.watches++
+	finish := d.finish
 	d.mu.Unlock()
 	if _, err := fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return err
@@ -134,6 +144,9 @@
 		case <-next:
 		case <-d.over:
 			return net.ErrClosed
+		case <-finish:
+			_, err := fmt.Fprint(nc, "0\r\n\r\n")
+			return err
 		case <-time.After(quiet):
 		}
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -70,8 +70,8 @@
 		for l.count() >= l.Most && l.shed() {
 		}
 		if l.count() >= l.Most {
-			nc.Close()
 			h.Refused(nc.RemoteAddr().String())
+			nc.Close()
 			continue
 		}
 		l.mu.Lock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -35,6 +35,7 @@
 		case "flood":
 			for e.c.Send(make([]byte, 64<<10)) == nil {
 			}
+			return nil // as for a sender that is not the connection's own reader
 		}
 		if err := e.c.Send(in.Front(end + 1)); err != nil {
 			return err
@@ -156,8 +157,15 @@
 	witness.says("hello")
 	deaf.nc.(*net.TCPConn).SetReadBuffer(4 << 10)
 	io.WriteString(deaf.nc, "flood\n")
-	if err := h.end(); !errors.Is(err, ErrOverflow) {
-		t.Errorf("ended by %v", err)
+	ended := make(chan error, 1)
+	go func() { ended <- h.end() }()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, ErrOverflow) {
+			t.Errorf("ended by %v", err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("the connection stays")
 	}
 	witness.says("still here")
 }
@@ -345,8 +353,8 @@
 			io.Copy(io.Discard, nc)
 		}
 	}()
-	err = Call{Address: ln.Addr().String(), Connect: time.Second, Silence: time.Hour, InMost: 1 << 10}.Do(ctx, &text{})
-	if err == nil {
-		t.Error("a cancelled call was answered")
+	err = Call{Address: ln.Addr().String(), Connect: time.Second, Silence: 20 * time.Second, InMost: 1 << 10}.Do(ctx, &text{})
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a cancelled call ended with %v", err)
 	}
 }
