--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,27 +1,17 @@
 package settings
 
 import (
+	_ "embed"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"mulleinwood/rules"
 )
 
-const settingsText = `{"classes": [
- {"deadline": 4000.0, "group": "all", "idempotency": "read_like", "importance": 1.0, "late-worth": 0.2,
-  "name": "a", "repeat-window": 5000.0, "slo": 1500.0},
- {"deadline": 2000.0, "group": "cell", "idempotency": "idempotency_key", "importance": 5.0, "late-worth": 0.1,
-  "name": "b", "repeat-window": 1200.0, "slo": 600.0},
- {"deadline": 1500.0, "group": "zone", "idempotency": "non_idempotent", "importance": 2.0, "name": "c",
-  "slo": 500.0}],
- "discovery": "on_request", "something-new": {"deep": [1, 2]},
- "extra": {"bare": 2700.0, "counted-over": 10000.0, "egress-per-s": 2400.0, "interval": 2000.0, "level-kind": "ratio",
-  "local-first": true, "min-conn-cap": 252.0, "pending-max": 3600.0, "per-message": 3.0, "proxy-count": 6, "ranges": 0, "reloads-max": 20,
-  "retry-default": 1, "stays-local": [false, true, false], "try-aims": 0.8},
- "localities": ["n", "s"], "me": 1, "my-zone": 1, "permissions": {"probes": true}, "replicas-of-me": 2,
- "rules": {"cold": 18000.0, "fall-multiple": 2.5, "start-capacity": 0.17, "stop-sending-within": 2600.0,
-  "drain-binds-alone": true, "tip-after": 3000.0}}`
+//go:embed testdata/settings.json
+var settingsText string
 
 func TestSettings(t *testing.T) {
 	got, err := Parse([]byte(settingsText))
@@ -43,6 +33,12 @@
 	if !reflect.DeepEqual(got.Rules, want) {
 		t.Fatalf("settings %+v, want %+v", got.Rules, want)
 	}
+	got.Rules = rules.Settings{}
+	host := Settings{ZoneNames: []string{"n", "s"}, KindNames: []string{"big", "small"},
+		LoadFields: []string{"load_share", "concurrent"}, LoadReports: true, ConnectMost: 250 * time.Millisecond}
+	if !reflect.DeepEqual(got, host) {
+		t.Fatalf("the host's part %+v, want %+v", got, host)
+	}
 }
 
 func TestBadSettings(t *testing.T) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"math"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -15,20 +16,14 @@
 	"mulleinwood/rules"
 )
 
-const settingsText = `{"classes": [
- {"deadline": 4000.0, "group": "all", "idempotency": "read_like", "importance": 1.0, "late-worth": 0.2,
-  "name": "a", "repeat-window": 5000.0, "slo": 1500.0},
- {"deadline": 2000.0, "group": "cell", "idempotency": "idempotency_key", "importance": 5.0, "late-worth": 0.1,
-  "name": "b", "repeat-window": 1200.0, "slo": 600.0},
- {"deadline": 1500.0, "group": "zone", "idempotency": "non_idempotent", "importance": 2.0, "name": "c",
-  "slo": 500.0}],
- "discovery": "on_request", "something-new": {"deep": [1, 2]},
- "extra": {"bare": 2700.0, "counted-over": 10000.0, "egress-per-s": 2400.0, "interval": 2000.0, "level-kind": "ratio",
-  "local-first": true, "min-conn-cap": 252.0, "pending-max": 3600.0, "per-message": 3.0, "proxy-count": 6, "ranges": 0, "reloads-max": 20,
-  "retry-default": 1, "stays-local": [false, true, false], "try-aims": 0.8},
- "localities": ["n", "s"], "me": 1, "my-zone": 1, "permissions": {"probes": true}, "replicas-of-me": 2,
- "rules": {"cold": 18000.0, "fall-multiple": 2.5, "start-capacity": 0.17, "stop-sending-within": 2600.0,
-  "drain-binds-alone": true, "tip-after": 3000.0}}`
+// settingsText is what the tests of package settings read too.
+var settingsText = func() string {
+	text, err := os.ReadFile("../settings/testdata/settings.json")
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}()
 
 func unhex(t testing.TB, parts ...string) []byte {
 	t.Helper()
