Watch discovery by ourselves where the settings say that it pushes

A planner would have kept the list of its start for good. At fault: Router.act, the only place that opened a watch.

Routing now opens a watch at its first turn there, and again a second after it has ended; the module is told of no failure, as in the simulator.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -102,8 +102,10 @@
 	revision int64
 	lastCall uint64
 	watch    uint64 // the call that watches; 0: none
-	fetch    uint64
-	dropped  map[string]int // messages that could not be used, by reason
+	// watchEnded says that a watch of ours has ended since the last turn.
+	watchEnded bool
+	fetch      uint64
+	dropped    map[string]int // messages that could not be used, by reason
 }
 
 // New returns a router that starts from the list as it was last known.
@@ -112,9 +114,17 @@
 	r := &Router{set: set, names: n, tables: newTables(n), module: module, calls: calls, log: log,
 		streams: map[uint64]*stream{}, dropped: map[string]int{}, waiting: map[uint64]Peer{}}
 	r.list(known, rules.ListCached)
+	if !set.Rules.AskDiscovery {
+		r.timers = timers{{watch: true}}
+	}
 	return r
 }
 
+// watchPause is how long after a watch has ended the next is asked for where the settings say that changes come
+// unsolicited. The module doesn't ask there, and a watch is how they come on sockets. It is half the time after
+// which the protocol gives a sign of life.
+const watchPause = 1000.0
+
 // Handle takes one event. What the module must know of it waits for the next Turn. An event that can't be
 // handled harms at most the peer that sent it.
 func (r *Router) Handle(e Event) {
@@ -289,23 +299,35 @@
 }
 
 func (r *Router) callFailed(e CallFailed) {
+	asked := true // by the module, which is told of a failure only then
 	switch e.Call {
 	case r.watch:
-		r.watch = 0
+		asked = r.set.Rules.AskDiscovery
+		r.watch, r.watchEnded = 0, !asked
 	case r.fetch:
 		r.fetch = 0
 	default:
 		return
 	}
 	r.log.Warn().Err(e.Err).Int64("revision", r.revision).Msg("discovery call ended")
-	r.pending = append(r.pending, rules.List{Kind: rules.ListFailed})
+	if asked {
+		r.pending = append(r.pending, rules.List{Kind: rules.ListFailed})
+	}
 }
 
 // Turn tells the module what has happened up to now and carries out what it orders. The result is when it
 // wants to be called again at the latest, if it wants to. An error says that the module can't go on.
 func (r *Router) Turn(now float64) (next float64, wants bool, err error) {
 	for len(r.timers) > 0 && r.timers[0].due <= now {
-		r.pending = append(r.pending, rules.Tick{Token: heap.Pop(&r.timers).(timer).token})
+		if due := heap.Pop(&r.timers).(timer); due.watch {
+			r.startWatch()
+		} else {
+			r.pending = append(r.pending, rules.Tick{Token: due.token})
+		}
+	}
+	if r.watchEnded { // an event has no clock, a turn has
+		r.watchEnded = false
+		heap.Push(&r.timers, timer{due: now + watchPause, watch: true})
 	}
 	if len(r.pending) > 0 {
 		events := r.pending
@@ -346,11 +368,7 @@
 	case rules.Probe:
 		r.probe(a.Server)
 	case rules.Watch:
-		if r.watch == 0 {
-			r.lastCall++
-			r.watch = r.lastCall
-			r.calls.Watch(r.watch, r.revision)
-		}
+		r.startWatch()
 	case rules.Fetch:
 		if r.fetch == 0 {
 			r.lastCall++
@@ -375,6 +393,14 @@
 	return nil
 }
 
+func (r *Router) startWatch() {
+	if r.watch == 0 {
+		r.lastCall++
+		r.watch = r.lastCall
+		r.calls.Watch(r.watch, r.revision)
+	}
+}
+
 // say logs a line of the module. The module knows servers by number, people by name.
 func (r *Router) say(text string) {
 	line := r.log.Info().Str("by", "rules")
@@ -395,10 +421,11 @@
 	r.calls.Probe(id, info.address, r.set.LoadReports)
 }
 
-// timer is a Tick to come.
+// timer is a Tick to come, or a watch to ask for.
 type timer struct {
 	due   float64
 	token uint32
+	watch bool
 }
 
 type timers []timer
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -19,7 +19,7 @@
 
 func facts() settings.Settings {
 	return settings.Settings{
-		Rules: rules.Settings{Instances: 1, Zones: 2, Proxies: 4, Probes: true, QueueLines: 1000, LinesPerSec: 1000,
+		Rules: rules.Settings{Instances: 1, Zones: 2, Proxies: 4, Probes: true, AskDiscovery: true, QueueLines: 1000, LinesPerSec: 1000,
 			Classes: []rules.Class{{Name: "view", Aim: 1, Deadline: 1}, {Name: "post", Aim: 1, Deadline: 1}}},
 		ZoneNames: []string{"north", "south"}, KindNames: []string{"m1", "m2"},
 		LoadFields: []string{"util", "inflight"}, LoadReports: true,
@@ -348,6 +348,35 @@
 	g.expect("a failed fetch", g.told(), []rules.Event{rules.List{Kind: rules.ListFailed}})
 }
 
+// TestPushedDiscovery: where changes come unsolicited the module never asks, so the router watches by itself.
+// Guards against a list that is never heard of again after the start, or after a watch has ended.
+func TestPushedDiscovery(t *testing.T) {
+	set, module, calls := facts(), &script{}, &book{}
+	set.Rules.AskDiscovery = false
+	r := New(set, module, calls, protocol.List{Revision: 41, Members: []protocol.Member{member("s-1", "up")}}, zerolog.Nop())
+	turn := func(now, want float64) {
+		t.Helper()
+		if next, wants, err := r.Turn(now); err != nil || wants != (want > 0) || wants && next != want {
+			t.Errorf("at %v the next turn is wanted at %v, %t, %v; want %v", now, next, wants, err, want)
+		}
+	}
+	turn(5000, 0)
+	r.Handle(WatchBegun{Call: 1})
+	r.Handle(Listed{Call: 1, List: protocol.List{Revision: 43}})
+	r.Handle(CallFailed{Call: 1, Err: errors.New("reset")})
+	turn(6000, 6000+watchPause)
+	turn(6000+watchPause/2, 6000+watchPause)
+	turn(6000+watchPause, 0)
+	if want := (book{"watch 1 from 41", "watch 2 from 43"}); !reflect.DeepEqual(*calls, want) {
+		t.Errorf("calls %v, want %v", *calls, want)
+	}
+	for _, e := range module.events {
+		if l, ok := e.(rules.List); ok && l.Kind == rules.ListFailed {
+			t.Error("the module was told of a failure of a call that it had not made")
+		}
+	}
+}
+
 // TestProbes guards against two probes of one server at a time, and against any where they are forbidden.
 func TestProbes(t *testing.T) {
 	unknown := member("s-2", "up")
--- a/rules/booking_test.go
+++ b/rules/booking_test.go
@@ -91,7 +91,7 @@
 		rng := rand.New(rand.NewPCG(seed, 3))
 		// A channel that never drains keeps the sum of all that was booked.
 		set := settings.Settings{ZoneNames: []string{"a", "b"}, Rules: rules.Settings{Instances: 1, Zones: 2, Proxies: 9,
-			Admission: rules.AdmitShare, ReportPeriod: 1000, QueueLines: 1e9, LinesPerSec: 0, HeadLines: 3, DrainGrace: 1500,
+			AskDiscovery: true, Admission: rules.AdmitShare, ReportPeriod: 1000, QueueLines: 1e9, LinesPerSec: 0, HeadLines: 3, DrainGrace: 1500,
 			Bare: 2500, ColdFor: 18000, StartCapacity: 0.2, FallMultiple: 2.5, FallAfter: 3000, Classes: []rules.Class{
 				{Name: "view", Aim: 1000, Deadline: 4000, Worth: 1}, {Name: "pay", Aim: 500, Deadline: 1500, Worth: 2}}}}
 		known := protocol.List{Revision: 1, Complete: true}
