Test a watch that falls silent and one that brings no list, and name an orderly end in the log

The end-to-end test now leads through a line of a watch that is no list (the table stays, the watch is asked for again) and a watch that never brings a byte (given up after 2.5 s, the drain arrives by the next one). An orderly end of a call is logged as that instead of as EOF.

--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -25,6 +24,9 @@
 	answerMost = 256 << 10 // most that may wait of an answer not yet understood
 )
 
+// errEnded is the end of a call that went well, and of a watch that its other side has ended.
+var errEnded = errors.New("ended in good order")
+
 // calls asks discovery and servers. Each call has a goroutine of its own, which ends with the call.
 type calls struct {
 	ctx       context.Context
@@ -41,7 +43,7 @@
 		err := transport.Call{Address: c.discovery, Connect: c.connect, Silence: watchSilence, Request: request,
 			InMost: answerMost}.Do(c.ctx, answer)
 		if err == nil {
-			err = io.EOF
+			err = errEnded
 		}
 		c.post(routing.CallFailed{Call: call, Err: err})
 	})
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -217,6 +217,22 @@
 	f.phase("s-3", protocol.PhaseUp)
 	f.wait("its return", south, holds("s-3"))
 
+	watches := f.discovery.Watches()
+	f.discovery.Garble("{\"revision\":\n")
+	f.until("a watch after one that can't be read", func() bool { return f.discovery.Watches() > watches })
+	if holding := south.State(); !holds("s-1", "s-3")(holding) {
+		t.Errorf("a list that can't be read changed the table: %+v", holding.Table)
+	}
+	watches = f.discovery.Watches()
+	f.discovery.SetHushed(true)
+	f.discovery.Break()
+	f.until("a watch that stays silent", func() bool { return f.discovery.Watches() > watches })
+	f.discovery.SetHushed(false) // for the next one
+	f.phase("s-3", protocol.PhaseDraining)
+	f.wait("a drain after a watch has fallen silent", south, lacks("s-3"))
+	f.phase("s-3", protocol.PhaseUp)
+	f.wait("its return", south, holds("s-3"))
+
 	collector := f.collector("north")
 	swallow := time.Now() // s-0 answers nothing, until it is out
 	for s := north.State(); s.Table["s-0"] > 0; s = north.State() {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -27,7 +27,9 @@
 	next     chan struct{}    // closed at the next change
 	finish   chan struct{}    // closed to end the watches in good order
 	down     bool
-	watches  int // begun so far
+	hushed   bool
+	garbled  string // written to watches at their next line, once
+	watches  int    // begun so far
 }
 
 // NewDiscovery starts one on the address.
@@ -72,6 +74,22 @@
 	d.finish = make(chan struct{})
 }
 
+// SetHushed lets watches that begin from now on stay without a byte, as if the machine had vanished.
+func (d *Discovery) SetHushed(hushed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hushed = hushed
+}
+
+// Garble writes something that is no list to every watch.
+func (d *Discovery) Garble(text string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.garbled = text
+	close(d.next)
+	d.next = make(chan struct{})
+}
+
 // Watches is how many watches have begun.
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
@@ -122,13 +140,19 @@
 func (d *Discovery) watch(nc net.Conn, from int64) error {
 	d.mu.Lock()
 	d.watches++
-	finish := d.finish
+	finish, hushed := d.finish, d.hushed
 	d.mu.Unlock()
-	if _, err := fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
-		return err
+	if hushed {
+		<-d.over
+		return net.ErrClosed
 	}
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for {
 		list, next := d.List(from)
+		d.mu.Lock()
+		garbled := d.garbled
+		d.garbled = ""
+		d.mu.Unlock()
 		line := []byte("\n")
 		if list.Revision > from {
 			text, err := json.Marshal(list)
@@ -137,9 +161,13 @@
 			}
 			line, from = append(text, '\n'), list.Revision
 		}
-		if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", len(line), line); err != nil {
+		if garbled != "" {
+			line = []byte(garbled)
+		}
+		if _, err := fmt.Fprintf(nc, "%s%x\r\n%s\r\n", head, len(line), line); err != nil {
 			return err
 		}
+		head = ""
 		select {
 		case <-next:
 		case <-d.over:
