Give each connection a little memory outside the shared budget, and each stream one joining

Peers that use up the buffers' shared memory would have kept new proxies out: their first line would have found no room (ring.Budget.take booked every byte). The first 4 KiB of each buffer are free now. A proxy that sends `attach` again and again on its stream got a whole table each time, from the channel that all proxies share (Router.attach let it leave and join); a stream has one joining now, others are dropped and counted. A second signal ends the program whatever it is doing.

--- a/cmd/mulleinwood/main.go
+++ b/cmd/mulleinwood/main.go
@@ -35,6 +35,7 @@
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the program whatever it is doing
 	if err := program.Run(ctx, config, log); err != nil {
 		log.Error().Err(err).Msg("planner ends")
 		os.Exit(1)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -89,7 +89,7 @@
 	if megabytes <= 0 {
 		megabytes = memorySet
 	}
-	return ring.NewBudget(int64(megabytes) << 20 / bufferPart)
+	return transport.Buffers(int64(megabytes) << 20 / bufferPart)
 }
 
 // loop is the goroutine that owns the router: it gathers what waits, reads the clock once and takes a turn.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -209,12 +209,10 @@
 		return
 	}
 	proxy := rules.ProxyID(m.Proxy)
-	if mine := r.streams[from.ID()]; mine != nil {
-		if mine.proxy != proxy {
-			r.drop("second proxy on one stream", strconv.Itoa(m.Proxy))
-			return
-		}
-		r.leave(mine)
+	if r.streams[from.ID()] != nil {
+		// A joining costs a whole table of the channel that all proxies share; so a stream has one.
+		r.drop("second joining on one stream", strconv.Itoa(m.Proxy))
+		return
 	}
 	if old := r.tables.joined[proxy]; old != nil {
 		if old.peer.ID() > from.ID() { // bytes of an older connection that were late
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,7 +8,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"mulleinwood/internal/transport/ring"
 )
@@ -19,7 +18,6 @@
 	strangerSize = 4 << 10 // most that a connection may hold before it has said who it is
 	inSize       = 2 << 20 // most that a known connection may hold: a line of 1 MiB and what follows it
 	outSize      = 2 << 20 // most that may wait for a peer that doesn't read
-
 )
 
 // ErrOverflow says that a peer left too much unread.
@@ -175,6 +173,3 @@
 		}
 	}
 }
-
-// pause is how long accepting rests after the system refused a descriptor and nothing could be shed.
-const pause = 10 * time.Millisecond
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -10,6 +10,9 @@
 	"mulleinwood/internal/transport/ring"
 )
 
+// pause is how long accepting rests after the system refused a descriptor and nothing could be shed.
+const pause = 10 * time.Millisecond
+
 // ErrShed ends a connection that had to make room for another.
 var ErrShed = errors.New("shed to make room")
 
@@ -21,6 +24,9 @@
 	Refused(peer string)
 }
 
+// Buffers returns a budget for what connections hold beyond the little that each may hold in any case.
+func Buffers(most int64) *ring.Budget { return ring.NewBudget(most, strangerSize) }
+
 // Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory.
 type Listener struct {
 	Most   int
--- a/internal/transport/ring/ring.go
+++ b/internal/transport/ring/ring.go
@@ -10,20 +10,23 @@
 // ErrFull says that a buffer has reached its cap, or all together their budget.
 var ErrFull = errors.New("buffer is full")
 
-// Budget bounds the memory of many buffers together. Buffers of several goroutines may share one.
+// Budget bounds the memory of many buffers together. Buffers of several goroutines may share one. The first
+// bytes of each buffer are free, so that a few large buffers can't keep out the others.
 type Budget struct {
 	most int64
+	free int
 	used atomic.Int64
 }
 
-// NewBudget returns a budget of most bytes.
-func NewBudget(most int64) *Budget { return &Budget{most: most} }
+// NewBudget returns a budget of most bytes beyond the free ones of each buffer.
+func NewBudget(most int64, free int) *Budget { return &Budget{most: most, free: free} }
 
-// take books bytes, or gives them back if there are less than none; it says whether they were there.
-func (b *Budget) take(bytes int) bool {
+// take books a buffer's change from one size to another; it says whether there was room for it.
+func (b *Budget) take(from, to int) bool {
 	if b == nil {
 		return true
 	}
+	bytes := max(0, to-b.free) - max(0, from-b.free)
 	if b.used.Add(int64(bytes)) > b.most && bytes > 0 {
 		b.used.Add(int64(-bytes))
 		return false
@@ -57,7 +60,7 @@
 	for size < b.n+want {
 		size *= 2
 	}
-	if size = min(size, b.most); size <= len(b.data) || !b.budget.take(size-len(b.data)) {
+	if size = min(size, b.most); size <= len(b.data) || !b.budget.take(len(b.data), size) {
 		return
 	}
 	data := make([]byte, size)
@@ -155,6 +158,6 @@
 
 // Free gives up the memory and all that is held. The buffer may be used again.
 func (b *Buffer) Free() {
-	b.budget.take(-len(b.data))
+	b.budget.take(len(b.data), 0)
 	b.data, b.head, b.n = nil, 0, 0
 }
