Know which streams use a table, so that a step's cost grows with its orders alone

The benchmark stands in internal/routing. Also: an order that can't be carried out ends the program with its cause, as a panic of the module does, instead of with a bare trace.

--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/rules"
+)
+
+// sink is a peer that takes everything.
+type sink struct{ id uint64 }
+
+func (s sink) ID() uint64                    { return s.id }
+func (s sink) Order(o protocol.Orders) error { _, err := o.Append(nil); return err }
+func (s sink) Beat() error                   { return nil }
+func (s sink) Close(error)                   {}
+
+// BenchmarkWholeTables is the dearest step of a grown deployment: 600 proxies get tables of 30 servers at once.
+func BenchmarkWholeTables(b *testing.B) {
+	const proxies, servers, lines = 600, 500, 30
+	set, module, calls := facts(), &script{}, &book{}
+	set.Rules.Proxies = proxies
+	known := protocol.List{}
+	for i := range servers {
+		known.Members = append(known.Members, member(fmt.Sprint("s-", i), protocol.PhaseUp))
+	}
+	r := New(set, module, calls, known, zerolog.Nop())
+	var orders []rules.Action
+	for p := range proxies {
+		r.Handle(Said{Peer: sink{uint64(p + 1)}, Message: attach(p)})
+		for i := range lines {
+			orders = append(orders, rules.SetWeight{Table: rules.TableID(p), Server: rules.ServerID((p + i) % servers), Weight: 1})
+		}
+		orders = append(orders, rules.Bind{Proxy: rules.ProxyID(p), Table: rules.TableID(p)})
+	}
+	orders = append(orders, rules.Mark{Token: 1})
+	for b.Loop() {
+		module.orders = orders
+		r.pending = append(r.pending, rules.Tick{})
+		if _, _, err := r.Turn(1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -223,7 +223,8 @@
 		old.peer.Close(ErrSuperseded)
 	}
 	s := &stream{peer: from, proxy: proxy}
-	r.streams[from.ID()], r.tables.joined[proxy] = s, s
+	r.streams[from.ID()] = s
+	r.tables.join(s)
 	r.pending = append(r.pending, rules.Joined{Proxy: proxy, Zone: zone, Rate: m.Weight, Fresh: m.Fresh})
 	r.log.Info().Int("proxy", m.Proxy).Str("zone", m.Zone).Float64("rate", m.Weight).Bool("fresh", m.Fresh).
 		Msg("proxy joined")
@@ -239,7 +240,7 @@
 
 func (r *Router) leave(s *stream) {
 	delete(r.streams, s.peer.ID())
-	delete(r.tables.joined, s.proxy)
+	r.tables.leave(s)
 	r.pending = append(r.pending, rules.Left{Proxy: s.proxy})
 }
 
@@ -330,15 +331,9 @@
 	if len(r.pending) > 0 {
 		events := r.pending
 		r.pending = nil
-		actions, err := r.step(now, events)
-		if err != nil {
+		if err := r.step(now, events); err != nil {
 			return 0, false, err
 		}
-		for _, a := range actions {
-			if err := r.act(now, a); err != nil {
-				return 0, false, err
-			}
-		}
 		r.tables.flush(func(s *stream, err error) {
 			r.log.Warn().Int("proxy", int(s.proxy)).Err(err).Msg("orders not sent")
 		})
@@ -349,14 +344,22 @@
 	return r.timers[0].due, true, nil
 }
 
-// step guards against a panic of the module: its state can't be trusted afterwards, so the program must end.
-func (r *Router) step(now float64, events []rules.Event) (actions []rules.Action, err error) {
+// step guards against a panic of the module, or an order that can't be carried out: what either side remembers
+// can't be trusted afterwards, so the program must end.
+func (r *Router) step(now float64, events []rules.Event) (err error) {
+	doing := "decision module"
 	defer func() {
 		if p := recover(); p != nil {
-			err = fmt.Errorf("decision module panicked: %v\n%s", p, debug.Stack())
+			err = fmt.Errorf("%s panicked: %v\n%s", doing, p, debug.Stack())
 		}
 	}()
-	return r.module.Step(now, events), nil
+	for _, a := range r.module.Step(now, events) {
+		doing = "carrying out an order"
+		if err := r.act(now, a); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (r *Router) act(now float64, a rules.Action) error {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -259,6 +259,12 @@
 	g.expect("the whole table after changes", again.received(),
 		`{"t":"assign","replace":true,"rows":[["s-1",4],["s-2",3]],"part":true}`+"\n"+
 			`{"t":"assign","for":["view"],"gate":0.5,"again":1,"stamp":10}`+"\n")
+	g.turn(rules.SetWeight{Table: 5, Server: 1, Weight: 1}, rules.Bind{Proxy: 0, Table: 5}, rules.Bind{Proxy: 1, Table: 5})
+	const other = `{"t":"assign","replace":true,"rows":[["s-2",1]]}` + "\n"
+	g.expect("another table, for two", again.received()+two.received(), other+other)
+	g.turn(rules.SetWeight{Table: 0, Server: 0, Weight: 9}, rules.SetWeight{Table: 5, Server: 1, Weight: 2})
+	const change = `{"t":"assign","rows":[["s-2",2]]}` + "\n"
+	g.expect("changes of it, and none of the first", again.received()+two.received(), change+change)
 	g.turn(rules.Bind{Proxy: 3, Table: 0}, rules.Mark{Token: 11}) // not joined
 	g.expect("sent to a proxy that has left", one.received()+again.received()+two.received(), "")
 }
@@ -437,7 +443,7 @@
 }
 
 // TestPanics: one in the handling of a message costs that peer; one of the module ends the program, since what
-// it remembers can't be trusted.
+// it remembers can't be trusted. So does an order that can't be carried out.
 func TestPanics(t *testing.T) {
 	g := newRig(t, member("s-1", "up"))
 	p := &peer{id: 1}
@@ -452,6 +458,13 @@
 	if _, _, err := g.r.Turn(1); err == nil || !strings.Contains(err.Error(), "out of order") {
 		t.Errorf("error %v", err)
 	}
+	for _, unheard := range []rules.Action{rules.Probe{Server: 99}, nil} {
+		g = newRig(t, member("s-1", "up"))
+		g.module.orders = []rules.Action{unheard}
+		if _, _, err := g.r.Turn(1); err == nil || !strings.Contains(err.Error(), "order") {
+			t.Errorf("order %v: error %v", unheard, err)
+		}
+	}
 }
 
 // TestLogNamesServers: the module's lines number servers, on-call staff know them by name.
--- a/internal/routing/tables.go
+++ b/internal/routing/tables.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"maps"
 	"math/bits"
 	"slices"
@@ -20,6 +21,7 @@
 type table struct {
 	weights map[rules.ServerID]float64
 	levels  []level
+	users   []*stream // joined proxies that are bound to it, by number
 }
 
 // stream is a joined proxy.
@@ -65,13 +67,21 @@
 	}
 }
 
-// using calls f for each joined proxy that is bound to a table.
-func (t *tables) using(id rules.TableID, f func(*stream)) {
-	t.each(func(s *stream) {
-		if s.bound && s.table == id {
-			f(s)
-		}
-	})
+// join takes a proxy among those that may be bound to tables.
+func (t *tables) join(s *stream) { t.joined[s.proxy] = s }
+
+// leave forgets a proxy but for what it was told to shut out, which it keeps.
+func (t *tables) leave(s *stream) {
+	delete(t.joined, s.proxy)
+	t.unbind(s)
+}
+
+func (t *tables) unbind(s *stream) {
+	if s.bound {
+		tab := t.table(s.table)
+		tab.users = slices.DeleteFunc(tab.users, func(user *stream) bool { return user == s })
+		s.bound = false
+	}
 }
 
 // each calls f for each joined proxy, in the order of their numbers, so that messages are the same each time.
@@ -88,17 +98,25 @@
 	} else {
 		delete(tab.weights, a.Server)
 	}
-	t.using(a.Table, func(s *stream) {
+	for _, s := range tab.users {
 		t.reach(s)
 		s.orders.Rows = append(s.orders.Rows, protocol.Row{Server: t.names.servers[a.Server].name, Weight: a.Weight})
-	})
+	}
 }
 
 func (t *tables) bind(a rules.Bind) {
-	if s := t.joined[a.Proxy]; s != nil {
-		t.reach(s)
-		s.bound, s.table, s.replace = true, a.Table, true
+	s := t.joined[a.Proxy]
+	if s == nil {
+		return
 	}
+	t.reach(s)
+	t.unbind(s)
+	s.bound, s.table, s.replace = true, a.Table, true
+	tab := t.table(a.Table)
+	at, _ := slices.BinarySearchFunc(tab.users, s.proxy, func(user *stream, proxy rules.ProxyID) int {
+		return cmp.Compare(user.proxy, proxy)
+	})
+	tab.users = slices.Insert(tab.users, at, s)
 }
 
 // withdraw shuts a server out at each proxy whose table holds it, or lets it in where it was shut out.
@@ -152,8 +170,10 @@
 	}
 	if a.Table == rules.AllTables {
 		t.each(write)
-	} else {
-		t.using(a.Table, write)
+		return
+	}
+	for _, s := range t.table(a.Table).users {
+		write(s)
 	}
 }
 
