Drop everything that a replaced stream still says, and end connections older than the stream

A usage report that waited in a replaced stream was still counted for its proxy, beside those of the new stream; only its answers to marks were void. A connection accepted before the present stream whose `attach` came late kept its descriptor although nothing would ever come of it. Both are over now: what a replaced connection says is dropped and counted, and it is ended.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -97,22 +97,22 @@
 	pending  []rules.Event // for the next Turn
 	timers   timers
 	streams  map[uint64]*stream // by peer, current ones only
+	former   map[uint64]bool    // peers whose proxy has a newer stream, until they end
 	waiting  map[uint64]Peer    // heartbeats that are answered once orders can be made
 	hasList  bool
 	revision int64
 	lastCall uint64
 	watch    uint64 // the call that watches; 0: none
-	// watchEnded says that a watch of ours has ended since the last turn.
-	watchEnded bool
-	fetch      uint64
-	dropped    map[string]int // messages that could not be used, by reason
+	fetch    uint64
+	rewatch  bool           // a watch that the module didn't ask for has ended since the last turn
+	dropped  map[string]int // messages that could not be used, by reason
 }
 
 // New returns a router that starts from the list as it was last known.
 func New(set settings.Settings, module Stepper, calls Calls, known protocol.List, log zerolog.Logger) *Router {
 	n := newNames(set)
 	r := &Router{set: set, names: n, tables: newTables(n), module: module, calls: calls, log: log,
-		streams: map[uint64]*stream{}, dropped: map[string]int{}, waiting: map[uint64]Peer{}}
+		streams: map[uint64]*stream{}, former: map[uint64]bool{}, dropped: map[string]int{}, waiting: map[uint64]Peer{}}
 	r.list(known, rules.ListCached)
 	if !set.Rules.AskDiscovery {
 		r.timers = timers{{watch: true}}
@@ -162,6 +162,10 @@
 
 // said takes a message of a peer.
 func (r *Router) said(from Peer, m protocol.Message) {
+	if r.former[from.ID()] { // what it tells of is over, and partly told again by the new stream
+		r.drop("message of a stream that has been replaced", fmt.Sprintf("%T", m))
+		return
+	}
 	switch m := m.(type) {
 	case protocol.Heartbeat:
 		if !r.hasList {
@@ -216,11 +220,11 @@
 	}
 	if old := r.tables.joined[proxy]; old != nil {
 		if old.peer.ID() > from.ID() { // bytes of an older connection that were late
-			r.drop("late message of an old stream", strconv.Itoa(m.Proxy))
+			r.supersede(from)
 			return
 		}
 		r.leave(old)
-		old.peer.Close(ErrSuperseded)
+		r.supersede(old.peer)
 	}
 	s := &stream{peer: from, proxy: proxy}
 	r.streams[from.ID()] = s
@@ -230,8 +234,15 @@
 		Msg("proxy joined")
 }
 
+// supersede ends a connection whose proxy has a newer one; nothing that it still says counts.
+func (r *Router) supersede(peer Peer) {
+	r.former[peer.ID()] = true
+	peer.Close(ErrSuperseded)
+}
+
 func (r *Router) ended(peer Peer) {
 	delete(r.waiting, peer.ID())
+	delete(r.former, peer.ID())
 	if s := r.streams[peer.ID()]; s != nil {
 		r.leave(s)
 		r.log.Info().Int("proxy", int(s.proxy)).Msg("proxy left")
@@ -302,7 +313,7 @@
 	switch e.Call {
 	case r.watch:
 		asked = r.set.Rules.AskDiscovery
-		r.watch, r.watchEnded = 0, !asked
+		r.watch, r.rewatch = 0, !asked
 	case r.fetch:
 		r.fetch = 0
 	default:
@@ -324,8 +335,8 @@
 			r.pending = append(r.pending, rules.Tick{Token: due.token})
 		}
 	}
-	if r.watchEnded { // an event has no clock, a turn has
-		r.watchEnded = false
+	if r.rewatch { // an event has no clock, a turn has
+		r.rewatch = false
 		heap.Push(&r.timers, timer{due: now + watchPause, watch: true})
 	}
 	if len(r.pending) > 0 {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -213,12 +213,16 @@
 	g.expect("events", g.told(), []rules.Event{rules.Left{Proxy: 2}, rules.Joined{Proxy: 2, Zone: 1, Rate: 2.5}})
 	g.expect("the old connection", old.closed, ErrSuperseded)
 
-	g.says(old, protocol.Done{Proxy: 2, Mark: 7}, attach(2))
+	g.says(old, protocol.Done{Proxy: 2, Mark: 7}, attach(2), attach(3),
+		protocol.UsageReport{Proxy: 2, Class: "view", Tries: 9, Span: 1000})
 	g.r.Handle(Ended{Peer: old})
 	g.turn()
 	if got := g.told(); len(got) != 0 {
 		t.Errorf("the old stream was heard: %+v", got)
 	}
+	older := &peer{id: 3} // accepted between the two, its bytes come late
+	g.says(older, attach(2), protocol.Done{Proxy: 2, Mark: 7})
+	g.expect("a connection older than the stream", older.closed, ErrSuperseded)
 	g.says(now, protocol.Done{Proxy: 2, Mark: 7, Took: 1})
 	g.turn(rules.SetWeight{Table: 2, Server: 0, Weight: 2})
 	g.expect("the new stream's answer", g.told(), []rules.Event{rules.Ack{Proxy: 2, Token: 7, Elapsed: 1}})
--- a/rules/booking_test.go
+++ b/rules/booking_test.go
@@ -101,6 +101,7 @@
 		module := rules.New(set.Rules, seed)
 		r := routing.New(set, module, noCalls{}, known, zerolog.Nop())
 		lines, now, last, bound := 0.0, 50000.0, uint64(0), false
+		collector := &proxy{t: t, lines: &lines, bound: &bound}
 		joined, before, again := make([]*proxy, set.Rules.Proxies), make([]bool, set.Rules.Proxies), 0
 		for range 600 {
 			now += 40
@@ -122,10 +123,10 @@
 					joined[n] = nil
 				}
 			case 2, 3, 4, 5:
-				r.Handle(routing.Said{Message: protocol.ServerReport{Zone: set.ZoneNames[rng.IntN(2)],
+				r.Handle(routing.Said{Peer: collector, Message: protocol.ServerReport{Zone: set.ZoneNames[rng.IntN(2)],
 					Server: fmt.Sprint("s", rng.IntN(12)), Tries: 5, Failed: float64(rng.IntN(2)), Mean: 200 + 2000*rng.Float64(), Span: 1000}})
 			case 6, 7:
-				r.Handle(routing.Said{Message: protocol.UsageReport{Proxy: n, Class: "view", Tries: 40, Span: 1000}})
+				r.Handle(routing.Said{Peer: collector, Message: protocol.UsageReport{Proxy: n, Class: "view", Tries: 40, Span: 1000}})
 			}
 			if _, _, err := r.Turn(now); err != nil {
 				t.Fatal(err)
