Split routing and its tests into files of one job; plain line when the address can't be opened

An address that can't be opened was told as a line of the log; it is a plain line with code 2 now, as for any other start that fails. A test lets the system refuse descriptors: strangers go, accepting goes on.

--- a/cmd/mulleinwood/main.go
+++ b/cmd/mulleinwood/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -36,7 +37,13 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	context.AfterFunc(ctx, stop) // a second signal ends the program whatever it is doing
-	if err := program.Run(ctx, config, log); err != nil {
+	err = program.Run(ctx, config, log)
+	var start *program.StartError
+	if errors.As(err, &start) {
+		fmt.Fprintln(os.Stderr, "mulleinwood:", start)
+		os.Exit(2)
+	}
+	if err != nil {
 		log.Error().Err(err).Msg("planner ends")
 		os.Exit(1)
 	}
--- a/cmd/mulleinwood/main_test.go
+++ b/cmd/mulleinwood/main_test.go
@@ -38,19 +38,18 @@
 	for _, tc := range []struct {
 		variables []string
 		says      string
-		code      int
 	}{
-		{nil, "NODE_CONFIG is not set", 2},
-		{[]string{"NODE_CONFIG=no/such/file"}, "no/such/file", 2},
-		{[]string{config, "NODE_LISTEN=nowhere"}, "NODE_LISTEN", 2},
-		{[]string{config, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY=:x"}, "NODE_DISCOVERY", 2},
-		{[]string{config, "NODE_LISTEN=" + taken.Addr().String()}, "NODE_LISTEN", 1},
+		{nil, "NODE_CONFIG is not set"},
+		{[]string{"NODE_CONFIG=no/such/file"}, "no/such/file"},
+		{[]string{config, "NODE_LISTEN=nowhere"}, "NODE_LISTEN"},
+		{[]string{config, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY=:x"}, "NODE_DISCOVERY"},
+		{[]string{config, "NODE_LISTEN=" + taken.Addr().String()}, taken.Addr().String()},
 	} {
 		out, err := command(tc.variables...).CombinedOutput()
 		var exit *exec.ExitError
-		if !errors.As(err, &exit) || exit.ExitCode() != tc.code || !strings.Contains(string(out), tc.says) ||
-			bytes.Count(out, []byte("\n")) != 1 || strings.Contains(string(out), "goroutine") {
-			t.Errorf("%v: %v, output %q; want code %d and one line that names %s", tc.variables, err, out, tc.code, tc.says)
+		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), tc.says) ||
+			bytes.Count(out, []byte("\n")) != 1 || !bytes.HasPrefix(out, []byte("mulleinwood: ")) || strings.Contains(string(out), "goroutine") {
+			t.Errorf("%v: %v, output %q; want code 2 and one line that names %s", tc.variables, err, out, tc.says)
 		}
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -26,6 +26,13 @@
 	logPeriod = 10 * time.Second
 )
 
+// StartError says that the planner could not begin, for a reason outside of it.
+type StartError struct{ Err error }
+
+func (e *StartError) Error() string { return e.Err.Error() }
+
+func (e *StartError) Unwrap() error { return e.Err }
+
 // Run serves until ctx ends, which is no error.
 func Run(ctx context.Context, c Config, log zerolog.Logger) error {
 	return run(ctx, c, rules.New(c.Settings.Rules, c.Seed), log, nil)
@@ -50,7 +57,7 @@
 
 	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets), buffers(c.Limits.MemoryMB))
 	if err != nil {
-		return fmt.Errorf("%s: %w", envListen, err)
+		return &StartError{fmt.Errorf("%s (or \"listen\" in the configuration): %w", envListen, err)}
 	}
 	log.Info().Str("name", c.Name).Stringer("listen", listener.Addr()).Str("discovery", c.Discovery).
 		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Msg("planner starts")
--- /dev/null
+++ b/internal/routing/events.go
@@ -0,0 +1,70 @@
+package routing
+
+import (
+	"time"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/rules"
+)
+
+// Stepper is the part of a rules.Controller that is driven here.
+type Stepper interface {
+	Step(now float64, events []rules.Event) []rules.Action
+}
+
+// Peer is a connection at the planner's address, as far as routing uses it. How an order is written is the
+// peer's affair, so that peers of another protocol can stand beside those of this one.
+type Peer interface {
+	ID() uint64 // larger for connections accepted later
+	Order(protocol.Orders) error
+	Beat() error // answers a heartbeat
+	Close(reason error)
+}
+
+// Calls are the questions that routing puts to others. Each is answered by an event; none waits.
+type Calls interface {
+	Watch(call uint64, from int64) // answers: WatchBegun, Listed, CallFailed
+	Fetch(call uint64)             // answers: Listed, CallFailed
+	Probe(server rules.ServerID, address string, load bool)
+}
+
+// Event is something that routing is told.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Said is a message of a peer.
+	Said struct {
+		Peer    Peer
+		Message protocol.Message
+	}
+	// Ended says that a peer's connection has ended.
+	Ended struct{ Peer Peer }
+	// WatchBegun says that discovery has taken a watch on.
+	WatchBegun struct{ Call uint64 }
+	// Listed is a list, or changes of it.
+	Listed struct {
+		Call uint64
+		List protocol.List
+	}
+	// CallFailed says that a call to discovery, or a watch, has come to its end.
+	CallFailed struct {
+		Call uint64
+		Err  error
+	}
+	// Probed is the end of a probe.
+	Probed struct {
+		Server  rules.ServerID
+		OK      bool
+		Refused bool
+		Elapsed time.Duration
+		Load    map[string]float64
+	}
+)
+
+func (Said) event()       {}
+func (Ended) event()      {}
+func (WatchBegun) event() {}
+func (Listed) event()     {}
+func (CallFailed) event() {}
+func (Probed) event()     {}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,68 +17,6 @@
 	"mulleinwood/rules"
 )
 
-// Stepper is the part of a rules.Controller that is driven here.
-type Stepper interface {
-	Step(now float64, events []rules.Event) []rules.Action
-}
-
-// Peer is a connection at the planner's address, as far as routing uses it. How an order is written is the
-// peer's affair, so that peers of another protocol can stand beside those of this one.
-type Peer interface {
-	ID() uint64 // larger for connections accepted later
-	Order(protocol.Orders) error
-	Beat() error // answers a heartbeat
-	Close(reason error)
-}
-
-// Calls are the questions that routing puts to others. Each is answered by an event; none waits.
-type Calls interface {
-	Watch(call uint64, from int64) // answers: WatchBegun, Listed, CallFailed
-	Fetch(call uint64)             // answers: Listed, CallFailed
-	Probe(server rules.ServerID, address string, load bool)
-}
-
-// Event is something that routing is told.
-type Event interface{ event() }
-
-// The events.
-type (
-	// Said is a message of a peer.
-	Said struct {
-		Peer    Peer
-		Message protocol.Message
-	}
-	// Ended says that a peer's connection has ended.
-	Ended struct{ Peer Peer }
-	// WatchBegun says that discovery has taken a watch on.
-	WatchBegun struct{ Call uint64 }
-	// Listed is a list, or changes of it.
-	Listed struct {
-		Call uint64
-		List protocol.List
-	}
-	// CallFailed says that a call to discovery, or a watch, has come to its end.
-	CallFailed struct {
-		Call uint64
-		Err  error
-	}
-	// Probed is the end of a probe.
-	Probed struct {
-		Server  rules.ServerID
-		OK      bool
-		Refused bool
-		Elapsed time.Duration
-		Load    map[string]float64
-	}
-)
-
-func (Said) event()       {}
-func (Ended) event()      {}
-func (WatchBegun) event() {}
-func (Listed) event()     {}
-func (CallFailed) event() {}
-func (Probed) event()     {}
-
 // shownMost is how much of a name that came from outside goes into the log.
 const shownMost = 80
 
@@ -120,11 +58,6 @@
 	return r
 }
 
-// watchPause is how long after a watch has ended the next is asked for where the settings say that changes come
-// unsolicited. The module doesn't ask there, and a watch is how they come on sockets. It is half the time after
-// which the protocol gives a sign of life.
-const watchPause = 1000.0
-
 // Handle takes one event. What the module must know of it waits for the next Turn. An event that can't be
 // handled harms at most the peer that sent it.
 func (r *Router) Handle(e Event) {
@@ -273,58 +206,6 @@
 	}
 }
 
-func (r *Router) listed(e Listed) {
-	switch e.Call {
-	case r.watch:
-	case r.fetch:
-		r.fetch = 0
-		if r.watch != 0 && e.List.Revision < r.revision {
-			return // the watch is ahead of it
-		}
-	default:
-		return
-	}
-	kind := rules.ListChanges
-	if e.List.Complete {
-		kind = rules.ListFull
-	}
-	r.list(e.List, kind)
-}
-
-func (r *Router) list(l protocol.List, kind rules.ListKind) {
-	list := rules.List{Kind: kind}
-	for _, m := range l.Members {
-		list.Servers = append(list.Servers, r.names.entry(m))
-	}
-	r.revision = l.Revision
-	r.pending = append(r.pending, list)
-	if kind == rules.ListCached && len(l.Members) == 0 {
-		return // nothing can be ordered before discovery has been heard
-	}
-	r.hasList = true
-	for _, peer := range r.waiting {
-		r.answer(peer)
-	}
-	clear(r.waiting)
-}
-
-func (r *Router) callFailed(e CallFailed) {
-	asked := true // by the module, which is told of a failure only then
-	switch e.Call {
-	case r.watch:
-		asked = r.set.Rules.AskDiscovery
-		r.watch, r.rewatch = 0, !asked
-	case r.fetch:
-		r.fetch = 0
-	default:
-		return
-	}
-	r.log.Warn().Err(e.Err).Int64("revision", r.revision).Msg("discovery call ended")
-	if asked {
-		r.pending = append(r.pending, rules.List{Kind: rules.ListFailed})
-	}
-}
-
 // Turn tells the module what has happened up to now and carries out what it orders. The result is when it
 // wants to be called again at the latest, if it wants to. An error says that the module can't go on.
 func (r *Router) Turn(now float64) (next float64, wants bool, err error) {
@@ -405,14 +286,6 @@
 	return nil
 }
 
-func (r *Router) startWatch() {
-	if r.watch == 0 {
-		r.lastCall++
-		r.watch = r.lastCall
-		r.calls.Watch(r.watch, r.revision)
-	}
-}
-
 // say logs a line of the module. The module knows servers by number, people by name.
 func (r *Router) say(text string) {
 	line := r.log.Info().Str("by", "rules")
@@ -432,22 +305,3 @@
 	info.probing = true
 	r.calls.Probe(id, info.address, r.set.LoadReports)
 }
-
-// timer is a Tick to come, or a watch to ask for.
-type timer struct {
-	due   float64
-	token uint32
-	watch bool
-}
-
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/conn_test.go
@@ -1,15 +1,14 @@
 package transport
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,6 +72,12 @@
 		t.Fatal(err)
 	}
 	h := &hall{ended: map[uint64]error{}, more: make(chan struct{}, 1000)}
+	return h, serve(t, l, h)
+}
+
+// serve runs a listener until the end of the test.
+func serve(t *testing.T, l *Listener, h *hall) string {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error)
 	go func() { served <- l.Serve(ctx, h) }()
@@ -82,7 +87,7 @@
 			t.Errorf("serve: %v", err)
 		}
 	})
-	return h, l.Addr().String()
+	return l.Addr().String()
 }
 
 // end waits for a connection to end and returns why.
@@ -150,6 +155,48 @@
 	witness.says(strings.Repeat("y", 10*strangerSize)) // one that is known may say more
 }
 
+// drained is a listener to which the system refuses descriptors now and then.
+type drained struct {
+	net.Listener
+	refuse chan struct{}
+}
+
+func (d *drained) Accept() (net.Conn, error) {
+	select {
+	case <-d.refuse:
+		return nil, syscall.EMFILE
+	default:
+		return d.Listener.Accept()
+	}
+}
+
+// TestOutOfDescriptors guards against accepting that ends, or spins, once the system has no descriptor left: the
+// strangers go, and accepting goes on.
+func TestOutOfDescriptors(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 10, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &drained{l.ln, make(chan struct{}, 3)}
+	l.ln = d
+	h := &hall{ended: map[uint64]error{}, more: make(chan struct{}, 1000)}
+	address := serve(t, l, h)
+	known, stranger := dial(t, address), dial(t, address)
+	known.says("hello")
+	stranger.says("word")
+	for range 3 { // two strangers to shed, then nothing
+		d.refuse <- struct{}{}
+	}
+	silent := dial(t, address) // the listener waits for it already; the refusals come after it
+	for name, g := range map[string]*guest{"silent": silent, "one that spoke": stranger} {
+		if !g.closed() {
+			t.Errorf("the stranger stays: %s", name)
+		}
+	}
+	dial(t, address).says("hello")
+	known.says("still here")
+}
+
 // TestOverflow guards against memory and waiting for a peer that doesn't read: it loses its connection alone.
 func TestOverflow(t *testing.T) {
 	h, address := open(t, 10)
@@ -215,146 +262,3 @@
 		g.says("still here")
 	}
 }
-
-// text is an answer that is complete at its first full stop.
-type text struct {
-	got   bytes.Buffer
-	panic bool
-}
-
-func (x *text) Feed(in *ring.Buffer) error {
-	if x.panic {
-		panic("told to")
-	}
-	x.got.Write(in.Front(in.Len()))
-	in.Discard(in.Len())
-	if strings.Contains(x.got.String(), "!") {
-		return errors.New("not understood")
-	}
-	return nil
-}
-func (x *text) Done() bool { return strings.Contains(x.got.String(), ".") }
-func (x *text) Close() error {
-	if !x.Done() && x.got.String() != "to the end" {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
-// TestCall checks how far each kind of failure is said to have come.
-func TestCall(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := ln.Addr().String()
-	ln.Close()
-	// Each answer is what the party writes before it closes; it stays silent after one that ends with ",,,".
-	for _, tc := range []struct {
-		answer   string
-		panic    bool
-		stage    Stage
-		received int
-		want     error
-	}{
-		{answer: "all of it."},
-		{answer: "to the end"},
-		{answer: "a part", stage: Receiving, received: 6, want: io.ErrUnexpectedEOF},
-		{answer: "a part,,,", stage: Receiving, received: 9, want: os.ErrDeadlineExceeded},
-		{answer: ",,,", stage: Receiving, received: 3, want: os.ErrDeadlineExceeded},
-		{answer: "nonsense!", stage: Reading, received: 9},
-		{answer: "x", panic: true, stage: Receiving, received: 1},
-		{answer: "refused", stage: Connecting},
-	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		release, over := make(chan struct{}), make(chan struct{})
-		go func() {
-			defer close(over)
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			defer nc.Close()
-			request := make([]byte, 5)
-			if _, err := io.ReadFull(nc, request); err != nil || string(request) != "hello" {
-				t.Errorf("request %q, %v", request, err)
-			}
-			io.WriteString(nc, tc.answer)
-			if strings.HasSuffix(tc.answer, ",,,") {
-				<-release
-			}
-		}()
-		call := Call{Address: ln.Addr().String(), Connect: time.Second, Silence: time.Minute, Request: []byte("hello"), InMost: 1 << 10}
-		if strings.HasSuffix(tc.answer, ",,,") {
-			call.Silence = 20 * time.Millisecond
-		}
-		if tc.answer == "refused" {
-			call.Address = closed
-		}
-		x := &text{panic: tc.panic}
-		err = call.Do(context.Background(), x)
-		close(release)
-		ln.Close()
-		<-over
-		var failed *CallError
-		switch {
-		case tc.stage == "" && (err != nil || x.got.String() != tc.answer):
-			t.Errorf("%q: %v, read %q", tc.answer, err, x.got.String())
-		case tc.stage == "":
-		case !errors.As(err, &failed) || failed.Stage != tc.stage || failed.Received != tc.received ||
-			tc.want != nil && !errors.Is(err, tc.want):
-			t.Errorf("%q: %v, want stage %q, %d bytes, %v", tc.answer, err, tc.stage, tc.received, tc.want)
-		}
-	}
-}
-
-// late is a connection whose bytes came while nobody could read: a read whose deadline has passed fails first.
-type late struct {
-	net.Conn
-	failed   bool
-	deadline time.Time
-}
-
-func (l *late) SetReadDeadline(at time.Time) error { l.deadline = at; return nil }
-func (l *late) Read(p []byte) (int, error) {
-	if !l.failed {
-		l.failed = true
-		return 0, os.ErrDeadlineExceeded
-	}
-	if !l.deadline.After(time.Now()) {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return copy(p, "here"), nil
-}
-
-// TestLateRead guards against a watch held to be silent because this process stood still.
-func TestLateRead(t *testing.T) {
-	p := make([]byte, 10)
-	if n, err := read(&late{}, p, time.Now().Add(-time.Second)); n != 4 || err != nil {
-		t.Errorf("read %d bytes, %v", n, err)
-	}
-}
-
-// TestCallCancelled guards against calls that outlive the program.
-func TestCallCancelled(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		if nc, err := ln.Accept(); err == nil {
-			defer nc.Close()
-			cancel()
-			io.Copy(io.Discard, nc)
-		}
-	}()
-	err = Call{Address: ln.Addr().String(), Connect: time.Second, Silence: 20 * time.Second, InMost: 1 << 10}.Do(ctx, &text{})
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("a cancelled call ended with %v", err)
-	}
-}
--- /dev/null
+++ b/internal/transport/dial_test.go
@@ -0,0 +1,158 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinwood/internal/transport/ring"
+)
+
+// text is an answer that is complete at its first full stop.
+type text struct {
+	got   bytes.Buffer
+	panic bool
+}
+
+func (x *text) Feed(in *ring.Buffer) error {
+	if x.panic {
+		panic("told to")
+	}
+	x.got.Write(in.Front(in.Len()))
+	in.Discard(in.Len())
+	if strings.Contains(x.got.String(), "!") {
+		return errors.New("not understood")
+	}
+	return nil
+}
+func (x *text) Done() bool { return strings.Contains(x.got.String(), ".") }
+func (x *text) Close() error {
+	if !x.Done() && x.got.String() != "to the end" {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// TestCall checks how far each kind of failure is said to have come.
+func TestCall(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	ln.Close()
+	// Each answer is what the party writes before it closes; it stays silent after one that ends with ",,,".
+	for _, tc := range []struct {
+		answer   string
+		panic    bool
+		stage    Stage
+		received int
+		want     error
+	}{
+		{answer: "all of it."},
+		{answer: "to the end"},
+		{answer: "a part", stage: Receiving, received: 6, want: io.ErrUnexpectedEOF},
+		{answer: "a part,,,", stage: Receiving, received: 9, want: os.ErrDeadlineExceeded},
+		{answer: ",,,", stage: Receiving, received: 3, want: os.ErrDeadlineExceeded},
+		{answer: "nonsense!", stage: Reading, received: 9},
+		{answer: "x", panic: true, stage: Receiving, received: 1},
+		{answer: "refused", stage: Connecting},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		release, over := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(over)
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			request := make([]byte, 5)
+			if _, err := io.ReadFull(nc, request); err != nil || string(request) != "hello" {
+				t.Errorf("request %q, %v", request, err)
+			}
+			io.WriteString(nc, tc.answer)
+			if strings.HasSuffix(tc.answer, ",,,") {
+				<-release
+			}
+		}()
+		call := Call{Address: ln.Addr().String(), Connect: time.Second, Silence: time.Minute, Request: []byte("hello"), InMost: 1 << 10}
+		if strings.HasSuffix(tc.answer, ",,,") {
+			call.Silence = 20 * time.Millisecond
+		}
+		if tc.answer == "refused" {
+			call.Address = closed
+		}
+		x := &text{panic: tc.panic}
+		err = call.Do(context.Background(), x)
+		close(release)
+		ln.Close()
+		<-over
+		var failed *CallError
+		switch {
+		case tc.stage == "" && (err != nil || x.got.String() != tc.answer):
+			t.Errorf("%q: %v, read %q", tc.answer, err, x.got.String())
+		case tc.stage == "":
+		case !errors.As(err, &failed) || failed.Stage != tc.stage || failed.Received != tc.received ||
+			tc.want != nil && !errors.Is(err, tc.want):
+			t.Errorf("%q: %v, want stage %q, %d bytes, %v", tc.answer, err, tc.stage, tc.received, tc.want)
+		}
+	}
+}
+
+// late is a connection whose bytes came while nobody could read: a read whose deadline has passed fails first.
+type late struct {
+	net.Conn
+	failed   bool
+	deadline time.Time
+}
+
+func (l *late) SetReadDeadline(at time.Time) error { l.deadline = at; return nil }
+func (l *late) Read(p []byte) (int, error) {
+	if !l.failed {
+		l.failed = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	if !l.deadline.After(time.Now()) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return copy(p, "here"), nil
+}
+
+// TestLateRead guards against a watch held to be silent because this process stood still.
+func TestLateRead(t *testing.T) {
+	p := make([]byte, 10)
+	if n, err := read(&late{}, p, time.Now().Add(-time.Second)); n != 4 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
+
+// TestCallCancelled guards against calls that outlive the program.
+func TestCallCancelled(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		if nc, err := ln.Accept(); err == nil {
+			defer nc.Close()
+			cancel()
+			io.Copy(io.Discard, nc)
+		}
+	}()
+	err = Call{Address: ln.Addr().String(), Connect: time.Second, Silence: 20 * time.Second, InMost: 1 << 10}.Do(ctx, &text{})
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a cancelled call ended with %v", err)
+	}
+}
