Show the module a clock with the settings' granularity, so that its looks don't drift

A timer comes a fraction of a millisecond late and the next one was counted from there (loop in program.go read the clock as fine as it gets). The settings state a granularity; the module now sees times on that grid, and a timer that is late by less than it no longer moves the next.

--- /dev/null
+++ b/internal/program/loop_test.go
@@ -0,0 +1,59 @@
+package program
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/routing"
+	"mulleinwood/internal/settings"
+	"mulleinwood/rules"
+)
+
+// looker asks for a timer at each turn, as the module does at each look.
+type looker struct {
+	times []float64
+	done  context.CancelFunc
+}
+
+func (m *looker) Step(now float64, _ []rules.Event) []rules.Action {
+	if m.times = append(m.times, now); len(m.times) == 20 {
+		m.done()
+	}
+	return []rules.Action{rules.Timer{Delay: 8}}
+}
+
+// TestLooksKeepTheGrid guards against looks that drift since every timer comes a little late: the times that the
+// module sees lie on the settings' grid.
+func TestLooksKeepTheGrid(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	m := &looker{done: cancel}
+	set := settings.Settings{Granularity: 4, Rules: rules.Settings{AskDiscovery: true}}
+	router := routing.New(set, m, nil, protocol.List{}, zerolog.Nop())
+	begun := time.Now()
+	if err := loop(ctx, router, nil, set.Granularity); err != nil {
+		t.Fatal(err)
+	}
+	if len(m.times) < 20 {
+		t.Fatalf("%d turns", len(m.times))
+	}
+	for i, at := range m.times {
+		if math.Mod(at, 4) != 0 {
+			t.Errorf("turn %d at %v, which is not on the grid", i, at)
+		}
+		if i > 0 && at < m.times[i-1]+8 {
+			t.Errorf("turn %d at %v, %v after the one before", i, at, at-m.times[i-1])
+		}
+	}
+	if span, real := m.times[19]-m.times[0], time.Since(begun); span > float64(real.Milliseconds())+8 {
+		t.Errorf("the module saw %v ms pass in %v", span, real)
+	}
+	if onGrid(5.5, 0) != 5.5 {
+		t.Error("without a granularity the clock is changed")
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -69,7 +70,7 @@
 	if ready != nil {
 		ready(listener.Addr().String())
 	}
-	err = loop(ctx, router, events)
+	err = loop(ctx, router, events, c.Settings.Granularity)
 	cancel()
 	group.Wait()
 	if serveErr := <-served; err == nil && serveErr != nil {
@@ -100,7 +101,7 @@
 }
 
 // loop is the goroutine that owns the router: it gathers what waits, reads the clock once and takes a turn.
-func loop(ctx context.Context, router *routing.Router, events <-chan routing.Event) error {
+func loop(ctx context.Context, router *routing.Router, events <-chan routing.Event, granularity float64) error {
 	now := clock()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -115,19 +116,28 @@
 				router.Handle(<-events)
 			}
 		}
-		at := now()
-		next, wants, err := router.Turn(at)
+		next, wants, err := router.Turn(onGrid(now(), granularity))
 		if err != nil {
 			return err
 		}
 		if wants {
-			alarm.Reset(time.Duration((next - at) * float64(time.Millisecond)))
+			alarm.Reset(time.Duration((next - now()) * float64(time.Millisecond)))
 		} else {
 			alarm.Stop()
 		}
 	}
 }
 
+// onGrid takes a time back to the last one that the settings' clock can show. Guards against looks that drift: a
+// timer comes a fraction of a millisecond late, the next one is counted from there, and the module, which steps in
+// the rhythm of the reports, falls ever farther behind them.
+func onGrid(now, granularity float64) float64 {
+	if granularity <= 0 {
+		return now
+	}
+	return math.Floor(now/granularity) * granularity
+}
+
 // clock returns Unix time in milliseconds that goes on evenly, whatever is done to the system's clock.
 func clock() func() float64 {
 	start := time.Now()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	LoadFields  []string      // names of a load report's values, in the order the module gets them
 	LoadReports bool          // servers attach a load report to the answer of a probe
 	ConnectMost time.Duration // a connection that takes longer has failed
+	Granularity float64       // of the clock that the module sees, in milliseconds; 0: as fine as it gets
 }
 
 // connectMost is taken where the settings don't say how long a connection may take to come up.
@@ -53,9 +54,10 @@
 		TryAims      float64 `json:"try-aims"`
 		StaysLocal   []bool  `json:"stays-local"`
 	} `json:"extra"`
-	Localities []string `json:"localities"`
-	Kinds      []string `json:"kinds"`
-	Report     struct {
+	Granularity float64  `json:"granularity"`
+	Localities  []string `json:"localities"`
+	Kinds       []string `json:"kinds"`
+	Report      struct {
 		Fields []string `json:"fields"`
 		Via    string   `json:"via"`
 	} `json:"report"`
@@ -151,5 +153,5 @@
 	}
 	return Settings{Rules: s, ZoneNames: j.Localities, KindNames: j.Kinds, LoadFields: j.Report.Fields,
 		LoadReports: j.Report.Via == "pull" || j.Report.Via == "piggyback",
-		ConnectMost: connect}, nil
+		ConnectMost: connect, Granularity: max(0, j.Granularity)}, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,7 +35,7 @@
 	}
 	got.Rules = rules.Settings{}
 	host := Settings{ZoneNames: []string{"n", "s"}, KindNames: []string{"big", "small"},
-		LoadFields: []string{"load_share", "concurrent"}, LoadReports: true, ConnectMost: 250 * time.Millisecond}
+		LoadFields: []string{"load_share", "concurrent"}, LoadReports: true, ConnectMost: 250 * time.Millisecond, Granularity: 4}
 	if !reflect.DeepEqual(got, host) {
 		t.Fatalf("the host's part %+v, want %+v", got, host)
 	}
