--- a/cmd/mulleinwood/main_test.go
+++ b/cmd/mulleinwood/main_test.go
@@ -54,6 +54,7 @@
 	}
 }
 
+// TestTerminate guards against a program that ends on SIGHUP, or doesn't on SIGTERM.
 func TestTerminate(t *testing.T) {
 	cmd := command("NODE_CONFIG=../../examples/planner.json", "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY=127.0.0.1:1")
 	out, err := cmd.StderrPipe()
@@ -67,6 +68,13 @@
 	if !lines.Scan() || !strings.Contains(lines.Text(), "planner starts") {
 		t.Errorf("first line %q", lines.Text())
 	}
+	for range 2 {
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for lines.Scan() && !strings.Contains(lines.Text(), "configuration taken over") {
+		}
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -30,18 +30,26 @@
 // calls asks discovery and servers. Each call has a goroutine of its own, which ends with the call.
 type calls struct {
 	ctx       context.Context
-	discovery string
+	discovery string // the loop's own, as the calls of its methods
 	connect   time.Duration
 	post      func(routing.Event)
 	group     *sync.WaitGroup
 	probes    chan struct{}
 	log       zerolog.Logger // bounded
+
+	mu   sync.Mutex
+	ends map[uint64]context.CancelFunc // of the calls to discovery that are under way
 }
 
 func (c *calls) ask(call uint64, request []byte, answer *protocol.Exchange) {
+	ctx, end := context.WithCancel(c.ctx)
+	c.mu.Lock()
+	c.ends[call] = end
+	c.mu.Unlock()
+	task := transport.Call{Address: c.discovery, Connect: c.connect, Silence: watchSilence, Request: request, InMost: answerMost}
 	c.group.Go(func() {
-		err := transport.Call{Address: c.discovery, Connect: c.connect, Silence: watchSilence, Request: request,
-			InMost: answerMost}.Do(c.ctx, answer)
+		err := task.Do(ctx, answer)
+		c.Cancel(call)
 		if err == nil {
 			err = errEnded
 		}
@@ -49,6 +57,19 @@
 	})
 }
 
+// Cancel implements routing.Calls: it closes the call's connection, if the call is still under way.
+func (c *calls) Cancel(call uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if end := c.ends[call]; end != nil {
+		delete(c.ends, call)
+		end()
+	}
+}
+
+// Move implements routing.Calls.
+func (c *calls) Move(discovery string) { c.discovery = discovery }
+
 // take returns what reads one list and posts it.
 func (c *calls) take(call uint64) func([]byte) error {
 	return func(text []byte) error {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"mulleinwood/internal/protocol"
@@ -23,13 +24,6 @@
 	envConfig    = "NODE_CONFIG"
 )
 
-// Limits of the machine. 0 stands for not stated.
-type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
-}
-
 // Config is all that a planner is told before it starts.
 type Config struct {
 	Name      string
@@ -39,8 +33,14 @@
 	Limits    Limits
 	Known     protocol.List
 	Settings  settings.Settings
+
+	getenv func(string) string
+	stated addresses // in the file, whatever the variables say
 }
 
+// addresses are the entries of the file that a variable may win over.
+type addresses struct{ name, listen, discovery string }
+
 // LoadConfig reads the file that NODE_CONFIG names. A variable that is set wins over what the file says of the
 // same thing, so that an operator can move one planner without another file.
 func LoadConfig(getenv func(string) string) (Config, error) {
@@ -65,7 +65,7 @@
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Seed: seed(file.Seed),
-		Limits: file.Limits}
+		Limits: file.Limits, getenv: getenv, stated: addresses{file.Name, file.Listen, file.Discovery}}
 	for name, to := range map[string]*string{envName: &c.Name, envListen: &c.Listen, envDiscovery: &c.Discovery} {
 		if value := getenv(name); value != "" {
 			*to = value
@@ -94,6 +94,33 @@
 	return c, nil
 }
 
+// Reload reads the configuration again, as it stands now. Discovery's address is taken from the file if the file says
+// something else of it than when it was read before: what an operator has changed since the start wins over a variable,
+// which can't change. Otherwise it stays. The second result names the entries that differ and need a new start.
+func (c Config) Reload() (next Config, fixed []string, err error) {
+	if next, err = LoadConfig(c.getenv); err != nil {
+		return Config{}, nil, err
+	}
+	if next.Discovery = c.Discovery; next.stated.discovery != c.stated.discovery && next.stated.discovery != "" {
+		if err := checkAddress(next.stated.discovery); err != nil {
+			return Config{}, nil, fmt.Errorf("discovery: %w", err)
+		}
+		next.Discovery = next.stated.discovery
+	}
+	for _, entry := range []struct {
+		name string
+		same bool
+	}{
+		{"name", next.stated.name == c.stated.name}, {"listen", next.stated.listen == c.stated.listen},
+		{"seed", next.Seed == c.Seed}, {"settings", reflect.DeepEqual(next.Settings, c.Settings)},
+	} {
+		if !entry.same {
+			fixed = append(fixed, entry.name)
+		}
+	}
+	return next, fixed, nil
+}
+
 func checkAddress(address string) error {
 	if address == "" {
 		return errors.New("no address is given")
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -73,3 +74,45 @@
 		t.Error("seeds of other texts")
 	}
 }
+
+// TestReload guards against a change of the file that a variable hides for good, and against a wrong file that is
+// taken over.
+func TestReload(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(pairs ...string) {
+		if err := os.WriteFile(path, []byte(strings.NewReplacer(pairs...).Replace(string(text))), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	c, err := LoadConfig(env(envConfig, path, envDiscovery, "127.0.0.3:2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next, fixed, err := c.Reload(); err != nil || next.Discovery != "127.0.0.3:2" || len(fixed) > 0 {
+		t.Errorf("the same file: %q, %v, %v", next.Discovery, fixed, err)
+	}
+	write(":8500", ":8501", `"sockets": 1024`, `"sockets": 256`, `"n0"`, `"n1"`, "8c1f", "8c2f", `"bare": 2500`, `"bare": 2600`)
+	next, fixed, err := c.Reload()
+	if err != nil || next.Discovery != "127.0.0.1:8501" || next.Limits.Sockets != 256 || fmt.Sprint(fixed) != "[name seed settings]" {
+		t.Errorf("another file: %q, %+v, %v, %v", next.Discovery, next.Limits, fixed, err)
+	}
+	for _, bad := range []string{`"members"`, `8500"`, `"settings"`, `: "127.0.0.1:8500"`} {
+		write(bad, "")
+		if next, _, err := c.Reload(); err == nil {
+			t.Errorf("without %s: %+v", bad, next)
+		}
+	}
+	write(":8500", "")
+	if _, _, err := c.Reload(); err == nil || !strings.Contains(err.Error(), "discovery") {
+		t.Errorf("an address without a port: %v", err)
+	}
+	os.Remove(path)
+	if _, _, err := c.Reload(); err == nil {
+		t.Error("a file that is gone was taken over")
+	}
+}
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -24,6 +24,7 @@
 	planner   string
 	cancel    context.CancelFunc
 	ended     chan error
+	reloads   chan os.Signal
 	close     []func()
 }
 
@@ -33,7 +34,8 @@
 // start runs a planner with the settings of the example. Limits and module may be changed first.
 func start(t *testing.T, change func(*fleet, *Config), module stepper) *fleet {
 	t.Helper()
-	f := &fleet{t: t, servers: map[string]*standin.Server{}, members: map[string]protocol.Member{}, ended: make(chan error, 1)}
+	f := &fleet{t: t, servers: map[string]*standin.Server{}, members: map[string]protocol.Member{}, ended: make(chan error, 1),
+		reloads: make(chan os.Signal, 1)}
 	var err error
 	if f.discovery, err = standin.NewDiscovery("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -64,7 +66,7 @@
 		if module == nil {
 			module = rules.New(c.Settings.Rules, c.Seed)
 		}
-		f.ended <- run(ctx, c, module, zerolog.New(testLog{t}), func(a string) { address <- a })
+		f.ended <- run(ctx, c, module, zerolog.New(testLog{t}), f.reloads, func(a string) { address <- a })
 	}()
 	select {
 	case f.planner = <-address:
--- /dev/null
+++ b/internal/program/limits.go
@@ -0,0 +1,56 @@
+package program
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+)
+
+const (
+	ownFiles   = 32   // descriptors kept for probes (16), calls to discovery, the listener and the runtime
+	socketsSet = 1024 // where no limit is stated
+	memorySet  = 192  // megabytes, likewise
+	bufferPart = 4    // a fourth of the memory is for the buffers of connections
+
+	// memoryShare of the limit is what the collector keeps the heap under; the rest is for stacks and the runtime.
+	memoryShare = 0.7
+)
+
+// Limits of the machine. 0 stands for not stated.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// apply holds the runtime to the limits.
+func (l Limits) apply() {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.NumCPU(), int(math.Ceil(l.Cores))))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB) * (1 << 20)))
+	}
+}
+
+// connections is how many may be accepted under the limit on descriptors, stated or set by the system.
+func connections(stated int) int {
+	most := socketsSet
+	if stated > 0 {
+		most = stated
+	}
+	var system syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && system.Cur < uint64(most) {
+		most = int(system.Cur)
+	}
+	return max(most-ownFiles, most*2/3)
+}
+
+// buffers is the memory that the buffers of all accepted connections may take together.
+func buffers(megabytes int) int64 {
+	if megabytes <= 0 {
+		megabytes = memorySet
+	}
+	return int64(megabytes) << 20 / bufferPart
+}
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -16,7 +17,11 @@
 	"mulleinwood/internal/transport"
 )
 
-// peers makes the machines of accepted connections and tells routing what they say.
+// spanPeriods is how many of the settings' reporting periods a report may cover. A proxy of little traffic reports after
+// some periods, and what waited while a connection was broken covers more.
+const spanPeriods = 60
+
+// peers makes the machines of accepted connections, holds each to its role and tells routing what they say.
 type peers struct {
 	set  settings.Settings
 	post func(routing.Event)
@@ -24,6 +29,7 @@
 
 	mu         sync.Mutex
 	collectors map[string]*transport.Conn // the newest of each zone
+	counts     map[string]int             // lines and connections that are of no use, by what is wrong
 }
 
 // linePeer is a peer that is written to in lines.
@@ -39,43 +45,101 @@
 }
 
 // Beat implements routing.Peer.
-func (p linePeer) Beat() error { return p.Send(protocol.HeartbeatAnswer()) }
+func (p linePeer) Beat() error {
+	defer p.Owe(false)
+	return p.Send(protocol.HeartbeatAnswer())
+}
+
+// Await implements routing.Peer.
+func (p linePeer) Await() { p.Owe(true) }
+
+// role is what a connection has shown itself to be.
+type role int
+
+// The roles. A connection has one for good: its first joining gives it.
+const (
+	unjoined role = iota
+	collector
+	proxy
+)
+
+// errRole says that a message is not believed from who sent it.
+var errRole = errors.New("not for this peer to say")
+
+// speaker is one connection's role and the messages that it may send in it.
+type speaker struct {
+	role  role
+	zone  string // of a collector
+	proxy int    // of a proxy
+}
+
+// may says whether the speaker may send a message. Guards against reports of strangers, of a zone through another
+// one's collector, and of one proxy in the name of another: what the module believes must come from who knows it.
+func (s *speaker) may(m protocol.Message) bool {
+	switch m := m.(type) {
+	case protocol.Heartbeat:
+		return true
+	case protocol.Collector, protocol.Attach: // a joining costs a whole table; so a connection has one
+		return s.role == unjoined
+	case protocol.ServerReport:
+		return s.role == collector && m.Zone == s.zone
+	case protocol.UsageReport:
+		return s.role == collector || s.role == proxy && m.Proxy == s.proxy
+	case protocol.Done:
+		return s.role == proxy && m.Proxy == s.proxy
+	}
+	return false
+}
 
 // Accepted implements transport.Handler.
 func (p *peers) Accepted(c *transport.Conn) transport.Machine {
-	shown := transport.Silent
+	var s speaker
+	bad := func(err error) error {
+		if s.role == unjoined { // who has not joined and speaks no protocol has nothing to say here
+			return err
+		}
+		p.count("line not used", c.Remote(), err)
+		return nil
+	}
 	return &protocol.Lines{
-		Take: func(m protocol.Message) {
-			shown = max(shown, p.standing(m))
-			c.Rise(shown)
-			if m, ok := m.(protocol.Collector); ok && shown == transport.Known {
-				p.collects(c, m.Zone)
+		Within: protocol.Bounds{Proxies: p.set.Rules.Proxies, MeanMost: p.set.LongestDeadline(),
+			SpanMost: spanPeriods * p.set.Rules.ReportPeriod},
+		Take: func(m protocol.Message) error {
+			if !s.may(m) {
+				return bad(fmt.Errorf("%T: %w", m, errRole))
 			}
-			p.post(routing.Said{Peer: linePeer{c}, Message: m})
-		},
-		Bad: func(err error) error {
-			if shown < transport.Known { // a stranger that doesn't speak the protocol has nothing to say here
+			if s.role != unjoined {
+				c.Rise(transport.Known) // one thought replaced still speaks
+			} else if err := p.join(c, &s, m); err != nil {
 				return err
 			}
-			p.log.Warn().Err(err).Str("peer", c.Remote()).Msg("line skipped")
+			p.post(routing.Said{Peer: linePeer{c}, Message: m})
 			return nil
 		},
+		Bad: bad,
 	}
 }
 
-// standing is what a message shows of its sender: whether it is a proxy or a collector of this deployment.
-func (p *peers) standing(m protocol.Message) transport.Standing {
+// join gives a connection its role. A joining that this deployment has no place for is an error.
+func (p *peers) join(c *transport.Conn, s *speaker, m protocol.Message) error {
+	var zone string
 	switch m := m.(type) {
-	case protocol.Attach:
-		if m.Proxy < p.set.Rules.Proxies && slices.Contains(p.set.ZoneNames, m.Zone) {
-			return transport.Known
-		}
 	case protocol.Collector:
-		if slices.Contains(p.set.ZoneNames, m.Zone) {
-			return transport.Known
-		}
+		s.role, s.zone, zone = collector, m.Zone, m.Zone
+	case protocol.Attach: // its number has been checked with the line
+		s.role, s.proxy, zone = proxy, m.Proxy, m.Zone
+	default:
+		c.Rise(transport.Stranger)
+		return nil
+	}
+	if !slices.Contains(p.set.ZoneNames, zone) {
+		return fmt.Errorf("joins from the unknown zone %.40q", zone)
 	}
-	return transport.Stranger
+	c.Rise(transport.Known)
+	if s.role == collector {
+		p.collects(c, zone)
+	}
+	return nil
 }
 
 // collects notes the newest collector of a zone. Guards against collectors whose machines vanish and come back:
@@ -89,18 +153,33 @@
 	p.collectors[zone] = c
 }
 
+// count counts what is of no use, and tells of the first, the tenth, the hundredth and so on.
+func (p *peers) count(what, peer string, err error) {
+	p.mu.Lock()
+	p.counts[what]++
+	n := p.counts[what]
+	p.mu.Unlock()
+	if routing.Telling(n) {
+		p.log.Warn().Err(err).Str("peer", peer).Int("count", n).Msg(what)
+	}
+}
+
 // Refused implements transport.Handler.
 func (p *peers) Refused(peer string) {
-	p.log.Warn().Str("peer", peer).Msg("connection refused: descriptors are used up by known peers")
+	p.count("connection refused: descriptors are used up by known peers", peer, nil)
 }
 
-// Ended implements transport.Handler.
+// Ended implements transport.Handler. Strangers come in any number; they are counted, not told of one by one.
 func (p *peers) Ended(c *transport.Conn, reason error) {
 	p.mu.Lock()
 	maps.DeleteFunc(p.collectors, func(_ string, newest *transport.Conn) bool { return newest == c })
 	p.mu.Unlock()
 	p.post(routing.Ended{Peer: linePeer{c}})
-	if !errors.Is(reason, io.EOF) && !errors.Is(reason, net.ErrClosed) {
+	switch {
+	case errors.Is(reason, io.EOF), errors.Is(reason, net.ErrClosed):
+	case c.Joined():
 		p.log.Warn().Err(reason).Str("peer", c.Remote()).Msg("connection ended")
+	default:
+		p.count("stranger turned away", c.Remote(), reason)
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -4,24 +4,22 @@
 	"context"
 	"fmt"
 	"math"
+	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"mulleinwood/internal/routing"
 	"mulleinwood/internal/transport"
-	"mulleinwood/internal/transport/ring"
 	"mulleinwood/rules"
 )
 
 const (
-	eventsMost = 512  // that may wait for routing, and that go into one turn
-	ownFiles   = 32   // descriptors kept for probes (16), calls to discovery, the listener and the runtime
-	socketsSet = 1024 // where no limit is stated
-	memorySet  = 192  // megabytes, likewise
-	bufferPart = 4    // a fourth of the memory is for the buffers of connections
+	eventsMost = 512 // that may wait for routing, and that go into one turn
+
+	// joinWithin is how long a connection may take to say who it is. The page lets it be closed after a second.
+	joinWithin = time.Second
 
 	logBurst  = 200 // lines of log that may come within logPeriod; others are left out
 	logPeriod = 10 * time.Second
@@ -34,13 +32,15 @@
 
 func (e *StartError) Unwrap() error { return e.Err }
 
-// Run serves until ctx ends, which is no error.
-func Run(ctx context.Context, c Config, log zerolog.Logger) error {
-	return run(ctx, c, rules.New(c.Settings.Rules, c.Seed), log, nil)
+// Run serves until ctx ends, which is no error. At each signal of reloads it reads the configuration again.
+func Run(ctx context.Context, c Config, log zerolog.Logger, reloads <-chan os.Signal) error {
+	return run(ctx, c, rules.New(c.Settings.Rules, c.Seed), log, reloads, nil)
 }
 
 // run is Run with a module of the caller's and, if ready is set, a word on the address once it is open.
-func run(ctx context.Context, c Config, module routing.Stepper, log zerolog.Logger, ready func(string)) error {
+func run(ctx context.Context, c Config, module routing.Stepper, log zerolog.Logger, reloads <-chan os.Signal,
+	ready func(string)) error {
+	c.Limits.apply()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	events := make(chan routing.Event, eventsMost)
@@ -53,20 +53,25 @@
 	var group sync.WaitGroup
 	bounded := log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod})
 	asks := &calls{ctx: ctx, discovery: c.Discovery, connect: c.Settings.ConnectMost, post: post, group: &group,
-		probes: make(chan struct{}, probesMost), log: bounded}
+		probes: make(chan struct{}, probesMost), log: bounded, ends: map[uint64]context.CancelFunc{}}
 	router := routing.New(c.Settings, module, asks, c.Known, bounded)
 
-	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets), buffers(c.Limits.MemoryMB))
+	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets), transport.Buffers(buffers(c.Limits.MemoryMB)))
 	if err != nil {
 		return &StartError{fmt.Errorf("%s (or \"listen\" in the configuration): %w", envListen, err)}
 	}
+	listener.Join = joinWithin
 	log.Info().Str("name", c.Name).Stringer("listen", listener.Addr()).Str("discovery", c.Discovery).
 		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Msg("planner starts")
 	served := make(chan error, 1)
 	group.Go(func() {
-		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded, collectors: map[string]*transport.Conn{}})
+		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded,
+			collectors: map[string]*transport.Conn{}, counts: map[string]int{}})
 		cancel()
 	})
+	group.Go(func() {
+		reloader{config: c, listener: listener, post: post, log: log}.serve(ctx, reloads)
+	})
 	if ready != nil {
 		ready(listener.Addr().String())
 	}
@@ -79,27 +84,6 @@
 	return err
 }
 
-// connections is how many may be accepted under the limit on descriptors, stated or set by the system.
-func connections(stated int) int {
-	most := socketsSet
-	if stated > 0 {
-		most = stated
-	}
-	var system syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && system.Cur < uint64(most) {
-		most = int(system.Cur)
-	}
-	return max(most-ownFiles, most*2/3)
-}
-
-// buffers is the memory that the buffers of all accepted connections may take together.
-func buffers(megabytes int) *ring.Budget {
-	if megabytes <= 0 {
-		megabytes = memorySet
-	}
-	return transport.Buffers(int64(megabytes) << 20 / bufferPart)
-}
-
 // loop is the goroutine that owns the router: it gathers what waits, reads the clock once and takes a turn.
 func loop(ctx context.Context, router *routing.Router, events <-chan routing.Event, granularity float64) error {
 	now := clock()
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -141,7 +145,7 @@
 		}
 	}
 	p := f.proxy(0, "north")
-	p.Say("nonsense")
+	p.Say(`["nonsense"]`)
 	p.Say(`{"t":"client_stats","proxy":0,"class":"odd","tries":1}`)
 	p.Say(`{"t":"done","proxy":0,"mark":77777}`)
 	c := f.collector("north")
@@ -166,6 +170,48 @@
 	}
 }
 
+// TestReloadMoves leads a planner from one discovery to the next under a changed file, with a wrong file in between.
+// Guards against a planner that ends on SIGHUP, goes on asking at an address that is closed, or misses a drain.
+func TestReloadMoves(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(text))
+	f := start(t, func(_ *fleet, c *Config) {
+		c.getenv = env(envConfig, path, envListen, "127.0.0.1:0", envDiscovery, c.Discovery)
+	}, nil)
+	defer f.stop()
+	p := f.proxy(0, "north")
+	f.wait("a table", p, holds("s-0", "s-2"))
+	for round := range 3 {
+		second, err := standin.NewDiscovery("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := f.discovery
+		second.Change(slices.Collect(maps.Values(f.members))...)
+		f.discovery = second
+		write(string(text[:len(text)/2])) // half written
+		f.reloads <- syscall.SIGHUP
+		f.until("that file to be looked at", func() bool { return len(f.reloads) == 0 })
+		write(strings.Replace(string(text), "127.0.0.1:8500", second.Addr(), 1))
+		f.reloads <- syscall.SIGHUP
+		f.until("a watch at the new address", func() bool { return second.Watches() > 0 })
+		first.Close()
+		f.phase("s-0", protocol.PhaseDraining)
+		f.wait(fmt.Sprint("a drain told by discovery ", round+2), p, lacks("s-0"))
+		f.phase("s-0", protocol.PhaseUp)
+		f.wait("its return", p, holds("s-0"))
+	}
+}
+
 // TestProbeResults checks what the module is told of probes that are answered, refused, silent and impossible.
 func TestProbeResults(t *testing.T) {
 	m := &prober{results: make(chan rules.Probed, 10)}
--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,51 @@
+package program
+
+import (
+	"context"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/routing"
+	"mulleinwood/internal/transport"
+)
+
+// reloader takes a changed configuration over while the planner serves. Files are read beside the loop, which gets
+// one event. A configuration that is wrong changes nothing.
+type reloader struct {
+	config   Config // in force
+	listener *transport.Listener
+	post     func(routing.Event)
+	log      zerolog.Logger
+}
+
+// serve reads the configuration again at each signal until ctx ends. Signals that come while one is being served
+// count as one, since the file is read after the last of them.
+func (r reloader) serve(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			r.reload()
+		}
+	}
+}
+
+func (r *reloader) reload() {
+	next, fixed, err := r.config.Reload()
+	if err != nil {
+		r.log.Error().Err(err).Msg("configuration not taken over: the former one stays")
+		return
+	}
+	if next.Limits != r.config.Limits {
+		next.Limits.apply()
+		r.listener.SetMost(connections(next.Limits.Sockets))
+		r.listener.Memory.SetMost(buffers(next.Limits.MemoryMB))
+	}
+	if next.Discovery != r.config.Discovery {
+		r.post(routing.Moved{Discovery: next.Discovery})
+	}
+	r.log.Info().Str("discovery", next.Discovery).Strs("needs a new start", fixed).Msg("configuration taken over")
+	r.config.Limits, r.config.Discovery, r.config.stated.discovery = next.Limits, next.Discovery, next.stated.discovery
+}
--- /dev/null
+++ b/internal/program/roles_test.go
@@ -0,0 +1,155 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/standin"
+	"mulleinwood/rules"
+)
+
+// TestRoles lists who may say what.
+func TestRoles(t *testing.T) {
+	messages := []protocol.Message{protocol.Heartbeat{}, protocol.Collector{Zone: "north"}, protocol.Attach{Proxy: 2},
+		protocol.ServerReport{Zone: "north"}, protocol.ServerReport{Zone: "south"}, protocol.UsageReport{Proxy: 2},
+		protocol.UsageReport{Proxy: 3}, protocol.Done{Proxy: 2}, protocol.Done{Proxy: 3}}
+	for _, tc := range []struct {
+		speaker speaker
+		may     []int
+	}{
+		{speaker{}, []int{0, 1, 2}},
+		{speaker{role: collector, zone: "north"}, []int{0, 3, 5, 6}},
+		{speaker{role: proxy, proxy: 2}, []int{0, 5, 7}},
+	} {
+		var may []int
+		for i, m := range messages {
+			if tc.speaker.may(m) {
+				may = append(may, i)
+			}
+		}
+		if fmt.Sprint(may) != fmt.Sprint(tc.may) {
+			t.Errorf("%+v may say %v, want %v", tc.speaker, may, tc.may)
+		}
+	}
+}
+
+// rude are peers that are nobody: with what each sends, and how often over.
+var rude = map[string]struct {
+	text  string
+	after string // sent again and again
+}{
+	"silent":                {},
+	"half a message":        {text: `{"t":"attach","proxy":1,`},
+	"one that only beats":   {text: `{"t":"hb"}` + "\n", after: `{"t":"hb"}` + "\n"},
+	"a message without end": {text: `{"t":"`, after: strings.Repeat("x", 1000)},
+	"bytes without end":     {after: "\x00\xff\x00"},
+	"no such proxy":         {text: `{"t":"attach","proxy":99,"zone":"north","weight":1,"fresh":true}` + "\n"},
+	"no such zone":          {text: `{"t":"telemetry","zone":"moon"}` + "\n"},
+	"a proxy of no zone":    {text: `{"t":"attach","proxy":1,"zone":"moon","weight":1,"fresh":true}` + "\n"},
+	"a report unjoined":     {text: `{"t":"client_stats","proxy":0,"class":"lookup","tries":9,"failed":0,"span_ms":1000}` + "\n"},
+	"orders":                {text: `{"t":"assign","drop":["s-0"],"stamp":1}` + "\n"},
+	"HTTP":                  {text: "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+	"a length of its own":   {text: "\x7f\xff\xff\xff{}"},
+}
+
+// TestRudePeers guards against peers that are nobody and hold on to descriptors: each is closed by itself, in the page's
+// second or at once, while a proxy that has long joined and says nothing stays.
+func TestRudePeers(t *testing.T) {
+	f := start(t, nil, nil)
+	defer f.stop()
+	p := f.proxy(0, "north")
+	f.wait("a table", p, holds("s-0", "s-2"))
+	collector := f.collector("south")
+	closed := make(chan string)
+	for name, r := range rude {
+		nc, err := net.Dial("tcp", f.planner)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, r.text)
+		if r.after != "" {
+			go func() {
+				for err := error(nil); err == nil; _, err = io.WriteString(nc, r.after) {
+				}
+			}()
+		}
+		go func() {
+			nc.SetReadDeadline(time.Now().Add(patience))
+			if _, err := io.Copy(io.Discard, nc); os.IsTimeout(err) {
+				name += " STAYS"
+			}
+			closed <- name
+		}()
+	}
+	for range rude {
+		if name := <-closed; strings.HasSuffix(name, "STAYS") {
+			t.Error(name)
+		}
+	}
+	f.phase("s-0", protocol.PhaseDraining)
+	f.wait("a drain on a quiet stream", p, lacks("s-0"))
+	if err := collector.Report("s-1", 1, 0, 100, 1000); err != nil {
+		t.Errorf("the quiet collector: %v", err)
+	}
+}
+
+// hearer is a module that hands on what it is told.
+type hearer chan rules.Event
+
+func (h hearer) Step(_ float64, events []rules.Event) []rules.Action {
+	for _, e := range events {
+		h <- e
+	}
+	return nil
+}
+
+// next returns the next event of one kind.
+func next[E rules.Event](t *testing.T, h hearer) E {
+	t.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case e := <-h:
+			if e, ok := e.(E); ok {
+				return e
+			}
+		case <-late:
+			var none E
+			t.Fatalf("no %T", none)
+		}
+	}
+}
+
+// TestUnreadableStream guards against a stream that goes on with bytes that are no lines and would stay joined for good:
+// the module hears that it has left, and its proxy may join again. A spoilt line alone ends nothing.
+func TestUnreadableStream(t *testing.T) {
+	h := make(hearer, 1000)
+	f := start(t, nil, h)
+	defer f.stop()
+	p := f.proxy(2, "north")
+	next[rules.Joined](t, h)
+	p.Say(`{"t":"client_stats","proxy":2,"class":"lookup","tries":"many","failed":0,"span_ms":1000}`)
+	p.Say(`{"t":"client_stats","proxy":3,"class":"lookup","tries":1,"failed":0,"span_ms":1000}`)
+	p.Say(`{"t":"upstream_stats","zone":"north","server":"s-0","tries":1,"failed":0,"mean_ms":1,"span_ms":1000}`)
+	p.Say(`{"t":"client_stats","proxy":2,"class":"lookup","tries":7,"failed":0,"span_ms":1000}`)
+	if d := next[rules.Demand](t, h); d.Proxy != 2 || d.Requests != 7 {
+		t.Errorf("told %+v", d)
+	}
+	p.Say("\x01\x02 no line")
+	if left := next[rules.Left](t, h); left.Proxy != 2 {
+		t.Errorf("told %+v", left)
+	}
+	if s := p.Wait(func(standin.State) bool { return false }); s.Closed == nil {
+		t.Error("the stream stays")
+	}
+	f.proxy(2, "north")
+	if joined := next[rules.Joined](t, h); joined.Proxy != 2 {
+		t.Errorf("told %+v", joined)
+	}
+}
--- a/internal/protocol/lines.go
+++ b/internal/protocol/lines.go
@@ -2,6 +2,8 @@
 package protocol
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 
 	"mulleinwood/internal/transport/ring"
@@ -12,14 +14,15 @@
 
 // Lines is the machine of a connection at the planner's address: one JSON object a line.
 //
-// Take is given each message. Bad is given each line that can't be used; an error that it returns ends the
-// connection, nil skips the line.
+// Take is given each message. Bad is given each line that is JSON but can't be used. An error that either returns
+// ends the connection; nil goes on. What is no JSON line ends it in any case: where one line ends and the next
+// begins can't be known any more.
 type Lines struct {
-	Take func(Message)
-	Bad  func(error) error
+	Within Bounds
+	Take   func(Message) error
+	Bad    func(error) error
 
-	searched int  // bytes of the buffer that hold no LF
-	skipping bool // within a line that is too long
+	searched int // bytes of the buffer that hold no LF
 }
 
 // Feed takes all complete lines from the buffer.
@@ -27,28 +30,14 @@
 	for {
 		end := in.Index('\n', l.searched)
 		if end < 0 {
-			if l.searched = in.Len(); l.searched > LineMost || l.skipping {
-				if !l.skipping {
-					l.skipping = true
-					if err := l.Bad(&LineError{Err: errTooLong}); err != nil {
-						return err
-					}
-				}
-				in.Discard(in.Len())
-				l.searched = 0
-			}
-			return nil
+			err := hopeless(in, l.searched)
+			l.searched = in.Len()
+			return err
 		}
-		var err error
-		switch {
-		case l.skipping:
-			l.skipping = false
-		case end >= LineMost:
-			err = l.Bad(&LineError{Err: errTooLong})
-		default:
-			err = l.line(in.Front(end))
+		if end >= LineMost {
+			return &LineError{Fault: Unreadable, Err: errTooLong}
 		}
-		if err != nil {
+		if err := l.line(in.Front(end)); err != nil {
 			return err
 		}
 		in.Discard(end + 1)
@@ -56,26 +45,63 @@
 	}
 }
 
+// hopeless says whether the beginning of a line can become no JSON object however it goes on. It guards against
+// a peer that sends without an end what holds no line: bytes up to from have been looked at before.
+func hopeless(in *ring.Buffer, from int) error {
+	if in.Len() > LineMost {
+		return &LineError{Fault: Unreadable, Err: errTooLong}
+	}
+	first, second := in.Peek()
+	for _, piece := range [][]byte{first[min(from, len(first)):], second[max(0, min(from-len(first), len(second))):]} {
+		for _, c := range piece {
+			if c < ' ' && c != '\t' && c != '\r' { // JSON has no other control characters
+				return &LineError{Fault: Unreadable, Err: errNotJSON}
+			}
+		}
+	}
+	if text := bytes.TrimLeft(first, " \t\r"); from < len(first) && len(text) > 0 && !bytes.ContainsRune(opening, rune(text[0])) {
+		return &LineError{Fault: Unreadable, Err: errNotJSON}
+	}
+	return nil
+}
+
+// opening holds the bytes that a JSON value begins with.
+var opening = []byte(`{["-0123456789tfn`)
+
 func (l *Lines) line(text []byte) error {
-	m, err := Decode(text)
-	if err != nil {
+	m, err := Decode(text, l.Within)
+	var bad *LineError
+	switch {
+	case err == nil:
+		return l.Take(m)
+	case errors.As(err, &bad) && bad.Fault == Unreadable:
+		return err
+	default:
 		return l.Bad(err)
 	}
-	l.Take(m)
-	return nil
 }
 
+// Fault is how much a line that can't be used says of what follows it.
+type Fault int
+
+// The faults.
+const (
+	Spoilt     Fault = iota // JSON; the lines after it may be good
+	Unreadable              // no JSON line; neither is what follows
+)
+
 // LineError says why a line can't be used.
 type LineError struct {
-	Kind string // of the message, as far as known
-	Err  error
+	Kind  string // of the message, as far as known
+	Fault Fault
+	Err   error
 }
 
 func (e *LineError) Error() string {
 	if e.Kind == "" {
 		return fmt.Sprintf("line: %v", e.Err)
 	}
-	return fmt.Sprintf("line %q: %v", e.Kind, e.Err)
+	return fmt.Sprintf("line %.40q: %v", e.Kind, e.Err)
 }
 
 func (e *LineError) Unwrap() error { return e.Err }
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -27,36 +27,43 @@
 	UsageReport{Proxy: 17, Class: "lookup", Tries: 19, Span: 1000},
 }
 
-// read feeds pieces to a new machine and returns its messages and the lines it could not use.
-func read(t testing.TB, pieces ...string) (got []Message, bad []error) {
+// within are the bounds of a deployment of 20 proxies whose clients wait 5 s at most.
+var within = Bounds{Proxies: 20, MeanMost: 5000, SpanMost: 60e3}
+
+// read feeds pieces to a new machine and returns its messages, the lines it could not use and why it ended, if so.
+func read(t testing.TB, pieces ...string) (got []Message, bad []error, end error) {
 	t.Helper()
 	in := ring.New(16, 2*LineMost, nil)
-	m := &Lines{Take: func(m Message) { got = append(got, m) },
+	m := &Lines{Within: within, Take: func(m Message) error { got = append(got, m); return nil },
 		Bad: func(err error) error { bad = append(bad, err); return nil }}
 	for _, piece := range pieces {
 		if _, err := in.Write([]byte(piece)); err != nil {
 			t.Fatalf("no room for %d bytes beside %d: %v", len(piece), in.Len(), err)
 		}
-		if err := m.Feed(in); err != nil {
-			t.Fatal(err)
+		if end = m.Feed(in); end != nil {
+			break
 		}
 	}
-	return got, bad
+	return got, bad, end
 }
 
 // TestLinesSplit guards against bytes that come split or joined anywhere.
 func TestLinesSplit(t *testing.T) {
 	for at := range stream {
-		if got, bad := read(t, stream[:at], stream[at:]); !reflect.DeepEqual(got, spoken) || len(bad) > 0 {
-			t.Fatalf("split at %d: %+v, %v", at, got, bad)
+		if got, bad, end := read(t, stream[:at], stream[at:]); !reflect.DeepEqual(got, spoken) || len(bad) > 0 || end != nil {
+			t.Fatalf("split at %d: %+v, %v, %v", at, got, bad, end)
 		}
 	}
-	if got, bad := read(t, strings.Split(stream, "")...); !reflect.DeepEqual(got, spoken) || len(bad) > 0 {
-		t.Fatalf("byte by byte: %+v, %v", got, bad)
+	if got, bad, end := read(t, strings.Split(stream, "")...); !reflect.DeepEqual(got, spoken) || len(bad) > 0 || end != nil {
+		t.Fatalf("byte by byte: %+v, %v, %v", got, bad, end)
 	}
 }
 
-func TestBadLines(t *testing.T) {
+// TestSpoiltLines guards against a line that is JSON and can't be true: taken for what it says, it would make a server
+// the fastest of all or lift a proxy's demand; taken for unreadable, it would cost the good lines round it.
+func TestSpoiltLines(t *testing.T) {
+	report := func(figures string) string { return `{"t":"upstream_stats","zone":"a","server":"s",` + figures + `}` }
+	usage := func(figures string) string { return `{"t":"client_stats","proxy":1,"class":"c",` + figures + `}` }
 	for _, tc := range []struct {
 		line string
 		want error
@@ -64,57 +71,98 @@
 		{`{"t":"unheard_of"}`, errKind},
 		{`{}`, errKind},
 		{`{"t":"telemetry"}`, errMissing},
-		{`{"t":"attach","proxy":1}`, errMissing},
-		{`{"t":"done","proxy":1}`, errMissing},
-		{`{"t":"upstream_stats","zone":"a"}`, errMissing},
-		{`{"t":"client_stats","proxy":1}`, errMissing},
-		{`{"t":"attach","proxy":-1,"zone":"a"}`, errNegative},
+		{`{"t":"telemetry","zone":null}`, errMissing},
+		{`{"t":"attach","proxy":1,"weight":1}`, errMissing},
+		{`{"t":"attach","proxy":1,"zone":"a"}`, errMissing},
+		{`{"t":"done","proxy":1,"took_ms":1}`, errMissing},
+		{`{"t":"done","proxy":1,"mark":1}`, errMissing},
+		{`{"t":"done","proxy":20,"mark":1,"took_ms":1}`, errProxy},
+		{`{"t":"attach","proxy":-1,"zone":"a","weight":1}`, errProxy},
 		{`{"t":"attach","proxy":1,"zone":"a","weight":-0.5}`, errNegative},
-		{`{"t":"upstream_stats","zone":"a","server":"s","tries":1e13}`, errHuge},
-		{`{"t":"upstream_stats","zone":"a","server":"s","tries":1e999}`, nil},
-		{`{"t":"done","proxy":1,"mark":-4}`, nil},
-		{`{"t":"attach","proxy":1.5,"zone":"a"}`, nil},
-		{`not JSON`, nil},
-		{``, nil},
+		{report(`"tries":1,"failed":0,"span_ms":1000`), errMissing},
+		{report(`"tries":1,"failed":0,"mean_ms":40`), errMissing},
+		{report(`"tries":1,"mean_ms":40,"span_ms":1000`), errMissing},
+		{report(`"failed":0,"mean_ms":40,"span_ms":1000`), errMissing},
+		{report(`"tries":null,"failed":0,"mean_ms":40,"span_ms":1000`), errMissing},
+		{report(`"tries":1,"failed":2,"mean_ms":40,"span_ms":1000`), errMoreFailed},
+		{report(`"tries":1,"failed":0,"mean_ms":40,"span_ms":0`), errSpan},
+		{report(`"tries":1,"failed":0,"mean_ms":0,"span_ms":1000`), errMean},
+		{report(`"tries":1,"failed":0,"mean_ms":5001,"span_ms":1000`), errMean},
+		{report(`"tries":1,"failed":0,"mean_ms":40,"span_ms":60001`), errSpan},
+		{report(`"tries":38654705664,"failed":0,"mean_ms":40,"span_ms":1000`), errRate},
+		{usage(`"tries":200001,"failed":0,"span_ms":2000`), errRate},
+		{usage(`"tries":1,"failed":200001,"span_ms":2000`), errRate},
+		{usage(`"tries":1,"failed":0,"span_ms":38654705664`), errSpan},
+		{`{"t":"attach","proxy":1,"zone":"a","weight":200000}`, errRate},
+		{report(`"tries":1e13,"failed":0,"mean_ms":40,"span_ms":1000`), errHuge},
+		{report(`"tries":1e999,"failed":0,"mean_ms":40,"span_ms":1000`), nil},
+		{report(`"tries":"many","failed":0,"mean_ms":40,"span_ms":1000`), nil},
+		{report(`"tries":1,"failed":0,"mean_ms":40,"span_ms":1000,"load":{"util":-1}`), errLoad},
+		{report(`"tries":1,"failed":0,"mean_ms":40,"span_ms":1000,"load":{"util":null}`), errLoad},
+		{report(`"tries":1,"failed":0,"mean_ms":40,"span_ms":1000,"load":7`), nil},
+		{usage(`"failed":0,"span_ms":1000`), errMissing},
+		{usage(`"tries":1,"span_ms":1000`), errMissing},
+		{usage(`"tries":1,"failed":0`), errMissing},
+		{usage(`"tries":1,"failed":-1,"span_ms":1000`), errNegative},
+		{`{"t":"client_stats","proxy":20,"class":"c","tries":1,"failed":0,"span_ms":1000}`, errProxy},
+		{`{"t":"done","proxy":1,"mark":-4,"took_ms":1}`, nil},
+		{`{"t":"attach","proxy":1.5,"zone":"a","weight":1}`, nil},
 		{`[1,2]`, nil},
-		{strings.Repeat("x", LineMost), errTooLong},
-		{strings.Repeat("x", LineMost+LineMost/2), errTooLong},
+		{`"done"`, nil},
 	} {
-		got, bad := read(t, tc.line+"\n"+stream)
+		got, bad, end := read(t, tc.line+"\n"+stream)
 		var line *LineError
-		if len(bad) != 1 || !errors.As(bad[0], &line) || tc.want != nil && !errors.Is(bad[0], tc.want) {
-			t.Errorf("%.60q: errors %v, want one that is %v", tc.line, bad, tc.want)
+		if len(bad) != 1 || !errors.As(bad[0], &line) || line.Fault != Spoilt || tc.want != nil && !errors.Is(bad[0], tc.want) {
+			t.Errorf("%.80q: errors %v, want one that is %v", tc.line, bad, tc.want)
 		}
-		if !reflect.DeepEqual(got, spoken) {
-			t.Errorf("%.60q: what came after it was read as %+v", tc.line, got)
+		if !reflect.DeepEqual(got, spoken) || end != nil {
+			t.Errorf("%.80q: what came after it was read as %+v, %v", tc.line, got, end)
 		}
 	}
+	if got, _, _ := read(t, usage(`"tries":1,"failed":2,"span_ms":1000`)+"\n"); len(got) != 1 {
+		t.Error("a usage report with failures of an earlier span is not taken")
+	}
+	none := report(`"tries":3,"failed":3,"span_ms":1000`) + "\n" // no answer has no mean
+	if got, _, _ := read(t, none); len(got) != 1 || got[0].(ServerReport).Mean != 0 {
+		t.Errorf("a report without an answer was read as %+v", got)
+	}
 }
 
-// TestLongLine guards against memory taken by a line without an end.
-func TestLongLine(t *testing.T) {
-	pieces := []string{}
-	for range 40 {
-		pieces = append(pieces, strings.Repeat("y", LineMost/4))
-	}
-	got, bad := read(t, append(pieces, "\n"+stream)...)
-	if len(bad) != 1 || !reflect.DeepEqual(got, spoken) {
-		t.Errorf("errors %v, messages %+v", bad, got)
+// TestUnreadable guards against a connection that goes on with bytes that are no lines: it ends at once where
+// that is certain, whether or not a line end comes, and what was good before it counts.
+func TestUnreadable(t *testing.T) {
+	for _, text := range []string{"not JSON\n", "\n", "{\"t\":\n", "GET / HTTP/1.1\r\n", "GET /", "\x00\x01\x02", "{\"t\":\"hb\x00",
+		"  x", strings.Repeat(" ", LineMost+1), `{"t":"` + strings.Repeat("x", LineMost), "\xff\xfe"} {
+		for _, pieces := range [][]string{{stream + text}, {stream, text}, append([]string{stream}, strings.SplitAfter(text[:min(9, len(text))], "")...)} {
+			if len(text) > 9 && len(pieces) > 2 {
+				continue
+			}
+			got, bad, end := read(t, pieces...)
+			var line *LineError
+			if !errors.As(end, &line) || line.Fault != Unreadable || len(bad) > 0 {
+				t.Errorf("%.40q: ended by %v, %v skipped", text, end, bad)
+			}
+			if !reflect.DeepEqual(got, spoken) {
+				t.Errorf("%.40q: what came before it was read as %+v", text, got)
+			}
+		}
 	}
 	whole := `{"t":"hb","pad":"` + strings.Repeat("z", LineMost-20) + `"}` + "\n"
-	if got, bad := read(t, whole[:LineMost]); len(whole) != LineMost || len(got) != 1 || len(bad) != 0 {
-		t.Errorf("a line of %d bytes: %+v, %v", len(whole), got, bad)
+	if got, _, end := read(t, whole); len(whole) != LineMost || len(got) != 1 || end != nil {
+		t.Errorf("a line of %d bytes: %+v, %v", len(whole), got, end)
 	}
 }
 
-// TestRefused checks that an error of Bad ends the connection and is handed on.
+// TestRefused checks that an error of Bad or Take ends the connection and is handed on.
 func TestRefused(t *testing.T) {
-	in := ring.New(16, 1<<10, nil)
-	in.Write([]byte("nonsense\n"))
-	m := &Lines{Take: func(Message) {}, Bad: func(err error) error { return err }}
-	var line *LineError
-	if err := m.Feed(in); !errors.As(err, &line) {
-		t.Errorf("error %v", err)
+	told := errors.New("told to")
+	for _, text := range []string{"{}\n", "{\"t\":\"hb\"}\n"} {
+		in := ring.New(16, 1<<10, nil)
+		in.Write([]byte(text))
+		m := &Lines{Take: func(Message) error { return told }, Bad: func(error) error { return told }}
+		if err := m.Feed(in); !errors.Is(err, told) {
+			t.Errorf("%q: error %v", text, err)
+		}
 	}
 }
 
@@ -122,15 +170,28 @@
 	f.Add([]byte(stream), 3)
 	f.Add([]byte("{\"t\":\"hb\"}\n\n{\"t\":"), 1)
 	f.Add([]byte(`{"t":"attach","proxy":65536,"zone":null,"weight":1e308}`+"\n"), 7)
+	f.Add([]byte(`{"t":"upstream_stats","zone":"a","server":"s","tries":3,"failed":4,"span_ms":0,"load":{"x":null}}`+"\n"), 30)
 	f.Fuzz(func(t *testing.T, text []byte, at int) {
 		if len(text) > LineMost {
 			return
 		}
-		whole, badWhole := read(t, string(text))
+		whole, badWhole, endWhole := read(t, string(text))
 		at = max(0, min(at, len(text)))
-		split, badSplit := read(t, string(text[:at]), string(text[at:]))
-		if !reflect.DeepEqual(whole, split) || len(badWhole) != len(badSplit) {
-			t.Fatalf("whole %+v (%d bad), split at %d %+v (%d bad)", whole, len(badWhole), at, split, len(badSplit))
+		split, badSplit, endSplit := read(t, string(text[:at]), string(text[at:]))
+		if !reflect.DeepEqual(whole, split) || len(badWhole) != len(badSplit) || (endWhole == nil) != (endSplit == nil) {
+			t.Fatalf("whole %+v (%d bad, %v), split at %d %+v (%d bad, %v)", whole, len(badWhole), endWhole, at, split, len(badSplit), endSplit)
+		}
+		for _, m := range whole {
+			switch m := m.(type) {
+			case ServerReport:
+				if m.Failed > m.Tries || m.Span <= 0 || m.Tries > m.Failed && (m.Mean <= 0 || m.Mean > within.MeanMost) {
+					t.Fatalf("taken: %+v", m)
+				}
+			case UsageReport:
+				if m.Span <= 0 || m.Proxy >= within.Proxies {
+					t.Fatalf("taken: %+v", m)
+				}
+			}
 		}
 	})
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -52,12 +52,30 @@
 // FigureMost bounds every figure that is taken, so that sums of them stay finite.
 const FigureMost = 1e12
 
+// Bounds are what the figures of one deployment's messages keep within. 0 stands for not known.
+type Bounds struct {
+	Proxies  int     // their numbers are below it
+	MeanMost float64 // milliseconds; an answer that came later than any deadline is no answer
+	SpanMost float64 // milliseconds; a report that covers more tells nothing of now
+}
+
+// rateMost is the most requests a second that a report or a joining may tell of: far more than a proxy forwards, or a
+// server does.
+const rateMost = 100e3
+
 var (
-	errTooLong  = errors.New("over 1 MiB")
-	errNegative = errors.New("a figure is below 0")
-	errHuge     = errors.New("a figure is over 1e12")
-	errMissing  = errors.New("a field is missing")
-	errKind     = errors.New("unknown kind")
+	errTooLong    = errors.New("over 1 MiB")
+	errNotJSON    = errors.New("no JSON line")
+	errNegative   = errors.New("a figure is below 0")
+	errHuge       = errors.New("a figure is over 1e12")
+	errMissing    = errors.New("a field is missing")
+	errKind       = errors.New("unknown kind")
+	errProxy      = errors.New("no such proxy")
+	errMoreFailed = errors.New("more failed than tried")
+	errSpan       = errors.New("covers a time that can't be")
+	errRate       = errors.New("more requests than there can be")
+	errMean       = errors.New("a mean that no answer can have")
+	errLoad       = errors.New("a load report outside its units")
 )
 
 // heartbeatAnswer is the answer to a Heartbeat.
@@ -66,80 +84,134 @@
 // HeartbeatAnswer returns the line that answers a Heartbeat.
 func HeartbeatAnswer() []byte { return []byte(heartbeatAnswer) }
 
-// line has the fields of all messages. Pointers tell what was left out.
+// line has the fields of all messages. Pointers tell what was left out: a figure that is absent is no 0.
 type line struct {
-	Kind   string             `json:"t"`
-	Zone   *string            `json:"zone"`
-	Server *string            `json:"server"`
-	Class  *string            `json:"class"`
-	Proxy  *int               `json:"proxy"`
-	Mark   *uint32            `json:"mark"`
-	Fresh  bool               `json:"fresh"`
-	Weight float64            `json:"weight"`
-	Took   float64            `json:"took_ms"`
-	Tries  float64            `json:"tries"`
-	Failed float64            `json:"failed"`
-	Mean   float64            `json:"mean_ms"`
-	Span   float64            `json:"span_ms"`
-	Load   map[string]float64 `json:"load"`
+	Kind   string              `json:"t"`
+	Zone   *string             `json:"zone"`
+	Server *string             `json:"server"`
+	Class  *string             `json:"class"`
+	Proxy  *int                `json:"proxy"`
+	Mark   *uint32             `json:"mark"`
+	Fresh  bool                `json:"fresh"` // nothing is decided by it
+	Weight *float64            `json:"weight"`
+	Took   *float64            `json:"took_ms"`
+	Tries  *float64            `json:"tries"`
+	Failed *float64            `json:"failed"`
+	Mean   *float64            `json:"mean_ms"`
+	Span   *float64            `json:"span_ms"`
+	Load   map[string]*float64 `json:"load"`
 }
 
-// Decode reads one line. Unknown fields are skipped.
-func Decode(text []byte) (Message, error) {
+// Decode reads one line. Unknown fields are skipped. Its error is a LineError: either the line is JSON and can't be
+// used, or it is none, and then neither can what follows it.
+func Decode(text []byte, within Bounds) (Message, error) {
 	var l line
 	if err := json.Unmarshal(text, &l); err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			return nil, &LineError{Fault: Unreadable, Err: fmt.Errorf("%w: %w", errNotJSON, err)}
+		}
 		return nil, &LineError{Kind: l.Kind, Err: err}
 	}
-	m, err := l.message()
+	m, err := l.message(within)
 	if err != nil {
 		return nil, &LineError{Kind: l.Kind, Err: err}
 	}
 	return m, nil
 }
 
-func (l *line) message() (Message, error) {
-	for _, figure := range []float64{l.Weight, l.Took, l.Tries, l.Failed, l.Mean, l.Span} {
-		if figure < 0 { // JSON has no way to write one that is not finite
+// message checks the fields that the line's kind has.
+func (l *line) message(within Bounds) (Message, error) {
+	for _, figure := range []*float64{l.Weight, l.Took, l.Tries, l.Failed, l.Mean, l.Span} {
+		switch {
+		case figure == nil: // JSON has no way to write one that is not finite
+		case *figure < 0:
 			return nil, errNegative
-		}
-		if figure > FigureMost {
+		case *figure > FigureMost:
 			return nil, errHuge
 		}
 	}
-	if l.Proxy != nil && *l.Proxy < 0 {
-		return nil, errNegative
+	if l.Proxy != nil && (*l.Proxy < 0 || within.Proxies > 0 && *l.Proxy >= within.Proxies) {
+		return nil, errProxy
 	}
-	var m Message
-	complete := true
 	switch l.Kind {
 	case "hb":
-		m = Heartbeat{}
+		return Heartbeat{}, nil
 	case "telemetry":
-		if complete = l.Zone != nil; complete {
-			m = Collector{Zone: *l.Zone}
+		if l.Zone == nil {
+			return nil, errMissing
 		}
+		return Collector{Zone: *l.Zone}, nil
 	case "attach":
-		if complete = l.Proxy != nil && l.Zone != nil; complete {
-			m = Attach{Proxy: *l.Proxy, Zone: *l.Zone, Weight: l.Weight, Fresh: l.Fresh}
+		if l.Proxy == nil || l.Zone == nil || l.Weight == nil {
+			return nil, errMissing
+		}
+		if *l.Weight > rateMost {
+			return nil, errRate
 		}
+		return Attach{Proxy: *l.Proxy, Zone: *l.Zone, Weight: *l.Weight, Fresh: l.Fresh}, nil
 	case "done":
-		if complete = l.Proxy != nil && l.Mark != nil; complete {
-			m = Done{Proxy: *l.Proxy, Mark: *l.Mark, Took: l.Took}
+		if l.Proxy == nil || l.Mark == nil || l.Took == nil {
+			return nil, errMissing
 		}
+		return Done{Proxy: *l.Proxy, Mark: *l.Mark, Took: *l.Took}, nil
 	case "upstream_stats":
-		if complete = l.Zone != nil && l.Server != nil; complete {
-			m = ServerReport{Zone: *l.Zone, Server: *l.Server, Tries: l.Tries, Failed: l.Failed, Mean: l.Mean,
-				Span: l.Span, Load: l.Load}
-		}
+		return l.serverReport(within)
 	case "client_stats":
-		if complete = l.Proxy != nil && l.Class != nil; complete {
-			m = UsageReport{Proxy: *l.Proxy, Class: *l.Class, Tries: l.Tries, Failed: l.Failed, Span: l.Span}
+		if l.Proxy == nil || l.Class == nil {
+			return nil, errMissing
+		}
+		if err := l.counts(within); err != nil {
+			return nil, err
 		}
-	default:
-		return nil, fmt.Errorf("%w %.40q", errKind, l.Kind)
+		return UsageReport{Proxy: *l.Proxy, Class: *l.Class, Tries: *l.Tries, Failed: *l.Failed, Span: *l.Span}, nil
+	}
+	return nil, fmt.Errorf("%w %.40q", errKind, l.Kind)
+}
+
+// counts checks what both kinds of report have. A usage report may count more requests as not served than came in:
+// they came before its span.
+func (l *line) counts(within Bounds) error {
+	switch {
+	case l.Tries == nil || l.Failed == nil || l.Span == nil:
+		return errMissing
+	case *l.Span == 0 || within.SpanMost > 0 && *l.Span > within.SpanMost:
+		return errSpan
+	case max(*l.Tries, *l.Failed) > rateMost*max(1, *l.Span/1000):
+		return errRate
 	}
-	if !complete {
+	return nil
+}
+
+// serverReport guards against a server that looks like the fastest of all, or the slowest, by a spoilt line: a mean
+// is needed where there were answers, and no answer takes no time or longer than anybody waits.
+func (l *line) serverReport(within Bounds) (Message, error) {
+	if l.Zone == nil || l.Server == nil {
 		return nil, errMissing
 	}
-	return m, nil
+	if err := l.counts(within); err != nil {
+		return nil, err
+	}
+	if *l.Failed > *l.Tries {
+		return nil, errMoreFailed
+	}
+	r := ServerReport{Zone: *l.Zone, Server: *l.Server, Tries: *l.Tries, Failed: *l.Failed, Span: *l.Span}
+	if r.Tries > r.Failed {
+		if l.Mean == nil {
+			return nil, errMissing
+		}
+		if r.Mean = *l.Mean; r.Mean == 0 || within.MeanMost > 0 && r.Mean > within.MeanMost {
+			return nil, errMean
+		}
+	}
+	for name, value := range l.Load {
+		if value == nil || *value < 0 || *value > FigureMost {
+			return nil, errLoad
+		}
+		if r.Load == nil {
+			r.Load = make(map[string]float64, len(l.Load))
+		}
+		r.Load[name] = *value
+	}
+	return r, nil
 }
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -16,6 +16,7 @@
 func (s sink) ID() uint64                    { return s.id }
 func (s sink) Order(o protocol.Orders) error { _, err := o.Append(nil); return err }
 func (s sink) Beat() error                   { return nil }
+func (s sink) Await()                        {}
 func (s sink) Close(error)                   {}
 
 // BenchmarkWholeTables is the dearest step of a grown deployment: 600 proxies get tables of 30 servers at once.
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -18,6 +18,7 @@
 	ID() uint64 // larger for connections accepted later
 	Order(protocol.Orders) error
 	Beat() error // answers a heartbeat
+	Await()      // its heartbeat will be answered later
 	Close(reason error)
 }
 
@@ -25,6 +26,8 @@
 type Calls interface {
 	Watch(call uint64, from int64) // answers: WatchBegun, Listed, CallFailed
 	Fetch(call uint64)             // answers: Listed, CallFailed
+	Cancel(call uint64)            // its answers are of no use any more
+	Move(discovery string)         // the address of all calls to discovery from now on
 	Probe(server rules.ServerID, address string, load bool)
 }
 
@@ -52,6 +55,8 @@
 		Call uint64
 		Err  error
 	}
+	// Moved says that discovery has another address.
+	Moved struct{ Discovery string }
 	// Probed is the end of a probe.
 	Probed struct {
 		Server  rules.ServerID
@@ -67,4 +72,5 @@
 func (WatchBegun) event() {}
 func (Listed) event()     {}
 func (CallFailed) event() {}
+func (Moved) event()      {}
 func (Probed) event()     {}
--- a/internal/routing/lists.go
+++ b/internal/routing/lists.go
@@ -13,20 +13,30 @@
 // listed takes an answer of discovery, unless its call no longer counts.
 func (r *Router) listed(e Listed) {
 	switch e.Call {
+	case r.older:
 	case r.watch:
+		renumbered := !r.heard && e.List.Revision < r.revision
+		if r.heard = true; renumbered && !e.List.Complete && r.fetch == 0 {
+			r.startFetch() // another service than the one that the list held is from: its changes don't build on that
+		}
 	case r.fetch:
 		r.fetch = 0
-		if r.watch != 0 && e.List.Revision < r.revision {
+		if r.watch != 0 && r.heard && e.List.Revision < r.revision {
 			return // the watch is ahead of it
 		}
 	default:
 		return
 	}
+	r.take(e.List)
+}
+
+// take tells the module of what discovery says.
+func (r *Router) take(l protocol.List) {
 	kind := rules.ListChanges
-	if e.List.Complete {
+	if l.Complete {
 		kind = rules.ListFull
 	}
-	r.list(e.List, kind)
+	r.list(l, kind)
 }
 
 // list tells the module of a list. The first one that holds anything puts the planner to use.
@@ -54,6 +64,9 @@
 	case r.watch:
 		asked = r.set.Rules.AskDiscovery
 		r.watch, r.rewatch = 0, !asked
+	case r.older:
+		r.older = 0
+		return // the one that comes in its place has been asked for
 	case r.fetch:
 		r.fetch = 0
 	default:
@@ -65,11 +78,53 @@
 	}
 }
 
+// watchBegun notes that discovery has taken a watch on: a call that is answered counts as answered even if nothing
+// has changed. What is still open at discovery's former address ends only now, so that no change is missed.
+func (r *Router) watchBegun(e WatchBegun) {
+	if e.Call != r.watch {
+		return
+	}
+	r.begun = true
+	if r.older != 0 {
+		r.calls.Cancel(r.older)
+		r.older = 0
+	}
+	r.pending = append(r.pending, rules.List{Kind: rules.ListChanges})
+}
+
+// moved asks at discovery's new address at once. A watch that stands at the former one is believed until the new
+// one is answered, or the former one ends: guards against drains that are missed in between.
+func (r *Router) moved(e Moved) {
+	r.calls.Move(e.Discovery)
+	switch {
+	case r.watch != 0 && r.begun:
+		if r.older != 0 {
+			r.calls.Cancel(r.older)
+		}
+		r.older = r.watch
+	case r.watch != 0:
+		r.calls.Cancel(r.watch)
+	}
+	r.watch, r.rewatch = 0, false
+	r.startWatch()
+	if r.fetch != 0 {
+		r.calls.Cancel(r.fetch)
+		r.startFetch()
+	}
+}
+
+// startFetch asks for the whole list.
+func (r *Router) startFetch() {
+	r.lastCall++
+	r.fetch = r.lastCall
+	r.calls.Fetch(r.fetch)
+}
+
 // startWatch asks for the changes after the last revision, unless a watch stands.
 func (r *Router) startWatch() {
 	if r.watch == 0 {
 		r.lastCall++
-		r.watch = r.lastCall
+		r.watch, r.begun, r.heard = r.lastCall, false, false
 		r.calls.Watch(r.watch, r.revision)
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -41,6 +41,9 @@
 	revision int64
 	lastCall uint64
 	watch    uint64 // the call that watches; 0: none
+	begun    bool   // it has been answered
+	heard    bool   // it has told of something
+	older    uint64 // the watch at discovery's former address, while the new one is not answered; 0: none
 	fetch    uint64
 	rewatch  bool           // a watch that the module didn't ask for has ended since the last turn
 	dropped  map[string]int // messages that could not be used, by reason
@@ -76,13 +79,13 @@
 	case Ended:
 		r.ended(e.Peer)
 	case WatchBegun:
-		if e.Call == r.watch { // a call that is answered counts as answered even if nothing has changed
-			r.pending = append(r.pending, rules.List{Kind: rules.ListChanges})
-		}
+		r.watchBegun(e)
 	case Listed:
 		r.listed(e)
 	case CallFailed:
 		r.callFailed(e)
+	case Moved:
+		r.moved(e)
 	case Probed:
 		info := &r.names.servers[e.Server]
 		info.probing = false
@@ -103,6 +106,7 @@
 	case protocol.Heartbeat:
 		if !r.hasList {
 			r.waiting[from.ID()] = from
+			from.Await()
 			return
 		}
 		r.answer(from)
@@ -196,16 +200,19 @@
 
 // drop counts a message that can't be used, and tells of the first, the tenth, the hundredth and so on.
 func (r *Router) drop(reason, what string) {
-	r.dropped[reason]++
-	n := r.dropped[reason]
-	for n%10 == 0 {
-		n /= 10
-	}
-	if n == 1 {
+	if r.dropped[reason]++; Telling(r.dropped[reason]) {
 		r.log.Warn().Str("reason", reason).Str("last", what[:min(len(what), shownMost)]).Int("count", r.dropped[reason]).Msg("message not used")
 	}
 }
 
+// Telling says whether the nth of a kind is worth a line of log: the first, the tenth, the hundredth and so on.
+func Telling(n int) bool {
+	for n > 1 && n%10 == 0 {
+		n /= 10
+	}
+	return n == 1
+}
+
 // Turn tells the module what has happened up to now and carries out what it orders. The result is when it
 // wants to be called again at the latest, if it wants to. An error says that the module can't go on.
 func (r *Router) Turn(now float64) (next float64, wants bool, err error) {
@@ -264,9 +271,7 @@
 		r.startWatch()
 	case rules.Fetch:
 		if r.fetch == 0 {
-			r.lastCall++
-			r.fetch = r.lastCall
-			r.calls.Fetch(r.fetch)
+			r.startFetch()
 		}
 	case rules.Log:
 		r.say(a.Text)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -50,10 +50,12 @@
 	sent   []string
 	closed error
 	gone   bool
+	awaits bool
 }
 
 func (p *peer) ID() uint64         { return p.id }
 func (p *peer) Close(reason error) { p.closed = reason }
+func (p *peer) Await()             { p.awaits = true }
 func (p *peer) Beat() error        { return p.send(protocol.HeartbeatAnswer(), nil) }
 func (p *peer) Order(o protocol.Orders) error {
 	return p.send(o.Append(nil))
@@ -73,7 +75,9 @@
 func (b *book) Watch(call uint64, from int64) {
 	*b = append(*b, fmt.Sprintf("watch %d from %d", call, from))
 }
-func (b *book) Fetch(call uint64) { *b = append(*b, fmt.Sprintf("fetch %d", call)) }
+func (b *book) Cancel(call uint64)    { *b = append(*b, fmt.Sprintf("cancel %d", call)) }
+func (b *book) Move(discovery string) { *b = append(*b, "move to "+discovery) }
+func (b *book) Fetch(call uint64)     { *b = append(*b, fmt.Sprintf("fetch %d", call)) }
 func (b *book) Probe(server rules.ServerID, address string, load bool) {
 	*b = append(*b, fmt.Sprintf("probe %d at %s, load %t", server, address, load))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,15 @@
 	Granularity float64       // of the clock that the module sees, in milliseconds; 0: as fine as it gets
 }
 
+// LongestDeadline is how long any client waits at most, in milliseconds.
+func (s Settings) LongestDeadline() float64 {
+	longest := 0.0
+	for _, class := range s.Rules.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
 // connectMost is taken where the settings don't say how long a connection may take to come up.
 const connectMost = time.Second
 
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -97,11 +97,13 @@
 	return d.watches
 }
 
-// List is the list as it stands; with from, only what changed after that revision.
+// List is the list as it stands; with from, only what changed after that revision. From a revision that has not been
+// reached, which is another service's, nothing can be told apart, so it is the whole list.
 func (d *Discovery) List(from int64) (list protocol.List, next chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list = protocol.List{Revision: d.revision, Complete: from < 0, Members: []protocol.Member{}}
+	whole := from < 0 || from > d.revision
+	list = protocol.List{Revision: d.revision, Complete: whole, Members: []protocol.Member{}}
 	for _, id := range slices.Sorted(maps.Keys(d.members)) {
 		m := d.members[id]
 		if list.Complete && m.Phase != protocol.PhaseRemoved || !list.Complete && d.changed[id] > from {
@@ -154,7 +156,7 @@
 		d.garbled = ""
 		d.mu.Unlock()
 		line := []byte("\n")
-		if list.Revision > from {
+		if list.Revision > from || list.Complete {
 			text, err := json.Marshal(list)
 			if err != nil {
 				return err
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"mulleinwood/internal/transport/ring"
 )
@@ -20,8 +22,12 @@
 	outSize      = 2 << 20 // most that may wait for a peer that doesn't read
 )
 
-// ErrOverflow says that a peer left too much unread.
-var ErrOverflow = errors.New("peer leaves its messages unread")
+var (
+	// ErrOverflow says that a peer left too much unread.
+	ErrOverflow = errors.New("peer leaves its messages unread")
+	// ErrUnjoined says that a peer has not said in time who it is.
+	ErrUnjoined = errors.New("has not joined in time")
+)
 
 // Machine is a protocol fed with bytes. It takes from the buffer what is complete and leaves the rest.
 type Machine interface {
@@ -47,6 +53,10 @@
 	nc       net.Conn
 	in       *ring.Buffer // the reader's own
 	standing atomic.Int32
+	asked    atomic.Bool // something that the planner owes an answer, which it can't give yet
+	joinBy   time.Time   // the reader's own, as the next two
+	late     bool        // joinBy has passed
+	free     bool        // it has joined, and its reads end at no time
 
 	mu     sync.Mutex
 	out    *ring.Buffer
@@ -65,6 +75,10 @@
 // Remote is the peer's address, for the log.
 func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
 
+// Owe notes whether the peer has asked something that is not yet answered. While that is so, the time in which it
+// must join does not end: a planner that can't make orders yet answers whoever asked before.
+func (c *Conn) Owe(owed bool) { c.asked.Store(owed) }
+
 // Fall notes that another connection has come in place of this one. It rises again if its peer still speaks.
 func (c *Conn) Fall() { c.standing.Store(int32(Stale)) }
 
@@ -78,6 +92,9 @@
 	}
 }
 
+// Joined says whether the peer has shown who it is, now or before another came in its place.
+func (c *Conn) Joined() bool { return Standing(c.standing.Load()) >= Stale }
+
 // Send queues bytes for the peer. It never waits: a peer that leaves too much unread loses this connection.
 func (c *Conn) Send(p []byte) error {
 	c.mu.Lock()
@@ -118,8 +135,36 @@
 	return c.closed
 }
 
+// read reads once. As long as the peer is not known it must become so within the given time, whatever it sends
+// or doesn't: guards against peers that hold descriptors and memory and are nobody. A deadline that passed while
+// this process stood still is given one more read, and no second one: the peer may send without an end.
+func (c *Conn) read(space []byte, within time.Duration) (int, error) {
+	if c.Joined() || within <= 0 {
+		if within > 0 && !c.free {
+			c.free = true
+			c.nc.SetReadDeadline(time.Time{})
+		}
+		return c.nc.Read(space)
+	}
+	for {
+		if c.late {
+			if !c.asked.Load() {
+				return 0, ErrUnjoined
+			}
+			c.joinBy = time.Now().Add(within)
+		}
+		c.late = time.Now().After(c.joinBy)
+		n, err := read(c.nc, space, c.joinBy)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		c.late = true
+	}
+}
+
 // serve runs the connection until it ends and returns why. A panic of the machine ends this connection alone.
-func (c *Conn) serve(m Machine) (reason error) {
+func (c *Conn) serve(m Machine, joinWithin time.Duration) (reason error) {
+	c.joinBy = time.Now().Add(joinWithin)
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	defer func() {
@@ -137,7 +182,7 @@
 			c.Close(fmt.Errorf("line too long: %w", err))
 			return
 		}
-		n, err := c.nc.Read(space)
+		n, err := c.read(space, joinWithin)
 		c.in.Commit(n)
 		if n > 0 {
 			if fed := m.Feed(c.in); fed != nil {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mulleinwood/internal/transport/ring"
@@ -27,11 +28,13 @@
 // Buffers returns a budget for what connections hold beyond the little that each may hold in any case.
 func Buffers(most int64) *ring.Budget { return ring.NewBudget(most, strangerSize) }
 
-// Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory.
+// Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory. A
+// connection that is not known within Join of its accepting is closed; 0: it may stay.
 type Listener struct {
-	Most   int
+	Join   time.Duration
 	Memory *ring.Budget
 
+	most  atomic.Int64
 	ln    net.Listener
 	mu    sync.Mutex
 	conns map[uint64]*Conn
@@ -44,7 +47,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Most: most, Memory: memory, ln: ln, conns: map[uint64]*Conn{}}, nil
+	l := &Listener{Memory: memory, ln: ln, conns: map[uint64]*Conn{}}
+	l.SetMost(most)
+	return l, nil
+}
+
+// SetMost changes how many connections may be open from the next one on.
+func (l *Listener) SetMost(most int) { l.most.Store(int64(most)) }
+
+// full says whether no more connections may be open.
+func (l *Listener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(len(l.conns)) >= l.most.Load()
 }
 
 // Addr is the address that it listens on.
@@ -73,9 +88,9 @@
 			continue
 		}
 		c := newConn(nc, l.Memory)
-		for l.count() >= l.Most && l.shed() {
+		for l.full() && l.shed() {
 		}
-		if l.count() >= l.Most {
+		if l.full() {
 			h.Refused(nc.RemoteAddr().String())
 			nc.Close()
 			continue
@@ -84,7 +99,7 @@
 		l.conns[c.id] = c
 		l.mu.Unlock()
 		l.group.Go(func() {
-			reason := c.serve(h.Accepted(c))
+			reason := c.serve(h.Accepted(c), l.Join)
 			l.mu.Lock()
 			delete(l.conns, c.id)
 			l.mu.Unlock()
@@ -93,12 +108,6 @@
 	}
 }
 
-func (l *Listener) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
-
 // shed closes the connection that has shown least of itself, the oldest of those; never a known one. Guards
 // against strangers that connect and say nothing until no descriptor is left for a proxy.
 func (l *Listener) shed() bool {
--- a/internal/transport/ring/ring.go
+++ b/internal/transport/ring/ring.go
@@ -13,13 +13,20 @@
 // Budget bounds the memory of many buffers together. Buffers of several goroutines may share one. The first
 // bytes of each buffer are free, so that a few large buffers can't keep out the others.
 type Budget struct {
-	most int64
+	most atomic.Int64
 	free int
 	used atomic.Int64
 }
 
 // NewBudget returns a budget of most bytes beyond the free ones of each buffer.
-func NewBudget(most int64, free int) *Budget { return &Budget{most: most, free: free} }
+func NewBudget(most int64, free int) *Budget {
+	b := &Budget{free: free}
+	b.SetMost(most)
+	return b
+}
+
+// SetMost changes the bound. What is already held stays.
+func (b *Budget) SetMost(most int64) { b.most.Store(most) }
 
 // take books a buffer's change from one size to another; it says whether there was room for it.
 func (b *Budget) take(from, to int) bool {
@@ -27,7 +34,7 @@
 		return true
 	}
 	bytes := max(0, to-b.free) - max(0, from-b.free)
-	if b.used.Add(int64(bytes)) > b.most && bytes > 0 {
+	if b.used.Add(int64(bytes)) > b.most.Load() && bytes > 0 {
 		b.used.Add(int64(-bytes))
 		return false
 	}
--- a/rules/booking_test.go
+++ b/rules/booking_test.go
@@ -29,6 +29,7 @@
 func (p *proxy) ID() uint64  { return p.id }
 func (p *proxy) Close(error) {}
 func (p *proxy) Beat() error { return nil }
+func (p *proxy) Await()      {}
 func (p *proxy) Order(o protocol.Orders) error {
 	text, err := o.Append(nil)
 	for len(text) > 0 {
@@ -80,6 +81,8 @@
 
 func (noCalls) Watch(uint64, int64)                {}
 func (noCalls) Fetch(uint64)                       {}
+func (noCalls) Cancel(uint64)                      {}
+func (noCalls) Move(string)                        {}
 func (noCalls) Probe(rules.ServerID, string, bool) {}
 
 // TestBookedLines plays joins, departures, reports and changes of the list, and compares what the module booked
