Give back the numbers of servers that are removed and that nothing refers to

Seen: names.servers, names.ids and Controller.servers only grew; with 3,000 servers that come and go a test keeps all of them (3,000 remembered, numbers up to 2,999) and every loop of the module goes over them. Changed: routing notes which servers the list has dropped and, once no table in use, no shut-out and no probe refers to one, gives its number back and tells the module (rules.Forgotten). Where a dropped server may stay in use, only while proxies are here to tell.

--- a/internal/routing/lists.go
+++ b/internal/routing/lists.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"maps"
+	"slices"
+
 	"mulleinwood/internal/protocol"
 	"mulleinwood/rules"
 )
@@ -45,6 +48,7 @@
 	for _, m := range l.Members {
 		list.Servers = append(list.Servers, r.names.entry(m))
 	}
+	r.names.left(list)
 	r.revision = l.Revision
 	r.pending = append(r.pending, list)
 	if kind == rules.ListCached && len(l.Members) == 0 {
@@ -57,6 +61,23 @@
 	clear(r.waiting)
 }
 
+// retire gives back the numbers of servers that the list has dropped and nothing refers to: no table of a joined proxy,
+// no shut-out, no probe under way. It guards against memory and work that grow with all servers ever met, where new
+// ones come for good. A server that comes back later starts clean. Where a dropped server may stay in use, tables tell
+// whether it does, so there must be some.
+func (r *Router) retire() {
+	if r.set.Rules.DrainOnly && len(r.tables.joined) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.names.gone)) {
+		if !r.names.servers[id].probing && r.tables.forget(id) {
+			r.log.Info().Str("server", r.names.servers[id].name).Int("known", len(r.names.ids)-1).Msg("server forgotten")
+			r.names.giveBack(id)
+			r.pending = append(r.pending, rules.Forgotten{Server: id})
+		}
+	}
+}
+
 // callFailed tells the module that its call has ended, so that it asks again.
 func (r *Router) callFailed(e CallFailed) {
 	asked := true // by the module, which is told of a failure only then
--- a/internal/routing/names.go
+++ b/internal/routing/names.go
@@ -14,18 +14,20 @@
 }
 
 // names translates between the protocol's names and the module's numbers. A server keeps its number for as
-// long as the program runs, listed or not.
+// long as it is listed or anything refers to it; then the number is given back, and a later server may get it.
 type names struct {
 	zones, classes, kinds map[string]int
 	className             []string
 	loadFields            []string
 	ids                   map[string]rules.ServerID
-	servers               []serverInfo // by number
+	servers               []serverInfo            // by number
+	free                  []rules.ServerID        // numbers that were given back
+	gone                  map[rules.ServerID]bool // not listed any more, and not yet given back
 }
 
 func newNames(set settings.Settings) *names {
 	n := &names{zones: index(set.ZoneNames), kinds: index(set.KindNames), loadFields: set.LoadFields,
-		ids: map[string]rules.ServerID{}}
+		ids: map[string]rules.ServerID{}, gone: map[rules.ServerID]bool{}}
 	for _, c := range set.Rules.Classes {
 		n.className = append(n.className, c.Name)
 	}
@@ -44,14 +46,41 @@
 // server returns the number of a name, a new one for a name not met before.
 func (n *names) server(name string) rules.ServerID {
 	id, known := n.ids[name]
-	if !known {
+	if known {
+		return id
+	}
+	if last := len(n.free) - 1; last >= 0 {
+		id, n.free = n.free[last], n.free[:last]
+	} else {
 		id = rules.ServerID(len(n.servers))
-		n.ids[name] = id
-		n.servers = append(n.servers, serverInfo{name: name})
+		n.servers = append(n.servers, serverInfo{})
 	}
+	n.ids[name], n.servers[id] = id, serverInfo{name: name}
 	return id
 }
 
+// giveBack ends a name. Its number may be given to another from now on.
+func (n *names) giveBack(id rules.ServerID) {
+	delete(n.ids, n.servers[id].name)
+	delete(n.gone, id)
+	n.servers[id] = serverInfo{}
+	n.free = append(n.free, id)
+}
+
+// left notes which servers a list has dropped: those it calls gone and, where it is whole, those it doesn't name.
+func (n *names) left(list rules.List) {
+	if list.Kind != rules.ListChanges {
+		for _, id := range n.ids {
+			n.gone[id] = true
+		}
+	}
+	for _, s := range list.Servers {
+		if delete(n.gone, s.ID); s.State == rules.Gone {
+			n.gone[s.ID] = true
+		}
+	}
+}
+
 // entry translates an entry of the list. A zone or kind that the settings don't name gets the number after the
 // last, which the module is free to fold.
 func (n *names) entry(m protocol.Member) rules.Server {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -236,6 +236,7 @@
 		r.tables.flush(func(s *stream, err error) {
 			r.log.Warn().Int("proxy", int(s.proxy)).Err(err).Msg("orders not sent")
 		})
+		r.retire()
 	}
 	if len(r.timers) == 0 {
 		return 0, false, nil
--- a/internal/routing/tables.go
+++ b/internal/routing/tables.go
@@ -76,6 +76,28 @@
 	t.unbind(s)
 }
 
+// forget ends what is kept of a server, if no table that is in use holds it and no proxy has to shut it out. Tables of
+// proxies that are not here are sent whole before they are in use again.
+func (t *tables) forget(id rules.ServerID) bool {
+	if t.out[id] {
+		return false
+	}
+	for _, shut := range t.shut {
+		if shut[id] {
+			return false
+		}
+	}
+	for _, tab := range t.of {
+		if _, holds := tab.weights[id]; holds && len(tab.users) > 0 {
+			return false
+		}
+	}
+	for _, tab := range t.of {
+		delete(tab.weights, id)
+	}
+	return true
+}
+
 func (t *tables) unbind(s *stream) {
 	if s.bound {
 		tab := t.table(s.table)
--- a/rules/api.go
+++ b/rules/api.go
@@ -142,6 +142,8 @@
 	}
 	// Tick is a timer that fell due.
 	Tick struct{ Token uint32 }
+	// Forgotten says that a server is not listed any more and in no table: its number may name another from now on.
+	Forgotten struct{ Server ServerID }
 	// Probed is the result of one probe. Load holds the server's load report, if it sent one.
 	Probed struct {
 		Server  ServerID
@@ -185,14 +187,15 @@
 	}
 )
 
-func (List) event()   {}
-func (Tick) event()   {}
-func (Probed) event() {}
-func (Joined) event() {}
-func (Left) event()   {}
-func (Ack) event()    {}
-func (Heard) event()  {}
-func (Demand) event() {}
+func (List) event()      {}
+func (Tick) event()      {}
+func (Probed) event()    {}
+func (Forgotten) event() {}
+func (Joined) event()    {}
+func (Left) event()      {}
+func (Ack) event()       {}
+func (Heard) event()     {}
+func (Demand) event()    {}
 
 // Action is something a controller orders.
 type Action interface{ action() }
--- /dev/null
+++ b/rules/churn_test.go
@@ -0,0 +1,91 @@
+package rules_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/routing"
+	"mulleinwood/internal/settings"
+	"mulleinwood/rules"
+)
+
+// numbered is a module that notes the largest number of a server it was told.
+type numbered struct {
+	*rules.Controller
+	most rules.ServerID
+}
+
+func (n *numbered) Step(now float64, events []rules.Event) []rules.Action {
+	for _, e := range events {
+		if list, ok := e.(rules.List); ok {
+			for _, s := range list.Servers {
+				n.most = max(n.most, s.ID)
+			}
+		}
+	}
+	return n.Controller.Step(now, events)
+}
+
+// TestChurn plays thousands of servers that come and go under new names, while streams break and return. Guards against
+// memory, and work at each look, that grow with all servers ever met instead of those that live.
+func TestChurn(t *testing.T) {
+	for _, drainOnly := range []bool{false, true} {
+		const live, proxies = 12, 9
+		set := settings.Settings{ZoneNames: []string{"a", "b"}, Rules: rules.Settings{Instances: 1, Zones: 2, Proxies: proxies,
+			AskDiscovery: true, Admission: rules.AdmitShare, ReportPeriod: 1000, QueueLines: 3600, LinesPerSec: 2400, HeadLines: 3,
+			DrainGrace: 1500, Bare: 2500, ColdFor: 1000, StartCapacity: 0.2, FallMultiple: 2.5, FallAfter: 3000, DrainOnly: drainOnly,
+			Classes: []rules.Class{{Name: "view", Aim: 1000, Deadline: 4000, Worth: 1}}}}
+		entry := func(n int, phase string) protocol.Member {
+			return protocol.Member{ID: fmt.Sprint("s", n), Zone: set.ZoneNames[n%2], Phase: phase, Size: 1}
+		}
+		known := protocol.List{Revision: 1, Complete: true}
+		for n := range live {
+			known.Members = append(known.Members, entry(n, "up"))
+		}
+		module := &numbered{Controller: rules.New(set.Rules, 7)}
+		r := routing.New(set, module, noCalls{}, known, zerolog.Nop())
+		lines, bound := 0.0, false
+		streams := map[int]*proxy{}
+		r.Handle(routing.Said{Peer: &proxy{t: t, lines: &lines, bound: &bound}, Message: protocol.Heartbeat{}})
+		now, id := 50000.0, uint64(100)
+		turn := func(span float64) {
+			for end := now + span; now < end; now += 100 {
+				if _, _, err := r.Turn(now); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		turn(1000)
+		var watch uint64 = 1
+		most, mostLines := 0, 0
+		for n := live; n < 3000; n++ {
+			if at := n % proxies; n%3 == 0 { // its stream breaks, and another comes at once or later
+				if old := streams[at]; old != nil {
+					r.Handle(routing.Ended{Peer: old})
+					delete(streams, at)
+				} else {
+					id++
+					streams[at] = &proxy{t: t, id: id, lines: &lines, fresh: true, again: true, bound: &bound}
+					r.Handle(routing.Said{Peer: streams[at], Message: protocol.Attach{Proxy: at, Zone: set.ZoneNames[at%2], Weight: 3}})
+				}
+			}
+			r.Handle(routing.Listed{Call: watch, List: protocol.List{Revision: int64(n), Members: []protocol.Member{entry(n, "up"),
+				entry(n-live, "draining")}}})
+			turn(300)
+			gone := entry(n-live, "removed")
+			r.Handle(routing.Listed{Call: watch, List: protocol.List{Revision: int64(n), Members: []protocol.Member{gone}}})
+			turn(300)
+			servers, held := module.Remembered()
+			most, mostLines = max(most, servers), max(mostLines, held)
+		}
+		if most > 3*live || int(module.most) > 3*live {
+			t.Errorf("drain only %t: of %d servers that live, %d were remembered and numbers went up to %d", drainOnly, live, most, module.most)
+		}
+		if mostLines > proxies*3*live || lines == 0 {
+			t.Errorf("drain only %t: %d lines of tables were kept, %v were ordered", drainOnly, mostLines, lines)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -132,6 +132,8 @@
 			}
 		case Heard:
 			c.heard(e)
+		case Forgotten:
+			c.forget(e.Server)
 		case Demand:
 			c.demand(e)
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -108,6 +108,15 @@
 	logged                        int
 }
 
+// forget drops all that is remembered of a server.
+func (c *Controller) forget(id ServerID) {
+	delete(c.server, id)
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool { return s.ID == id })
+	for _, p := range c.proxies {
+		p.lines = slices.DeleteFunc(p.lines, func(l line) bool { return l.s.ID == id })
+	}
+}
+
 // log adds a line to the operators' log.
 func (c *Controller) log(format string, args ...any) {
 	if c.logged++; c.logged <= logMost {
