Admission: idle time by the work that is let in, and demand that fades in silence

Checked with a trace of each look's figures: c.base, the least median answer ever, fell from 200 to 90 ms as the heaviest class was refused (the rest is answered sooner), so pressure stayed at 0.7 to 1.0; and the believed demand was a quarter over what passed (54 requests a second by usage reports, 43 by the servers'): a proxy with a request a second reports a class only when it was asked for, and its last report, mostly of a burst, was held until the next. Each look under pressure then held a limit near what was answered against an offer 25% too large, refused the difference, and answered less. By work, the idle time is flat: 200 ms at a mean aim of 1082, 99 at 562. Lines at fault: rules.go, admission (c.base) and targets (c.demands).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -34,6 +34,7 @@
 	coldSafety = 0.6    // of the cold budget that we plan to use
 	zoneSlack  = 0.15   // a zone may take this much over its even share before it spills to others
 	demandTime = 1500.0 // time over which the demand of a class at a proxy is averaged
+	silentFor  = 2.0    // report periods without a report of a class, from which on its demand fades
 	usualTime  = 4000.0 // and the usual rate of a proxy
 
 	lookTime    = 100.0   // between two looks at everything
@@ -208,7 +209,7 @@
 func (c *Controller) join(e Joined) {
 	p, n := c.proxy[e.Proxy], len(c.set.Classes)
 	if p == nil {
-		p = &proxy{id: e.Proxy, usual: e.Rate, demand: make([]float64, n)}
+		p = &proxy{id: e.Proxy, usual: e.Rate, demand: make([]float64, n), told: make([]float64, n)}
 		p.levels = slices.Repeat([]float64{-1}, n) // none ordered yet
 		c.proxy[e.Proxy], c.proxies = p, append(c.proxies, p)
 		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
@@ -250,6 +251,7 @@
 	if p == nil || e.Class >= len(p.demand) || e.Period <= 0 {
 		return
 	}
+	p.told[e.Class] = c.now
 	p.demand[e.Class] += (1 - math.Exp(-e.Period/demandTime)) * (e.Requests/e.Period*1000 - p.demand[e.Class])
 	step := (1 - math.Exp(-e.Period/usualTime)) / float64(len(p.demand))
 	p.usual *= 1 - step
@@ -474,15 +476,17 @@
 	if c.fleet.tries < 1 || requests < 1e-9 {
 		return
 	}
-	aim, latency := worth/aims, c.latency()
+	// The idle time goes by the work let in: once the heavy requests are refused, answers come sooner.
+	aim, latency, work := worth/aims, c.latency(), admitted/requests
 	if latency > 0 && c.filled > filledEnough {
-		c.base = min(c.base, latency)
+		c.base = min(c.base, latency/work)
 	}
-	c.pressure = c.fleet.failed/c.fleet.tries + latency/(baseShare*min(c.base, aimShare*aim)+waitShare*aim)
+	idle := min(c.base*work, aimShare*aim)
+	c.pressure = c.fleet.failed/c.fleet.tries + latency/(baseShare*idle+waitShare*aim)
 	// Work answered a second, in units of the aims, which are all that is known of a class's work.
 	decay := math.Exp(-span / fleetTime)
 	c.filled = 1 - (1-c.filled)*decay // corrects the average of a controller that just started
-	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * admitted / requests
+	answered := c.fleet.answered * (1 - decay) / c.filled * 1000 / span * work
 	c.able = max(answered/max(1e-9, c.listed), c.able*math.Pow(ableDecay, span/1000))
 	able := c.able * c.listed
 	c.limit = max(c.limit*math.Pow(limitGrow, span/1000), able*roomLeast)
@@ -540,8 +544,9 @@
 	c.joined, c.usual = 0, 1e-3
 	for _, p := range c.proxies {
 		if p.joined {
-			for k, d := range p.demand {
-				c.demands[k] += d
+			for k, d := range p.demand { // what is not asked for is not reported
+				silent := max(0, c.now-p.told[k]-silentFor*c.set.ReportPeriod)
+				c.demands[k] += d * math.Exp(-silent/demandTime)
 			}
 			c.joined++
 			c.usual += p.usual + 1e-3
--- a/rules/state.go
+++ b/rules/state.go
@@ -52,6 +52,7 @@
 	joined, bound bool
 	usual         float64   // requests a second
 	demand        []float64 // the same by class, lately
+	told          []float64 // when it was last heard, by class
 	lines         []line
 	have          float64   // lines that are wanted
 	levels        []float64 // by class, as ordered so far
@@ -96,7 +97,7 @@
 	fleet                         tally   // recent answers of all servers, decayed
 	filled                        float64 // how far that has filled since the start
 	pressure                      float64 // how late answers come; 1 is the most that is wanted
-	base                          float64 // least answer time met so far
+	base                          float64 // least answer time met so far, for the work of a request
 	listed                        float64 // weight that the list shows ready, less for cold servers
 	able                          float64 // most work a second lately answered, for each weight listed
 	limit                         float64 // work a second that may come in
