Let three looks in a row tell the idle answer time, and bound the module's log by the minute

Now the longest of three looks in a row counts. The module's log stopped after 150 lines for good; it is 150 a minute now.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,6 +51,7 @@
 	aimShare     = 0.5    // of the aim: the idle answer time is taken to be no longer
 	baseShare    = 1.1    // of the idle answer time that is wanted at most, plus
 	waitShare    = 0.08   // of the aim, for waiting
+	idleLooks    = 3      // looks in a row that tell the idle answer time: answers and their work come apart
 	filledEnough = 0.9    // of that average before it tells the idle answer time
 	fleetTime    = 1000   // time over which the fleet's answers are averaged
 	ableDecay    = 0.98   // what is left after a step of the most that the fleet answered
@@ -83,7 +84,8 @@
 	urgentShare   = 0.8    // and urgent ones
 	askAgain      = 8000.0 // when discovery does not answer at all
 	askPause      = 800.0  // before discovery is asked again, plus as much by chance
-	logMost       = 150    // lines of log from one controller
+	logMost       = 150    // lines of log from one controller within
+	logSpan       = 60000.0
 )
 
 // Safe repeats: guards the rule that nothing takes effect twice. Proxies try again only after proof that the
@@ -370,10 +372,9 @@
 	return s.Weight * factor
 }
 
-// shares fixes each server's part of the traffic of all proxies.
-// Cold budget: guards the rule that a started server is never pushed over by all proxies together. Its share
-// stays under what it can do if the whole fleet ran full, so that planners need not agree. Last line: guards
-// the rule that no proxy is left without a server. If none is usable, all ready ones count, doubted or not.
+// shares fixes each server's part of all traffic. Cold budget: guards the rule that a started server is never
+// pushed over. Its share stays under what it can do if the whole fleet ran full, so planners need not agree.
+// Last line: no proxy is left without a server; if none is usable, all ready ones count, doubted or not.
 func (c *Controller) shares() {
 	var ready, usable, total, warm, cold float64 // servers; weight of all and the warm, share of the cold
 	c.listed, c.usable, c.fit = 0, 0, 1
@@ -479,7 +480,8 @@
 	// The idle time goes by the work let in: once the heavy requests are refused, answers come sooner.
 	aim, latency, work := worth/aims, c.latency(), admitted/requests
 	if latency > 0 && c.filled > filledEnough {
-		c.base = min(c.base, latency/work)
+		c.idle = append(c.idle, latency/work)[max(0, len(c.idle)+1-idleLooks):]
+		c.base = min(c.base, slices.Max(c.idle))
 	}
 	idle := min(c.base*work, aimShare*aim)
 	c.pressure = c.fleet.failed/c.fleet.tries + latency/(baseShare*idle+waitShare*aim)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -870,3 +870,18 @@
 		}
 	}
 }
+
+// A planner that serves for days has things to say on the second one too.
+func TestLogIsBoundedByTheMinute(t *testing.T) {
+	f := newFleet(t, settings(), fourServers()...)
+	for range 2 {
+		f.c.out = nil
+		for range 2 * logMost {
+			f.c.log("line")
+		}
+		if n := count[Log](f.c.out); n != logMost {
+			t.Errorf("%d lines in a minute", n)
+		}
+		f.c.now += 2 * logSpan
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -94,19 +94,21 @@
 	watching                      bool
 	askAt                         float64
 	nextLook, nextRound, lastShed float64
-	fleet                         tally   // recent answers of all servers, decayed
-	filled                        float64 // how far that has filled since the start
-	pressure                      float64 // how late answers come; 1 is the most that is wanted
-	base                          float64 // least answer time met so far, for the work of a request
-	listed                        float64 // weight that the list shows ready, less for cold servers
-	able                          float64 // most work a second lately answered, for each weight listed
-	limit                         float64 // work a second that may come in
-	shed                          float64 // share of the offered work that is refused
-	fit                           float64 // share of the demand that cold servers leave room for
-	queue, pace                   float64 // lines thought to wait, and that ordinary orders may use
-	drained                       float64 // when both were last brought up to date
+	fleet                         tally     // recent answers of all servers, decayed
+	filled                        float64   // how far that has filled since the start
+	pressure                      float64   // how late answers come; 1 is the most that is wanted
+	idle                          []float64 // lately, answer times for the work of a request
+	base                          float64   // least answer time met so far, for the work of a request
+	listed                        float64   // weight that the list shows ready, less for cold servers
+	able                          float64   // most work a second lately answered, for each weight listed
+	limit                         float64   // work a second that may come in
+	shed                          float64   // share of the offered work that is refused
+	fit                           float64   // share of the demand that cold servers leave room for
+	queue, pace                   float64   // lines thought to wait, and that ordinary orders may use
+	drained                       float64   // when both were last brought up to date
 	token                         uint32
 	logged                        int
+	logFrom                       float64 // since when they are counted
 }
 
 // forget drops all that is remembered of a server.
@@ -118,8 +120,11 @@
 	}
 }
 
-// log adds a line to the operators' log.
+// log adds a line to the operators' log. What goes over its bound is left out, for a while and not for good.
 func (c *Controller) log(format string, args ...any) {
+	if c.now-c.logFrom > logSpan {
+		c.logFrom, c.logged = c.now, 0
+	}
 	if c.logged++; c.logged <= logMost {
 		c.out = append(c.out, Log{Text: fmt.Sprintf(format, args...)})
 	}
