--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -31,6 +31,10 @@
 			e.c.Fall()
 		case "word":
 			e.c.Rise(Stranger)
+		case "owe":
+			e.c.Owe(true)
+		case "paid":
+			e.c.Owe(false)
 		case "flood":
 			for e.c.Send(make([]byte, 64<<10)) == nil {
 			}
@@ -262,3 +266,42 @@
 		g.says("still here")
 	}
 }
+
+// TestJoining guards against peers that hold a descriptor and are nobody: silent, talking or never ending, each is closed
+// when its time is over. Who has joined stays, and so does who is owed an answer, until it has it.
+func TestJoining(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 20, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Join = 100 * time.Millisecond
+	h := &hall{ended: map[uint64]error{}, more: make(chan struct{}, 1000)}
+	address := serve(t, l, h)
+	known, owed := dial(t, address), dial(t, address)
+	known.says("hello")
+	owed.says("owe")
+	silent, talker, endless := dial(t, address), dial(t, address), dial(t, address)
+	talker.says("word")
+	go func() {
+		for err := error(nil); err == nil; _, err = io.WriteString(endless.nc, "word\n") {
+		}
+	}()
+	go io.Copy(io.Discard, endless.nc)
+	for range 3 {
+		if err := h.end(); !errors.Is(err, ErrUnjoined) {
+			t.Errorf("ended by %v", err)
+		}
+	}
+	for name, g := range map[string]*guest{"silent": silent, "talker": talker} {
+		if !g.closed() {
+			t.Errorf("the %s one stays", name)
+		}
+	}
+	known.says("still here")
+	owed.says("still here")
+	owed.says("paid")
+	if !owed.closed() {
+		t.Error("one that has its answer and has not joined stays")
+	}
+	known.says("still here")
+}
