--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,7 +24,6 @@
 	factorHigh = 1.5   // largest factor
 	deadBand   = 0.1   // a mean error within this leaves weight and sum alone
 	approach   = 0.15  // of the way that a round goes to the computed factor; the whole way swings
-	failStep   = 0.5   // of that way where a server fails though it is not slow
 	errorsKept = 3     // rounds over which a server's error is averaged
 	roundTime  = 2500.0
 	coverage   = 0.6     // share of the usable servers that must have been heard
@@ -315,14 +314,10 @@
 			if s.speed() > 0 {
 				e = s.speed()*n/speeds - 1
 			}
-			step := approach
 			if s.round.tries > 0 && rates > 0 && s.round.rate()*m < rates { // the failure clamp
-				if failing := s.round.rate()*m/rates - 1; e > -deadBand && failing < -deadBand {
-					step = failStep // as fast as others, so it is not load that it fails under
-				}
 				e = min(e, s.round.rate()*m/rates-1)
 			}
-			s.learn(e, step)
+			s.learn(e)
 		}
 		s.round = tally{}
 		clear(s.zones)
@@ -330,7 +325,7 @@
 }
 
 // learn takes the error of one round into the factor.
-func (s *server) learn(e, step float64) {
+func (s *server) learn(e float64) {
 	s.errors = append(s.errors, e)
 	s.errors = s.errors[max(0, len(s.errors)-errorsKept):]
 	mean := 0.0
@@ -339,7 +334,7 @@
 	}
 	if math.Abs(mean) > deadBand {
 		s.sum = max(-sumCap, min(sumCap, s.sum*(1-tDecay/tI)+mean))
-		s.factor += step * (max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum)) - s.factor)
+		s.factor += approach * (max(factorLow, min(factorHigh, 1+kP*mean+kP/tI*s.sum)) - s.factor)
 	}
 }
 
