Give the program sub-commands and strict settings of its own in JSON with comments

Need: several cores, and every direction after it, are turned on in a file of the program's own and tried by commands. Change: kong for sub-commands (serve stays what a call without arguments does), hujson for deploy/mulleinwood.jsonc, a strict reader that names file, line, column and range; config check, config show with the origin of each value, version.

--- /dev/null
+++ b/internal/options/options.go
@@ -0,0 +1,58 @@
+// Package options holds the program's own settings: what the platform's configuration doesn't speak of. They stand in a
+// file of JSON with comments, are strict, and each is safe on the platform if the file says nothing of it.
+package options
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+)
+
+// DefaultFile is read if no other is named. It may be missing.
+const DefaultFile = "deploy/mulleinwood.jsonc"
+
+// Options are the program's own settings.
+type Options struct {
+	Cores Cores `json:"cores"`
+}
+
+// Cores say how one planner uses several cores.
+type Cores struct {
+	// Count is how many cores decide. What the platform grants (limits.cores) cuts it.
+	Count int `json:"count" least:"1" most:"64"`
+	// ConfirmMS is how long a core may take to confirm a change of the list, in milliseconds; 0: a quarter of the grace.
+	ConfirmMS float64 `json:"confirm_ms" least:"0" most:"60000"`
+	// MovesPerS is how many proxies a second may be moved to even out the cores; 0: none.
+	MovesPerS int `json:"moves_per_s" least:"0" most:"1000"`
+	// RestMS is how long a core that stalled or crashed is left out, in milliseconds; doubled each time.
+	RestMS float64 `json:"rest_ms" least:"100" most:"3600000"`
+}
+
+// Default is what holds where nothing is said.
+func Default() Options {
+	return Options{Cores: Cores{Count: 1, MovesPerS: 8, RestMS: 10000}}
+}
+
+// Loaded are options and where each value came from.
+type Loaded struct {
+	Options
+	File   string            // that was read; "": none
+	Origin map[string]string // by path, as in "cores.count"; what is missing has its default
+}
+
+// Load reads a file. A missing one is an error only if it was named.
+func Load(file string, named bool) (Loaded, error) {
+	text, err := os.ReadFile(file)
+	if errors.Is(err, fs.ErrNotExist) && !named {
+		return Loaded{Options: Default(), Origin: map[string]string{}}, nil
+	}
+	if err != nil {
+		return Loaded{}, fmt.Errorf("settings: %w", err)
+	}
+	l := Loaded{Options: Default(), File: file, Origin: map[string]string{}}
+	if err := decode(file, text, &l.Options, l.Origin); err != nil {
+		return Loaded{}, err
+	}
+	return l, nil
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"strconv"
 
+	"mulleinwood/internal/options"
 	"mulleinwood/internal/protocol"
 	"mulleinwood/internal/settings"
 )
@@ -33,6 +34,7 @@
 	Limits    Limits
 	Known     protocol.List
 	Settings  settings.Settings
+	Own       options.Options // the program's own settings, beside the platform's
 
 	getenv func(string) string
 	stated addresses // in the file, whatever the variables say
@@ -94,6 +96,17 @@
 	return c, nil
 }
 
+// CheckConfig says what is wrong with a configuration file, whatever the variables say.
+func CheckConfig(file string) error {
+	_, err := LoadConfig(func(name string) string {
+		if name == envConfig {
+			return file
+		}
+		return ""
+	})
+	return err
+}
+
 // Reload reads the configuration again, as it stands now. Discovery's address is taken from the file if the file says
 // something else of it than when it was read before: what an operator has changed since the start wins over a variable,
 // which can't change. Otherwise it stays. The second result names the entries that differ and need a new start.
