Divide one planner among several cores: a desk decides, a host carries out

Need: one goroutine owns the router and the module, so a large planner is bounded by one core. Change: internal/cores decides who has which proxy, deals the channel, finds late cores, shares probes; it knows no clock and no socket. internal/program runs a router and a module for each core, and takes a core's streams from outside by leases. One core takes the path that it took before. Discovery's calls moved into routing.Follower, which both use.

--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -96,9 +96,17 @@
 	c.ask(call, request, answer)
 }
 
-// Probe asks a server for its health. It has failed if its connection doesn't come up in the time that the
-// settings give a connection, or the answer doesn't come within as long again.
+// Probe implements routing.Calls.
 func (c *calls) Probe(server rules.ServerID, address string, load bool) {
+	c.probe(address, load, func(result routing.Probed) {
+		result.Server = server
+		c.post(result)
+	})
+}
+
+// probe asks a server for its health. It has failed if its connection doesn't come up in the time that the
+// settings give a connection, or the answer doesn't come within as long again.
+func (c *calls) probe(address string, load bool, then func(routing.Probed)) {
 	c.group.Go(func() {
 		select {
 		case c.probes <- struct{}{}:
@@ -114,7 +122,7 @@
 		if errors.Is(err, context.Canceled) {
 			return
 		}
-		c.post(routing.Probed{Server: server, Elapsed: time.Since(begun), Load: answer.Load,
+		then(routing.Probed{Elapsed: time.Since(begun), Load: answer.Load,
 			OK:      err == nil && answer.Status == http.StatusOK,
 			Refused: err == nil && answer.Status == http.StatusServiceUnavailable})
 	})
--- /dev/null
+++ b/internal/program/core.go
@@ -0,0 +1,161 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/cores"
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/routing"
+	"mulleinwood/internal/settings"
+	"mulleinwood/rules"
+)
+
+// sharer is a module that can share a planner with others.
+type sharer interface {
+	routing.Stepper
+	Mine() (own rules.Part, waiting float64)
+}
+
+// coreRun is one life of a core: a goroutine that owns a router and its module.
+type coreRun struct {
+	index, life int
+	in          *inbox
+	word        atomic.Pointer[cores.Word] // after its last look, until the host has taken it
+	end         context.CancelFunc
+	over        chan struct{} // closed when the goroutine has ended
+}
+
+// begin starts a life with the whole list as of the epoch. Died is told once it ends before its context does.
+func beginCore(ctx context.Context, index, life int, set settings.Settings, module sharer, calls routing.Calls,
+	known protocol.List, epoch uint64, now func() float64, log zerolog.Logger, died func(error)) *coreRun {
+	ctx, end := context.WithCancel(ctx)
+	c := &coreRun{index: index, life: life, in: newInbox(), end: end, over: make(chan struct{})}
+	router := routing.NewFed(set, module, calls, known, epoch, log)
+	go func() {
+		defer close(c.over)
+		defer end()
+		died(c.run(ctx, router, module, now, set.Granularity))
+	}()
+	return c
+}
+
+// run takes turns until the context ends, or the module panics.
+func (c *coreRun) run(ctx context.Context, router *routing.Router, module sharer, now func() float64, granularity float64) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	var orders, reports []routing.Event
+	looks := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-alarm.C:
+		case <-c.in.wake:
+		}
+		orders, reports = c.in.take(orders, reports)
+		for _, e := range orders {
+			router.Handle(e)
+		}
+		for _, e := range reports {
+			router.Handle(e)
+		}
+		next, wants, err := router.Turn(onGrid(now(), granularity))
+		if err != nil {
+			return err
+		}
+		if p := router.Progress(); p.Looks != looks {
+			looks = p.Looks
+			own, waiting := module.Mine()
+			c.word.Store(&cores.Word{Seen: p.Seen, Done: p.Done, Share: p.Share, Waiting: waiting,
+				Joined: own.Joined, Usual: own.Usual, Demands: own.Demands})
+		}
+		if wants {
+			alarm.Reset(time.Duration((next - now()) * float64(time.Millisecond)))
+		} else {
+			alarm.Stop()
+		}
+	}
+}
+
+// coreCalls are a core's questions to others. Discovery is followed for it; probes are shared.
+type coreCalls struct {
+	core   func() *coreRun
+	probes *sharedProbes
+}
+
+func (coreCalls) Watch(uint64, int64) {}
+func (coreCalls) Fetch(uint64)        {}
+func (coreCalls) Cancel(uint64)       {}
+func (coreCalls) Move(string)         {}
+
+// Probe implements routing.Calls.
+func (c coreCalls) Probe(server rules.ServerID, address string, load bool) {
+	c.probes.ask(c.core(), server, address, load)
+}
+
+// sharedProbes makes each probe once for all cores that want it.
+type sharedProbes struct {
+	now   func() float64
+	probe func(address string, load bool, then func(routing.Probed))
+
+	mu   sync.Mutex
+	desk cores.Probes
+	asks map[string]map[int]ask // by address, then core
+	last map[string]routing.Probed
+}
+
+// ask is a core's wish for an answer.
+type ask struct {
+	core   *coreRun
+	server rules.ServerID
+}
+
+func (p *sharedProbes) ask(core *coreRun, server rules.ServerID, address string, load bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asks[address] == nil {
+		p.asks[address] = map[int]ask{}
+	}
+	p.asks[address][core.index] = ask{core, server}
+	start, again := p.desk.Ask(p.now(), address, core.index)
+	if again {
+		p.tell(address, core.index, p.last[address])
+	}
+	if start {
+		p.probe(address, load, func(result routing.Probed) { p.answered(address, result) })
+	}
+}
+
+func (p *sharedProbes) answered(address string, result routing.Probed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last[address] = result
+	for _, core := range p.desk.Answered(address) {
+		p.tell(address, core, result)
+	}
+	for known := range p.last {
+		if !p.desk.Known(known) {
+			delete(p.last, known)
+			delete(p.asks, known)
+		}
+	}
+}
+
+// tell gives a core the answer under its own number for the server.
+func (p *sharedProbes) tell(address string, core int, result routing.Probed) {
+	a := p.asks[address][core]
+	result.Server = a.server
+	a.core.in.order(result)
+}
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -26,6 +26,7 @@
 	ended     chan error
 	reloads   chan os.Signal
 	close     []func()
+	wrap      func(core, life int, module sharer) sharer
 }
 
 // patience is how long anything may take before a test calls it hung.
@@ -63,10 +64,11 @@
 	f.cancel = cancel
 	address := make(chan string, 1)
 	go func() {
+		modules := func(core, life int) sharer { return alone{module} }
 		if module == nil {
-			module = rules.New(c.Settings.Rules, c.Seed)
+			modules = f.modules(c)
 		}
-		f.ended <- run(ctx, c, module, zerolog.New(testLog{t}), f.reloads, func(a string) { address <- a })
+		f.ended <- run(ctx, c, modules, zerolog.New(testLog{t}), f.reloads, func(a string) { address <- a })
 	}()
 	select {
 	case f.planner = <-address:
@@ -76,6 +78,22 @@
 	return f
 }
 
+// modules makes the modules of the program itself, each wrapped where the test wants that.
+func (f *fleet) modules(c Config) func(core, life int) sharer {
+	return func(core, life int) sharer {
+		module := sharer(rules.New(c.Settings.Rules, c.Seed+uint64(core)))
+		if f.wrap != nil {
+			module = f.wrap(core, life, module)
+		}
+		return module
+	}
+}
+
+// alone is a module that shares its planner with nobody.
+type alone struct{ stepper }
+
+func (alone) Mine() (rules.Part, float64) { return rules.Part{}, 0 }
+
 // stepper is a module.
 type stepper interface {
 	Step(now float64, events []rules.Event) []rules.Action
--- /dev/null
+++ b/internal/program/lease.go
@@ -0,0 +1,70 @@
+package program
+
+import (
+	"errors"
+	"sync"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/routing"
+)
+
+// errRevoked is what a core gets that orders on a stream which another has by now.
+var errRevoked = errors.New("the proxy is another core's by now")
+
+// tagShift is where in a mark on the wire the lease's tag begins: the module's marks have 16 bits.
+const tagShift = 16
+
+// lease is a core's right to order on a proxy's stream. It is taken from outside, whatever the core is doing: once revoke
+// has returned, no order of that core can follow on the stream.
+type lease struct {
+	routing.Peer
+	proxy int
+	core  *coreRun
+	tag   uint16 // of the stream's leases, in order: an answer to a former one's mark is told by it
+
+	mu      sync.Mutex
+	revoked bool
+	shut    map[string]bool // servers that the proxy was told to shut out
+}
+
+// Order implements routing.Peer. The mark carries the tag.
+func (l *lease) Order(o protocol.Orders) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.revoked {
+		return errRevoked
+	}
+	for _, name := range o.Drop {
+		l.shut[name] = true
+	}
+	for _, name := range o.Undrop {
+		delete(l.shut, name)
+	}
+	if o.Stamp != nil {
+		stamp := *o.Stamp | uint32(l.tag)<<tagShift
+		o.Stamp = &stamp
+	}
+	return l.Peer.Order(o)
+}
+
+// revoke ends the lease.
+func (l *lease) revoke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revoked = true
+}
+
+// next returns a lease of the same proxy for another core or stream, which must be revoked first.
+func (l *lease) next(peer routing.Peer, proxy int, to *coreRun) *lease {
+	if l == nil {
+		return &lease{Peer: peer, proxy: proxy, core: to, shut: map[string]bool{}}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &lease{Peer: peer, proxy: proxy, core: to, tag: l.tag + 1, shut: l.shut}
+}
+
+// own returns a mark as the core knows it, if it is one of this lease.
+func (l *lease) own(mark uint32) (uint32, bool) {
+	return mark & (1<<tagShift - 1), uint16(mark>>tagShift) == l.tag
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,15 +35,22 @@
 
 // Run serves until ctx ends, which is no error. At each signal of reloads it reads the configuration again.
 func Run(ctx context.Context, c Config, log zerolog.Logger, reloads <-chan os.Signal) error {
-	return run(ctx, c, rules.New(c.Settings.Rules, c.Seed), log, reloads, nil)
+	return run(ctx, c, func(core, life int) sharer {
+		return rules.New(c.Settings.Rules, c.Seed+uint64(core)+uint64(life-1)<<32)
+	}, log, reloads, nil)
 }
 
-// run is Run with a module of the caller's and, if ready is set, a word on the address once it is open.
-func run(ctx context.Context, c Config, module routing.Stepper, log zerolog.Logger, reloads <-chan os.Signal,
+// run is Run with modules of the caller's, one for each life of each core, and, if ready is set, a word on the address
+// once it is open.
+func run(ctx context.Context, c Config, module func(core, life int) sharer, log zerolog.Logger, reloads <-chan os.Signal,
 	ready func(string)) error {
 	c.Limits.apply()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	n, cut := coreCount(c)
+	if cut != "" {
+		log.Warn().Int("cores", n).Int("set", c.Own.Cores.Count).Str("by", cut).Msg("fewer cores than set")
+	}
 	events := make(chan routing.Event, eventsMost)
 	post := func(e routing.Event) {
 		select {
@@ -54,7 +62,15 @@
 	bounded := log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod})
 	asks := &calls{ctx: ctx, discovery: c.Discovery, connect: c.Settings.ConnectMost, post: post, group: &group,
 		probes: make(chan struct{}, probesMost), log: bounded, ends: map[uint64]context.CancelFunc{}}
-	router := routing.New(c.Settings, module, asks, c.Known, bounded)
+	var decide func() error
+	if n == 1 {
+		router := routing.New(c.Settings, module(0, 1), asks, c.Known, bounded)
+		decide = func() error { return loop(ctx, router, events, c.Settings.Granularity) }
+	} else {
+		h := newHost(ctx, c, n, asks, module, bounded)
+		post, asks.post = h.post, h.post
+		decide = h.run
+	}
 
 	listener, err := transport.Listen(c.Listen, connections(c.Limits.Sockets), transport.Buffers(buffers(c.Limits.MemoryMB)))
 	if err != nil {
@@ -62,7 +78,7 @@
 	}
 	listener.Join = joinWithin
 	log.Info().Str("name", c.Name).Stringer("listen", listener.Addr()).Str("discovery", c.Discovery).
-		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Msg("planner starts")
+		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Int("cores", n).Msg("planner starts")
 	served := make(chan error, 1)
 	group.Go(func() {
 		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded,
@@ -75,7 +91,7 @@
 	if ready != nil {
 		ready(listener.Addr().String())
 	}
-	err = loop(ctx, router, events, c.Settings.Granularity)
+	err = decide()
 	cancel()
 	group.Wait()
 	if serveErr := <-served; err == nil && serveErr != nil {
@@ -132,3 +148,9 @@
 var _ transport.Handler = (*peers)(nil)
 var _ routing.Calls = (*calls)(nil)
 var _ routing.Peer = linePeer{}
+
+// firstLine is a text without what follows its first line.
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -57,6 +57,19 @@
 	}
 	// Moved says that discovery has another address.
 	Moved struct{ Discovery string }
+	// Told is a list, or changes of it, from the host that follows discovery for several routers. Epochs count them.
+	Told struct {
+		List  protocol.List
+		Epoch uint64
+	}
+	// Handed is a joined proxy whose stream another router had. Shut are the servers that it was told to shut out.
+	Handed struct {
+		Peer   Peer
+		Attach protocol.Attach
+		Shut   []string
+	}
+	// Dealt says what of the planner is this router's, where several share one.
+	Dealt struct{ Part rules.Part }
 	// Probed is the end of a probe.
 	Probed struct {
 		Server  rules.ServerID
@@ -74,3 +87,6 @@
 func (CallFailed) event() {}
 func (Moved) event()      {}
 func (Probed) event()     {}
+func (Told) event()       {}
+func (Handed) event()     {}
+func (Dealt) event()      {}
--- /dev/null
+++ b/internal/routing/fed.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"github.com/rs/zerolog"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/settings"
+	"mulleinwood/rules"
+)
+
+// fed is what a router keeps that is one of several of a planner: a host follows discovery for all of them and must know
+// how far each has come.
+type fed struct {
+	on           bool
+	told         uint64 // the newest epoch of the list that was told
+	seen, done   uint64 // see Progress
+	dealt, share float64
+	looks        uint64
+	leaving      map[rules.ServerID]bool // servers that may not stay in tables, and may be in one
+}
+
+// Progress is how far a router that is fed has come.
+type Progress struct {
+	Looks uint64  // of its module, so far
+	Seen  uint64  // the newest epoch of the list that its module has looked at
+	Done  uint64  // the newest epoch that no table of its joined proxies contradicts
+	Share float64 // of the channel, that its module worked with in its last look
+}
+
+// NewFed returns a router that asks discovery nothing: the host tells it the list, of which known is the whole as of the
+// epoch, and which proxies it has.
+func NewFed(set settings.Settings, module Stepper, calls Calls, known protocol.List, epoch uint64, log zerolog.Logger) *Router {
+	set.Rules.AskDiscovery = false // the module need not ask
+	r := New(set, module, calls, known, log)
+	r.timers = nil // nor the router
+	r.fed = fed{on: true, told: epoch, leaving: map[rules.ServerID]bool{}, dealt: 1}
+	return r
+}
+
+// Progress is how far the router has come. Tables are looked through for it, so it is for once a look.
+func (r *Router) Progress() Progress {
+	return Progress{Looks: r.fed.looks, Seen: r.fed.seen, Done: r.fed.done, Share: r.fed.share}
+}
+
+func (r *Router) told(e Told) {
+	r.take(e.List)
+	r.fed.told = e.Epoch
+	for _, m := range e.List.Members {
+		id, known := r.names.ids[m.ID]
+		delete(r.fed.leaving, id)
+		if known && (m.Phase == protocol.PhaseDraining || m.Phase != protocol.PhaseUp && !r.set.Rules.DrainOnly) {
+			r.fed.leaving[id] = true
+		}
+	}
+	if e.List.Complete && !r.set.Rules.DrainOnly {
+		for id := range r.names.gone {
+			r.fed.leaving[id] = true
+		}
+	}
+}
+
+// handed takes in a proxy whose stream another router had. It may hold that one's table and what that one shut out.
+func (r *Router) handed(e Handed) {
+	r.attach(e.Peer, e.Attach)
+	s := r.streams[e.Peer.ID()]
+	if s == nil {
+		return
+	}
+	delete(r.tables.shut, s.proxy) // of an earlier stay here
+	for _, name := range e.Shut {
+		if r.tables.shut[s.proxy] == nil {
+			r.tables.shut[s.proxy] = map[rules.ServerID]bool{}
+		}
+		id, known := r.names.ids[name]
+		if !known { // not listed now; its number is given back once the proxy was told to let it in
+			id = r.names.server(name)
+			r.names.gone[id] = true
+		}
+		r.tables.shut[s.proxy][id] = true
+	}
+}
+
+// look notes that the module was asked and, if it ordered anything, has looked at all that it was told: a look orders at
+// least the next one.
+func (f *fed) look(looked bool) {
+	if looked {
+		f.looks++
+		f.seen, f.share = f.told, f.dealt
+	}
+}
+
+// confirm notes which changes of the list no table in use contradicts any more. Orders that take a server out have been
+// given to the proxy's stream once its mirror lacks the server.
+func (r *Router) confirm() {
+	if !r.fed.on || r.fed.done == r.fed.seen {
+		return
+	}
+	for id := range r.fed.leaving {
+		if r.tables.inUse(id) {
+			return
+		}
+		delete(r.fed.leaving, id)
+	}
+	r.fed.done = r.fed.seen
+}
+
+// inUse says whether the table of a joined proxy holds a server.
+func (t *tables) inUse(id rules.ServerID) bool {
+	for _, s := range t.joined {
+		if !s.bound {
+			continue
+		}
+		if _, holds := t.of[s.table].weights[id]; holds {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routing/follower.go
@@ -0,0 +1,110 @@
+package routing
+
+// Follower follows discovery by its calls: one watch, and a fetch where that is needed. It knows which answers count, and
+// leaves open when to ask again.
+type Follower struct {
+	calls    Calls
+	revision int64
+	lastCall uint64
+	watch    uint64 // the call that watches; 0: none
+	begun    bool   // it has been answered
+	heard    bool   // it has told of something
+	older    uint64 // the watch at discovery's former address, while the new one is not answered; 0: none
+	fetch    uint64
+}
+
+// NewFollower returns one that starts from a revision.
+func NewFollower(calls Calls, revision int64) *Follower {
+	return &Follower{calls: calls, revision: revision}
+}
+
+// Listed says whether an answer of discovery counts.
+func (f *Follower) Listed(e Listed) bool {
+	switch e.Call {
+	case f.older:
+	case f.watch:
+		renumbered := !f.heard && e.List.Revision < f.revision
+		if f.heard = true; renumbered && !e.List.Complete && f.fetch == 0 {
+			f.StartFetch() // another service than the one that the list held is from: its changes don't build on that
+		}
+	case f.fetch:
+		f.fetch = 0
+		if f.watch != 0 && f.heard && e.List.Revision < f.revision {
+			return false // the watch is ahead of it
+		}
+	default:
+		return false
+	}
+	f.revision = e.List.Revision
+	return true
+}
+
+// Failed notes that a call has ended. It says whether that was a call which counted, and whether it was the watch.
+func (f *Follower) Failed(e CallFailed) (counts, watched bool) {
+	switch e.Call {
+	case f.watch:
+		f.watch = 0
+		return true, true
+	case f.older:
+		f.older = 0
+		return false, false // the one that comes in its place has been asked for
+	case f.fetch:
+		f.fetch = 0
+		return true, false
+	}
+	return false, false
+}
+
+// Begun notes that discovery has taken a watch on. What is still open at discovery's former address ends only now, so
+// that no change is missed. It says whether the watch counts.
+func (f *Follower) Begun(e WatchBegun) bool {
+	if e.Call != f.watch {
+		return false
+	}
+	f.begun = true
+	if f.older != 0 {
+		f.calls.Cancel(f.older)
+		f.older = 0
+	}
+	return true
+}
+
+// Moved asks at discovery's new address at once. A watch that stands at the former one is believed until the new one
+// is answered, or the former one ends: guards against drains that are missed in between.
+func (f *Follower) Moved(e Moved) {
+	f.calls.Move(e.Discovery)
+	switch {
+	case f.watch != 0 && f.begun:
+		if f.older != 0 {
+			f.calls.Cancel(f.older)
+		}
+		f.older = f.watch
+	case f.watch != 0:
+		f.calls.Cancel(f.watch)
+	}
+	f.watch = 0
+	f.StartWatch()
+	if f.fetch != 0 {
+		f.calls.Cancel(f.fetch)
+		f.StartFetch()
+	}
+}
+
+// StartFetch asks for the whole list.
+func (f *Follower) StartFetch() {
+	f.lastCall++
+	f.fetch = f.lastCall
+	f.calls.Fetch(f.fetch)
+}
+
+// StartWatch asks for the changes after the last revision, unless a watch stands.
+func (f *Follower) StartWatch() {
+	if f.watch == 0 {
+		f.lastCall++
+		f.watch, f.begun, f.heard = f.lastCall, false, false
+		f.calls.Watch(f.watch, f.revision)
+	}
+}
+
+// Revision is that of the list last taken.
+func (f *Follower) Revision() int64 { return f.revision }
--- a/internal/routing/lists.go
+++ b/internal/routing/lists.go
@@ -8,29 +8,16 @@
 	"mulleinwood/rules"
 )
 
-// watchPause is how long after a watch has ended the next is asked for where the settings say that changes come
+// WatchPause is how long after a watch has ended the next is asked for where the settings say that changes come
 // unsolicited. The module doesn't ask there, and a watch is how they come on sockets. It is half the time after
 // which the protocol gives a sign of life.
-const watchPause = 1000.0
+const WatchPause = 1000.0
 
 // listed takes an answer of discovery, unless its call no longer counts.
 func (r *Router) listed(e Listed) {
-	switch e.Call {
-	case r.older:
-	case r.watch:
-		renumbered := !r.heard && e.List.Revision < r.revision
-		if r.heard = true; renumbered && !e.List.Complete && r.fetch == 0 {
-			r.startFetch() // another service than the one that the list held is from: its changes don't build on that
-		}
-	case r.fetch:
-		r.fetch = 0
-		if r.watch != 0 && r.heard && e.List.Revision < r.revision {
-			return // the watch is ahead of it
-		}
-	default:
-		return
+	if r.follower.Listed(e) {
+		r.take(e.List)
 	}
-	r.take(e.List)
 }
 
 // take tells the module of what discovery says.
@@ -49,7 +36,7 @@
 		list.Servers = append(list.Servers, r.names.entry(m))
 	}
 	r.names.left(list)
-	r.revision = l.Revision
+	r.follower.revision = l.Revision
 	r.pending = append(r.pending, list)
 	if kind == rules.ListCached && len(l.Members) == 0 {
 		return // nothing can be ordered before discovery has been heard
@@ -80,72 +67,27 @@
 
 // callFailed tells the module that its call has ended, so that it asks again.
 func (r *Router) callFailed(e CallFailed) {
-	asked := true // by the module, which is told of a failure only then
-	switch e.Call {
-	case r.watch:
-		asked = r.set.Rules.AskDiscovery
-		r.watch, r.rewatch = 0, !asked
-	case r.older:
-		r.older = 0
-		return // the one that comes in its place has been asked for
-	case r.fetch:
-		r.fetch = 0
-	default:
+	counts, watched := r.follower.Failed(e)
+	if !counts {
 		return
 	}
-	r.log.Warn().Err(e.Err).Int64("revision", r.revision).Msg("discovery call ended")
+	asked := !watched || r.set.Rules.AskDiscovery // by the module, which is told of a failure only then
+	r.rewatch = r.rewatch || !asked
+	r.log.Warn().Err(e.Err).Int64("revision", r.follower.revision).Msg("discovery call ended")
 	if asked {
 		r.pending = append(r.pending, rules.List{Kind: rules.ListFailed})
 	}
 }
 
-// watchBegun notes that discovery has taken a watch on: a call that is answered counts as answered even if nothing
-// has changed. What is still open at discovery's former address ends only now, so that no change is missed.
+// watchBegun tells the module that its call was answered, even if nothing has changed.
 func (r *Router) watchBegun(e WatchBegun) {
-	if e.Call != r.watch {
-		return
+	if r.follower.Begun(e) {
+		r.pending = append(r.pending, rules.List{Kind: rules.ListChanges})
 	}
-	r.begun = true
-	if r.older != 0 {
-		r.calls.Cancel(r.older)
-		r.older = 0
-	}
-	r.pending = append(r.pending, rules.List{Kind: rules.ListChanges})
 }
 
-// moved asks at discovery's new address at once. A watch that stands at the former one is believed until the new
-// one is answered, or the former one ends: guards against drains that are missed in between.
+// moved asks at discovery's new address.
 func (r *Router) moved(e Moved) {
-	r.calls.Move(e.Discovery)
-	switch {
-	case r.watch != 0 && r.begun:
-		if r.older != 0 {
-			r.calls.Cancel(r.older)
-		}
-		r.older = r.watch
-	case r.watch != 0:
-		r.calls.Cancel(r.watch)
-	}
-	r.watch, r.rewatch = 0, false
-	r.startWatch()
-	if r.fetch != 0 {
-		r.calls.Cancel(r.fetch)
-		r.startFetch()
-	}
-}
-
-// startFetch asks for the whole list.
-func (r *Router) startFetch() {
-	r.lastCall++
-	r.fetch = r.lastCall
-	r.calls.Fetch(r.fetch)
-}
-
-// startWatch asks for the changes after the last revision, unless a watch stands.
-func (r *Router) startWatch() {
-	if r.watch == 0 {
-		r.lastCall++
-		r.watch, r.begun, r.heard = r.lastCall, false, false
-		r.calls.Watch(r.watch, r.revision)
-	}
+	r.rewatch = false
+	r.follower.Moved(e)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -25,34 +25,28 @@
 
 // Router translates. Handle takes what happened; Turn lets the module act.
 type Router struct {
-	set    settings.Settings
-	names  *names
-	tables *tables
-	module Stepper
-	calls  Calls
-	log    zerolog.Logger
+	follower *Follower
+	set      settings.Settings
+	names    *names
+	tables   *tables
+	module   Stepper
+	log      zerolog.Logger
 
-	pending  []rules.Event // for the next Turn
-	timers   timers
-	streams  map[uint64]*stream // by peer, current ones only
-	former   map[uint64]bool    // peers whose proxy has a newer stream, until they end
-	waiting  map[uint64]Peer    // heartbeats that are answered once orders can be made
-	hasList  bool
-	revision int64
-	lastCall uint64
-	watch    uint64 // the call that watches; 0: none
-	begun    bool   // it has been answered
-	heard    bool   // it has told of something
-	older    uint64 // the watch at discovery's former address, while the new one is not answered; 0: none
-	fetch    uint64
-	rewatch  bool           // a watch that the module didn't ask for has ended since the last turn
-	dropped  map[string]int // messages that could not be used, by reason
+	pending []rules.Event // for the next Turn
+	timers  timers
+	streams map[uint64]*stream // by peer, current ones only
+	former  map[uint64]bool    // peers whose proxy has a newer stream, until they end
+	waiting map[uint64]Peer    // heartbeats that are answered once orders can be made
+	hasList bool
+	rewatch bool           // a watch that the module didn't ask for has ended since the last turn
+	dropped map[string]int // messages that could not be used, by reason
+	fed     fed
 }
 
 // New returns a router that starts from the list as it was last known.
 func New(set settings.Settings, module Stepper, calls Calls, known protocol.List, log zerolog.Logger) *Router {
 	n := newNames(set)
-	r := &Router{set: set, names: n, tables: newTables(n), module: module, calls: calls, log: log,
+	r := &Router{follower: NewFollower(calls, 0), set: set, names: n, tables: newTables(n), module: module, log: log,
 		streams: map[uint64]*stream{}, former: map[uint64]bool{}, dropped: map[string]int{}, waiting: map[uint64]Peer{}}
 	r.list(known, rules.ListCached)
 	if !set.Rules.AskDiscovery {
@@ -86,6 +80,13 @@
 		r.callFailed(e)
 	case Moved:
 		r.moved(e)
+	case Told:
+		r.told(e)
+	case Handed:
+		r.handed(e)
+	case Dealt:
+		r.fed.dealt = e.Part.Channel
+		r.pending = append(r.pending, e.Part)
 	case Probed:
 		info := &r.names.servers[e.Server]
 		info.probing = false
@@ -218,14 +219,14 @@
 func (r *Router) Turn(now float64) (next float64, wants bool, err error) {
 	for len(r.timers) > 0 && r.timers[0].due <= now {
 		if due := heap.Pop(&r.timers).(timer); due.watch {
-			r.startWatch()
+			r.follower.StartWatch()
 		} else {
 			r.pending = append(r.pending, rules.Tick{Token: due.token})
 		}
 	}
 	if r.rewatch { // an event has no clock, a turn has
 		r.rewatch = false
-		heap.Push(&r.timers, timer{due: now + watchPause, watch: true})
+		heap.Push(&r.timers, timer{due: now + WatchPause, watch: true})
 	}
 	if len(r.pending) > 0 {
 		events := r.pending
@@ -237,6 +238,7 @@
 			r.log.Warn().Int("proxy", int(s.proxy)).Err(err).Msg("orders not sent")
 		})
 		r.retire()
+		r.confirm()
 	}
 	if len(r.timers) == 0 {
 		return 0, false, nil
@@ -253,7 +255,9 @@
 			err = fmt.Errorf("%s panicked: %v\n%s", doing, p, debug.Stack())
 		}
 	}()
-	for _, a := range r.module.Step(now, events) {
+	actions := r.module.Step(now, events)
+	r.fed.look(len(actions) > 0)
+	for _, a := range actions {
 		doing = "carrying out an order"
 		if err := r.act(now, a); err != nil {
 			return err
@@ -269,10 +273,10 @@
 	case rules.Probe:
 		r.probe(a.Server)
 	case rules.Watch:
-		r.startWatch()
+		r.follower.StartWatch()
 	case rules.Fetch:
-		if r.fetch == 0 {
-			r.startFetch()
+		if r.follower.fetch == 0 {
+			r.follower.StartFetch()
 		}
 	case rules.Log:
 		r.say(a.Text)
@@ -309,5 +313,5 @@
 		return
 	}
 	info.probing = true
-	r.calls.Probe(id, info.address, r.set.LoadReports)
+	r.follower.calls.Probe(id, info.address, r.set.LoadReports)
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -375,9 +375,9 @@
 	r.Handle(WatchBegun{Call: 1})
 	r.Handle(Listed{Call: 1, List: protocol.List{Revision: 43}})
 	r.Handle(CallFailed{Call: 1, Err: errors.New("reset")})
-	turn(6000, 6000+watchPause)
-	turn(6000+watchPause/2, 6000+watchPause)
-	turn(6000+watchPause, 0)
+	turn(6000, 6000+WatchPause)
+	turn(6000+WatchPause/2, 6000+WatchPause)
+	turn(6000+WatchPause, 0)
 	if want := (book{"watch 1 from 41", "watch 2 from 43"}); !reflect.DeepEqual(*calls, want) {
 		t.Errorf("calls %v, want %v", *calls, want)
 	}
