--- a/internal/cores/balance.go
+++ b/internal/cores/balance.go
@@ -87,7 +87,7 @@
 		bound = evenTo
 		best := -1
 		for i, s := range sorted { // the largest that at most halves the gap, else the smallest that narrows it
-			if s.core != from || !s.rested || s.cost >= gap {
+			if s.core != from || !s.rested || s.cost >= gap*(1-1e-9) { // the rest is for rounding
 				continue
 			}
 			best = i
--- a/internal/cores/desk.go
+++ b/internal/cores/desk.go
@@ -106,6 +106,7 @@
 type core struct {
 	live      bool
 	life      int
+	spoken    bool    // it has said a word in this life: only such a one can take over
 	heard     float64 // its last word, or what stands for one
 	word      Word
 	unseen    float64 // since when a change of the list waits to be taken up; meaningful if word.Seen is behind
@@ -269,7 +270,7 @@
 	if !c.live || c.life != life {
 		return
 	}
-	if c.heard = now; w.Seen > c.word.Seen {
+	if c.heard, c.spoken = now, true; w.Seen > c.word.Seen {
 		c.unseen = now // what is still behind has waited at most since then
 	}
 	c.word = w
@@ -328,7 +329,7 @@
 func (d *Desk) watch(now float64) {
 	healthy := false
 	for i := range d.cores {
-		healthy = healthy || d.cores[i].live && !d.late(now, &d.cores[i])
+		healthy = healthy || d.cores[i].live && d.cores[i].spoken && !d.late(now, &d.cores[i])
 	}
 	for i := range d.cores {
 		c := &d.cores[i]
--- a/internal/cores/purse.go
+++ b/internal/cores/purse.go
@@ -77,9 +77,6 @@
 	for i := range p.holders {
 		h := &p.holders[i]
 		h.left = max(0, h.left-sent*h.left/left)
-		if h.left < 1 {
-			h.left = 0
-		}
 	}
 }
 
--- /dev/null
+++ b/internal/program/cores_test.go
@@ -0,0 +1,207 @@
+package program
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mulleinwood/internal/standin"
+	"mulleinwood/rules"
+)
+
+// onCores is a planner of so many cores, with proxies enough for them.
+func onCores(t *testing.T, n int, wrap func(core, life int, module sharer) sharer) *fleet {
+	return start(t, func(f *fleet, c *Config) {
+		f.wrap = wrap
+		c.Own.Cores.Count, c.Own.Cores.MovesPerS, c.Own.Cores.RestMS, c.Limits.Cores = n, 8, 300, float64(n)
+		c.Settings.Rules.Proxies = 8 * n
+	}, nil)
+}
+
+// join lets proxies 0 to n-1 join and waits until each has a whole table.
+func (f *fleet) join(n int) (list []*standin.Proxy) {
+	for i := range n {
+		list = append(list, f.proxy(i, []string{"north", "south"}[i%2]))
+	}
+	for _, p := range list {
+		f.wait("a whole table", p, func(s standin.State) bool { return s.Replaced > 0 && len(s.Table) > 0 })
+	}
+	return list
+}
+
+// stallable is a module that can be held in its next look, as if its core stood still.
+type stallable struct {
+	sharer
+	hold  atomic.Pointer[chan struct{}]
+	panic atomic.Bool
+	looks atomic.Int64
+}
+
+func (s *stallable) Step(now float64, events []rules.Event) []rules.Action {
+	if s.panic.Load() {
+		panic("spoilt state")
+	}
+	if hold := s.hold.Load(); hold != nil {
+		<-*hold
+	}
+	s.looks.Add(1)
+	return s.sharer.Step(now, events)
+}
+
+// stallables wraps the modules of a fleet's cores; the first life of each is kept.
+func stallables(n int) ([]*stallable, func(core, life int, module sharer) sharer) {
+	list := make([]*stallable, n)
+	return list, func(core, life int, module sharer) sharer {
+		s := &stallable{sharer: module}
+		if life == 1 {
+			list[core] = s
+		}
+		return s
+	}
+}
+
+func TestDrainReachesEveryCore(t *testing.T) {
+	f := onCores(t, 4, nil)
+	defer f.stop()
+	proxies := f.join(16)
+	f.phase("s-2", "draining")
+	for _, p := range proxies {
+		f.wait("a table without the draining server", p, lacks("s-2"))
+	}
+	f.phase("s-2", "up")
+	f.phase("s-3", "removed")
+	for _, p := range proxies {
+		f.wait("a table without the removed server", p, lacks("s-3"))
+	}
+}
+
+// TestStalledCoreLosesItsProxies guards against a core that stands still while a server drains: its proxies would go on
+// sending there. Others take them within the grace, the stalled core's later orders reach nobody, and it comes back.
+func TestStalledCoreLosesItsProxies(t *testing.T) {
+	modules, wrap := stallables(2)
+	f := onCores(t, 2, wrap)
+	defer f.stop()
+	proxies := f.join(16)
+	hold := make(chan struct{})
+	modules[1].hold.Store(&hold)
+	f.phase("s-2", "draining")
+	begun := time.Now()
+	for _, p := range proxies {
+		f.wait("a table without the draining server", p, lacks("s-2"))
+	}
+	t.Logf("all tables without it after %v of a grace of 2 s", time.Since(begun))
+	looks := modules[1].looks.Load()
+	close(hold)
+	f.until("the stalled core's last look", func() bool { return modules[1].looks.Load() > looks })
+	f.phase("s-3", "draining")
+	for _, p := range proxies {
+		s := f.wait("a table without the other draining server", p, lacks("s-3"))
+		if s.Table["s-2"] > 0 {
+			t.Errorf("proxy %d has the first draining server again: %v", p.Number, s.Table)
+		}
+	}
+}
+
+// TestPanicOfOneCore: the core is cut off, the others take its proxies, and the program goes on. The last core's panic
+// ends the program, as that of a single one does.
+func TestPanicOfOneCore(t *testing.T) {
+	modules, wrap := stallables(2)
+	f := onCores(t, 2, wrap)
+	proxies := f.join(16)
+	modules[0].panic.Store(true)
+	f.until("the first life is over", func() bool {
+		total := 0
+		for _, p := range proxies {
+			total += p.State().Replaced
+		}
+		return total > len(proxies)
+	})
+	f.phase("s-1", "draining")
+	for _, p := range proxies {
+		f.wait("a table without the draining server", p, lacks("s-1"))
+	}
+	f.stop()
+
+	f = onCores(t, 2, func(core, life int, module sharer) sharer {
+		s := &stallable{sharer: module}
+		s.panic.Store(true)
+		return s
+	})
+	select {
+	case err := <-f.ended:
+		if err == nil || !strings.Contains(err.Error(), "no core is left") || !strings.Contains(err.Error(), "spoilt state") {
+			t.Errorf("ended with %v; want the cause", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the program goes on without a core")
+	}
+	f.ended <- nil
+	f.stop()
+}
+
+// TestRejoinOnCores: a newer stream of a proxy ends the older one, whichever core has it; what the older one says is void.
+func TestRejoinOnCores(t *testing.T) {
+	f := onCores(t, 2, nil)
+	defer f.stop()
+	proxies := f.join(16)
+	for _, old := range proxies[:4] {
+		newer := f.proxy(old.Number, "north")
+		f.wait("a whole table", newer, func(s standin.State) bool { return s.Replaced > 0 && len(s.Table) > 0 })
+		f.until("the end of the older stream", func() bool { return old.State().Closed != nil })
+	}
+	f.phase("s-0", "draining")
+	for _, p := range proxies[4:] {
+		f.wait("a table without the draining server", p, lacks("s-0"))
+	}
+}
+
+// TestHalfLeave: the cores are evened out after half of the proxies have left, by few moves, each with one whole table.
+func TestHalfLeave(t *testing.T) {
+	f := onCores(t, 2, nil)
+	defer f.stop()
+	proxies := f.join(16)
+	for _, p := range proxies[8:] {
+		p.Close()
+	}
+	f.phase("s-0", "draining")
+	for _, p := range proxies[:8] {
+		s := f.wait("a table without the draining server", p, lacks("s-0"))
+		if s.Replaced > 2 {
+			t.Errorf("proxy %d got %d whole tables", p.Number, s.Replaced)
+		}
+	}
+}
+
+// TestReloadAndEndOnCores: SIGHUP moves discovery for all cores, and the planner ends at once although a core is stuck.
+func TestReloadAndEndOnCores(t *testing.T) {
+	modules, wrap := stallables(2)
+	f := onCores(t, 2, wrap)
+	proxies := f.join(16)
+	for i := range 3 {
+		f.phase(fmt.Sprint("s-", i), "draining")
+	}
+	for _, p := range proxies {
+		f.wait("only the last server", p, func(s standin.State) bool { return len(s.Table) == 1 && s.Table["s-3"] > 0 })
+	}
+	hold := make(chan struct{})
+	defer close(hold)
+	modules[0].hold.Store(&hold)
+	f.stop()
+}
+
+func TestCoreCount(t *testing.T) {
+	var c Config
+	c.Settings.Rules.Proxies = 64
+	for _, tc := range []struct {
+		set     int
+		granted float64
+		want    int
+	}{{0, 0, 1}, {-3, 0, 1}, {4, 0, 4}, {4, 1, 1}, {4, 0.25, 1}, {4, 2.5, 3}, {64, 64, 8}} {
+		c.Own.Cores.Count, c.Limits.Cores = tc.set, tc.granted
+		if n, cut := coreCount(c); n != tc.want || (cut != "") != (tc.set > n) {
+			t.Errorf("%d set, %v granted: %d, cut by %q; want %d", tc.set, tc.granted, n, cut, tc.want)
+		}
+	}
+}
