Deal the channel by numbered shares, and let a cut core's lines count until they must be sent

Change: shares are numbered; a cut core's lines count whole until the channel has had time to send all that waited.

--- a/internal/cores/desk.go
+++ b/internal/cores/desk.go
@@ -35,7 +35,7 @@
 type Word struct {
 	Seen    uint64    // changes of the list that its module has looked at
 	Done    uint64    // changes that no table of its proxies contradicts any more
-	Share   float64   // of the channel, that it works with
+	Deal    uint64    // the number of the share that it works with
 	Waiting float64   // lines that wait for its proxies
 	Joined  float64   // proxies
 	Usual   []float64 // their requests a second, by zone
@@ -79,6 +79,7 @@
 	// Share tells a core what of the planner is its own, and what the others' proxies bring.
 	Share struct {
 		Core, Life     int
+		Deal           uint64 // changes with Channel
 		Channel        float64
 		Joined         float64
 		Usual, Demands []float64
@@ -277,7 +278,7 @@
 	if w.Done >= d.epoch {
 		c.told = false
 	}
-	d.purse.confirmed(core, w.Share, w.Waiting)
+	d.purse.confirmed(core, w.Deal, w.Waiting)
 	if now-c.faultless > forgiven*d.set.Rest {
 		c.rests = 1
 	}
@@ -470,7 +471,7 @@
 		if !d.cores[i].live {
 			continue
 		}
-		s := Share{Core: i, Life: d.cores[i].life, Channel: d.purse.holders[i].told}
+		s := Share{Core: i, Life: d.cores[i].life, Deal: d.purse.holders[i].deal, Channel: d.purse.holders[i].told}
 		for j := range d.cores {
 			if c := &d.cores[j]; j != i && c.live {
 				s.Joined += c.word.Joined
--- a/internal/cores/desk_test.go
+++ b/internal/cores/desk_test.go
@@ -108,16 +108,16 @@
 	case "word":
 		if w.life[i] > 0 {
 			w.seen[i], w.word[i], w.behind[i], w.spoken[i] = w.told[i], w.now, w.now, true
-			w.desk.Said(w.now, i, w.life[i], Word{Seen: w.seen[i], Done: w.seen[i], Share: w.desk.purse.holders[i].told, Joined: 1})
+			w.desk.Said(w.now, i, w.life[i], Word{Seen: w.seen[i], Done: w.seen[i], Deal: w.desk.purse.holders[i].deal, Joined: 1})
 		}
 	case "old word": // it looks, and doesn't see what it was told
 		if w.life[i] > 0 {
 			w.word[i], w.spoken[i] = w.now, true
-			w.desk.Said(w.now, i, w.life[i], Word{Seen: w.seen[i], Done: w.seen[i], Share: w.desk.purse.holders[i].told})
+			w.desk.Said(w.now, i, w.life[i], Word{Seen: w.seen[i], Done: w.seen[i], Deal: w.desk.purse.holders[i].deal})
 		}
 	case "late word": // of a life that is over
 		if w.life[i] == 0 {
-			w.desk.Said(w.now, i, w.desk.cores[i].life, Word{Seen: 1 << 40, Share: 1})
+			w.desk.Said(w.now, i, w.desk.cores[i].life, Word{Seen: 1 << 40, Deal: 1})
 		}
 	case "die":
 		w.desk.Died(w.now, i, w.desk.cores[i].life, "panic")
@@ -307,7 +307,7 @@
 	d.Tick(100)
 	d.Changed(150)
 	d.Tick(9000)
-	d.Said(9001, 0, 1, Word{Seen: 1, Done: 1, Share: 0.25})
+	d.Said(9001, 0, 1, Word{Seen: 1, Done: 1})
 	d.Tick(9020)
 	for _, c := range d.Take() {
 		if cut, ok := c.(Cut); ok {
--- a/internal/cores/purse.go
+++ b/internal/cores/purse.go
@@ -14,9 +14,11 @@
 type holder struct {
 	live    bool
 	told    float64 // the share last told
+	deal    uint64  // and its number: a share that comes back to an earlier value is another one
 	used    float64 // the share it may be using: the larger of the one it confirmed and those told since
 	waiting float64 // lines that wait for its proxies, as it said last
-	left    float64 // lines that a core cut off has left in the channel
+	left    float64 // lines that a core cut off may have left in the channel
+	until   float64 // how long these count on, in milliseconds
 }
 
 const (
@@ -42,22 +44,26 @@
 }
 
 // confirmed takes a core's word on the share that it works with and the lines that wait for its proxies.
-func (p *purse) confirmed(core int, share, waiting float64) {
+func (p *purse) confirmed(core int, deal uint64, waiting float64) {
 	h := &p.holders[core]
 	if !h.live {
 		return
 	}
 	h.waiting = waiting
-	if share == h.told {
-		h.used = share
+	if deal == h.deal {
+		h.used = h.told
 	}
 }
 
-// cut ends a core. What it may have put into the channel goes on counting until the channel must have sent it.
+// cut ends a core. What it may have put into the channel goes on counting until the channel must have sent all that can
+// have waited then: its lines may be the last of them.
 func (p *purse) cut(core int) {
 	h := &p.holders[core]
 	if h.live {
-		*h = holder{left: p.reserved(*h) * p.queue}
+		*h = holder{left: p.reserved(*h) * p.queue, deal: h.deal + 1}
+		if p.pace > 0 {
+			h.until = p.queue / (p.pace * paceKept)
+		}
 	}
 }
 
@@ -66,17 +72,11 @@
 
 // drain lets time pass: what a core that was cut off has left is sent.
 func (p *purse) drain(span float64) {
-	left := 0.0
-	for _, h := range p.holders {
-		left += h.left
-	}
-	if left == 0 {
-		return
-	}
-	sent := span * p.pace * paceKept
 	for i := range p.holders {
 		h := &p.holders[i]
-		h.left = max(0, h.left-sent*h.left/left)
+		if h.until -= span; h.until <= 0 {
+			h.left, h.until = 0, 0
+		}
 	}
 }
 
@@ -88,6 +88,7 @@
 	for i, h := range p.holders {
 		if h.live && targets[i] < h.told-shareLeast {
 			p.holders[i].told = targets[i] // used stays until it is confirmed
+			p.holders[i].deal++
 			changed = append(changed, i)
 		}
 		free -= p.reserved(p.holders[i])
@@ -109,6 +110,7 @@
 		}
 		if more > shareLeast || more > 0 && h.told == 0 {
 			h.told += more
+			h.deal++
 			h.used = max(h.used, h.told)
 			changed = append(changed, i)
 		}
--- a/internal/cores/purse_test.go
+++ b/internal/cores/purse_test.go
@@ -2,19 +2,29 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// dealt is a share and its number.
+type dealt struct {
+	share float64
+	deal  uint64
+}
+
 // spender is a core that uses all that it may: it fills its share of the queue as soon as it can, and takes up a new share
 // some words later.
 type spender struct {
-	coming  []float64 // shares told and not yet taken up
-	share   float64
+	coming []dealt // shares told and not yet taken up
+	dealt
 	waiting float64 // lines in the channel
 }
 
+// leftover is what a core that ended has left in the channel: the last of all that was queued then.
+type leftover struct{ lines, queued float64 }
+
 // TestPurseNeverOverTheWhole guards against cores that together put more lines into the channel than it may hold, whatever
 // the order of deals, words, ends and beginnings; and against a core that gets nothing for good.
 func TestPurseNeverOverTheWhole(t *testing.T) {
@@ -22,7 +32,8 @@
 		n := rapid.IntRange(1, 6).Draw(t, "cores")
 		const queue, pace = 3600.0, 2400.0
 		p := newPurse(n, queue, pace)
-		cores, gone := make([]spender, n), 0.0 // lines that cores which ended have left
+		cores := make([]spender, n)
+		var gone []leftover
 		for i := range cores {
 			cores[i].share = 1 / float64(n)
 		}
@@ -31,7 +42,10 @@
 			for _, c := range cores {
 				lines += c.waiting
 			}
-			return lines + gone
+			for _, l := range gone {
+				lines += l.lines
+			}
+			return lines
 		}
 		check := func() {
 			if lines := total(); lines > queue*(1+1e-9) {
@@ -44,15 +58,15 @@
 		word := func(i int) {
 			if c := &cores[i]; p.holders[i].live {
 				if len(c.coming) > 0 {
-					c.share, c.coming = c.coming[0], c.coming[1:]
+					c.dealt, c.coming = c.coming[0], c.coming[1:]
 				}
 				c.waiting = max(c.waiting, c.share*queue) // fills what it may
-				p.confirmed(i, c.share, c.waiting)
+				p.confirmed(i, c.deal, c.waiting)
 			}
 		}
 		deal := func() {
 			for _, i := range p.deal(needs) {
-				cores[i].coming = append(cores[i].coming, p.holders[i].told)
+				cores[i].coming = append(cores[i].coming, dealt{p.holders[i].told, p.holders[i].deal})
 			}
 		}
 		pass := func(span float64) {
@@ -62,8 +76,11 @@
 				for i := range cores {
 					cores[i].waiting *= max(0, 1-sent/all)
 				}
-				gone *= max(0, 1-sent/all)
 			}
+			for i := range gone {
+				gone[i].queued -= sent
+			}
+			gone = slices.DeleteFunc(gone, func(l leftover) bool { return l.queued <= 0 })
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "core")
@@ -78,7 +95,7 @@
 				pass(rapid.Float64Range(0, 500).Draw(t, "span"))
 			case "cut":
 				if p.holders[i].live {
-					gone += cores[i].waiting
+					gone = append(gone, leftover{cores[i].waiting, total()})
 					cores[i] = spender{}
 					p.cut(i)
 				}
@@ -102,7 +119,7 @@
 				}
 				pass(750)
 				for i := range cores { // what has drained is told
-					p.confirmed(i, cores[i].share, cores[i].waiting)
+					p.confirmed(i, cores[i].deal, cores[i].waiting)
 				}
 			}
 		}
--- a/internal/program/core.go
+++ b/internal/program/core.go
@@ -78,7 +78,7 @@
 		if p := router.Progress(); p.Looks != looks {
 			looks = p.Looks
 			own, waiting := module.Mine()
-			c.word.Store(&cores.Word{Seen: p.Seen, Done: p.Done, Share: p.Share, Waiting: waiting,
+			c.word.Store(&cores.Word{Seen: p.Seen, Done: p.Done, Deal: p.Deal, Waiting: waiting,
 				Joined: own.Joined, Usual: own.Usual, Demands: own.Demands})
 		}
 		if wants {
--- a/internal/program/host.go
+++ b/internal/program/host.go
@@ -316,7 +316,7 @@
 		case cores.Tell:
 			h.runs[c.Core].in.order(routing.Told{List: h.list, Epoch: c.Epoch})
 		case cores.Share:
-			h.runs[c.Core].in.order(routing.Dealt{Part: rules.Part{Channel: c.Channel, Joined: c.Joined, Usual: c.Usual, Demands: c.Demands}})
+			h.runs[c.Core].in.order(routing.Dealt{Number: c.Deal, Part: rules.Part{Channel: c.Channel, Joined: c.Joined, Usual: c.Usual, Demands: c.Demands}})
 		case cores.Place:
 			h.place(c)
 		case cores.Leave:
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -69,7 +69,10 @@
 		Shut   []string
 	}
 	// Dealt says what of the planner is this router's, where several share one.
-	Dealt struct{ Part rules.Part }
+	Dealt struct {
+		Part   rules.Part
+		Number uint64 // of its share of the channel
+	}
 	// Probed is the end of a probe.
 	Probed struct {
 		Server  rules.ServerID
--- a/internal/routing/fed.go
+++ b/internal/routing/fed.go
@@ -11,20 +11,20 @@
 // fed is what a router keeps that is one of several of a planner: a host follows discovery for all of them and must know
 // how far each has come.
 type fed struct {
-	on           bool
-	told         uint64 // the newest epoch of the list that was told
-	seen, done   uint64 // see Progress
-	dealt, share float64
-	looks        uint64
-	leaving      map[rules.ServerID]bool // servers that may not stay in tables, and may be in one
+	on          bool
+	told        uint64 // the newest epoch of the list that was told
+	seen, done  uint64 // see Progress
+	dealt, deal uint64 // the shares of the channel that were told and that the module works with
+	looks       uint64
+	leaving     map[rules.ServerID]bool // servers that may not stay in tables, and may be in one
 }
 
 // Progress is how far a router that is fed has come.
 type Progress struct {
-	Looks uint64  // of its module, so far
-	Seen  uint64  // the newest epoch of the list that its module has looked at
-	Done  uint64  // the newest epoch that no table of its joined proxies contradicts
-	Share float64 // of the channel, that its module worked with in its last look
+	Looks uint64 // of its module, so far
+	Seen  uint64 // the newest epoch of the list that its module has looked at
+	Done  uint64 // the newest epoch that no table of its joined proxies contradicts
+	Deal  uint64 // the number of the share of the channel that its module worked with in its last look
 }
 
 // NewFed returns a router that asks discovery nothing: the host tells it the list, of which known is the whole as of the
@@ -33,13 +33,13 @@
 	set.Rules.AskDiscovery = false // the module need not ask
 	r := New(set, module, calls, known, log)
 	r.timers = nil // nor the router
-	r.fed = fed{on: true, told: epoch, leaving: map[rules.ServerID]bool{}, dealt: 1}
+	r.fed = fed{on: true, told: epoch, leaving: map[rules.ServerID]bool{}}
 	return r
 }
 
 // Progress is how far the router has come. Tables are looked through for it, so it is for once a look.
 func (r *Router) Progress() Progress {
-	return Progress{Looks: r.fed.looks, Seen: r.fed.seen, Done: r.fed.done, Share: r.fed.share}
+	return Progress{Looks: r.fed.looks, Seen: r.fed.seen, Done: r.fed.done, Deal: r.fed.deal}
 }
 
 func (r *Router) told(e Told) {
@@ -85,7 +85,7 @@
 func (f *fed) look(looked bool) {
 	if looked {
 		f.looks++
-		f.seen, f.share = f.told, f.dealt
+		f.seen, f.deal = f.told, f.dealt
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -85,7 +85,7 @@
 	case Handed:
 		r.handed(e)
 	case Dealt:
-		r.fed.dealt = e.Part.Channel
+		r.fed.dealt = e.Number
 		r.pending = append(r.pending, e.Part)
 	case Probed:
 		info := &r.names.servers[e.Server]
