--- /dev/null
+++ b/cmd/mulleinwood/bench.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"mulleinwood/internal/bench"
+)
+
+type benchCmd struct {
+	Cores benchCoresCmd `cmd:"" help:"Measure planners of several cores on loopback: processes of their own under scripted peers of this one. Reports at full speed, then at half of what one core handles while servers drain and come back; an auditor outside the planner counts broken rules."`
+}
+
+// sizes are the flags that all measurements share.
+type sizes struct {
+	Proxies int    `help:"Proxies, each a stream." default:"600"`
+	Servers int    `help:"Servers in the list." default:"500"`
+	Seed    uint64 `help:"For everything that is drawn." default:"1"`
+	JSON    string `name:"json" help:"Write the result to a file as JSON, fields named with their units." placeholder:"FILE"`
+	Plot    string `help:"Write a plot to a file (PNG)." placeholder:"FILE"`
+}
+
+func (s sizes) check() error {
+	switch {
+	case s.Proxies < 1 || s.Proxies > 60000:
+		return startError{fmt.Errorf("--proxies is %d; it may be 1 to 60000", s.Proxies)}
+	case s.Servers < 1 || s.Servers > 100000:
+		return startError{fmt.Errorf("--servers is %d; it may be 1 to 100000", s.Servers)}
+	}
+	return nil
+}
+
+func (s sizes) fleet() bench.Fleet {
+	return bench.Fleet{Proxies: s.Proxies, Servers: s.Servers, Seed: s.Seed}
+}
+
+// checkCores holds a list of core counts to its range.
+func checkCores(list []int) error {
+	for _, n := range list {
+		if n < 1 || n > 64 {
+			return startError{fmt.Errorf("--cores has %d; it may be 1 to 64", n)}
+		}
+	}
+	return nil
+}
+
+type benchCoresCmd struct {
+	Cores   []int   `help:"Numbers of cores to measure; more than the machine has are marked." default:"1,2,4,8"`
+	Seconds float64 `help:"Of each phase." default:"8"`
+	sizes
+}
+
+// Run measures and reports.
+func (b benchCoresCmd) Run(out io.Writer) error {
+	if err := b.check(); err != nil {
+		return err
+	}
+	if err := checkCores(b.Cores); err != nil {
+		return err
+	}
+	if b.Seconds < 0.1 || b.Seconds > 600 {
+		return startError{fmt.Errorf("--seconds is %g; it may be 0.1 to 600", b.Seconds)}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	plan := bench.Plan{Fleet: b.fleet(), Cores: b.Cores, Seconds: b.Seconds, Command: []string{self, "serve"}, Say: progress}
+	result, err := plan.Measure(ctx)
+	if err != nil {
+		return fmt.Errorf("bench: %w", err)
+	}
+	return b.report(result, result.WriteTable, result.WritePlot, out)
+}
+
+// report writes a result in every form that was asked for.
+func (s sizes) report(result any, table func(io.Writer) error, plot func(string) error, out io.Writer) error {
+	if err := table(out); err != nil {
+		return err
+	}
+	if s.JSON != "" {
+		if err := bench.WriteJSON(s.JSON, result); err != nil {
+			return err
+		}
+	}
+	if s.Plot != "" {
+		return plot(s.Plot)
+	}
+	return nil
+}
+
+// progress tells on standard error how far a long command is.
+func progress(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,78 @@
+// Package bench measures planners: real processes on loopback under scripted peers, and modules and routers in this
+// process without sockets. Peers are not the planner's process, so their work is not counted.
+package bench
+
+import (
+	"fmt"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/settings"
+)
+
+// Fleet is the size of a deployment that is made up.
+type Fleet struct {
+	Proxies int    `json:"proxies"`
+	Servers int    `json:"servers"`
+	Seed    uint64 `json:"seed"`
+}
+
+// The made-up deployment. Times are in milliseconds.
+const (
+	reportEvery   = 1000.0
+	coldFor       = 8000.0
+	queueOfProxy  = 60.0 // lines that may wait in the channel, for each proxy
+	paceOfProxy   = 40.0 // lines a second that the channel sends, for each proxy
+	proxyRate     = 20.0 // requests a second of a mean proxy
+	headOfMessage = 3.0
+)
+
+var (
+	zones   = []string{"east", "west"}
+	classes = []string{"view", "post", "pay"}
+)
+
+// settings is the settings text that every planner of the deployment gets.
+func (f Fleet) settings() map[string]any {
+	class := func(name, effect string, aim, deadline, worth float64) map[string]any {
+		return map[string]any{"name": name, "slo": aim, "deadline": deadline, "idempotency": effect, "importance": worth, "late-worth": 0.1,
+			"group": "all", "repeat-window": 1000}
+	}
+	return map[string]any{
+		"replicas-of-me": 1, "me": 0, "my-zone": 0, "localities": zones, "kinds": []string{"m1"}, "granularity": 1,
+		"discovery": "pushed",
+		"classes": []any{class("view", "read_like", 1000, 4000, 1), class("post", "idempotency_key", 500, 2000, 5),
+			class("pay", "non_idempotent", 500, 1500, 2)},
+		"permissions": map[string]any{"probes": true, "dial-timeout": 250},
+		"report":      map[string]any{"via": "none", "fields": []string{}},
+		"rules": map[string]any{"cold": coldFor, "start-capacity": 0.2, "stop-sending-within": 2000, "fall-multiple": 2.5,
+			"tip-after": 3000},
+		"extra": map[string]any{"proxy-count": f.Proxies, "level-kind": "ratio", "retry-default": 0, "try-aims": 1,
+			"interval": reportEvery, "bare": 3000, "pending-max": queueOfProxy * float64(f.Proxies), "egress-per-s": paceOfProxy * float64(f.Proxies),
+			"per-message": headOfMessage, "reloads-max": 0, "counted-over": 10000, "min-conn-cap": 0, "ranges": 0, "local-first": false,
+			"stays-local": []bool{false, false, false}},
+	}
+}
+
+// parsed is the same as a planner reads it.
+func (f Fleet) parsed() (settings.Settings, error) {
+	text, err := marshal(f.settings())
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	return settings.Parse(text)
+}
+
+// member is a server as discovery lists it. Nothing listens at its address: nothing is sent there but probes.
+func member(i int, phase string, since float64) protocol.Member {
+	return protocol.Member{ID: fmt.Sprintf("s-%d", i), Address: "127.0.0.1:9", Zone: zones[i%len(zones)], Kind: "m1", Phase: phase, Size: 1, UpSince: since}
+}
+
+// members is the whole fleet, up.
+func (f Fleet) members() (list []protocol.Member) {
+	for i := range f.Servers {
+		list = append(list, member(i, protocol.PhaseUp, 0))
+	}
+	return list
+}
+
+func zoneOf(proxy int) string { return zones[proxy%len(zones)] }
--- a/internal/standin/peers.go
+++ b/internal/standin/peers.go
@@ -17,7 +17,8 @@
 	mu     sync.Mutex
 	change *sync.Cond
 	state  State
-	part   []order
+	part   []Order
+	heed   func([]Order) // is given whole messages; nil: nobody is
 	done   chan struct{}
 }
 
@@ -28,15 +29,16 @@
 	Shut     map[string]bool
 	Messages int // whole ones
 	Replaced int // tables that came whole
+	Beats    int // heartbeats answered
 	Closed   error
 }
 
-// order is a part of a message.
-type order struct {
+// Order is a part of a message.
+type Order struct {
 	Kind    string   `json:"t"`
 	For     []string `json:"for"`
 	Replace bool     `json:"replace"`
-	Rows    []row    `json:"rows"`
+	Rows    []Row    `json:"rows"`
 	Gate    *float64 `json:"gate"`
 	Again   *int     `json:"again"`
 	Drop    []string `json:"drop"`
@@ -45,23 +47,40 @@
 	Part    bool     `json:"part"`
 }
 
-// row is a pair of a server and its weight.
-type row struct {
-	server string
-	weight float64
+// Row is a pair of a server and its weight.
+type Row struct {
+	Server string
+	Weight float64
 }
 
-func (r *row) UnmarshalJSON(text []byte) error {
-	return json.Unmarshal(text, &[]any{&r.server, &r.weight})
+// UnmarshalJSON reads the pair.
+func (r *Row) UnmarshalJSON(text []byte) error {
+	return json.Unmarshal(text, &[]any{&r.Server, &r.Weight})
+}
+
+// Lines is what the part counts in the channel, the message's head left aside.
+func (o *Order) Lines() int {
+	n := len(o.Rows) + len(o.Drop) + len(o.Undrop)
+	for _, counts := range []bool{o.Replace, o.Gate != nil, o.Stamp != nil} {
+		if counts {
+			n++
+		}
+	}
+	return n
 }
 
 // NewProxy dials a planner and joins it.
 func NewProxy(planner string, number int, zone string, weight float64) (*Proxy, error) {
+	return Join(planner, number, zone, weight, nil)
+}
+
+// Join is NewProxy with a listener: it is given each whole message once that is in force, before its marks are answered.
+func Join(planner string, number int, zone string, weight float64, take func([]Order)) (*Proxy, error) {
 	nc, err := net.Dial("tcp", planner)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Number: number, nc: nc, done: make(chan struct{}),
+	p := &Proxy{Number: number, nc: nc, heed: take, done: make(chan struct{}),
 		state: State{Table: map[string]float64{}, Levels: map[string]float64{}, Shut: map[string]bool{}}}
 	p.change = sync.NewCond(&p.mu)
 	if err := p.Say(fmt.Sprintf(`{"t":"attach","proxy":%d,"zone":%q,"weight":%g,"fresh":true}`, number, zone, weight)); err != nil {
@@ -73,8 +92,11 @@
 }
 
 // Say writes a line.
-func (p *Proxy) Say(line string) error {
-	_, err := p.nc.Write([]byte(line + "\n"))
+func (p *Proxy) Say(line string) error { return p.Write([]byte(line + "\n")) }
+
+// Write writes whole lines, made beforehand.
+func (p *Proxy) Write(lines []byte) error {
+	_, err := p.nc.Write(lines)
 	return err
 }
 
@@ -128,12 +150,16 @@
 
 // take reads a part; the last one brings the whole message into force.
 func (p *Proxy) take(line []byte) error {
-	var o order
+	var o Order
 	if err := json.Unmarshal(line, &o); err != nil {
 		return err
 	}
 	switch {
 	case o.Kind == "hb_ok":
+		p.mu.Lock()
+		p.state.Beats++
+		p.change.Broadcast()
+		p.mu.Unlock()
 		return nil
 	case o.Kind != "assign":
 		return errors.New("unknown kind " + o.Kind)
@@ -152,10 +178,14 @@
 			stamps = append(stamps, *o.Stamp)
 		}
 	}
+	whole := p.part
 	p.part = nil
 	p.state.Messages++
 	p.change.Broadcast()
 	p.mu.Unlock()
+	if p.heed != nil {
+		p.heed(whole)
+	}
 	for _, stamp := range stamps {
 		if err := p.Say(fmt.Sprintf(`{"t":"done","proxy":%d,"mark":%d,"took_ms":1}`, p.Number, stamp)); err != nil {
 			return err
@@ -164,18 +194,18 @@
 	return nil
 }
 
-func (p *Proxy) apply(o order) error {
+func (p *Proxy) apply(o Order) error {
 	s := &p.state
 	if o.Replace {
 		s.Table, s.Levels = map[string]float64{}, map[string]float64{}
 		s.Replaced++
 	}
 	for _, r := range o.Rows {
-		if r.weight < 0 {
-			return fmt.Errorf("weight %v of %s", r.weight, r.server)
+		if r.Weight < 0 {
+			return fmt.Errorf("weight %v of %s", r.Weight, r.Server)
 		}
-		if s.Table[r.server] = r.weight; r.weight == 0 {
-			delete(s.Table, r.server)
+		if s.Table[r.Server] = r.Weight; r.Weight == 0 {
+			delete(s.Table, r.Server)
 		}
 	}
 	if (o.Gate == nil) != (o.Again == nil) {
@@ -225,5 +255,11 @@
 	return err
 }
 
+// Write writes whole lines, made beforehand.
+func (c *Collector) Write(lines []byte) error {
+	_, err := c.nc.Write(lines)
+	return err
+}
+
 // Close ends the connection.
 func (c *Collector) Close() { c.nc.Close() }
