Look at every proxy only for servers that are held for too little

Cause: profiled at 20,000 proxies x 2,000 servers, most of a look went to asking each proxy for each server whether the server is starved, which does not depend on the proxy.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -645,9 +645,12 @@
 		}
 	}
 	for _, s := range c.servers { // newcomers, and servers whose proxies left
+		if s.held >= starved*s.target {
+			continue // looking at every proxy for each server is most of a large look
+		}
 		var best *proxy
 		for _, p := range c.proxies {
-			if s.held < starved*s.target && p.joined && p.zone == s.Zone && !p.knows(s) &&
+			if p.joined && p.zone == s.Zone && !p.knows(s) &&
 				(best == nil || p.usual*best.have > best.usual*p.have) {
 				best = p
 			}
