Serve proxies and collectors by gRPC at the planner's own address

Need: some offices report load by gRPC, and some forwarders want their tables that way, under the same rules. Change: internal/xds holds machines for xDS v3 assignments in both forms and for the load reporting service, fed with messages; the listener hands HTTP/2 and TLS over by the first byte; probes learn by address which protocol a server speaks (internal/dialect); TLS with roles and reload. Off unless deploy/mulleinwood.jsonc turns it on.

--- a/internal/bench/swarm.go
+++ b/internal/bench/swarm.go
@@ -314,13 +314,14 @@
 		for proxy := range s.holders[d.server] {
 			d.left[proxy] = true
 		}
-		if len(d.left) > 0 {
+		timed := len(d.left) > 0
+		if timed {
 			d.told = time.Now()
 			s.drain = d
 		}
 		s.mu.Unlock()
 		s.change(at, protocol.PhaseDraining, time.Time{})
-		if len(d.left) > 0 {
+		if timed {
 			select {
 			case <-d.over:
 			case <-time.After(patience):
--- /dev/null
+++ b/internal/dialect/dialect.go
@@ -0,0 +1,66 @@
+// Package dialect decides by which protocol a server is asked for its health and load. Servers may change theirs between
+// one question and the next. It is a value that is told how asking went and knows no socket and no clock.
+package dialect
+
+// Protocol is a way to ask.
+type Protocol int
+
+// The protocols.
+const (
+	HTTP Protocol = iota // HTTP/1.1: GET /health, GET /status/load
+	GRPC                 // grpc.health.v1 and ORCA
+)
+
+func (p Protocol) String() string {
+	if p == GRPC {
+		return "grpc"
+	}
+	return "http"
+}
+
+// Verdict is what an attempt says about the protocol.
+type Verdict int
+
+// The verdicts.
+const (
+	Spoke   Verdict = iota // the server answered in the protocol, whatever it said
+	Foreign                // what came was of another protocol
+	Nothing                // nothing came that tells: refused, reset, silent
+)
+
+// keptMost bounds the addresses that are remembered.
+const keptMost = 4096
+
+// Book remembers by address what a server spoke last. An address that is new, or taken by another server, is asked by
+// HTTP first.
+type Book struct{ last map[string]Protocol }
+
+// Begin is the protocol of the first attempt.
+func (b *Book) Begin(address string) Protocol { return b.last[address] }
+
+// After says what to do after an attempt: try the other protocol, which happens once a question at most, or be content. A
+// server that nothing came from is not tried by the other: guards against twice the connections to one that is down, and
+// against a sick server that is asked until it has no time left to be found well.
+func (b *Book) After(address string, tried Protocol, attempt int, v Verdict) (other Protocol, again bool) {
+	switch {
+	case v == Spoke:
+		b.learn(address, tried)
+	case v == Foreign && attempt == 1:
+		return HTTP + GRPC - tried, true
+	}
+	return tried, false
+}
+
+func (b *Book) learn(address string, p Protocol) {
+	if p == HTTP {
+		delete(b.last, address) // as one not met
+		return
+	}
+	if b.last == nil || len(b.last) >= keptMost {
+		b.last = map[string]Protocol{}
+	}
+	b.last[address] = p
+}
+
+// Known is how many addresses are remembered to speak gRPC.
+func (b *Book) Known() int { return len(b.last) }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -15,6 +15,29 @@
 // Options are the program's own settings.
 type Options struct {
 	Cores Cores `json:"cores"`
+	GRPC  GRPC  `json:"grpc"`
+}
+
+// GRPC says how the gRPC front is served, at the planner's own address.
+type GRPC struct {
+	Enabled bool `json:"enabled"`
+	// ProbeServers lets probes try grpc.health.v1 and ORCA where a server doesn't answer HTTP/1.1.
+	ProbeServers bool `json:"probe_servers"`
+	TLS          TLS  `json:"tls"`
+}
+
+// TLS is that of the gRPC front. Without a certificate there is none.
+type TLS struct {
+	Certificate string `json:"certificate"` // PEM file, the chain
+	Key         string `json:"key"`         // PEM file
+	ClientCA    string `json:"client_ca"`   // PEM file; clients must show a certificate that it signs
+	Roles       []Role `json:"roles"`       // who may be what, by the names in client certificates; none: anybody anything
+}
+
+// Role lets clients whose certificate has a name be something.
+type Role struct {
+	Name string `json:"name"` // a DNS name of the certificate; "*.x" stands for every name right below x
+	Role string `json:"role" one:"proxy,collector"`
 }
 
 // Cores say how one planner uses several cores.
@@ -31,7 +54,7 @@
 
 // Default is what holds where nothing is said.
 func Default() Options {
-	return Options{Cores: Cores{Count: 1, MovesPerS: 8, RestMS: 10000}}
+	return Options{Cores: Cores{Count: 1, MovesPerS: 8, RestMS: 10000}, GRPC: GRPC{TLS: TLS{Roles: []Role{}}}}
 }
 
 // Loaded are options and where each value came from.
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -42,7 +43,7 @@
 	if _, err := Load(missing, true); err == nil {
 		t.Error("a named file that is missing is no error")
 	}
-	if l, err := Load(missing, false); err != nil || l.Options != Default() {
+	if l, err := Load(missing, false); err != nil || !reflect.DeepEqual(l.Options, Default()) {
 		t.Errorf("%+v, %v; want the defaults", l.Options, err)
 	}
 	if _, err := Load(t.TempDir(), false); err == nil {
@@ -53,7 +54,7 @@
 // TestShippedFile guards against a file of the repository that says something else than the defaults, or can't be read.
 func TestShippedFile(t *testing.T) {
 	l, err := Load("../../"+DefaultFile, true)
-	if err != nil || l.Options != Default() {
+	if err != nil || !reflect.DeepEqual(l.Options, Default()) {
 		t.Fatalf("%+v, %v; want the defaults", l.Options, err)
 	}
 	for _, v := range l.Values() {
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
@@ -35,6 +34,7 @@
 	post      func(routing.Event)
 	group     *sync.WaitGroup
 	probes    chan struct{}
+	asker     *asker
 	log       zerolog.Logger // bounded
 
 	mu   sync.Mutex
@@ -104,8 +104,7 @@
 	})
 }
 
-// probe asks a server for its health. It has failed if its connection doesn't come up in the time that the
-// settings give a connection, or the answer doesn't come within as long again.
+// probe asks a server for its health, and tells of the answer.
 func (c *calls) probe(address string, load bool, then func(routing.Probed)) {
 	c.group.Go(func() {
 		select {
@@ -114,16 +113,8 @@
 		case <-c.ctx.Done():
 			return
 		}
-		var answer protocol.ProbeAnswer
-		request, machine := protocol.Probe(address, load, &answer)
-		begun := time.Now()
-		err := transport.Call{Address: address, Connect: c.connect, Silence: c.connect, Whole: 2 * c.connect,
-			Request: request, InMost: protocol.HeadMost}.Do(c.ctx, machine)
-		if errors.Is(err, context.Canceled) {
-			return
+		if result, cancelled := c.asker.ask(c.ctx, address, load); !cancelled {
+			then(result)
 		}
-		then(routing.Probed{Elapsed: time.Since(begun), Load: answer.Load,
-			OK:      err == nil && answer.Status == http.StatusOK,
-			Refused: err == nil && answer.Status == http.StatusServiceUnavailable})
 	})
 }
--- a/internal/program/host.go
+++ b/internal/program/host.go
@@ -131,6 +131,10 @@
 		if l := h.owner(said.Peer, m.Proxy); l != nil {
 			l.core.in.report(routing.Said{Peer: l, Message: m})
 		}
+	case protocol.Refused:
+		if l := h.owner(said.Peer, m.Proxy); l != nil && l.ID() == said.Peer.ID() {
+			l.core.in.report(routing.Said{Peer: l, Message: m})
+		}
 	case protocol.ServerReport:
 		if _, former := h.former.Load(said.Peer.ID()); former {
 			return
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -30,6 +30,7 @@
 	mu         sync.Mutex
 	collectors map[string]*transport.Conn // the newest of each zone
 	counts     map[string]int             // lines and connections that are of no use, by what is wrong
+	front      *front                     // nil: no gRPC
 }
 
 // linePeer is a peer that is written to in lines.
@@ -91,6 +92,11 @@
 	return false
 }
 
+// bounds are what the figures of this deployment's messages keep within.
+func bounds(set settings.Settings) protocol.Bounds {
+	return protocol.Bounds{Proxies: set.Rules.Proxies, MeanMost: set.LongestDeadline(), SpanMost: spanPeriods * set.Rules.ReportPeriod}
+}
+
 // Accepted implements transport.Handler.
 func (p *peers) Accepted(c *transport.Conn) transport.Machine {
 	var s speaker
@@ -102,8 +108,7 @@
 		return nil
 	}
 	return &protocol.Lines{
-		Within: protocol.Bounds{Proxies: p.set.Rules.Proxies, MeanMost: p.set.LongestDeadline(),
-			SpanMost: spanPeriods * p.set.Rules.ReportPeriod},
+		Within: bounds(p.set),
 		Take: func(m protocol.Message) error {
 			if !s.may(m) {
 				return bad(fmt.Errorf("%T: %w", m, errRole))
@@ -175,6 +180,9 @@
 	maps.DeleteFunc(p.collectors, func(_ string, newest *transport.Conn) bool { return newest == c })
 	p.mu.Unlock()
 	p.post(routing.Ended{Peer: linePeer{c}})
+	if p.front != nil {
+		p.front.gone(c)
+	}
 	switch {
 	case errors.Is(reason, io.EOF), errors.Is(reason, net.ErrClosed):
 	case c.Joined():
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -47,6 +47,10 @@
 	c.Limits.apply()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	keys, err := loadKeys(c.Own.GRPC.TLS)
+	if err != nil {
+		return &StartError{err}
+	}
 	n, cut := coreCount(c)
 	if cut != "" {
 		log.Warn().Int("cores", n).Int("set", c.Own.Cores.Count).Str("by", cut).Msg("fewer cores than set")
@@ -61,7 +65,8 @@
 	var group sync.WaitGroup
 	bounded := log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod})
 	asks := &calls{ctx: ctx, discovery: c.Discovery, connect: c.Settings.ConnectMost, post: post, group: &group,
-		probes: make(chan struct{}, probesMost), log: bounded, ends: map[uint64]context.CancelFunc{}}
+		probes: make(chan struct{}, probesMost), asker: &asker{connect: c.Settings.ConnectMost, both: c.Own.GRPC.ProbeServers},
+		log: bounded, ends: map[uint64]context.CancelFunc{}}
 	var decide func() error
 	if n == 1 {
 		router := routing.New(c.Settings, module(0, 1), asks, c.Known, bounded)
@@ -81,13 +86,18 @@
 	log.Info().Str("name", c.Name).Stringer("listen", listener.Addr()).Str("discovery", c.Discovery).
 		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Int("cores", n).Msg("planner starts")
 	served := make(chan error, 1)
+	handler := &peers{set: c.Settings, post: post, log: bounded, collectors: map[string]*transport.Conn{}, counts: map[string]int{}}
+	if c.Own.GRPC.Enabled {
+		handler.front = newFront(ctx, c.Settings, c.Own.GRPC, handler, listener.Addr(), keys)
+		listener.Foreign = handler.front.take
+		group.Go(func() { handler.front.serve(ctx) })
+	}
 	group.Go(func() {
-		served <- listener.Serve(ctx, &peers{set: c.Settings, post: post, log: bounded,
-			collectors: map[string]*transport.Conn{}, counts: map[string]int{}})
+		served <- listener.Serve(ctx, handler)
 		cancel()
 	})
 	group.Go(func() {
-		reloader{config: c, listener: listener, post: post, log: log}.serve(ctx, reloads)
+		reloader{config: c, listener: listener, keys: keys, post: post, log: log}.serve(ctx, reloads)
 	})
 	if ready != nil {
 		ready(listener.Addr().String())
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -15,6 +16,7 @@
 type reloader struct {
 	config   Config // in force
 	listener *transport.Listener
+	keys     *keys // nil: none
 	post     func(routing.Event)
 	log      zerolog.Logger
 }
@@ -33,6 +35,11 @@
 }
 
 func (r *reloader) reload() {
+	if r.keys != nil {
+		if err := r.keys.reload(time.Now()); err != nil {
+			r.log.Error().Err(err).Msg("certificates not taken over: the former ones stay")
+		}
+	}
 	next, fixed, err := r.config.Reload()
 	if err != nil {
 		r.log.Error().Err(err).Msg("configuration not taken over: the former one stays")
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -29,9 +29,11 @@
 		Mark  uint32
 		Took  float64
 	}
-	// ServerReport is what the proxies of a zone met at a server.
+	// Refused says that a proxy could not use what it was sent: what it holds isn't known.
+	Refused struct{ Proxy int }
+	// ServerReport is what the proxies of a zone met at a server. One without a name is known by its address.
 	ServerReport struct {
-		Zone, Server              string
+		Zone, Server, Address     string
 		Tries, Failed, Mean, Span float64
 		Load                      map[string]float64
 	}
@@ -47,6 +49,7 @@
 func (Collector) message()    {}
 func (Attach) message()       {}
 func (Done) message()         {}
+func (Refused) message()      {}
 func (ServerReport) message() {}
 func (UsageReport) message()  {}
 
@@ -60,9 +63,9 @@
 	SpanMost float64 // milliseconds; a report that covers more tells nothing of now
 }
 
-// rateMost is the most requests a second that a report or a joining may tell of: far more than a proxy forwards, or a
+// RateMost is the most requests a second that a report or a joining may tell of: far more than a proxy forwards, or a
 // server does.
-const rateMost = 100e3
+const RateMost = 100e3
 
 var (
 	errTooLong    = errors.New("over 1 MiB")
@@ -190,7 +193,7 @@
 		if l.Proxy == nil || l.Zone == nil || l.Weight == nil {
 			return nil, errMissing
 		}
-		if *l.Weight > rateMost {
+		if *l.Weight > RateMost {
 			return nil, errRate
 		}
 		return Attach{Proxy: *l.Proxy, Zone: *l.Zone, Weight: *l.Weight, Fresh: l.Fresh}, nil
@@ -208,51 +211,68 @@
 		if l.Proxy == nil || l.Class == nil {
 			return nil, errMissing
 		}
-		if err := l.counts(within); err != nil {
-			return nil, err
+		if l.Tries == nil || l.Failed == nil || l.Span == nil {
+			return nil, errMissing
 		}
-		return UsageReport{Proxy: *l.Proxy, Class: *l.Class, Tries: *l.Tries, Failed: *l.Failed, Span: *l.Span}, nil
+		m := UsageReport{Proxy: *l.Proxy, Class: *l.Class, Tries: *l.Tries, Failed: *l.Failed, Span: *l.Span}
+		return m, m.Check(within)
 	}
 	return nil, fmt.Errorf("%w %.40q", errKind, l.Kind)
 }
 
-// counts checks what both kinds of report have. A usage report may count more requests as not served than came in:
-// they came before its span.
-func (l *line) counts(within Bounds) error {
+// counts checks what both kinds of report have.
+func counts(tries, failed, span float64, within Bounds) error {
 	switch {
-	case l.Tries == nil || l.Failed == nil || l.Span == nil:
-		return errMissing
-	case *l.Span == 0 || within.SpanMost > 0 && *l.Span > within.SpanMost:
+	case !(tries >= 0 && failed >= 0 && span >= 0):
+		return errNegative
+	case max(tries, failed, span) > FigureMost:
+		return errHuge
+	case span == 0 || within.SpanMost > 0 && span > within.SpanMost:
 		return errSpan
-	case max(*l.Tries, *l.Failed) > rateMost*max(1, *l.Span/1000):
+	case max(tries, failed) > RateMost*max(1, span/1000):
 		return errRate
 	}
 	return nil
 }
 
-// serverReport guards against a server that looks like the fastest of all, or the slowest, by a spoilt line: a mean
-// is needed where there were answers, and no answer takes no time or longer than anybody waits.
-func (l *line) serverReport(within Bounds) (Message, error) {
-	if l.Zone == nil || l.Server == nil {
-		return nil, errMissing
+// Check says whether a report can be true. It may count more requests as not served than came in: they came before its
+// span.
+func (m UsageReport) Check(within Bounds) error { return counts(m.Tries, m.Failed, m.Span, within) }
+
+// Check says whether a report can be true. It guards against a server that looks like the fastest of all, or the slowest,
+// by a spoilt report: a mean is needed where there were answers, and no answer takes no time or longer than anybody waits.
+func (m ServerReport) Check(within Bounds) error {
+	if err := counts(m.Tries, m.Failed, m.Span, within); err != nil {
+		return err
 	}
-	if err := l.counts(within); err != nil {
-		return nil, err
+	if m.Failed > m.Tries {
+		return errMoreFailed
 	}
-	if *l.Failed > *l.Tries {
-		return nil, errMoreFailed
+	if m.Tries > m.Failed && (!(m.Mean > 0) || m.Mean > FigureMost || within.MeanMost > 0 && m.Mean > within.MeanMost) {
+		return errMean
+	}
+	for _, value := range m.Load {
+		if !(value >= 0 && value <= FigureMost) {
+			return errLoad
+		}
+	}
+	return nil
+}
+
+// serverReport reads what a zone's proxies met at a server.
+func (l *line) serverReport(within Bounds) (Message, error) {
+	if l.Zone == nil || l.Server == nil || l.Tries == nil || l.Failed == nil || l.Span == nil {
+		return nil, errMissing
 	}
 	r := ServerReport{Zone: *l.Zone, Server: *l.Server, Tries: *l.Tries, Failed: *l.Failed, Span: *l.Span}
 	if r.Tries > r.Failed {
 		if l.Mean == nil {
 			return nil, errMissing
 		}
-		if r.Mean = *l.Mean; r.Mean == 0 || within.MeanMost > 0 && r.Mean > within.MeanMost {
-			return nil, errMean
-		}
+		r.Mean = *l.Mean
 	}
 	for name, value := range l.Load {
-		if value == nil || *value < 0 || *value > FigureMost {
+		if value == nil {
 			return nil, errLoad
 		}
 		if r.Load == nil {
@@ -260,5 +280,5 @@
 		}
 		r.Load[name] = *value
 	}
-	return r, nil
+	return r, r.Check(within)
 }
--- a/internal/protocol/orders.go
+++ b/internal/protocol/orders.go
@@ -6,10 +6,13 @@
 	"strconv"
 )
 
-// Row is a line of a table. Weight 0 removes it.
+// Row is a line of a table. Weight 0 removes it. Where a server is and in which zone isn't written in lines, since proxies
+// know both from discovery.
 type Row struct {
-	Server string
-	Weight float64
+	Server  string
+	Weight  float64
+	Address string
+	Zone    string
 }
 
 // Gate is a level and the manner of trying again for some classes.
--- a/internal/protocol/orders_test.go
+++ b/internal/protocol/orders_test.go
@@ -49,7 +49,7 @@
 func stamp(n uint32) *uint32 { return &n }
 
 func TestOrders(t *testing.T) {
-	o := Orders{Replace: true, Rows: []Row{{"s-1", 1.5}, {`s-"2`, 0.25}}, Drop: []string{"s-3"}, Undrop: []string{"s-4"},
+	o := Orders{Replace: true, Rows: []Row{{Server: "s-1", Weight: 1.5}, {Server: `s-"2`, Weight: 0.25}}, Drop: []string{"s-3"}, Undrop: []string{"s-4"},
 		Gates: []Gate{{[]string{"lookup"}, 0.5, 1}, {[]string{"order", "pay"}, 1, 0}}, Stamp: stamp(905)}
 	text, err := o.Append([]byte("before\n"))
 	if err != nil {
@@ -74,7 +74,7 @@
 		"a mark":          {Orders{Stamp: stamp(0)}, `{"t":"assign","stamp":0}` + "\n"},
 		"an empty table":  {Orders{Replace: true}, `{"t":"assign","replace":true}` + "\n"},
 		"a level":         {Orders{Gates: []Gate{{[]string{"a"}, 0, 3}}}, `{"t":"assign","for":["a"],"gate":0,"again":3}` + "\n"},
-		"a line removed":  {Orders{Rows: []Row{{"s", 0}}}, `{"t":"assign","rows":[["s",0]]}` + "\n"},
+		"a line removed":  {Orders{Rows: []Row{{Server: "s"}}}, `{"t":"assign","rows":[["s",0]]}` + "\n"},
 		"a server let in": {Orders{Undrop: []string{"s"}}, `{"t":"assign","undrop":["s"]}` + "\n"},
 	} {
 		if text, err := tc.orders.Append(nil); err != nil || string(text) != tc.want {
@@ -87,7 +87,7 @@
 func TestManyParts(t *testing.T) {
 	o := Orders{Replace: true, Gates: []Gate{{[]string{"a"}, 1, 1}}, Stamp: stamp(7)}
 	for i := range 30000 {
-		o.Rows = append(o.Rows, Row{fmt.Sprintf("server-%08d", i), float64(i) + 0.5})
+		o.Rows = append(o.Rows, Row{Server: fmt.Sprintf("server-%08d", i), Weight: float64(i) + 0.5})
 	}
 	text, err := o.Append(nil)
 	if err != nil {
@@ -99,7 +99,7 @@
 			t.Errorf("part %d: replace %t, stamp %v", i, p.Replace, p.Stamp)
 		}
 		for _, r := range p.Rows {
-			rows = append(rows, Row{r[0].(string), r[1].(float64)})
+			rows = append(rows, Row{Server: r[0].(string), Weight: r[1].(float64)})
 		}
 	}
 	if len(list) < 3 || !reflect.DeepEqual(rows, o.Rows) {
@@ -116,7 +116,7 @@
 // TestFigures guards against figures that a proxy would read as another, or as none.
 func TestFigures(t *testing.T) {
 	for _, x := range []float64{0, 1e-9, 0.1, 1.0 / 3, 1, 1e6, 123456.789} {
-		o := Orders{Rows: []Row{{"s", x}}}
+		o := Orders{Rows: []Row{{Server: "s", Weight: x}}}
 		text, _ := o.Append(nil)
 		if got := parts(t, text)[0].Rows[0][1].(float64); float32(got) != float32(x) || math.IsNaN(got) {
 			t.Errorf("%v read as %v", x, got)
--- a/internal/routing/names.go
+++ b/internal/routing/names.go
@@ -10,6 +10,7 @@
 type serverInfo struct {
 	name    string
 	address string
+	zone    string // by name
 	probing bool
 }
 
@@ -20,14 +21,15 @@
 	className             []string
 	loadFields            []string
 	ids                   map[string]rules.ServerID
-	servers               []serverInfo            // by number
-	free                  []rules.ServerID        // numbers that were given back
-	gone                  map[rules.ServerID]bool // not listed any more, and not yet given back
+	at                    map[string]rules.ServerID // by address
+	servers               []serverInfo              // by number
+	free                  []rules.ServerID          // numbers that were given back
+	gone                  map[rules.ServerID]bool   // not listed any more, and not yet given back
 }
 
 func newNames(set settings.Settings) *names {
 	n := &names{zones: index(set.ZoneNames), kinds: index(set.KindNames), loadFields: set.LoadFields,
-		ids: map[string]rules.ServerID{}, gone: map[rules.ServerID]bool{}}
+		ids: map[string]rules.ServerID{}, at: map[string]rules.ServerID{}, gone: map[rules.ServerID]bool{}}
 	for _, c := range set.Rules.Classes {
 		n.className = append(n.className, c.Name)
 	}
@@ -59,8 +61,32 @@
 	return id
 }
 
+// leaveAddress forgets where a server was, unless another is there by now.
+func (n *names) leaveAddress(id rules.ServerID) {
+	if address := n.servers[id].address; n.at[address] == id {
+		delete(n.at, address)
+	}
+}
+
+// reported is the server that a report is about: by its name, or by its address if it gives none.
+func (n *names) reported(m protocol.ServerReport) (id rules.ServerID, known bool) {
+	if m.Server == "" {
+		id, known = n.at[m.Address]
+	} else {
+		id, known = n.ids[m.Server]
+	}
+	return id, known
+}
+
+// row is a line of a table.
+func (n *names) row(id rules.ServerID, weight float64) protocol.Row {
+	info := &n.servers[id]
+	return protocol.Row{Server: info.name, Weight: weight, Address: info.address, Zone: info.zone}
+}
+
 // giveBack ends a name. Its number may be given to another from now on.
 func (n *names) giveBack(id rules.ServerID) {
+	n.leaveAddress(id)
 	delete(n.ids, n.servers[id].name)
 	delete(n.gone, id)
 	n.servers[id] = serverInfo{}
@@ -85,9 +111,11 @@
 // last, which the module is free to fold.
 func (n *names) entry(m protocol.Member) rules.Server {
 	s := rules.Server{ID: n.server(m.ID), Weight: m.Size, Cell: m.Cell, StartedAt: m.UpSince}
-	if m.Address != "" {
-		n.servers[s.ID].address = m.Address
+	if info := &n.servers[s.ID]; m.Address != "" && m.Address != info.address {
+		n.leaveAddress(s.ID)
+		info.address, n.at[m.Address] = m.Address, s.ID
 	}
+	n.servers[s.ID].zone = m.Zone
 	var known bool
 	if s.Zone, known = n.zones[m.Zone]; !known {
 		s.Zone = len(n.zones)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -123,11 +123,20 @@
 			return
 		}
 		r.pending = append(r.pending, rules.Ack{Proxy: rules.ProxyID(m.Proxy), Token: m.Mark, Elapsed: m.Took})
+	case protocol.Refused: // to the module it has left and joined again: it gets a whole table, which counts as any
+		s := r.streams[from.ID()]
+		if s == nil || int(s.proxy) != m.Proxy {
+			r.drop("refusal that is not from the proxy's stream", strconv.Itoa(m.Proxy))
+			return
+		}
+		r.tables.leave(s)
+		r.tables.join(s)
+		r.pending = append(r.pending, rules.Left{Proxy: s.proxy}, s.joined)
 	case protocol.ServerReport:
 		zone, zoneKnown := r.names.zones[m.Zone]
-		server, serverKnown := r.names.ids[m.Server]
+		server, serverKnown := r.names.reported(m)
 		if !zoneKnown || !serverKnown {
-			r.drop("report of an unknown zone or server", m.Zone+" "+m.Server)
+			r.drop("report of an unknown zone or server", m.Zone+" "+m.Server+m.Address)
 			return
 		}
 		r.pending = append(r.pending, rules.Heard{Zone: zone, Server: server, Tries: m.Tries,
@@ -164,10 +173,10 @@
 		r.leave(old)
 		r.supersede(old.peer)
 	}
-	s := &stream{peer: from, proxy: proxy}
+	s := &stream{peer: from, proxy: proxy, joined: rules.Joined{Proxy: proxy, Zone: zone, Rate: m.Weight, Fresh: m.Fresh}}
 	r.streams[from.ID()] = s
 	r.tables.join(s)
-	r.pending = append(r.pending, rules.Joined{Proxy: proxy, Zone: zone, Rate: m.Weight, Fresh: m.Fresh})
+	r.pending = append(r.pending, s.joined)
 	r.log.Info().Int("proxy", m.Proxy).Str("zone", m.Zone).Float64("rate", m.Weight).Bool("fresh", m.Fresh).
 		Msg("proxy joined")
 }
--- a/internal/routing/tables.go
+++ b/internal/routing/tables.go
@@ -28,6 +28,7 @@
 type stream struct {
 	peer    Peer
 	proxy   rules.ProxyID
+	joined  rules.Joined // as the module was told
 	bound   bool
 	table   rules.TableID
 	orders  protocol.Orders // of the step that is being carried out
@@ -122,7 +123,7 @@
 	}
 	for _, s := range tab.users {
 		t.reach(s)
-		s.orders.Rows = append(s.orders.Rows, protocol.Row{Server: t.names.servers[a.Server].name, Weight: a.Weight})
+		s.orders.Rows = append(s.orders.Rows, t.names.row(a.Server, a.Weight))
 	}
 }
 
@@ -268,8 +269,7 @@
 	tab := t.table(s.table)
 	s.orders = protocol.Orders{Replace: true, Stamp: s.orders.Stamp, Gates: t.gates(s, all)}
 	for _, id := range slices.Sorted(maps.Keys(tab.weights)) {
-		s.orders.Rows = append(s.orders.Rows,
-			protocol.Row{Server: t.names.servers[id].name, Weight: tab.weights[id]})
+		s.orders.Rows = append(s.orders.Rows, t.names.row(id, tab.weights[id]))
 		if t.out[id] {
 			t.drop(s, id) // again: which of our words a proxy still has is not known
 		}
--- a/internal/standin/peers.go
+++ b/internal/standin/peers.go
@@ -5,22 +5,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
-	"sync"
 )
 
 // Proxy holds a stream to a planner, applies what it is sent and answers its marks. It forwards nothing.
 type Proxy struct {
 	Number int
 	nc     net.Conn
-	mu     sync.Mutex
-	change *sync.Cond
-	state  State
-	part   []Order
-	heed   func([]Order) // is given whole messages; nil: nobody is
-	marks  chan uint32   // that are to be answered
-	done   chan struct{}
+	board
+	part  []Order
+	heed  func([]Order) // is given whole messages; nil: nobody is
+	marks chan uint32   // that are to be answered
+	done  chan struct{}
 }
 
 // marksMost may wait to be answered while the planner doesn't read. Answering them apart from reading keeps a proxy whose
@@ -39,6 +35,7 @@
 	Messages int // whole ones
 	Replaced int // tables that came whole
 	Beats    int // heartbeats answered
+	Refused  int // messages that it answered with an error
 	Closed   error
 }
 
@@ -92,9 +89,7 @@
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		tcp.SetWriteBuffer(writeBuffer)
 	}
-	p := &Proxy{Number: number, nc: nc, heed: take, done: make(chan struct{}), marks: make(chan uint32, marksMost),
-		state: State{Table: map[string]float64{}, Levels: map[string]float64{}, Shut: map[string]bool{}}}
-	p.change = sync.NewCond(&p.mu)
+	p := &Proxy{Number: number, nc: nc, board: newBoard(), heed: take, done: make(chan struct{}), marks: make(chan uint32, marksMost)}
 	if err := p.Say(fmt.Sprintf(`{"t":"attach","proxy":%d,"zone":%q,"weight":%g,"fresh":true}`, number, zone, weight)); err != nil {
 		nc.Close()
 		return nil, err
@@ -119,29 +114,6 @@
 	<-p.done
 }
 
-// State is a copy of what the proxy holds now.
-func (p *Proxy) State() State {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.copy()
-}
-
-func (p *Proxy) copy() State {
-	s := p.state
-	s.Table, s.Levels, s.Shut = maps.Clone(s.Table), maps.Clone(s.Levels), maps.Clone(s.Shut)
-	return s
-}
-
-// Wait returns once what the proxy holds is as wanted, or its stream has ended.
-func (p *Proxy) Wait(wanted func(State) bool) State {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for !wanted(p.state) && p.state.Closed == nil {
-		p.change.Wait()
-	}
-	return p.copy()
-}
-
 // answer answers marks until the reader ends, or the connection does.
 func (p *Proxy) answer() {
 	for mark := range p.marks {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -47,6 +47,9 @@
 
 var lastID atomic.Uint64
 
+// NextID is the number of a connection, or of a stream within one, that begins now: larger than all before.
+func NextID() uint64 { return lastID.Add(1) }
+
 // Conn is one accepted connection: a reader that feeds a machine and a writer that empties a buffer.
 type Conn struct {
 	id       uint64
@@ -57,6 +60,8 @@
 	joinBy   time.Time   // the reader's own, as the next two
 	late     bool        // joinBy has passed
 	free     bool        // it has joined, and its reads end at no time
+	foreign  func(*Conn, net.Conn)
+	begun    bool // its first bytes have come
 
 	mu     sync.Mutex
 	out    *ring.Buffer
@@ -65,7 +70,7 @@
 }
 
 func newConn(nc net.Conn, memory *ring.Budget) *Conn {
-	return &Conn{id: lastID.Add(1), nc: nc, in: ring.New(startSize, strangerSize, memory),
+	return &Conn{id: NextID(), nc: nc, in: ring.New(startSize, strangerSize, memory),
 		out: ring.New(startSize, outSize, memory), wake: make(chan struct{}, 1)}
 }
 
@@ -164,7 +169,9 @@
 
 // serve runs the connection until it ends and returns why. A panic of the machine ends this connection alone.
 func (c *Conn) serve(m Machine, joinWithin time.Duration) (reason error) {
-	c.joinBy = time.Now().Add(joinWithin)
+	if c.joinBy = time.Now().Add(joinWithin); joinWithin <= 0 {
+		c.joinBy = time.Time{}
+	}
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	defer func() {
@@ -184,6 +191,12 @@
 		}
 		n, err := c.read(space, joinWithin)
 		c.in.Commit(n)
+		if n > 0 && !c.begun && c.foreign != nil {
+			if c.begun = true; foreign(c.in) {
+				c.handOver()
+				return
+			}
+		}
 		if n > 0 {
 			if fed := m.Feed(c.in); fed != nil {
 				c.Close(fed)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -31,8 +31,11 @@
 // Listener accepts connections, no more than Most at a time. All their buffers together stay within Memory. A
 // connection that is not known within Join of its accepting is closed; 0: it may stay.
 type Listener struct {
-	Join   time.Duration
-	Memory *ring.Budget
+	Join time.Duration
+	// Foreign takes over connections whose first byte is of HTTP/2 or TLS; nil: they are fed to the machine as any. It must
+	// see to it that the connection is closed in the end.
+	Foreign func(c *Conn, nc net.Conn)
+	Memory  *ring.Budget
 
 	most  atomic.Int64
 	ln    net.Listener
@@ -88,6 +91,7 @@
 			continue
 		}
 		c := newConn(nc, l.Memory)
+		c.foreign = l.Foreign
 		for l.full() && l.shed() {
 		}
 		if l.full() {
--- /dev/null
+++ b/internal/xds/node.go
@@ -0,0 +1,119 @@
+// Package xds holds the machines of the planner's gRPC front: assignments by the published discovery protocol (v3, state of
+// the world and incremental) and load by the load reporting service (v3). They are fed messages and know no socket and no
+// clock; what they yield and take are the typed messages and orders of package protocol, as the line protocol's do.
+package xds
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+
+	"mulleinwood/internal/protocol"
+)
+
+// Facts are what the machines must know of the deployment.
+type Facts struct {
+	Classes []string
+	Zones   []string
+	Rates   bool    // levels are requests a second, not shares
+	Period  float64 // of reports, in milliseconds
+	Within  protocol.Bounds
+}
+
+// Role is what a peer is.
+type Role int
+
+// The roles.
+const (
+	Proxy Role = iota
+	Collector
+)
+
+// Identity is who a node says that it is.
+type Identity struct {
+	Role   Role
+	Proxy  int
+	Zone   string
+	Weight float64
+	Fresh  bool
+}
+
+// What a node's id begins with, and the keys of its metadata.
+const (
+	proxyPrefix     = "proxy/"
+	collectorPrefix = "collector/"
+	rateKey         = "requests_per_second"
+	freshKey        = "fresh"
+)
+
+// The errors that end a stream. What is merely of no use is told by Void.
+var (
+	ErrNoNode      = errors.New("the first message names no node")
+	ErrOtherNode   = errors.New("another node than the stream began with")
+	ErrNode        = errors.New("a node of nobody here")
+	ErrType        = errors.New("a type that is not served")
+	ErrManyNames   = errors.New("more resources than there are classes")
+	ErrNotProxy    = errors.New("assignments are for proxies")
+	errBadInterval = errors.New("an interval that can't be")
+	errNoEndpoint  = errors.New("an endpoint without an id and an address")
+	errLatency     = errors.New("a latency that can't be")
+)
+
+// Void says that part of a message is of no use. The stream goes on.
+type Void struct {
+	What string
+	Err  error
+}
+
+func (v Void) Error() string { return fmt.Sprintf("%s: %v", v.What, v.Err) }
+
+func (v Void) Unwrap() error { return v.Err }
+
+// Identify reads a node: its id is "proxy/" and the proxy's number, or "collector/" and its zone; locality.zone is the
+// proxy's zone; metadata may tell its usual rate and whether it holds no table that was ordered.
+func Identify(n *core.Node, f Facts) (Identity, error) {
+	if n == nil {
+		return Identity{}, ErrNoNode
+	}
+	var who Identity
+	if zone, is := strings.CutPrefix(n.GetId(), collectorPrefix); is {
+		who = Identity{Role: Collector, Zone: zone}
+	} else {
+		number, is := strings.CutPrefix(n.GetId(), proxyPrefix)
+		proxy, err := strconv.Atoi(number)
+		if !is || err != nil || proxy < 0 || proxy >= f.Within.Proxies || strconv.Itoa(proxy) != number {
+			return Identity{}, fmt.Errorf("%w: id %.40q", ErrNode, n.GetId())
+		}
+		who = Identity{Proxy: proxy, Zone: n.GetLocality().GetZone(), Fresh: true}
+		fields := n.GetMetadata().GetFields()
+		if rate, stated := fields[rateKey]; stated {
+			if who.Weight = rate.GetNumberValue(); !(who.Weight >= 0 && who.Weight <= protocol.RateMost) {
+				return Identity{}, fmt.Errorf("%w: %s is %v", ErrNode, rateKey, who.Weight)
+			}
+		}
+		if fresh, stated := fields[freshKey]; stated {
+			who.Fresh = fresh.GetBoolValue()
+		}
+	}
+	if !slices.Contains(f.Zones, who.Zone) {
+		return Identity{}, fmt.Errorf("%w: zone %.40q", ErrNode, who.Zone)
+	}
+	return who, nil
+}
+
+// same says whether a later message of a stream names the node that the first did, or none.
+func same(n *core.Node, who Identity, f Facts) bool {
+	if n == nil || n.GetId() == "" {
+		return true
+	}
+	other, err := Identify(n, f)
+	return err == nil && other.Role == who.Role && other.Proxy == who.Proxy && other.Zone == who.Zone
+}
+
+// finite says whether a figure may be taken.
+func finite(x float64) bool { return x >= 0 && !math.IsInf(x, 0) && !math.IsNaN(x) }
