--- a/cmd/mulleinwood/bench.go
+++ b/cmd/mulleinwood/bench.go
@@ -15,6 +15,7 @@
 	Cores     benchCoresCmd     `cmd:"" help:"Measure planners of several cores on loopback: processes of their own under scripted peers of this one. Reports at full speed, then at half of what one core handles while servers drain and come back; an auditor outside the planner counts broken rules."`
 	Look      benchLookCmd      `cmd:"" help:"Time the looks of planners of several cores in this process, without sockets, at sizes that sockets don't reach."`
 	Decisions benchDecisionsCmd `cmd:"" help:"Play one scripted day, on simulated servers and clock, to planners of several numbers of cores and compare what they decide."`
+	Fronts    benchFrontsCmd    `cmd:"" help:"Measure the same fleet over lines, over gRPC and half and half, as bench cores does."`
 }
 
 // sizes are the flags that all measurements share.
@@ -58,27 +59,57 @@
 
 // Run measures and reports.
 func (b benchCoresCmd) Run(out io.Writer) error {
-	if err := b.check(); err != nil {
+	result, err := b.measure(b.Cores, nil, b.Seconds)
+	if err != nil {
 		return err
 	}
-	if err := checkCores(b.Cores); err != nil {
+	return b.report(result, result.WriteTable, result.WritePlot, out)
+}
+
+type benchFrontsCmd struct {
+	Cores   []int    `help:"Numbers of cores to measure." default:"1,4"`
+	Fronts  []string `help:"What peers speak: lines, grpc, half (every second peer by gRPC)." default:"lines,grpc,half" enum:"lines,grpc,half"`
+	Seconds float64  `help:"Of each phase." default:"8"`
+	sizes
+}
+
+// Run measures and reports.
+func (b benchFrontsCmd) Run(out io.Writer) error {
+	var fronts []bench.Front
+	for _, front := range b.Fronts {
+		fronts = append(fronts, bench.Front(front))
+	}
+	measured, err := b.measure(b.Cores, fronts, b.Seconds)
+	if err != nil {
 		return err
 	}
-	if b.Seconds < 0.1 || b.Seconds > 600 {
-		return startError{fmt.Errorf("--seconds is %g; it may be 0.1 to 600", b.Seconds)}
+	result := bench.FrontsResult{Result: measured}
+	return b.report(result, result.WriteTable, result.WritePlot, out)
+}
+
+// measure runs planners as processes of their own.
+func (s sizes) measure(counts []int, fronts []bench.Front, seconds float64) (bench.Result, error) {
+	if err := s.check(); err != nil {
+		return bench.Result{}, err
+	}
+	if err := checkCores(counts); err != nil {
+		return bench.Result{}, err
+	}
+	if seconds < 0.1 || seconds > 600 {
+		return bench.Result{}, startError{fmt.Errorf("--seconds is %g; it may be 0.1 to 600", seconds)}
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return err
+		return bench.Result{}, err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	plan := bench.Plan{Fleet: b.fleet(), Cores: b.Cores, Seconds: b.Seconds, Command: []string{self, "serve"}, Say: progress}
+	plan := bench.Plan{Fleet: s.fleet(), Cores: counts, Fronts: fronts, Seconds: seconds, Command: []string{self, "serve"}, Say: progress}
 	result, err := plan.Measure(ctx)
 	if err != nil {
-		return fmt.Errorf("bench: %w", err)
+		return result, fmt.Errorf("bench: %w", err)
 	}
-	return b.report(result, result.WriteTable, result.WritePlot, out)
+	return result, nil
 }
 
 type benchLookCmd struct {
--- a/internal/bench/cores.go
+++ b/internal/bench/cores.go
@@ -18,6 +18,7 @@
 type Plan struct {
 	Fleet
 	Cores   []int
+	Fronts  []Front  // none: lines
 	Seconds float64  // of each phase
 	Command []string // that runs a planner
 	Say     func(format string, args ...any)
@@ -40,6 +41,7 @@
 // Run is what was measured at one number of cores.
 type Run struct {
 	Cores        int           `json:"cores"`
+	Front        Front         `json:"front"`
 	OverMachine  bool          `json:"over_machine"` // more than the machine has
 	JoinMS       float64       `json:"join_ms"`      // until every proxy has its whole table
 	EventsPerS   float64       `json:"events_per_s"`
@@ -91,24 +93,33 @@
 	}
 	half := 0.0
 	for _, n := range p.Cores {
-		p.Say("%d cores: %d proxies join", n, p.Proxies)
-		run, err := p.one(ctx, n, &half)
-		if err != nil {
-			return result, fmt.Errorf("%d cores: %w", n, err)
+		for _, front := range p.fronts() {
+			p.Say("%d cores, %s: %d proxies join", n, front, p.Proxies)
+			run, err := p.one(ctx, n, front, &half)
+			if err != nil {
+				return result, fmt.Errorf("%d cores, %s: %w", n, front, err)
+			}
+			result.Runs = append(result.Runs, run)
 		}
-		result.Runs = append(result.Runs, run)
 	}
 	return result, nil
 }
 
-func (p Plan) one(ctx context.Context, n int, half *float64) (run Run, err error) {
+func (p Plan) fronts() []Front {
+	if len(p.Fronts) == 0 {
+		return []Front{Lines}
+	}
+	return p.Fronts
+}
+
+func (p Plan) one(ctx context.Context, n int, front Front, half *float64) (run Run, err error) {
 	discovery, err := standin.NewDiscovery("127.0.0.1:0")
 	if err != nil {
 		return run, err
 	}
 	defer discovery.Close()
 	discovery.Change(p.members()...)
-	planner, err := p.start(ctx, p.Command, discovery.Addr(), n, p.Proxies+spareFiles)
+	planner, err := p.start(ctx, p.Command, discovery.Addr(), n, p.Proxies+spareFiles, front != Lines)
 	if err != nil {
 		return run, err
 	}
@@ -117,7 +128,7 @@
 			err = stop
 		}
 	}()
-	swarm, err := newSwarm(p.Fleet, discovery)
+	swarm, err := newSwarm(p.Fleet, front, discovery)
 	if err != nil {
 		return run, err
 	}
@@ -140,7 +151,7 @@
 	if err != nil {
 		return run, err
 	}
-	run = Run{Cores: n, OverMachine: n > runtime.NumCPU(), JoinMS: float64(time.Since(begun)) / float64(time.Millisecond),
+	run = Run{Cores: n, Front: front, OverMachine: n > runtime.NumCPU(), JoinMS: float64(time.Since(begun)) / float64(time.Millisecond),
 		KiBPerStream: (joined.memory - before.memory) / float64(p.Proxies), QueueLimit: queueOfProxy * float64(p.Proxies)}
 
 	drained := make(chan struct{})
--- /dev/null
+++ b/internal/bench/fronts.go
@@ -0,0 +1,70 @@
+package bench
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot/plotter"
+)
+
+// FrontsResult is a result in which the runs differ by front.
+type FrontsResult struct{ Result }
+
+// of finds a run.
+func (r FrontsResult) of(cores int, front Front) (Run, bool) {
+	for _, n := range r.Runs {
+		if n.Cores == cores && n.Front == front {
+			return n, true
+		}
+	}
+	return Run{}, false
+}
+
+// WriteTable prints the runs for people, each beside what lines take.
+func (r FrontsResult) WriteTable(out io.Writer) error {
+	fmt.Fprintf(out, "%d proxies, %d servers, seed %d; machine with %d cores, which the peers share; phases of %g s\n\n",
+		r.Proxies, r.Servers, r.Seed, r.CPUs, r.Seconds)
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "cores\tfront\tevents/s\torders/s\tCPU µs/event\tof lines\tat events/s\tCPU\tdrain ms p50\tp99\tof lines\tKiB/stream\tMB\tbreaks")
+	for _, n := range r.Runs {
+		cpu, drain := "-", "-"
+		if lines, known := r.of(n.Cores, Lines); known && n.Front != Lines {
+			cpu, drain = fmt.Sprintf("%.2f", n.CPUPerEvent/lines.CPUPerEvent), fmt.Sprintf("%.2f", n.Drain.P99/lines.Drain.P99)
+		}
+		fmt.Fprintf(table, "%d\t%s\t%.0f\t%.0f\t%.2f\t%s\t%.0f\t%.2f\t%.0f\t%.0f\t%s\t%.1f\t%.0f\t%d\n", n.Cores, n.Front, n.EventsPerS, n.OrdersPerS,
+			n.CPUPerEvent, cpu, n.HalfRate, n.CPUAtHalf, n.Drain.P50, n.Drain.P99, drain, n.KiBPerStream, n.MemoryMB, n.Breaks)
+	}
+	return table.Flush()
+}
+
+var green = color.RGBA{R: 60, G: 140, B: 70, A: 255}
+
+// WritePlot draws throughput and latency against cores, a line a front.
+func (r FrontsResult) WritePlot(file string) error {
+	colors := map[Front]color.Color{Lines: blue, GRPC: red, Half: green}
+	var rates, drains []series
+	for _, front := range Fronts {
+		var rate, p99 plotter.XYs
+		for _, n := range r.Runs {
+			if n.Front == front {
+				rate = append(rate, plotter.XY{X: float64(n.Cores), Y: n.EventsPerS / 1000})
+				p99 = append(p99, plotter.XY{X: float64(n.Cores), Y: n.Drain.P99})
+			}
+		}
+		if len(rate) > 0 {
+			rates = append(rates, series{string(front), colors[front], rate, false})
+			drains = append(drains, series{string(front), colors[front], p99, false})
+		}
+	}
+	left, err := chart(fmt.Sprintf("Events handled (%d proxies, %d servers)", r.Proxies, r.Servers), "thousand a second", rates...)
+	if err != nil {
+		return err
+	}
+	right, err := chart("From a drain to the last proxy's order, p99", "ms", drains...)
+	if err != nil {
+		return err
+	}
+	return sideBySide(file, left, right)
+}
--- a/internal/bench/planner.go
+++ b/internal/bench/planner.go
@@ -42,7 +42,7 @@
 }
 
 // start runs a planner of so many cores. It dies with this process.
-func (f Fleet) start(ctx context.Context, command []string, discovery string, cores, sockets int) (*Planner, error) {
+func (f Fleet) start(ctx context.Context, command []string, discovery string, cores, sockets int, grpc bool) (*Planner, error) {
 	folder, err := os.MkdirTemp("", "mulleinwood-bench-")
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 		err = os.WriteFile(filepath.Join(folder, "config.json"), config, 0o600)
 	}
 	if err == nil {
-		err = os.WriteFile(filepath.Join(folder, "own.jsonc"), fmt.Appendf(nil, "{\"cores\": {\"count\": %d}}\n", cores), 0o600)
+		err = os.WriteFile(filepath.Join(folder, "own.jsonc"), fmt.Appendf(nil, "{\"cores\": {\"count\": %d}, \"grpc\": {\"enabled\": %t}}\n", cores, grpc), 0o600)
 	}
 	if err != nil {
 		os.RemoveAll(folder)
--- a/internal/bench/swarm.go
+++ b/internal/bench/swarm.go
@@ -27,14 +27,12 @@
 // swarm is the peers of one planner, with an auditor that sees what they see.
 type swarm struct {
 	fleet     Fleet
+	front     Front
 	begun     time.Time
 	discovery *standin.Discovery
-	proxies   []*standin.Proxy
-	batches   [][]byte // of usage reports, by proxy
-	teller    []*standin.Collector
-	reports   [][]byte // of server reports, by collector
+	proxies   []proxyPeer
+	tellers   []teller
 	messages  atomic.Int64
-	lines     atomic.Int64
 
 	mu      sync.Mutex
 	auditor *audit.Auditor
@@ -52,12 +50,12 @@
 	over   chan struct{}
 }
 
-func newSwarm(f Fleet, discovery *standin.Discovery) (*swarm, error) {
+func newSwarm(f Fleet, front Front, discovery *standin.Discovery) (*swarm, error) {
 	set, err := f.parsed()
 	if err != nil {
 		return nil, err
 	}
-	s := &swarm{fleet: f, begun: time.Now(), discovery: discovery, holders: map[string]map[int]bool{}}
+	s := &swarm{fleet: f, front: front, begun: time.Now(), discovery: discovery, holders: map[string]map[int]bool{}}
 	s.auditor = audit.New(set.Rules, 0)
 	s.reset()
 	for _, m := range f.members() {
@@ -79,44 +77,31 @@
 		s.mu.Lock()
 		s.auditor.Joined(s.now(), i, proxyRate)
 		s.mu.Unlock()
-		p, err := standin.Join(planner, i, zoneOf(i), proxyRate, func(parts []standin.Order) { s.took(i, parts) })
+		p, err := s.proxy(planner, i, rng)
 		if err != nil {
 			return fmt.Errorf("proxy %d of %d can't join (descriptors or ports are used up?): %w", i, s.fleet.Proxies, err)
 		}
 		s.proxies = append(s.proxies, p)
-		var batch []byte
-		for line := range batchLines {
-			batch = fmt.Appendf(batch, `{"t":"client_stats","proxy":%d,"class":%q,"tries":%d,"failed":0,"span_ms":1000}`+"\n",
-				i, classes[line%len(classes)], 3+rng.IntN(9))
-		}
-		s.batches = append(s.batches, batch)
 	}
 	for w := range writers {
-		zone := zones[w%len(zones)]
-		c, err := standin.NewCollector(planner, zone)
+		c, err := s.collector(planner, w, rng)
 		if err != nil {
 			return fmt.Errorf("a collector can't join: %w", err)
 		}
-		s.teller = append(s.teller, c)
-		var text []byte
-		for i := range s.fleet.Servers {
-			text = fmt.Appendf(text, `{"t":"upstream_stats","zone":%q,"server":"s-%d","tries":%d,"failed":0,"mean_ms":%.1f,"span_ms":1000}`+"\n",
-				zone, i, 5+rng.IntN(10), 80+40*rng.Float64())
-		}
-		s.reports = append(s.reports, text)
+		s.tellers = append(s.tellers, c)
 	}
 	deadline := time.Now().Add(patience)
-	for _, p := range s.proxies {
+	for i, p := range s.proxies {
 		for {
 			state := p.State()
 			if state.Replaced > 0 {
 				break
 			}
 			if state.Closed != nil {
-				return fmt.Errorf("proxy %d: %w", p.Number, state.Closed)
+				return fmt.Errorf("proxy %d: %w", i, state.Closed)
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("proxy %d has no table after %v", p.Number, patience)
+				return fmt.Errorf("proxy %d has no table after %v", i, patience)
 			}
 			time.Sleep(time.Millisecond)
 		}
@@ -128,7 +113,7 @@
 	for _, p := range s.proxies {
 		p.Close()
 	}
-	for _, c := range s.teller {
+	for _, c := range s.tellers {
 		c.Close()
 	}
 }
@@ -152,8 +137,12 @@
 		}
 		o.Lines += float64(part.Lines())
 	}
+	s.read(at, proxy, o)
+}
+
+// read notes a message that a proxy has read and applied.
+func (s *swarm) read(at time.Time, proxy int, o audit.Order) {
 	s.messages.Add(1)
-	s.lines.Add(int64(o.Lines))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.auditor.Sent(s.now(), proxy, o)
@@ -221,7 +210,7 @@
 	failed := make(chan error, writers)
 	for w := range writers {
 		group.Go(func() {
-			owed, at := 0.0, 0 // server reports, and the place in their text
+			owed := 0.0 // server reports
 			for time.Now().Before(end) {
 				for i := w; i < len(s.proxies); i += writers {
 					if ahead := float64(sent.Load())/max(1e-9, rate) - time.Since(begun).Seconds(); rate > 0 && ahead > 0 {
@@ -230,20 +219,21 @@
 					if !time.Now().Before(end) {
 						break
 					}
-					if err := s.proxies[i].Write(s.batches[i]); err != nil {
+					n, err := s.proxies[i].flood()
+					if err != nil {
 						failed <- fmt.Errorf("proxy %d: %w", i, err)
 						return
 					}
-					sent.Add(batchLines)
-					owed += part * batchLines
-					for n := 0; owed >= 1 && n < 2; n++ { // at most twice round a text
-						lines := nthLines(s.reports[w], &at, int(owed))
-						if err := s.teller[w].Write(lines.text); err != nil {
+					sent.Add(int64(n))
+					owed += part * float64(n)
+					for n := 0; owed >= 1 && n < 2; n++ { // at most two messages at a time
+						n, err := s.tellers[w].tell(int(owed))
+						if err != nil {
 							failed <- fmt.Errorf("a collector: %w", err)
 							return
 						}
-						sent.Add(int64(lines.count))
-						owed -= float64(lines.count)
+						sent.Add(int64(n))
+						owed -= float64(n)
 					}
 				}
 			}
@@ -261,18 +251,16 @@
 	return float64(sent.Load()), time.Since(begun), nil
 }
 
-// settle waits until each proxy's heartbeat has come back: all that was written before has been taken.
+// settle waits until all that was written before has been taken.
 func (s *swarm) settle() error {
-	before := make([]int, len(s.proxies))
 	for i, p := range s.proxies {
-		before[i] = p.State().Beats
-		if err := p.Say(`{"t":"hb"}`); err != nil {
+		if err := p.ask(); err != nil {
 			return fmt.Errorf("proxy %d: %w", i, err)
 		}
 	}
 	for i, p := range s.proxies {
-		if state := p.Wait(func(state standin.State) bool { return state.Beats > before[i] }); state.Closed != nil {
-			return fmt.Errorf("proxy %d: %w", i, state.Closed)
+		if err := p.await(); err != nil {
+			return fmt.Errorf("proxy %d: %w", i, err)
 		}
 	}
 	return nil
--- a/internal/standin/grpc.go
+++ b/internal/standin/grpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -49,6 +50,7 @@
 	client  *grpc.ClientConn
 	stream  discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient
 	loads   load.LoadReportingService_StreamLoadStatsClient
+	ctx     context.Context // of its streams
 	cancel  context.CancelFunc
 	node    *core.Node
 	classes []string
@@ -65,14 +67,11 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &GRPCProxy{Number: number, board: newBoard(), client: client, cancel: cancel, node: ProxyNode(number, zone, rate), classes: classes,
+	p := &GRPCProxy{Number: number, board: newBoard(), client: client, ctx: ctx, cancel: cancel, node: ProxyNode(number, zone, rate), classes: classes,
 		heed: heed, done: make(chan struct{})}
 	if p.stream, err = discovery.NewAggregatedDiscoveryServiceClient(client).StreamAggregatedResources(ctx); err == nil {
 		err = p.stream.Send(&discovery.DiscoveryRequest{Node: p.node, TypeUrl: xds.TypeEndpoints, ResourceNames: classes})
 	}
-	if err == nil {
-		p.loads, err = load.NewLoadReportingServiceClient(client).StreamLoadStats(ctx)
-	}
 	if err != nil {
 		cancel()
 		client.Close()
@@ -153,9 +152,47 @@
 	return nil
 }
 
+// SendLoad writes a report of load as it is. The first on a stream names the node.
+func (p *GRPCProxy) SendLoad(r *load.LoadStatsRequest) error {
+	if p.loads == nil {
+		s, err := load.NewLoadReportingServiceClient(p.client).StreamLoadStats(p.ctx)
+		if err != nil {
+			return err
+		}
+		if err := s.Send(&load.LoadStatsRequest{Node: p.node}); err != nil {
+			return err
+		}
+		p.loads = s
+	}
+	return p.loads.Send(r)
+}
+
+// EndLoad ends the stream of reports; the next report begins another.
+func (p *GRPCProxy) EndLoad() error {
+	if p.loads == nil {
+		return nil
+	}
+	return p.loads.CloseSend()
+}
+
+// AwaitLoad waits until the planner has taken all reports of a stream that was ended.
+func (p *GRPCProxy) AwaitLoad() error {
+	if p.loads == nil {
+		return nil
+	}
+	for {
+		if _, err := p.loads.Recv(); errors.Is(err, io.EOF) {
+			p.loads = nil
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // Use reports what came to the proxy of a class.
 func (p *GRPCProxy) Use(class string, tries, failed uint64, span time.Duration) error {
-	return p.loads.Send(&load.LoadStatsRequest{Node: p.node, ClusterStats: []*endpoint.ClusterStats{{ClusterName: class,
+	return p.SendLoad(&load.LoadStatsRequest{ClusterStats: []*endpoint.ClusterStats{{ClusterName: class,
 		LoadReportInterval: durationpb.New(span), UpstreamLocalityStats: []*endpoint.UpstreamLocalityStats{
 			{TotalIssuedRequests: tries, TotalErrorRequests: failed, TotalSuccessfulRequests: tries - min(tries, failed)}}}}})
 }
@@ -190,6 +227,9 @@
 	return c, nil
 }
 
+// Send writes a report as it is.
+func (c *GRPCCollector) Send(r *load.LoadStatsRequest) error { return c.stream.Send(r) }
+
 // Report tells what the zone's proxies met at a server.
 func (c *GRPCCollector) Report(server string, tries, failed int, mean, span float64) error {
 	return c.stream.Send(&load.LoadStatsRequest{ClusterStats: []*endpoint.ClusterStats{{ClusterName: "all",
