--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -16,6 +16,15 @@
 type Options struct {
 	Cores Cores `json:"cores"`
 	GRPC  GRPC  `json:"grpc"`
+
+	Versions Versions `json:"versions"`
+}
+
+// Versions says whether proxies that ask for them when they join get versioned updates.
+type Versions struct {
+	Enabled bool `json:"enabled"`
+	// KeyFile holds the key that makes updates authentic; empty: they are guarded against accidents only.
+	KeyFile string `json:"key_file"`
 }
 
 // GRPC says how the gRPC front is served, at the planner's own address.
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -15,6 +15,7 @@
 	"mulleinwood/internal/options"
 	"mulleinwood/internal/protocol"
 	"mulleinwood/internal/settings"
+	"mulleinwood/tables"
 )
 
 // The variables that name the planner's surroundings.
@@ -36,6 +37,7 @@
 	Settings  settings.Settings
 	Own       options.Options // the program's own settings, beside the platform's
 
+	sent   func(tables.Update) // see versions.sent
 	getenv func(string) string
 	stated addresses // in the file, whatever the variables say
 }
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -31,13 +31,20 @@
 	collectors map[string]*transport.Conn // the newest of each zone
 	counts     map[string]int             // lines and connections that are of no use, by what is wrong
 	front      *front                     // nil: no gRPC
+	versions   *versions                  // nil: none
 }
 
 // linePeer is a peer that is written to in lines.
-type linePeer struct{ *transport.Conn }
+type linePeer struct {
+	*transport.Conn
+	versioned *versioned // nil: it didn't ask for versions
+}
 
 // Order implements routing.Peer.
 func (p linePeer) Order(o protocol.Orders) error {
+	if p.versioned != nil {
+		return p.versioned.order(p.Conn, o)
+	}
 	text, err := o.Append(nil)
 	if err != nil {
 		return err
@@ -86,6 +93,8 @@
 		return s.role == collector && m.Zone == s.zone
 	case protocol.UsageReport:
 		return s.role == collector || s.role == proxy && m.Proxy == s.proxy
+	case protocol.Again:
+		return s.role == proxy && m.Proxy == s.proxy
 	case protocol.Done:
 		return s.role == proxy && m.Proxy == s.proxy
 	}
@@ -100,6 +109,7 @@
 // Accepted implements transport.Handler.
 func (p *peers) Accepted(c *transport.Conn) transport.Machine {
 	var s speaker
+	self := linePeer{Conn: c}
 	bad := func(err error) error {
 		if s.role == unjoined { // who has not joined and speaks no protocol has nothing to say here
 			return err
@@ -118,7 +128,22 @@
 			} else if err := p.join(c, &s, m); err != nil {
 				return err
 			}
-			p.post(routing.Said{Peer: linePeer{c}, Message: m})
+			switch m := m.(type) {
+			case protocol.Attach:
+				if m.Versions && p.versions != nil {
+					self.versioned = p.versions.of(m.Proxy)
+				}
+			case protocol.Again:
+				if self.versioned == nil {
+					return bad(fmt.Errorf("%T without versions: %w", m, errRole))
+				}
+				if self.versioned.again(c, m) {
+					return nil
+				}
+				p.post(routing.Said{Peer: self, Message: protocol.Refused{Proxy: m.Proxy}})
+				return nil
+			}
+			p.post(routing.Said{Peer: self, Message: m})
 			return nil
 		},
 		Bad: bad,
@@ -179,7 +204,7 @@
 	p.mu.Lock()
 	maps.DeleteFunc(p.collectors, func(_ string, newest *transport.Conn) bool { return newest == c })
 	p.mu.Unlock()
-	p.post(routing.Ended{Peer: linePeer{c}})
+	p.post(routing.Ended{Peer: linePeer{Conn: c}})
 	if p.front != nil {
 		p.front.gone(c)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -87,6 +87,9 @@
 		Int64("revision", c.Known.Revision).Int("known", len(c.Known.Members)).Int("cores", n).Msg("planner starts")
 	served := make(chan error, 1)
 	handler := &peers{set: c.Settings, post: post, log: bounded, collectors: map[string]*transport.Conn{}, counts: map[string]int{}}
+	if handler.versions, err = newVersions(c.Name, c.Own.Versions, c.sent); err != nil {
+		return &StartError{err}
+	}
 	if c.Own.GRPC.Enabled {
 		handler.front = newFront(ctx, c.Settings, c.Own.GRPC, handler, listener.Addr(), keys)
 		listener.Foreign = handler.front.take
--- /dev/null
+++ b/internal/program/versions.go
@@ -0,0 +1,170 @@
+package program
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"mulleinwood/internal/options"
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/transport"
+	"mulleinwood/tables"
+)
+
+// versions keeps what each proxy that asked for versions was sent in this life of the planner.
+type versions struct {
+	origin tables.Origin
+	key    tables.Key
+	sent   func(tables.Update) // is shown every update that is sent; nil: nobody is
+
+	mu sync.Mutex
+	by map[int]*versioned // by proxy, over its streams
+}
+
+// newVersions draws this life's number. Nil: versions are off.
+func newVersions(name string, own options.Versions, sent func(tables.Update)) (*versions, error) {
+	if !own.Enabled {
+		return nil, nil
+	}
+	v := &versions{origin: tables.Origin{Instance: name}, by: map[int]*versioned{}, sent: sent}
+	var life [8]byte
+	rand.Read(life[:]) // never fails
+	v.origin.Life = binary.BigEndian.Uint64(life[:])
+	if own.KeyFile != "" {
+		text, err := os.ReadFile(own.KeyFile)
+		if err != nil {
+			return nil, fmt.Errorf("versions.key_file: %w", err)
+		}
+		if v.key = bytes.TrimSpace(text); len(v.key) < keyLeast {
+			return nil, fmt.Errorf("versions.key_file: %s: a key of %d bytes, at least %d are needed", own.KeyFile, len(v.key), keyLeast)
+		}
+	}
+	return v, nil
+}
+
+// keyLeast is the least length of a key.
+const keyLeast = 16
+
+// of is what a proxy was sent. A new stream of it goes on with the numbers.
+func (v *versions) of(proxy int) *versioned {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.by[proxy] == nil {
+		v.by[proxy] = &versioned{all: v, sender: tables.NewSender(v.origin, uint32(proxy), v.key)}
+	}
+	return v.by[proxy]
+}
+
+// versioned is the planner's end of one proxy's versions.
+type versioned struct {
+	all    *versions
+	mu     sync.Mutex
+	sender *tables.Sender
+	resent int // questions answered in the present second
+	since  time.Time
+}
+
+// resendsMost is how many questions of one proxy are answered in a second; what goes over it waits for the next one's.
+const resendsMost = 4
+
+// updateLine is an update as a line carries it.
+type updateLine struct {
+	Kind   string  `json:"t"`
+	Update []byte  `json:"update,omitempty"` // base64
+	At     uint64  `json:"at,omitempty"`     // the newest number, where nothing is missing
+	Digest []byte  `json:"digest,omitempty"` // and its table's digest
+	Stamp  *uint32 `json:"stamp,omitempty"`
+}
+
+// errLine says that a table is too large for a line.
+var errLine = errors.New("an update over what a line holds")
+
+// order takes an order into the proxy's table and sends the version that results.
+func (v *versioned) order(to *transport.Conn, o protocol.Orders) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	table, _ := v.sender.Table()
+	next := table.Clone()
+	if o.Replace {
+		next.Weights, next.Gates = tables.New().Weights, tables.New().Gates
+	}
+	for _, r := range o.Rows {
+		if w := float32(r.Weight); w > 0 {
+			next.Weights[r.Server] = w
+		} else {
+			delete(next.Weights, r.Server)
+		}
+	}
+	for _, name := range o.Drop {
+		next.Shut[name] = true
+	}
+	for _, name := range o.Undrop {
+		delete(next.Shut, name)
+	}
+	for _, g := range o.Gates {
+		for _, class := range g.Classes {
+			next.Gates[class] = tables.Gate{Level: float32(g.Level), Again: uint8(g.Again)}
+		}
+	}
+	u, err := v.sender.Next(next, o.Replace)
+	if err != nil {
+		return err
+	}
+	return v.send(to, u, o.Stamp)
+}
+
+func (v *versioned) send(to *transport.Conn, u tables.Update, stamp *uint32) error {
+	if v.all.sent != nil {
+		v.all.sent(u)
+	}
+	return line(to, updateLine{Kind: "update", Update: u.Append(nil, v.all.key), Stamp: stamp})
+}
+
+// line writes one line.
+func line(to *transport.Conn, l updateLine) error {
+	text, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	if len(text) >= protocol.LineMost {
+		return errLine
+	}
+	return to.Send(append(text, '\n'))
+}
+
+// again answers a question for missed updates, if they are still kept: they were counted in the channel when they were first
+// sent. What needs a whole table is the module's affair, and so is a proxy that asks too often: false.
+func (v *versioned) again(to *transport.Conn, m protocol.Again) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now := time.Now(); now.Sub(v.since) >= time.Second {
+		v.since, v.resent = now, 0
+	}
+	if v.resent++; v.resent > resendsMost {
+		return true // it asks again, ever farther apart
+	}
+	_, at := v.sender.Table()
+	answer := v.sender.Answer(tables.Ask{Origin: at.Origin, Proxy: at.Proxy, Whole: m.Whole, After: m.After})
+	if len(answer) == 0 { // nothing is missing, or nothing was sent yet: then a whole table comes with the first order
+		if at.Number > 0 {
+			d := v.sender.Digest()
+			line(to, updateLine{Kind: "update", At: at.Number, Digest: d[:]})
+		}
+		return true
+	}
+	if answer[0].Whole {
+		return false
+	}
+	for _, u := range answer {
+		if v.send(to, u, nil) != nil {
+			return true
+		}
+	}
+	return true
+}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -22,6 +22,8 @@
 		Zone   string
 		Weight float64
 		Fresh  bool
+
+		Versions bool // it asks for versioned updates
 	}
 	// Done says that a proxy applied all up to a mark.
 	Done struct {
@@ -29,6 +31,12 @@
 		Mark  uint32
 		Took  float64
 	}
+	// Again asks for versioned updates that a proxy has missed: those after a number, or the whole table.
+	Again struct {
+		Proxy int
+		Whole bool
+		After uint64
+	}
 	// Refused says that a proxy could not use what it was sent: what it holds isn't known.
 	Refused struct{ Proxy int }
 	// ServerReport is what the proxies of a zone met at a server. One without a name is known by its address.
@@ -50,6 +58,7 @@
 func (Attach) message()       {}
 func (Done) message()         {}
 func (Refused) message()      {}
+func (Again) message()        {}
 func (ServerReport) message() {}
 func (UsageReport) message()  {}
 
@@ -105,6 +114,10 @@
 	Mean   *float64            `json:"mean_ms"`
 	Span   *float64            `json:"span_ms"`
 	Load   map[string]*float64 `json:"load"`
+
+	Versions bool   `json:"versions"`
+	Whole    bool   `json:"whole"`
+	After    uint64 `json:"after"`
 }
 
 // Decode reads one line. Unknown fields are skipped. Its error is a LineError: either the line is JSON and can't be
@@ -196,7 +209,12 @@
 		if *l.Weight > RateMost {
 			return nil, errRate
 		}
-		return Attach{Proxy: *l.Proxy, Zone: *l.Zone, Weight: *l.Weight, Fresh: l.Fresh}, nil
+		return Attach{Proxy: *l.Proxy, Zone: *l.Zone, Weight: *l.Weight, Fresh: l.Fresh, Versions: l.Versions}, nil
+	case "again":
+		if l.Proxy == nil {
+			return nil, errMissing
+		}
+		return Again{Proxy: *l.Proxy, Whole: l.Whole, After: l.After}, nil
 	case "done":
 		if l.Proxy == nil || l.Mark == nil || l.Took == nil {
 			return nil, errMissing
--- a/internal/standin/grpc.go
+++ b/internal/standin/grpc.go
@@ -55,6 +55,7 @@
 	node    *core.Node
 	classes []string
 	heed    func(*discovery.DiscoveryResponse)
+	still   bool   // it reads nothing
 	refuse  string // answer with this error, while it is set
 	done    chan struct{}
 }
@@ -88,8 +89,17 @@
 	p.refuse = message
 }
 
+// Stall makes the proxy read nothing more until it is told to go on, as if its process stood still.
+func (p *GRPCProxy) Stall(still bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.still = still
+	p.change.Broadcast()
+}
+
 // Close leaves the planner and waits for the reader.
 func (p *GRPCProxy) Close() {
+	p.Stall(false)
 	p.cancel()
 	p.client.Close()
 	<-p.done
@@ -101,6 +111,11 @@
 func (p *GRPCProxy) read() {
 	defer close(p.done)
 	for {
+		p.mu.Lock()
+		for p.still {
+			p.change.Wait()
+		}
+		p.mu.Unlock()
 		r, err := p.stream.Recv()
 		if err != nil {
 			p.alter(func(s *State) { s.Closed = err })
--- /dev/null
+++ b/internal/standin/versioned.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"mulleinwood/tables"
+)
+
+// Versioned is a proxy that asks for versioned updates and takes them by the public receiver.
+type Versioned struct {
+	Number int
+	nc     net.Conn
+	board
+	receiver *tables.Receiver
+	origin   tables.Origin
+	spoil    func([]byte) [][]byte
+	begun    time.Time
+	done     chan struct{}
+	end      chan struct{}
+	write    sync.Mutex
+	Held     func(tables.Table, tables.Version) // is told of each table that is held; nil: nobody is
+}
+
+// JoinVersioned dials a planner and joins it. Spoil is given each update's bytes and returns what arrives in their place: none,
+// one or several, as they are or spoilt; nil lets all pass.
+func JoinVersioned(planner string, number int, zone string, weight float64, key tables.Key, spoil func([]byte) [][]byte,
+	held func(tables.Table, tables.Version)) (*Versioned, error) {
+	nc, err := net.Dial("tcp", planner)
+	if err != nil {
+		return nil, err
+	}
+	p := &Versioned{Number: number, nc: nc, board: newBoard(), receiver: tables.NewReceiver(uint32(number), key), spoil: spoil, begun: time.Now(),
+		done: make(chan struct{}), end: make(chan struct{}), Held: held}
+	if err := p.say(fmt.Sprintf(`{"t":"attach","proxy":%d,"zone":%q,"weight":%g,"fresh":true,"versions":true}`, number, zone, weight)); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	go p.read(key)
+	go p.ask()
+	return p, nil
+}
+
+func (p *Versioned) say(line string) error {
+	p.write.Lock()
+	defer p.write.Unlock()
+	_, err := io.WriteString(p.nc, line+"\n")
+	return err
+}
+
+// Close leaves the planner and waits for the reader.
+func (p *Versioned) Close() {
+	p.nc.Close()
+	<-p.done
+}
+
+func (p *Versioned) now() float64 { return float64(time.Since(p.begun)) / float64(time.Millisecond) }
+
+// ask asks for what is missing until the reader ends.
+func (p *Versioned) ask() {
+	pace := time.NewTicker(20 * time.Millisecond)
+	defer pace.Stop()
+	for {
+		select {
+		case <-p.end:
+			return
+		case <-pace.C:
+		}
+		p.mu.Lock()
+		a, asks := p.receiver.Ask(p.now())
+		p.mu.Unlock()
+		if asks {
+			p.say(fmt.Sprintf(`{"t":"again","proxy":%d,"whole":%t,"after":%d}`, p.Number, a.Whole, a.After))
+		}
+	}
+}
+
+func (p *Versioned) read(key tables.Key) {
+	defer close(p.done)
+	defer close(p.end)
+	in := bufio.NewReaderSize(p.nc, 1<<16)
+	for {
+		text, err := in.ReadBytes('\n')
+		var l struct {
+			T      string
+			Update []byte
+			At     uint64
+			Digest []byte
+			Stamp  *uint32
+		}
+		if err == nil {
+			err = json.Unmarshal(text, &l)
+		}
+		if err == nil && l.T != "update" {
+			err = fmt.Errorf("a line of kind %q to a proxy that asked for versions", l.T)
+		}
+		if err != nil {
+			p.alter(func(s *State) { s.Closed = err })
+			return
+		}
+		if l.Update == nil {
+			p.mu.Lock()
+			p.receiver.Told(p.now(), tables.Version{Origin: p.origin, Proxy: uint32(p.Number), Number: l.At}, tables.Digest(l.Digest))
+			p.mu.Unlock()
+			continue
+		}
+		arrives := [][]byte{l.Update}
+		if p.spoil != nil {
+			arrives = p.spoil(l.Update)
+		}
+		for _, update := range arrives {
+			p.take(update, key)
+		}
+		if l.Stamp != nil { // a mark says that the message was read; whether it could be used is asked by number
+			p.say(fmt.Sprintf(`{"t":"done","proxy":%d,"mark":%d,"took_ms":1}`, p.Number, *l.Stamp))
+		}
+	}
+}
+
+// take gives an update to the receiver. The first that can be read names the stream's origin.
+func (p *Versioned) take(update []byte, key tables.Key) {
+	p.alter(func(s *State) {
+		if u, err := tables.Decode(update, key); err == nil && p.origin == (tables.Origin{}) {
+			p.origin = u.Origin
+			p.receiver.Joined(p.now(), u.Origin)
+		}
+		_, before := p.receiver.Table()
+		if p.receiver.Bytes(p.now(), update) != nil {
+			s.Refused++
+			return
+		}
+		table, at := p.receiver.Table()
+		if at == before {
+			return
+		}
+		s.Messages++
+		s.Table, s.Levels, s.Shut = map[string]float64{}, map[string]float64{}, table.Clone().Shut
+		for name, weight := range table.Weights {
+			s.Table[name] = float64(weight)
+		}
+		for class, gate := range table.Gates {
+			s.Levels[class] = float64(gate.Level)
+		}
+		if p.Held != nil {
+			p.Held(table.Clone(), at)
+		}
+	})
+}
+
+// InStep says whether the proxy knows of nothing that it lacks, and which version it holds.
+func (p *Versioned) InStep() (bool, tables.Version) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, at := p.receiver.Table()
+	return p.receiver.InStep(), at
+}
--- /dev/null
+++ b/tables/main_test.go
@@ -0,0 +1,14 @@
+package tables
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the draws of the property tests, so that CI gives the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Lookup("rapid.seed").Value.Set("18")
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/tables/sender.go
@@ -0,0 +1,88 @@
+package tables
+
+import (
+	"errors"
+	"math"
+)
+
+// historyMost bounds the updates that a sender keeps for those who miss some.
+const historyMost = 32
+
+// ErrExhausted says that an origin has no numbers left for a proxy. The planner must go on as another life.
+var ErrExhausted = errors.New("no version numbers left")
+
+// Sender is a planner's end for one proxy.
+type Sender struct {
+	key     Key
+	table   Table
+	at      Version
+	history []Update // the latest, each the one after its neighbour's
+}
+
+// NewSender returns the sender of a proxy's tables in one life of a planner.
+func NewSender(o Origin, proxy uint32, key Key) *Sender {
+	return &Sender{key: key, table: New(), at: Version{Origin: o, Proxy: proxy}}
+}
+
+// Table is the table last sent, and its version.
+func (s *Sender) Table() (Table, Version) { return s.table, s.at }
+
+// Digest is that of the table last sent.
+func (s *Sender) Digest() Digest { return s.table.Digest(s.at, s.key) }
+
+// Next makes a table the next version and returns the update that carries it: whole if the proxy must not build on what it
+// holds, as at its joining.
+func (s *Sender) Next(t Table, whole bool) (Update, error) {
+	if s.at.Number == math.MaxUint64 {
+		return Update{}, ErrExhausted
+	}
+	before := s.table
+	s.at.Number++
+	s.table = t.Clone()
+	if whole || s.at.Number == 1 {
+		s.history = nil
+		return Whole(s.table, s.at, s.key), nil
+	}
+	u := Between(before, s.table, s.at, s.key)
+	if s.history = append(s.history, u); len(s.history) > historyMost {
+		s.history = s.history[1:]
+	}
+	return u, nil
+}
+
+// Answer is what an ask calls for: the updates after a number if they are still kept, and otherwise, or if they would be
+// larger, the whole table. One of another origin or proxy, or of a number that was never sent, gets the whole table if it is
+// this proxy's, and nothing if it isn't, or if nothing is missing.
+func (s *Sender) Answer(a Ask) []Update {
+	if a.Proxy != s.at.Proxy || s.at.Number == 0 {
+		return nil
+	}
+	whole := []Update{Whole(s.table, s.at, s.key)}
+	if a.Whole || a.Origin != s.at.Origin || a.After > s.at.Number {
+		return whole
+	}
+	lines, missing := 0, s.at.Number-a.After
+	if missing == 0 {
+		return nil // a word says so: Told
+	}
+	if missing > uint64(len(s.history)) {
+		return whole
+	}
+	updates := s.history[uint64(len(s.history))-missing:]
+	for _, u := range updates {
+		lines += u.Lines()
+	}
+	if lines > whole[0].Lines() {
+		return whole
+	}
+	return append([]Update(nil), updates...)
+}
+
+// Lines is what an update counts in the planner's channel, its head left aside, as orders do.
+func (u Update) Lines() int {
+	n := len(u.Weights) + len(u.Shut) + len(u.Open) + len(u.Gates) + len(u.NoGates) + 1 // its number is to be answered
+	if u.Whole {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/tables/wire.go
@@ -0,0 +1,191 @@
+package tables
+
+import (
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Fields of an update on the wire, in the protocol buffers' encoding. A field that isn't known is an error: what a later
+// form says that this one doesn't know would make another table.
+const (
+	fieldInstance protowire.Number = iota + 1
+	fieldLife
+	fieldProxy
+	fieldNumber
+	fieldWhole
+	fieldBase
+	fieldFrom
+	fieldTo
+	fieldWeight // name, float
+	fieldShut
+	fieldOpen
+	fieldGate // class, float, again
+	fieldNoGate
+	fieldSeal // of all bytes before it; always last
+)
+
+// UpdateMost is the most bytes that an update may have.
+const UpdateMost = 1 << 20
+
+// The errors of an update that can't be read.
+var (
+	ErrLong   = errors.New("an update over 1 MiB")
+	ErrForm   = errors.New("bytes that are no update")
+	ErrSealed = errors.New("bytes that differ from those sent")
+)
+
+// Append writes an update, sealed by a digest over its bytes: so a flipped bit is noticed before anything is believed,
+// names of versions included.
+func (u Update) Append(out []byte, key Key) []byte {
+	begin := len(out)
+	bytes := func(n protowire.Number, b []byte) {
+		out = protowire.AppendBytes(protowire.AppendTag(out, n, protowire.BytesType), b)
+	}
+	number := func(n protowire.Number, x uint64) {
+		out = protowire.AppendVarint(protowire.AppendTag(out, n, protowire.VarintType), x)
+	}
+	bytes(fieldInstance, []byte(u.Instance))
+	number(fieldLife, u.Life)
+	number(fieldProxy, uint64(u.Proxy))
+	number(fieldNumber, u.Number)
+	number(fieldWhole, protowire.EncodeBool(u.Whole))
+	number(fieldBase, u.Base)
+	bytes(fieldFrom, u.From[:])
+	bytes(fieldTo, u.To[:])
+	for _, name := range slices.Sorted(maps.Keys(u.Weights)) {
+		bytes(fieldWeight, protowire.AppendFixed32(protowire.AppendBytes(nil, []byte(name)), math.Float32bits(u.Weights[name])))
+	}
+	for _, list := range []struct {
+		n     protowire.Number
+		names []string
+	}{{fieldShut, u.Shut}, {fieldOpen, u.Open}, {fieldNoGate, u.NoGates}} {
+		for _, name := range slices.Sorted(slices.Values(list.names)) {
+			bytes(list.n, []byte(name))
+		}
+	}
+	for _, class := range slices.Sorted(maps.Keys(u.Gates)) {
+		g := u.Gates[class]
+		bytes(fieldGate, append(protowire.AppendFixed32(protowire.AppendBytes(nil, []byte(class)), math.Float32bits(g.Level)), g.Again))
+	}
+	seal := sum(out[begin:], key)
+	bytes(fieldSeal, seal[:])
+	return out
+}
+
+// Decode reads an update. Nothing of it is believed unless its seal holds.
+func Decode(text []byte, key Key) (u Update, err error) {
+	if len(text) > UpdateMost {
+		return Update{}, ErrLong
+	}
+	const sealSize = 2 + len(Digest{}) // tag and length take a byte each
+	if len(text) < sealSize {
+		return Update{}, ErrForm
+	}
+	body, tail := text[:len(text)-sealSize], text[len(text)-sealSize:]
+	n, kind, size := protowire.ConsumeTag(tail)
+	seal, rest := protowire.ConsumeBytes(tail[max(0, size):])
+	if n != fieldSeal || kind != protowire.BytesType || rest < 0 || len(seal) != len(Digest{}) {
+		return Update{}, ErrForm
+	}
+	if want := sum(body, key); subtle.ConstantTimeCompare(seal, want[:]) == 0 {
+		return Update{}, ErrSealed
+	}
+	u = Update{Weights: map[string]float32{}, Gates: map[string]Gate{}}
+	for len(body) > 0 {
+		n, kind, size := protowire.ConsumeTag(body)
+		if size < 0 {
+			return Update{}, ErrForm
+		}
+		body = body[size:]
+		switch kind {
+		case protowire.VarintType:
+			x, size := protowire.ConsumeVarint(body)
+			if size < 0 {
+				return Update{}, ErrForm
+			}
+			body = body[size:]
+			err = u.number(n, x)
+		case protowire.BytesType:
+			b, size := protowire.ConsumeBytes(body)
+			if size < 0 {
+				return Update{}, ErrForm
+			}
+			body = body[size:]
+			err = u.bytes(n, b)
+		default:
+			err = ErrForm
+		}
+		if err != nil {
+			return Update{}, err
+		}
+	}
+	return u, nil
+}
+
+func (u *Update) number(n protowire.Number, x uint64) error {
+	switch n {
+	case fieldLife:
+		u.Life = x
+	case fieldProxy:
+		if u.Proxy = uint32(x); uint64(u.Proxy) != x {
+			return ErrForm
+		}
+	case fieldNumber:
+		u.Number = x
+	case fieldWhole:
+		u.Whole = protowire.DecodeBool(x)
+	case fieldBase:
+		u.Base = x
+	default:
+		return fmt.Errorf("%w: field %d", ErrForm, n)
+	}
+	return nil
+}
+
+func (u *Update) bytes(n protowire.Number, b []byte) error {
+	switch n {
+	case fieldInstance:
+		u.Instance = string(b)
+	case fieldFrom, fieldTo:
+		if len(b) != len(Digest{}) {
+			return ErrForm
+		}
+		if n == fieldFrom {
+			u.From = Digest(b)
+		} else {
+			u.To = Digest(b)
+		}
+	case fieldWeight, fieldGate:
+		name, size := protowire.ConsumeBytes(b)
+		if size < 0 {
+			return ErrForm
+		}
+		bits, more := protowire.ConsumeFixed32(b[size:])
+		if more < 0 {
+			return ErrForm
+		}
+		switch rest := b[size+more:]; {
+		case n == fieldWeight && len(rest) == 0:
+			u.Weights[string(name)] = math.Float32frombits(bits)
+		case n == fieldGate && len(rest) == 1:
+			u.Gates[string(name)] = Gate{math.Float32frombits(bits), rest[0]}
+		default:
+			return ErrForm
+		}
+	case fieldShut:
+		u.Shut = append(u.Shut, string(b))
+	case fieldOpen:
+		u.Open = append(u.Open, string(b))
+	case fieldNoGate:
+		u.NoGates = append(u.NoGates, string(b))
+	default:
+		return fmt.Errorf("%w: field %d", ErrForm, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/tables/wire_test.go
@@ -0,0 +1,232 @@
+package tables
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var someVersion = Version{Origin: Origin{"n3", 77}, Proxy: 9, Number: 5}
+
+// large is a table of so many servers.
+func large(n int) Table {
+	t := New()
+	for i := range n {
+		t.Weights[fmt.Sprintf("s-%06d", i)] = 1 + float32(i%7)/10
+	}
+	t.Gates["view"] = Gate{0.5, 1}
+	return t
+}
+
+// TestFlippedBits: every bit of a small update, and random ones of a large, is noticed before anything is believed, with a key
+// and without; and so is a cut at every place.
+func TestFlippedBits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 18))
+	for _, key := range []Key{nil, Key("a group's key")} {
+		small := Between(large(3), large(4), someVersion, key).Append(nil, key)
+		for bit := range 8 * len(small) {
+			small[bit/8] ^= 1 << (bit % 8)
+			if u, err := Decode(small, key); err == nil {
+				t.Fatalf("bit %d of %d: read as %+v", bit, 8*len(small), u)
+			}
+			small[bit/8] ^= 1 << (bit % 8)
+		}
+		for cut := range small {
+			if _, err := Decode(small[:cut], key); err == nil {
+				t.Fatalf("cut at %d of %d: read", cut, len(small))
+			}
+		}
+		big := Whole(large(2000), someVersion, key).Append(nil, key)
+		for range 300 {
+			bit := rng.IntN(8 * len(big))
+			big[bit/8] ^= 1 << (bit % 8)
+			if _, err := Decode(big, key); err == nil {
+				t.Fatalf("bit %d of a large update: read", bit)
+			}
+			big[bit/8] ^= 1 << (bit % 8)
+		}
+		if _, err := Decode(big, key); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestForgedUpdates: who can compute the plain digest can make an update that passes for an accident's absence; with a key
+// it is refused, and so is one made with another key, or a plain one where a key is wanted.
+func TestForgedUpdates(t *testing.T) {
+	forged := Whole(tableOf(map[string]float32{"evil": 1}), someVersion, nil).Append(nil, nil)
+	if _, err := Decode(forged, nil); err != nil {
+		t.Errorf("a plain digest is no proof of who made it, and yet: %v", err)
+	}
+	for _, text := range [][]byte{forged, Whole(tableOf(map[string]float32{"evil": 1}), someVersion, Key("guess")).Append(nil, Key("guess"))} {
+		if _, err := Decode(text, Key("secret")); !errors.Is(err, ErrSealed) {
+			t.Errorf("%v; want ErrSealed", err)
+		}
+	}
+}
+
+// TestUpdatesSurviveTheWire: what is written is read, and takes a receiver from each table to the next.
+func TestUpdatesSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := Key(rapid.SampledFrom([]string{"", "k"}).Draw(t, "key"))
+		o := Origin{rapid.String().Draw(t, "instance"), rapid.Uint64().Draw(t, "life")}
+		if o == (Origin{}) {
+			return // nobody's
+		}
+		s, r, now := NewSender(o, 3, key), NewReceiver(3, key), 0.0
+		r.Joined(now, o)
+		for range rapid.IntRange(1, 12).Draw(t, "tables") {
+			next := New()
+			for range rapid.IntRange(0, 5).Draw(t, "servers") {
+				next.Weights[rapid.StringN(0, 5, -1).Draw(t, "server")] = float32(rapid.Float64Range(1e-9, 1e6).Draw(t, "weight"))
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "shut") {
+				next.Shut[rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")] = true
+			}
+			if rapid.Bool().Draw(t, "gated") {
+				next.Gates["view"] = Gate{float32(rapid.Float64Range(0, 1).Draw(t, "level")), 1}
+			}
+			u, err := s.Next(next, rapid.IntRange(0, 4).Draw(t, "whole") == 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text := u.Append(nil, key)
+			switch rapid.IntRange(0, 3).Draw(t, "channel") {
+			case 0: // lost
+				continue
+			case 1: // spoilt
+				text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] ^= 0x40
+				if r.Bytes(now, text) == nil {
+					t.Fatal("a spoilt update is taken")
+				}
+				continue
+			}
+			before, at := r.Table()
+			if err := r.Bytes(now, text); err != nil {
+				if after, still := r.Table(); still != at || !after.Equal(before) {
+					t.Fatalf("an update that was refused (%v) changed the table", err)
+				}
+			}
+		}
+		r.Told(now, s.at, s.Digest())
+		for range 4 {
+			now = max(now, r.Due())
+			if a, asks := r.Ask(now); asks {
+				for _, u := range s.Answer(a) {
+					r.Bytes(now, u.Append(nil, key))
+				}
+			}
+		}
+		if held, at := r.Table(); at != s.at || !held.Equal(s.table) || !r.InStep() {
+			t.Fatalf("holds %+v as %v, sent %+v as %v", held, at, s.table, s.at)
+		}
+	})
+}
+
+// TestQuestionsGrowApart guards against a receiver that floods a planner which can't answer, and one that gives up.
+func TestQuestionsGrowApart(t *testing.T) {
+	r := NewReceiver(1, nil)
+	r.Joined(0, origin(0))
+	r.at.Number, r.behind, r.whole = 4, false, false
+	r.lost(0, false)
+	var at []float64
+	wholes := 0
+	for now := 0.0; now < 600000; now += 50 {
+		if a, asks := r.Ask(now); asks {
+			if at = append(at, now); a.Whole {
+				wholes++
+			}
+		}
+	}
+	if len(at) < 15 || len(at) > 40 || wholes != len(at)-deltasTried {
+		t.Errorf("%d questions in ten minutes, %d for the whole table", len(at), wholes)
+	}
+	if gap := at[len(at)-1] - at[len(at)-2]; gap < askMost || gap > 2*askMost {
+		t.Errorf("the last two are %v ms apart", gap)
+	}
+}
+
+func TestNumbersEnd(t *testing.T) {
+	s := NewSender(origin(0), 1, nil)
+	s.at.Number = math.MaxUint64 - 1
+	if _, err := s.Next(New(), true); err != nil {
+		t.Error(err)
+	}
+	if _, err := s.Next(New(), false); !errors.Is(err, ErrExhausted) {
+		t.Errorf("after the last number: %v", err)
+	}
+}
+
+// TestAnswers: missing updates while they are kept and smaller than the table, else the whole; nothing to another proxy.
+func TestAnswers(t *testing.T) {
+	s := NewSender(origin(0), 1, nil)
+	if got := s.Answer(Ask{Origin: origin(0), Proxy: 1}); got != nil {
+		t.Errorf("before any version: %v", got)
+	}
+	for i := range 40 {
+		table := large(50)
+		table.Weights["s-000000"] = float32(i + 1)
+		s.Next(table, false)
+	}
+	for what, tc := range map[string]struct {
+		ask   Ask
+		n     int
+		whole bool
+	}{
+		"three missing":      {Ask{Origin: origin(0), Proxy: 1, After: 37}, 3, false},
+		"older than is kept": {Ask{Origin: origin(0), Proxy: 1, After: 3}, 1, true},
+		"none missing":       {Ask{Origin: origin(0), Proxy: 1, After: 40}, 0, false},
+		"never sent":         {Ask{Origin: origin(0), Proxy: 1, After: 99}, 1, true},
+		"of another life":    {Ask{Origin: origin(1), Proxy: 1, After: 39}, 1, true},
+		"wants all":          {Ask{Origin: origin(0), Proxy: 1, After: 39, Whole: true}, 1, true},
+		"dearer than all":    {Ask{Origin: origin(0), Proxy: 1, After: 10}, 1, true},
+		"of another proxy":   {Ask{Origin: origin(0), Proxy: 2, After: 39}, 0, false},
+	} {
+		got := s.Answer(tc.ask)
+		if len(got) != tc.n || len(got) > 0 && got[0].Whole != tc.whole {
+			t.Errorf("%s: %d updates, want %d, whole %t", what, len(got), tc.n, tc.whole)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Whole(large(3), someVersion, nil).Append(nil, nil))
+	f.Add(Between(large(3), large(5), someVersion, nil).Append(nil, nil))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		u, err := Decode(text, nil)
+		if err != nil {
+			return
+		}
+		r := NewReceiver(u.Proxy, nil)
+		r.Joined(0, u.Origin)
+		r.Update(0, u)
+	})
+}
+
+// BenchmarkChange is one weight of a table of 30 servers: made, written, read and applied.
+func BenchmarkChange(b *testing.B) {
+	for _, key := range []Key{nil, Key("a group's key")} {
+		b.Run(map[bool]string{true: "keyed", false: "plain"}[len(key) > 0], func(b *testing.B) {
+			s, r := NewSender(origin(0), 1, key), NewReceiver(1, key)
+			r.Joined(0, origin(0))
+			table, bytes := large(30), 0
+			for i := 0; b.Loop(); i++ {
+				table.Weights["s-000003"] = float32(i%100 + 1)
+				u, err := s.Next(table, false)
+				if err != nil {
+					b.Fatal(err)
+				}
+				text := u.Append(nil, key)
+				if bytes += len(text); r.Bytes(0, text) != nil {
+					b.Fatal("refused")
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/change")
+			b.ReportMetric(float64(len(Whole(table, s.at, key).Append(nil, key))), "bytes/whole")
+		})
+	}
+}
