Keep a record of what proxies were sent, and commands that read it

Change: internal/record, a bbolt store whose entries are chained by digests (keyed with a key file) under a sealed head, bounded by number and age, written beside the planner's work; tables verify, log, show, diff; bench versions.

--- a/cmd/mulleinwood/bench.go
+++ b/cmd/mulleinwood/bench.go
@@ -16,6 +16,7 @@
 	Look      benchLookCmd      `cmd:"" help:"Time the looks of planners of several cores in this process, without sockets, at sizes that sockets don't reach."`
 	Decisions benchDecisionsCmd `cmd:"" help:"Play one scripted day, on simulated servers and clock, to planners of several numbers of cores and compare what they decide."`
 	Fronts    benchFrontsCmd    `cmd:"" help:"Measure the same fleet over lines, over gRPC and half and half, as bench cores does."`
+	Versions  benchVersionsCmd  `cmd:"" help:"Measure what versioned tables and their record cost, and how soon receivers are in step again after losses, on a scripted day with simulated servers and clock."`
 }
 
 // sizes are the flags that all measurements share.
@@ -152,6 +153,29 @@
 	return b.report(result, result.WriteTable, result.WritePlot, out)
 }
 
+type benchVersionsCmd struct {
+	sizes
+	Deliveries int `help:"Besides, deliver so many updates over channels that spoil them, and check each table held." default:"100000"`
+}
+
+// Run measures and reports.
+func (b benchVersionsCmd) Run(out io.Writer) error {
+	if err := b.check(); err != nil {
+		return err
+	}
+	if b.Deliveries < 0 {
+		return startError{fmt.Errorf("--deliveries is %d; it may not be negative", b.Deliveries)}
+	}
+	result, err := bench.MeasureVersions(b.fleet(), progress)
+	if err != nil {
+		return fmt.Errorf("bench: %w", err)
+	}
+	progress("%d deliveries over channels that spoil them", b.Deliveries)
+	result.Deliveries += b.Deliveries
+	result.Wrong += int(bench.HammerVersions(b.Deliveries, b.Seed))
+	return b.report(result, result.WriteTable, result.WritePlot, out)
+}
+
 // report writes a result in every form that was asked for.
 func (s sizes) report(result any, table func(io.Writer) error, plot func(string) error, out io.Writer) error {
 	if err := table(out); err != nil {
--- a/cmd/mulleinwood/main.go
+++ b/cmd/mulleinwood/main.go
@@ -27,6 +27,7 @@
 
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a planner until SIGTERM or SIGINT (what happens without a command). NODE_CONFIG names its configuration; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY win over the file's entries. SIGHUP reads it again."`
 	Config  configCmd  `cmd:"" help:"Check a configuration, or show what is in force."`
+	Tables  tablesCmd  `cmd:"" help:"Read the record of what proxies were sent."`
 	Bench   benchCmd   `cmd:"" help:"Measure."`
 	Version versionCmd `cmd:"" help:"Print the version and what it was built with."`
 }
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -80,23 +80,10 @@
 	if d.group, err = newGroup(f, n, d.ordered); err != nil {
 		return d.result, err
 	}
-	d.audit = audit.New(d.group.set.Rules, d.group.now)
-	for _, m := range d.group.known.Members {
-		d.audit.Told(d.group.now, audit.Server{Name: m.ID, State: rules.Ready, Size: 1})
-	}
-	draw := rand.New(rand.NewPCG(f.Seed, 11))
-	for p := range f.Proxies { // a few carry most
-		rate := proxyRate / 2
-		if p%10 == 0 {
-			rate = proxyRate * 5
-		}
-		d.rates = append(d.rates, rate*(0.8+0.4*draw.Float64()))
-		d.tables, d.levels = append(d.tables, map[string]float64{}), append(d.levels, []float64{1, 1, 1})
-		d.audit.Joined(d.group.now, p, d.rates[p])
-		if err := d.group.join(d.ends, p, d.rates[p]); err != nil {
-			return d.result, err
-		}
+	if err := d.begin(); err != nil {
+		return d.result, err
 	}
+	draw := rand.New(rand.NewPCG(f.Seed, 12))
 	for look := range daySeconds * 10 {
 		if err := d.look(look, draw); err != nil {
 			return d.result, err
@@ -114,6 +101,29 @@
 	return d.result, nil
 }
 
+// begin opens the books and lets every proxy join.
+func (d *day) begin() error {
+	f := d.fleet
+	d.audit = audit.New(d.group.set.Rules, d.group.now)
+	for _, m := range d.group.known.Members {
+		d.audit.Told(d.group.now, audit.Server{Name: m.ID, State: rules.Ready, Size: 1})
+	}
+	draw := rand.New(rand.NewPCG(f.Seed, 11))
+	for p := range f.Proxies { // a few carry most
+		rate := proxyRate / 2
+		if p%10 == 0 {
+			rate = proxyRate * 5
+		}
+		d.rates = append(d.rates, rate*(0.8+0.4*draw.Float64()))
+		d.tables, d.levels = append(d.tables, map[string]float64{}), append(d.levels, []float64{1, 1, 1})
+		d.audit.Joined(d.group.now, p, d.rates[p])
+		if err := d.group.join(d.ends, p, d.rates[p]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ordered is a message that a proxy has read.
 func (d *day) ordered(proxy int, o protocol.Orders) {
 	sent := audit.Order{Replace: o.Replace, Rows: map[string]float64{}, Retries: map[int]rules.Retry{}, Drop: o.Drop, Undrop: o.Undrop,
--- /dev/null
+++ b/internal/bench/hammer.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+
+	"mulleinwood/tables"
+)
+
+// hammerTable is how many servers a hammered table draws from.
+const hammerTable = 6
+
+// HammerVersions delivers so many updates over channels that lose, double, hold back, cut and flip at random, among them
+// updates of other proxies and lives, and checks after each that the receiver holds a table that was sent under its version, or
+// none. It returns how many it did not.
+func HammerVersions(deliveries int, seed uint64) (wrong int64) {
+	workers := runtime.NumCPU()
+	var bad atomic.Int64
+	var group sync.WaitGroup
+	for w := range workers {
+		group.Go(func() { bad.Add(hammer(deliveries/workers+1, rand.New(rand.NewPCG(seed, uint64(w))))) })
+	}
+	group.Wait()
+	return bad.Load()
+}
+
+func hammer(deliveries int, rng *rand.Rand) (wrong int64) {
+	now, life := 0.0, uint64(1)
+	origin := tables.Origin{Instance: "n0", Life: life}
+	sender, other := tables.NewSender(origin, 1, nil), tables.NewSender(origin, 2, nil)
+	receiver := tables.NewReceiver(1, nil)
+	receiver.Joined(now, origin)
+	sent := map[uint64]tables.Table{}
+	var held [][]byte
+	deliver := func(text []byte) {
+		if deliveries--; len(text) == 0 {
+			return
+		}
+		receiver.Bytes(now, text)
+		table, at := receiver.Table()
+		if want, known := sent[at.Number]; at.Number > 0 && (!known || at.Origin != origin || at.Proxy != 1 || !table.Equal(want)) {
+			wrong++
+		}
+	}
+	draw := func() tables.Table {
+		t := tables.New()
+		for i := range hammerTable {
+			if rng.IntN(2) == 0 {
+				t.Weights[fmt.Sprint("s-", i)] = float32(1 + rng.IntN(4))
+			}
+		}
+		return t
+	}
+	for deliveries > 0 {
+		now += 50
+		if rng.IntN(500) == 0 { // the planner's next life
+			life++
+			origin.Life = life
+			sender, other = tables.NewSender(origin, 1, nil), tables.NewSender(origin, 2, nil)
+			sent = map[uint64]tables.Table{}
+			receiver.Joined(now, origin)
+		}
+		u, err := sender.Next(draw(), rng.IntN(20) == 0)
+		if err != nil {
+			return wrong
+		}
+		table, at := sender.Table()
+		if sent[at.Number] = table; at.Number > 200 {
+			delete(sent, at.Number-200) // no receiver is that far behind: it is asked for below
+		}
+		text := u.Append(nil, nil)
+		if foreign, err := other.Next(draw(), true); err == nil && rng.IntN(10) == 0 {
+			deliver(foreign.Append(nil, nil))
+		}
+		switch rng.IntN(8) {
+		case 0:
+		case 1:
+			deliver(text)
+			deliver(text)
+		case 2:
+			held = append(held, text)
+		case 3:
+			deliver(text[:rng.IntN(len(text))])
+		case 4:
+			text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
+			deliver(text)
+		default:
+			deliver(text)
+		}
+		if n := len(held); n > 0 && rng.IntN(4) == 0 {
+			i := rng.IntN(n)
+			deliver(held[i])
+			held[i] = held[n-1]
+			held = held[:n-1]
+		}
+		if a, asks := receiver.Ask(now); asks {
+			for _, u := range sender.Answer(a) {
+				deliver(u.Append(nil, nil))
+			}
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/bench/versions.go
@@ -0,0 +1,252 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot/plotter"
+
+	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/record"
+	"mulleinwood/tables"
+)
+
+// Versions is what versioned tables cost, and how soon a receiver is in step again after updates were lost.
+type Versions struct {
+	Fleet
+	Seconds     int     `json:"simulated_seconds"`
+	Changes     int     `json:"changes"` // messages but for the first of each proxy
+	LineBytes   float64 `json:"line_bytes_per_change"`
+	DeltaBytes  float64 `json:"delta_bytes_per_change"`
+	WholeBytes  float64 `json:"whole_bytes_per_change"`
+	VersionCPU  float64 `json:"version_us_per_change"` // making and writing updates
+	StepCPU     float64 `json:"step_us_per_change"`    // all that the planner does in its turns, without that
+	RecordCPU   float64 `json:"record_us_per_change"`
+	RecordBytes float64 `json:"record_bytes_per_change"`
+	Losses      []Loss  `json:"losses"`
+	Deliveries  int     `json:"checked_deliveries"`
+	Wrong       int     `json:"tables_not_sent"` // held by a receiver, of all that were checked
+}
+
+// Loss is what happens where a share of all updates is lost. Times are simulated, with a round trip of 20 ms.
+type Loss struct {
+	Share float64   `json:"share"`
+	Back  Quantiles `json:"in_step_again_ms"` // from the loss; it is noticed by the next update
+	Noted Quantiles `json:"repaired_ms"`      // from when it was noticed
+	Asked int       `json:"questions"`
+	Whole int       `json:"answered_whole"`
+}
+
+const (
+	versionSeconds = 60
+	roundTrip      = 20.0
+)
+
+// lossy is a proxy's receiver behind a channel that loses.
+type lossy struct {
+	receiver *tables.Receiver
+	lostAt   float64 // 0: in step
+	notedAt  float64 // 0: it doesn't know
+}
+
+// MeasureVersions plays a scripted day, as CompareDecisions does, on one core.
+func MeasureVersions(f Fleet, say func(string, ...any)) (Versions, error) {
+	v := Versions{Fleet: f, Seconds: versionSeconds}
+	for _, share := range []float64{0.01, 0.1, 0.5} {
+		say("losing %.0f%% of the updates", share*100)
+		if err := f.versions(&v, share); err != nil {
+			return v, err
+		}
+	}
+	return v, nil
+}
+
+// versions plays the day once. Costs are those of the last play.
+func (f Fleet) versions(v *Versions, share float64) error {
+	origin := tables.Origin{Instance: "bench", Life: 1}
+	senders, receivers := map[int]*tables.Sender{}, map[int]*lossy{}
+	rng := rand.New(rand.NewPCG(f.Seed, 31))
+	back, noted := hdrhistogram.New(1, latencyMost, 3), hdrhistogram.New(1, latencyMost, 3)
+	loss := Loss{Share: share}
+	var versioning time.Duration
+	v.Changes, v.LineBytes, v.DeltaBytes, v.WholeBytes = 0, 0, 0, 0
+	var kept []record.Entry
+	d := &day{fleet: f, result: Decisions{Cores: 1}, ends: map[int]*end{}}
+	settle := func(proxy int) {
+		l := receivers[proxy]
+		_, at := l.receiver.Table()
+		switch {
+		case l.receiver.InStep():
+			if l.notedAt > 0 { // as far as it knows: what is lost since may not be noticed yet
+				noted.RecordValue(int64((d.group.now - l.notedAt) * 1000))
+				l.notedAt = 0
+			}
+			if l.lostAt > 0 && at == newest(senders[proxy]) {
+				back.RecordValue(int64((d.group.now - l.lostAt) * 1000))
+				l.lostAt = 0
+			}
+		case l.notedAt == 0 && at.Number > 0:
+			l.notedAt = d.group.now
+		}
+	}
+	check := func(proxy int) { // what a receiver holds as the newest version must be that
+		v.Deliveries++
+		held, at := receivers[proxy].receiver.Table()
+		if sent, newest := senders[proxy].Table(); at == newest && !held.Equal(sent) {
+			v.Wrong++
+		}
+	}
+	order := func(proxy int, o protocol.Orders) {
+		d.ordered(proxy, o)
+		begun := time.Now()
+		if senders[proxy] == nil {
+			senders[proxy], receivers[proxy] = tables.NewSender(origin, uint32(proxy), nil), &lossy{receiver: tables.NewReceiver(uint32(proxy), nil)}
+			receivers[proxy].receiver.Joined(d.group.now, origin)
+		}
+		s, l := senders[proxy], receivers[proxy]
+		table, _ := s.Table()
+		u, err := s.Next(o.Onto(table), o.Replace)
+		if err != nil {
+			return
+		}
+		text := u.Append(nil, nil)
+		versioning += time.Since(begun)
+		if !u.Whole {
+			line, _ := o.Append(nil)
+			sent, at := s.Table()
+			v.Changes++
+			v.LineBytes += float64(len(line))
+			v.DeltaBytes += float64(len(text))
+			v.WholeBytes += float64(len(tables.Whole(sent, at, nil).Append(nil, nil)))
+			if len(kept) < 100000 {
+				kept = append(kept, record.Entry{At: time.UnixMilli(int64(d.group.now)), Cause: "weights", Update: text})
+			}
+		}
+		if rng.Float64() < share {
+			if l.lostAt == 0 {
+				l.lostAt = d.group.now
+			}
+			return
+		}
+		l.receiver.Bytes(d.group.now, text)
+		check(proxy)
+		settle(proxy)
+	}
+	var err error
+	if d.group, err = newGroup(f, 1, order); err != nil {
+		return err
+	}
+	if err := d.begin(); err != nil {
+		return err
+	}
+	var steps time.Duration
+	draw := rand.New(rand.NewPCG(f.Seed, 12))
+	for look := range versionSeconds * 10 {
+		begun, before := time.Now(), versioning
+		if err := d.look(look, draw); err != nil {
+			return err
+		}
+		steps += time.Since(begun) - (versioning - before)
+		now := d.group.now
+		for proxy, l := range receivers { // questions and answers between two looks
+			for at := now; at < now+lookEvery; at += roundTrip {
+				a, asks := l.receiver.Ask(at)
+				if !asks {
+					continue
+				}
+				d.group.now = at + roundTrip
+				loss.Asked++
+				for _, u := range senders[proxy].Answer(a) {
+					if u.Whole {
+						loss.Whole++
+					}
+					if rng.Float64() >= share {
+						l.receiver.Bytes(d.group.now, u.Append(nil, nil))
+						check(proxy)
+					}
+				}
+				settle(proxy)
+			}
+		}
+		d.group.now = now
+	}
+	n := max(1, float64(v.Changes))
+	v.LineBytes, v.DeltaBytes, v.WholeBytes = v.LineBytes/n, v.DeltaBytes/n, v.WholeBytes/n
+	v.VersionCPU, v.StepCPU = float64(versioning.Microseconds())/n, float64(steps.Microseconds())/n
+	loss.Back, loss.Noted = quantiles(back), quantiles(noted)
+	v.Losses = append(v.Losses, loss)
+	return v.recordCost(kept)
+}
+
+func newest(s *tables.Sender) tables.Version {
+	_, at := s.Table()
+	return at
+}
+
+// recordCost writes what was sent into a record, as the planner does: in batches, beside the work.
+func (v *Versions) recordCost(kept []record.Entry) error {
+	folder, err := os.MkdirTemp("", "mulleinwood-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	file := filepath.Join(folder, "record.db")
+	r, err := record.Open(file, nil, false)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	for i := 0; i < len(kept); i += 512 {
+		if err := r.Append(time.Now(), record.Bounds{}, kept[i:min(i+512, len(kept))]...); err != nil {
+			return err
+		}
+	}
+	took := time.Since(begun)
+	if err := r.Close(); err != nil {
+		return err
+	}
+	info, err := os.Stat(file)
+	if err != nil {
+		return err
+	}
+	n := max(1, float64(len(kept)))
+	v.RecordCPU, v.RecordBytes = float64(took.Microseconds())/n, float64(info.Size())/n
+	return nil
+}
+
+// WriteTable prints the figures for people.
+func (v Versions) WriteTable(out io.Writer) error {
+	fmt.Fprintf(out, "%d proxies, %d servers, seed %d; %d s, simulated servers and clock\n\n", v.Proxies, v.Servers, v.Seed, v.Seconds)
+	fmt.Fprintf(out, "%d changes: a line %.0f bytes, a delta %.0f, a whole table %.0f (delta %.0f%% of whole)\n", v.Changes, v.LineBytes, v.DeltaBytes,
+		v.WholeBytes, 100*v.DeltaBytes/v.WholeBytes)
+	fmt.Fprintf(out, "versions %.1f µs a change, the rest of the planner's and the day's work %.1f µs; record %.1f µs and %.0f bytes a change\n", v.VersionCPU,
+		v.StepCPU, v.RecordCPU, v.RecordBytes)
+	fmt.Fprintf(out, "%d deliveries checked, %d tables held that were not sent\n\n", v.Deliveries, v.Wrong)
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "lost\tin step again ms p50\tp99\tmax\tsince noticed p50\tp99\tmax\tlosses\tquestions\tanswered whole")
+	for _, l := range v.Losses {
+		fmt.Fprintf(table, "%.0f%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t%d\n", 100*l.Share, l.Back.P50, l.Back.P99, l.Back.Max, l.Noted.P50, l.Noted.P99, l.Noted.Max, l.Back.Count, l.Asked, l.Whole)
+	}
+	return table.Flush()
+}
+
+// WritePlot draws how soon receivers are in step again.
+func (v Versions) WritePlot(file string) error {
+	var p50, p99 plotter.XYs
+	for _, l := range v.Losses {
+		p50 = append(p50, plotter.XY{X: 100 * l.Share, Y: l.Back.P50})
+		p99 = append(p99, plotter.XY{X: 100 * l.Share, Y: l.Back.P99})
+	}
+	p, err := chart(fmt.Sprintf("In step again after a loss (%d proxies)", v.Proxies), "ms", series{"p50", blue, p50, false}, series{"p99", red, p99, false})
+	if err != nil {
+		return err
+	}
+	p.X.Label.Text = "updates lost, %"
+	return sideBySide(file, p)
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -25,6 +25,16 @@
 	Enabled bool `json:"enabled"`
 	// KeyFile holds the key that makes updates authentic; empty: they are guarded against accidents only.
 	KeyFile string `json:"key_file"`
+	Record  Record `json:"record"`
+}
+
+// Record says where what is sent to proxies that speak lines is kept.
+type Record struct {
+	// File is the store; empty: nothing is kept. It needs a disk that lasts.
+	File string `json:"file"`
+	// Entries is how many are kept at most, AgeHours how old they get.
+	Entries  int     `json:"entries" least:"100" most:"100000000"`
+	AgeHours float64 `json:"age_hours" least:"0.1" most:"87600"`
 }
 
 // GRPC says how the gRPC front is served, at the planner's own address.
@@ -63,7 +73,8 @@
 
 // Default is what holds where nothing is said.
 func Default() Options {
-	return Options{Cores: Cores{Count: 1, MovesPerS: 8, RestMS: 10000}, GRPC: GRPC{TLS: TLS{Roles: []Role{}}}}
+	return Options{Cores: Cores{Count: 1, MovesPerS: 8, RestMS: 10000}, GRPC: GRPC{TLS: TLS{Roles: []Role{}}},
+		Versions: Versions{Record: Record{Entries: 100000, AgeHours: 168}}}
 }
 
 // Loaded are options and where each value came from.
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -37,13 +37,14 @@
 // linePeer is a peer that is written to in lines.
 type linePeer struct {
 	*transport.Conn
-	versioned *versioned // nil: it didn't ask for versions
+	versioned *versioned // what it was sent; nil: nobody wants to know
+	asked     bool       // it asked for versions
 }
 
 // Order implements routing.Peer.
 func (p linePeer) Order(o protocol.Orders) error {
 	if p.versioned != nil {
-		return p.versioned.order(p.Conn, o)
+		return p.versioned.order(p.Conn, o, p.asked)
 	}
 	text, err := o.Append(nil)
 	if err != nil {
@@ -130,11 +131,11 @@
 			}
 			switch m := m.(type) {
 			case protocol.Attach:
-				if m.Versions && p.versions != nil {
-					self.versioned = p.versions.of(m.Proxy)
+				if p.versions != nil && (m.Versions || p.versions.recorded) {
+					self.versioned, self.asked = p.versions.of(m.Proxy), m.Versions
 				}
 			case protocol.Again:
-				if self.versioned == nil {
+				if !self.asked {
 					return bad(fmt.Errorf("%T without versions: %w", m, errRole))
 				}
 				if self.versioned.again(c, m) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -90,6 +90,10 @@
 	if handler.versions, err = newVersions(c.Name, c.Own.Versions, c.sent); err != nil {
 		return &StartError{err}
 	}
+	if handler.versions != nil {
+		handler.versions.keep(c.Own.Versions.Record, log)
+		defer handler.versions.close()
+	}
 	if c.Own.GRPC.Enabled {
 		handler.front = newFront(ctx, c.Settings, c.Own.GRPC, handler, listener.Addr(), keys)
 		listener.Foreign = handler.front.take
--- a/internal/program/versions.go
+++ b/internal/program/versions.go
@@ -8,11 +8,15 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mulleinwood/internal/options"
 	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/record"
 	"mulleinwood/internal/transport"
 	"mulleinwood/tables"
 )
@@ -23,6 +27,9 @@
 	key    tables.Key
 	sent   func(tables.Update) // is shown every update that is sent; nil: nobody is
 
+	record   *record.Writer // nil: none
+	recorded bool           // so what proxies that don't ask are sent gets versions too
+
 	mu sync.Mutex
 	by map[int]*versioned // by proxy, over its streams
 }
@@ -85,38 +92,67 @@
 // errLine says that a table is too large for a line.
 var errLine = errors.New("an update over what a line holds")
 
-// order takes an order into the proxy's table and sends the version that results.
-func (v *versioned) order(to *transport.Conn, o protocol.Orders) error {
+// keep opens the record that the settings name and writes every version into it. A record that can't be used is told of, and
+// the planner goes on without.
+func (v *versions) keep(own options.Record, log zerolog.Logger) {
+	if own.File == "" {
+		return
+	}
+	r, err := record.Open(own.File, v.key, false)
+	if err != nil {
+		log.Error().Err(err).Str("file", own.File).Msg("no record is kept: the file can't be used, and stays as it is")
+		return
+	}
+	within := record.Bounds{Entries: uint64(own.Entries), Age: time.Duration(own.AgeHours * float64(time.Hour))}
+	v.recorded = true
+	v.record = record.NewWriter(r, within, func(err error) {
+		log.Error().Err(err).Str("file", own.File).Msg("the record takes nothing: what is missing will be marked in it")
+	})
+}
+
+// close ends the record.
+func (v *versions) close() {
+	if v != nil && v.record != nil {
+		v.record.Close()
+	}
+}
+
+// cause is why a version came to be, as far as its order shows.
+func cause(o protocol.Orders) string {
+	switch {
+	case o.Replace:
+		return "join"
+	case len(o.Drop)+len(o.Undrop) > 0:
+		return "shut out"
+	case slices.ContainsFunc(o.Rows, func(r protocol.Row) bool { return r.Weight == 0 }):
+		return "removal"
+	case len(o.Rows) > 0:
+		return "weights"
+	}
+	return "levels"
+}
+
+// order takes an order into the proxy's table, notes the version that results, and sends it: as an update if the proxy asked
+// for versions, else as ever.
+func (v *versioned) order(to *transport.Conn, o protocol.Orders, asked bool) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	table, _ := v.sender.Table()
-	next := table.Clone()
-	if o.Replace {
-		next.Weights, next.Gates = tables.New().Weights, tables.New().Gates
-	}
-	for _, r := range o.Rows {
-		if w := float32(r.Weight); w > 0 {
-			next.Weights[r.Server] = w
-		} else {
-			delete(next.Weights, r.Server)
-		}
-	}
-	for _, name := range o.Drop {
-		next.Shut[name] = true
+	u, err := v.sender.Next(o.Onto(table), o.Replace)
+	if err != nil {
+		return err
 	}
-	for _, name := range o.Undrop {
-		delete(next.Shut, name)
+	if v.all.record != nil {
+		v.all.record.Add(record.Entry{At: time.Now(), Cause: cause(o), Update: u.Append(nil, v.all.key)})
 	}
-	for _, g := range o.Gates {
-		for _, class := range g.Classes {
-			next.Gates[class] = tables.Gate{Level: float32(g.Level), Again: uint8(g.Again)}
-		}
+	if asked {
+		return v.send(to, u, o.Stamp)
 	}
-	u, err := v.sender.Next(next, o.Replace)
+	text, err := o.Append(nil)
 	if err != nil {
 		return err
 	}
-	return v.send(to, u, o.Stamp)
+	return to.Send(text)
 }
 
 func (v *versioned) send(to *transport.Conn, u tables.Update, stamp *uint32) error {
--- a/internal/program/versions_test.go
+++ b/internal/program/versions_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulleinwood/internal/options"
+	"mulleinwood/internal/record"
 	"mulleinwood/internal/standin"
 	"mulleinwood/tables"
 )
@@ -111,6 +112,50 @@
 	}
 }
 
+// TestRecordOfWhatWasSent: every version sent to proxies that speak lines is in the record, of those that don't ask too; and a
+// record that can't be used stops nothing.
+func TestRecordOfWhatWasSent(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "record.db")
+	run := func(file string) {
+		f := start(t, func(f *fleet, c *Config) {
+			c.Own.Versions = options.Versions{Enabled: true, Record: options.Record{File: file, Entries: 1000, AgeHours: 1}}
+		}, nil)
+		defer f.stop()
+		p := f.proxy(1, "north")
+		f.wait("a table", p, holds("s-0"))
+		f.phase("s-1", "draining")
+		f.wait("a table without the draining server", p, lacks("s-1"))
+	}
+	run(file)
+	run(file) // another life goes on in the same record
+	r, err := record.Open(file, nil, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	causes, lives := map[string]int{}, map[uint64]bool{}
+	r.Each(func(e record.Entry) bool {
+		u, err := tables.Decode(e.Update, nil)
+		if err != nil || u.Proxy != 1 {
+			t.Errorf("%+v: %v", u, err)
+		}
+		causes[e.Cause]++
+		lives[u.Life] = true
+		return true
+	})
+	if causes["join"] != 2 || causes["removal"] < 2 || len(lives) != 2 {
+		t.Errorf("recorded %v in %d lives", causes, len(lives))
+	}
+	spoilt := filepath.Join(t.TempDir(), "spoilt.db")
+	if err := os.WriteFile(spoilt, []byte("no record"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(spoilt)
+	if text, _ := os.ReadFile(spoilt); string(text) != "no record" {
+		t.Error("the file that can't be used was written over")
+	}
+}
+
 func TestVersionsKeyFile(t *testing.T) {
 	short := filepath.Join(t.TempDir(), "key")
 	os.WriteFile(short, []byte("short"), 0o600)
--- a/internal/protocol/orders.go
+++ b/internal/protocol/orders.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+
+	"mulleinwood/tables"
 )
 
 // Row is a line of a table. Weight 0 removes it. Where a server is and in which zone isn't written in lines, since proxies
@@ -44,6 +46,34 @@
 	return n
 }
 
+// Onto is the table that a proxy holds once it has applied the message to the one given.
+func (o *Orders) Onto(t tables.Table) tables.Table {
+	next := t.Clone()
+	if o.Replace {
+		clear(next.Weights)
+		clear(next.Gates)
+	}
+	for _, r := range o.Rows {
+		if w := float32(r.Weight); w > 0 {
+			next.Weights[r.Server] = w
+		} else {
+			delete(next.Weights, r.Server)
+		}
+	}
+	for _, name := range o.Drop {
+		next.Shut[name] = true
+	}
+	for _, name := range o.Undrop {
+		delete(next.Shut, name)
+	}
+	for _, g := range o.Gates {
+		for _, class := range g.Classes {
+			next.Gates[class] = tables.Gate{Level: float32(g.Level), Again: uint8(g.Again)}
+		}
+	}
+	return next
+}
+
 const (
 	partsMost = 64       // of one message
 	partSize  = 64 << 10 // from this size on a part is closed; a part stays far under 1 MiB
