Test that a reload moves discovery for every core

Cause: the test of reload on several cores was named for it and only ended the planner. Change: it writes a configuration with another address of discovery, sends SIGHUP, and drains servers there.

--- a/internal/program/cores_test.go
+++ b/internal/program/cores_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"mulleinwood/internal/options"
 	"mulleinwood/internal/standin"
 	"mulleinwood/rules"
 )
@@ -174,11 +180,39 @@
 	}
 }
 
-// TestReloadAndEndOnCores: SIGHUP moves discovery for all cores, and the planner ends at once although a core is stuck.
+// TestReloadAndEndOnCores: SIGHUP moves discovery for all cores, so that a drain told at the new address reaches every one, and
+// the planner ends at once although a core is stuck.
 func TestReloadAndEndOnCores(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "planner.json")
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(text))
 	modules, wrap := stallables(2)
-	f := onCores(t, 2, wrap)
+	f := start(t, func(f *fleet, c *Config) {
+		f.wrap = wrap
+		c.Own.Cores = options.Cores{Count: 2, RestMS: 300}
+		c.Limits.Cores, c.Settings.Rules.Proxies = 2, 16
+		c.getenv = env(envConfig, path, envListen, "127.0.0.1:0", envDiscovery, c.Discovery)
+	}, nil)
 	proxies := f.join(16)
+	second, err := standin.NewDiscovery("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := f.discovery
+	second.Change(slices.Collect(maps.Values(f.members))...)
+	f.discovery = second
+	write(strings.Replace(string(text), "127.0.0.1:8500", second.Addr(), 1))
+	f.reloads <- syscall.SIGHUP
+	f.until("a watch at the new address", func() bool { return second.Watches() > 0 })
+	first.Close()
 	for i := range 3 {
 		f.phase(fmt.Sprint("s-", i), "draining")
 	}
