--- a/cmd/mulleinwood/tables.go
+++ b/cmd/mulleinwood/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -75,7 +76,7 @@
 		}
 		return bad == nil
 	})
-	if err = cmpErr(bad, err); err != nil {
+	if err = cmp.Or(bad, err); err != nil {
 		return err
 	}
 	if k.JSON {
@@ -85,15 +86,6 @@
 	return err
 }
 
-func cmpErr(list ...error) error {
-	for _, err := range list {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 type tablesLogCmd struct {
 	recordFlags
 	Proxy int `help:"Of this proxy only." default:"-1"`
@@ -146,7 +138,7 @@
 		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", l.Seq, l.At.Format("2006-01-02 15:04:05.000"), l.Cause, l.Version, l.Planner, l.Life, rows)
 		return true
 	})
-	return cmpErr(err, table.Flush())
+	return cmp.Or(err, table.Flush())
 }
 
 // errUnknown says that a version can't be told.
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"text/tabwriter"
 
 	"gonum.org/v1/plot/plotter"
@@ -140,7 +141,7 @@
 	}
 	for _, gate := range o.Gates {
 		for k, class := range classes {
-			if contains(gate.Classes, class) {
+			if slices.Contains(gate.Classes, class) {
 				d.levels[proxy][k], sent.Retries[k] = gate.Level, rules.Retry(gate.Again)
 			}
 		}
--- a/internal/bench/swarm.go
+++ b/internal/bench/swarm.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,7 +131,7 @@
 		o.Drop, o.Undrop = append(o.Drop, part.Drop...), append(o.Undrop, part.Undrop...)
 		if part.Again != nil {
 			for k, class := range classes {
-				if len(part.For) == 0 || contains(part.For, class) {
+				if len(part.For) == 0 || slices.Contains(part.For, class) {
 					o.Retries[k] = rules.Retry(*part.Again)
 				}
 			}
@@ -172,15 +173,6 @@
 	}
 }
 
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 // change tells discovery and the auditor of a server.
 func (s *swarm) change(i int, phase string, since time.Time) {
 	at, state := 0.0, rules.Ready
