--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -59,6 +59,7 @@
 	asked    atomic.Bool // something that the planner owes an answer, which it can't give yet
 	joinBy   time.Time   // the reader's own, as the next two
 	late     bool        // joinBy has passed
+	owed     bool        // it was owed an answer when it was last read
 	free     bool        // it has joined, and its reads end at no time
 	foreign  func(*Conn, net.Conn)
 	begun    bool // its first bytes have come
@@ -152,8 +153,13 @@
 		return c.nc.Read(space)
 	}
 	for {
+		asked := c.asked.Load()
+		if c.owed && !asked { // its answer must reach it: the time begins anew
+			c.joinBy, c.late = time.Now().Add(within), false
+		}
+		c.owed = asked
 		if c.late {
-			if !c.asked.Load() {
+			if !asked {
 				return 0, ErrUnjoined
 			}
 			c.joinBy = time.Now().Add(within)
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -299,9 +299,14 @@
 	}
 	known.says("still here")
 	owed.says("still here")
+	time.Sleep(l.Join * 6 / 10) // into the time that began anew while it was owed the answer
+	paid := time.Now()
 	owed.says("paid")
 	if !owed.closed() {
 		t.Error("one that has its answer and has not joined stays")
 	}
+	if kept := time.Since(paid); kept < l.Join { // it may else be closed before the answer is written
+		t.Errorf("one that got its answer is closed %v later, before its time", kept)
+	}
 	known.says("still here")
 }
