--- a/internal/program/cores_test.go
+++ b/internal/program/cores_test.go
@@ -163,7 +163,8 @@
 	}
 }
 
-// TestHalfLeave: the cores are evened out after half of the proxies have left, by few moves, each with one whole table.
+// TestHalfLeave: after half of the proxies have left, those that stay are served on, and get no more than one whole table
+// anew. How cores are evened out then is tested with the desk (TestCutCoreComesBack, TestMovesEvenOutAndEnd).
 func TestHalfLeave(t *testing.T) {
 	f := onCores(t, 2, nil)
 	defer f.stop()
--- a/internal/program/day_test.go
+++ b/internal/program/day_test.go
@@ -61,6 +61,17 @@
 	})
 }
 
+// verdict ends the day's books and fails the test for each rule that was broken.
+func (w *watched) verdict() {
+	w.t.Helper()
+	close(w.end)
+	w.group.Wait()
+	for _, b := range w.books.Breaks() {
+		w.t.Errorf("%s: %s, at %.0f ms", b.Rule, b.What, b.At)
+	}
+	w.t.Logf("most seen: %+v", w.books.Most)
+}
+
 func (w *watched) tell(m protocol.Member) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -183,12 +194,7 @@
 	for _, p := range list {
 		w.wait("a table of what is up", p, func(s standin.State) bool { return len(s.Table) > 0 && s.Table["s-1"] == 0 && s.Table["s-3"] == 0 })
 	}
-	close(w.end)
-	w.group.Wait()
-	for _, b := range w.books.Breaks() {
-		t.Errorf("%s: %s, at %.0f ms", b.Rule, b.What, b.At)
-	}
-	t.Logf("most seen: %+v", w.books.Most)
+	w.verdict()
 	for _, p := range list {
 		p.Close()
 	}
@@ -346,12 +352,7 @@
 	if byGRPC["s-2"].Probed() == 0 {
 		t.Error("the server that changed its protocol was not probed by the new one")
 	}
-	close(w.end)
-	w.group.Wait()
-	for _, b := range w.books.Breaks() {
-		t.Errorf("%s: %s, at %.0f ms", b.Rule, b.What, b.At)
-	}
-	t.Logf("most seen: %+v", w.books.Most)
+	w.verdict()
 	for _, p := range list {
 		p.Close()
 	}
