Hold cold servers out of a collapse only where proxies can avoid the others

Excluded: doubt (10 servers at most at that time), the list (told within 1 s of the change), CPU (0.05 s a second), descriptors.

At fault: health() held whatever the traffic was. Change: only where a line meets avoidTries tries within the cold time. The cold budget stays as it is.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,6 +48,7 @@
 	probesAlive = 2       // answers in a row that end a doubt
 
 	collapse     = 1.6    // pressure over which cold servers are kept out
+	avoidTries   = 3.0    // at one server, that fail in a row: from then on a proxy may avoid it
 	aimShare     = 0.5    // of the aim: the idle answer time is taken to be no longer
 	baseShare    = 1.1    // of the idle answer time that is wanted at most, plus
 	waitShare    = 0.08   // of the aim, for waiting
@@ -433,11 +434,14 @@
 			}
 		}
 	}
-	latency := c.latency()
+	latency, failing := c.latency(), c.pressure > collapse || c.filled < filledEnough
+	// Where a line meets too few tries for its proxy to avoid a server that is cold, traffic stays where the
+	// tables send it, within the cold budget. Guards against holding out most of a fleet that was replaced.
+	avoided := c.usual*c.set.ColdFor/1000 >= avoidTries*c.lines
 	for _, s := range c.servers {
 		// Proxies avoid servers that fail them, so in a collapse all their traffic runs to the few that have
 		// not failed yet: no cold server is put there before the fleet answers again.
-		s.kept = c.present(s) < 1 && (c.pressure > collapse || c.filled < filledEnough)
+		s.kept = c.present(s) < 1 && failing && avoided
 		if s.State != Ready {
 			continue
 		}
@@ -618,6 +622,7 @@
 	for _, s := range c.servers {
 		s.held, s.seen = 0, nil
 	}
+	c.lines = 0
 	for _, p := range c.proxies {
 		p.have = 0
 		for i := range p.lines {
@@ -642,6 +647,7 @@
 			}
 			c.fill(p, true, size-far)
 			c.fill(p, false, far)
+			c.lines += p.have
 		}
 	}
 	for _, s := range c.servers { // newcomers, and servers whose proxies left
--- a/rules/state.go
+++ b/rules/state.go
@@ -93,6 +93,7 @@
 	mine, part                    Part      // what our own proxies bring, and what we were told of the others
 	order                         []int     // classes, least worth for their work first
 	usable                        float64   // servers in tables
+	lines                         float64   // of all their tables together
 	watching                      bool
 	askAt                         float64
 	nextLook, nextRound, lastShed float64
