Tell from answers what the channel still holds, and let ordinary orders wait here

The planner took its queue to be empty after two seconds, since it trusted half of the stated pace, and wrote 233 ordinary messages behind which 66 urgent ones waited.

Checked: lines written and answered, time of each answer, by planner and second. Excluded: proxies that don't read (answers come from all, late by the same), the network (bursts drain in the order written), CPU. At fault: publish() drained its estimate by the clock; mayWrite() let ordinary orders fill 40% of a queue of 25 s. Change: lines behind the last answered message wait (the channel keeps the order); the clock counts only while nobody answers. Ordinary orders wait here while the oldest is over a second on its way, or a second's worth is.

--- a/rules/dealing_test.go
+++ b/rules/dealing_test.go
@@ -45,7 +45,9 @@
 func (f *fleet) acks() []Event {
 	var all []Event
 	for _, p := range f.c.proxies {
-		all = append(all, Ack{Proxy: p.id, Token: p.token})
+		if n := len(p.owed); n > 0 {
+			all = append(all, Ack{Proxy: p.id, Token: p.owed[n-1].token})
+		}
 	}
 	return all
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -79,7 +79,9 @@
 	urgentGap     = 250.0  // between two urgent ones
 	moveLeast     = 0.1    // relative change of a line that is worth an order
 	levelLeast    = 0.05   // relative change of a level that is worth an order
-	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep
+	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep while nobody answers
+	orderLag      = 1000.0 // an ordinary order may be on its way for so long; until then it can still be changed
+	owedMost      = 16     // messages of a proxy whose answers are looked for
 	ordinaryPace  = 0.1    // of that pace that ordinary orders may use in the long run
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
 	urgentShare   = 0.8    // and urgent ones
@@ -131,9 +133,7 @@
 				p.joined = false
 			}
 		case Ack:
-			if p := c.proxy[e.Proxy]; p != nil && e.Token == p.token {
-				p.waiting = false
-			}
+			c.answered(e)
 		case Heard:
 			c.heard(e)
 		case Part:
@@ -219,7 +219,7 @@
 		c.proxy[e.Proxy], c.proxies = p, append(c.proxies, p)
 		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 	}
-	p.joined, p.bound, p.waiting, p.zone, p.writes = true, false, false, min(e.Zone, len(c.zones)-1), nil
+	p.joined, p.bound, p.owed, p.zone, p.writes = true, false, nil, min(e.Zone, len(c.zones)-1), nil
 }
 
 // ---- estimates ----
@@ -756,10 +756,7 @@
 	if c.set.Slices > 0 || len(c.servers) == 0 {
 		return // slices of a key space are not decided here; and without a list nothing is
 	}
-	ours := c.set.LinesPerSec * c.part.Channel
-	sent := (c.now - c.drained) / 1000 * ours
-	c.queue, c.drained = max(0, c.queue-sent*paceSure), c.now
-	c.pace = min(c.pace+sent*ordinaryPace, ours*ordinaryPace)
+	c.drain(c.set.LinesPerSec * c.part.Channel)
 	c.shares()
 	c.targets()
 	c.deal()
@@ -771,11 +768,42 @@
 	for _, p := range due {
 		if c.update(p, levels) {
 			p.writes = append(p.writes, c.now)
-			p.bound, p.waiting, p.lastSent, p.token, c.token = true, true, c.now, next, next
+			p.owed = append(p.owed[max(0, len(p.owed)+1-owedMost):], order{next, c.wrote, c.now})
+			p.bound, p.lastSent, c.token = true, c.now, next
 		}
 	}
 	if c.token == next {
 		c.out = append(c.out, Mark{Token: next})
+		c.sent = append(c.sent, order{next, c.wrote, c.now})
+	}
+}
+
+// answered takes a proxy's answer. The channel keeps the order, so all that was written before has left it too,
+// whoever it was for: what proxies that vanished without a sign don't answer counts no longer than the rest.
+func (c *Controller) answered(e Ack) {
+	p := c.proxy[e.Proxy]
+	if p == nil {
+		return
+	}
+	if i := slices.IndexFunc(p.owed, func(o order) bool { return o.token == e.Token }); i >= 0 {
+		c.passed, c.answeredAt = max(c.passed, p.owed[i].end), c.now
+		p.owed = p.owed[i+1:]
+	}
+}
+
+// drain brings the lines thought to wait up to date: those behind the last message that was answered. Where
+// nobody answers, they are taken to leave at a part of the channel's pace.
+func (c *Controller) drain(ours float64) {
+	if c.now-c.answeredAt > ackWait {
+		c.passed = min(c.wrote, c.passed+(c.now-c.drained)/1000*ours*paceSure)
+	}
+	c.pace = min(c.pace+(c.now-c.drained)/1000*ours*ordinaryPace, ours*ordinaryPace)
+	c.queue, c.lag, c.drained = c.wrote-c.passed, 0, c.now
+	for len(c.sent) > 0 && c.sent[0].end <= c.passed {
+		c.sent = c.sent[1:]
+	}
+	if len(c.sent) > 0 {
+		c.lag = c.now - c.sent[0].at
 	}
 }
 
@@ -783,7 +811,7 @@
 // been waited for; a new proxy gets the whole table at once.
 func (c *Controller) update(p *proxy, levels []float64) bool {
 	whole, gap, share := float64(len(p.lines)+len(levels))+c.set.HeadLines+2, messageGap, ordinaryShare
-	if p.waiting {
+	if len(p.owed) > 0 {
 		gap = ackWait
 	}
 	if p.urgent {
@@ -813,7 +841,7 @@
 	if len(c.out) == before {
 		return false
 	}
-	c.queue, c.pace = c.queue+lines, c.pace-lines
+	c.queue, c.wrote, c.pace = c.queue+lines, c.wrote+lines, c.pace-lines
 	return true
 }
 
@@ -826,5 +854,9 @@
 	if c.set.MessagesMost > 0 && float64(len(p.writes)+1) > share*float64(c.set.MessagesMost) {
 		return false
 	}
+	ours := c.set.LinesPerSec * c.part.Channel
+	if share == ordinaryShare && (c.lag > orderLag || c.queue+lines > orderLag/1000*ours) {
+		return false // what waits here can still change, and lets urgent orders pass
+	}
 	return c.queue+lines <= share*c.set.QueueLines*c.part.Channel
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -688,7 +688,7 @@
 	var rate float64
 	for range 6 {
 		f.overload(900, 200)
-		f.c.proxy[1].waiting = false
+		f.c.proxy[1].owed = nil
 		for _, a := range f.last {
 			if a, ok := a.(Admit); ok && a.Mask == 1 {
 				rate = a.Level
--- a/rules/state.go
+++ b/rules/state.go
@@ -57,9 +57,8 @@
 	have          float64   // lines that are wanted
 	levels        []float64 // by class, as ordered so far
 	writes        []float64 // times of recent messages
-	waiting       bool      // for an answer
+	owed          []order   // messages whose answers are out, oldest first
 	lastSent      float64
-	token         uint32
 	urgent        bool    // its table has a line that must go, or none that works
 	need          float64 // requests a second that its table sends elsewhere than wanted
 }
@@ -69,6 +68,12 @@
 	return slices.ContainsFunc(p.lines, func(l line) bool { return l.s == s })
 }
 
+// order is where a message, or all of a look, ends in the sequence of all lines written.
+type order struct {
+	token   uint32
+	end, at float64
+}
+
 // zone is the traffic of one zone.
 type zone struct {
 	own, flow   float64 // of our proxies there, and of all ours to its servers, in requests a second
@@ -108,7 +113,10 @@
 	shed                          float64   // share of the offered work that is refused
 	fit                           float64   // share of the demand that cold servers leave room for
 	queue, pace                   float64   // lines thought to wait, and that ordinary orders may use
-	drained                       float64   // when both were last brought up to date
+	wrote, passed                 float64   // lines written since the start, and those of them known to have left
+	sent                          []order   // of each look, while they have not
+	lag                           float64   // how long the oldest of them has been on its way
+	answeredAt, drained           float64   // when a message was last answered, and all of this brought up to date
 	token                         uint32
 	logged                        int
 	logFrom                       float64 // since when they are counted
