--- a/rules/mass_test.go
+++ b/rules/mass_test.go
@@ -1,6 +1,9 @@
 package rules
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // replaced is a fleet of 60 servers, 36 of which start while the others answer late and fail half of their tries. Its 240
 // proxies have rate requests a second each.
@@ -67,3 +70,93 @@
 		}
 	}
 }
+
+// channel carries a planner's messages in order at its own pace; what it passes is answered 400 ms later.
+type channel struct {
+	f     *fleet
+	pace  float64 // lines a second
+	lines []struct {
+		ack    Ack
+		n      float64
+		drains bool
+		left   float64 // when it left
+	}
+	room float64
+}
+
+// look has the planner look once, passes what the channel can, and answers. It returns how many lines wait.
+func (ch *channel) look(events ...Event) (waiting float64) {
+	f := ch.f
+	ch.room = min(ch.room+ch.pace*lookTime/1000, ch.pace)
+	for i := range ch.lines {
+		if m := &ch.lines[i]; m.left == 0 && ch.room >= m.n {
+			m.left, ch.room = f.now, ch.room-m.n
+		} else if m.left == 0 {
+			break
+		}
+	}
+	for len(ch.lines) > 0 && ch.lines[0].left > 0 && f.now-ch.lines[0].left >= 400 {
+		events, ch.lines = append(events, ch.lines[0].ack), ch.lines[1:]
+	}
+	messages, order := map[TableID]int{}, []TableID(nil)
+	for _, a := range f.after(lookTime, events...) {
+		var id TableID
+		switch a := a.(type) {
+		case SetWeight:
+			id = a.Table
+		case Admit:
+			id = a.Table
+		case Bind:
+			id = a.Table
+		default:
+			continue
+		}
+		if messages[id]++; messages[id] == 1 {
+			order = append(order, id)
+		}
+	}
+	for _, id := range order {
+		n := float64(messages[id]) + f.c.set.HeadLines + 1
+		ch.lines = append(ch.lines, struct {
+			ack    Ack
+			n      float64
+			drains bool
+			left   float64
+		}{ack: Ack{Proxy: ProxyID(id), Token: f.c.token}, n: n})
+	}
+	for _, m := range ch.lines {
+		if m.left == 0 {
+			waiting += m.n
+		}
+	}
+	return waiting
+}
+
+// A channel once passed a tenth of its stated pace for seconds. It was believed to be empty by the clock, and was filled with
+// ordinary orders: what had to go at once waited five seconds behind them.
+func TestOrdinaryOrdersDontFillASlowChannel(t *testing.T) {
+	f := largeFleet(t, 60, 240)
+	ch := &channel{f: f, pace: f.c.set.LinesPerSec / 10}
+	most, least := 0.0, math.Inf(1)
+	for look := range 100 {
+		if look%10 == 0 { // weights and levels that move for good
+			for i, s := range f.c.servers {
+				s.factor = 0.5 + float64((i+look/10)%2)/2
+			}
+			f.c.shed = 0.3 + float64(look%20)/50
+		}
+		waiting := ch.look()
+		if most = max(most, waiting); look > 50 {
+			least = min(least, waiting)
+		}
+		if f.c.queue < waiting {
+			t.Fatalf("look %d: %v lines wait, %v are thought to", look, waiting, f.c.queue)
+		}
+	}
+	if window := f.c.set.LinesPerSec * orderLag / 1000; most > window {
+		t.Errorf("up to %v lines wait, in a channel that should not be sent more than %v", most, window)
+	}
+	if least > ch.pace*orderLag/1000*2 {
+		t.Errorf("never under %v lines wait in a channel that passes %v a second", least, ch.pace)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -80,7 +80,7 @@
 	moveLeast     = 0.1    // relative change of a line that is worth an order
 	levelLeast    = 0.05   // relative change of a level that is worth an order
 	paceSure      = 0.5    // of its usual pace that the channel is trusted to keep while nobody answers
-	orderLag      = 1000.0 // an ordinary order may be on its way for so long; until then it can still be changed
+	orderLag      = 1000.0 // that ordinary orders may be on their way: what waits here can still change
 	owedMost      = 16     // messages of a proxy whose answers are looked for
 	ordinaryPace  = 0.1    // of that pace that ordinary orders may use in the long run
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
@@ -778,7 +778,7 @@
 	}
 }
 
-// answered takes a proxy's answer. The channel keeps the order, so all that was written before has left it too,
+// answered takes a proxy's answer. The channel keeps the order, so all that was written before has left it,
 // whoever it was for: what proxies that vanished without a sign don't answer counts no longer than the rest.
 func (c *Controller) answered(e Ack) {
 	p := c.proxy[e.Proxy]
@@ -794,14 +794,15 @@
 // drain brings the lines thought to wait up to date: those behind the last message that was answered. Where
 // nobody answers, they are taken to leave at a part of the channel's pace.
 func (c *Controller) drain(ours float64) {
-	if c.now-c.answeredAt > ackWait {
-		c.passed = min(c.wrote, c.passed+(c.now-c.drained)/1000*ours*paceSure)
+	paced := (c.now - c.drained) / 1000 * ours
+	if len(c.sent) > 0 && c.now-max(c.answeredAt, c.sent[0].at) > orderLag {
+		c.passed = min(c.wrote, c.passed+paced*paceSure)
 	}
-	c.pace = min(c.pace+(c.now-c.drained)/1000*ours*ordinaryPace, ours*ordinaryPace)
-	c.queue, c.lag, c.drained = c.wrote-c.passed, 0, c.now
+	c.pace = min(c.pace+paced*ordinaryPace, ours*ordinaryPace)
 	for len(c.sent) > 0 && c.sent[0].end <= c.passed {
 		c.sent = c.sent[1:]
 	}
+	c.queue, c.lag, c.drained = c.wrote-c.passed, 0, c.now
 	if len(c.sent) > 0 {
 		c.lag = c.now - c.sent[0].at
 	}
