Bound what ordinary orders owe the channel for urgent ones

Checked by lines wanted and not sent, and by the allowance, a line a second from each planner.

At fault: drain() let the allowance fall without end. Change: it owes half a second of the channel's time at most. Test: three waves of drains, newcomers idle seven seconds later 24 of 72 before, under 5 now.

--- a/rules/mass_test.go
+++ b/rules/mass_test.go
@@ -160,3 +160,40 @@
 		t.Errorf("never under %v lines wait in a channel that passes %v a second", least, ch.pace)
 	}
 }
+
+// Urgent orders once ran ordinary ones into a debt of ten seconds and more of the channel's time. After waves of drains the
+// servers that came in place of the drained ones stood idle, known and in no table.
+func TestNewcomersDontWaitForADebtOfDrains(t *testing.T) {
+	set := largeSettings(240)
+	set.LinesPerSec, set.QueueLines = 2000, 40000
+	servers := manyServers(120, set.Zones)
+	f := newFleet(t, set, servers...)
+	f.after(100, manyProxies(240, set.Zones)...)
+	ch := &channel{f: f, pace: set.LinesPerSec}
+	looks := func(n int, events ...Event) {
+		for ; n > 0; n-- {
+			ch.look(events...)
+			events = nil
+		}
+	}
+	looks(50)
+	for wave := range 3 {
+		gone, come := servers[24*wave:24*wave+24], []Server(nil)
+		for i := range gone {
+			gone[i].State = Draining
+			come = append(come, ready(ServerID(5000+100*wave+i), gone[i].Zone))
+		}
+		looks(10, List{Kind: ListChanges, Servers: gone})
+		looks(1, List{Kind: ListChanges, Servers: come})
+	}
+	looks(70)
+	idle := 0
+	for _, s := range f.c.servers {
+		if s.State == Ready && f.out(s.ID) {
+			idle++
+		}
+	}
+	if idle > 4 {
+		t.Errorf("%d of 72 newcomers are in no table seven seconds later", idle)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -83,6 +83,7 @@
 	orderLag      = 1000.0 // that ordinary orders may be on their way: what waits here can still change
 	owedMost      = 16     // messages of a proxy whose answers are looked for
 	ordinaryPace  = 0.1    // of that pace that ordinary orders may use in the long run
+	debtMost      = 500.0  // of its time that they owe at most: newcomers would wait for all that was urgent
 	ordinaryShare = 0.4    // of the channel's limits that ordinary orders may fill
 	urgentShare   = 0.8    // and urgent ones
 	askAgain      = 8000.0 // when discovery does not answer at all
@@ -798,7 +799,7 @@
 	if len(c.sent) > 0 && c.now-max(c.answeredAt, c.sent[0].at) > orderLag {
 		c.passed = min(c.wrote, c.passed+paced*paceSure)
 	}
-	c.pace = min(c.pace+paced*ordinaryPace, ours*ordinaryPace)
+	c.pace = min(max(c.pace, -debtMost/1000*ours)+paced*ordinaryPace, ours*ordinaryPace)
 	for len(c.sent) > 0 && c.sent[0].end <= c.passed {
 		c.sent = c.sent[1:]
 	}
