Rank servers and proxies while dealing instead of comparing all for each line

Need: a look in which all proxies of a lost planner join, or most servers are replaced, grew with proxies times servers: each line of a table was found by comparing all servers, each newcomer's proxy by comparing all proxies (rules.go, fill and deal).

Change: a heap a zone, looked at past the servers that the proxy holds; proxies are ranked only where a newcomer needs one.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -548,7 +548,9 @@
 // servers as far as these have room and spill only the rest. Where proxies join controllers of their own
 // zone, those that we don't see are taken to be in the zones where we see none.
 func (c *Controller) targets() {
-	clear(c.zones)
+	for i := range c.zones {
+		c.zones[i] = zone{servers: c.zones[i].servers}
+	}
 	clear(c.demands)
 	c.joined, c.usual = 0, 1e-3
 	c.mine = Part{Usual: make([]float64, len(c.zones))}
@@ -640,6 +642,14 @@
 			}
 		}
 	}
+	for z := range c.zones {
+		c.zones[z].servers.begin(heldLess)
+	}
+	for _, s := range c.servers {
+		if s.target > 0 {
+			c.zones[s.Zone].servers.add(s)
+		}
+	}
 	for _, p := range c.proxies {
 		if p.joined {
 			size, far := c.size(p), 0.0
@@ -651,20 +661,48 @@
 			c.lines += p.have
 		}
 	}
-	for _, s := range c.servers { // newcomers, and servers whose proxies left
+	c.spread()
+}
+
+// heldLess orders servers by how little they are held for their target.
+func heldLess(a, b *server) bool {
+	if x, y := a.held*b.target, b.held*a.target; x != y {
+		return x < y
+	}
+	return a.ID < b.ID
+}
+
+// busier orders proxies by the traffic of a line.
+func busier(a, b *proxy) bool {
+	if x, y := a.usual*b.have, b.usual*a.have; x != y {
+		return x > y
+	}
+	return a.id < b.id
+}
+
+// spread deals servers that are held for too little once more, each to the busiest proxy of its zone:
+// newcomers, and those whose proxies left.
+func (c *Controller) spread() {
+	byZone := map[int]*ranked[*proxy]{} // few looks need any
+	for _, s := range c.servers {
 		if s.held >= starved*s.target {
-			continue // looking at every proxy for each server is most of a large look
+			continue
 		}
-		var best *proxy
-		for _, p := range c.proxies {
-			if p.joined && p.zone == s.Zone && !p.knows(s) &&
-				(best == nil || p.usual*best.have > best.usual*p.have) {
-				best = p
+		r := byZone[s.Zone]
+		if r == nil {
+			r = &ranked[*proxy]{before: busier}
+			for _, p := range c.proxies {
+				if p.joined && p.zone == s.Zone {
+					r.add(p)
+				}
 			}
+			byZone[s.Zone] = r
 		}
-		if best != nil {
+		if best, found := r.first(func(p *proxy) bool { return p.knows(s) }); found {
 			best.take(s)
+			r.moved()
 		}
+		r.restore()
 	}
 }
 
@@ -677,16 +715,23 @@
 	}
 	for ; lines > 0; lines-- {
 		var best *server
-		for _, s := range c.servers {
-			if s.target > 0 && s.seen != p && (s.Zone == p.zone) == home &&
-				(best == nil || s.held*best.target < best.held*s.target) {
+		for z := range c.zones {
+			if (z != p.zone) == home {
+				continue
+			}
+			s, found := c.zones[z].servers.first(func(s *server) bool { return s.seen == p })
+			if found && (best == nil || heldLess(s, best)) {
 				best = s
 			}
 		}
 		if best == nil {
-			return
+			break
 		}
 		p.take(best)
+		c.zones[best.Zone].servers.moved()
+	}
+	for z := range c.zones {
+		c.zones[z].servers.restore()
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -80,6 +80,7 @@
 	all         float64 // own, and of the proxies there that share our planner
 	part, over  float64 // of all traffic, what comes from its proxies; share of that without room at home
 	room, spare float64 // of all traffic, what its servers should get, and what of it others may use
+	servers     ranked[*server]
 }
 
 // Controller decides for the proxies joined to it.
