--- /dev/null
+++ b/internal/crossbar/crossbar.go
@@ -0,0 +1,225 @@
+// Package crossbar carries the traffic: it takes clients' requests, finds their route, sends each to a server of the
+// route's service and answers with what that server said.
+package crossbar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mulleinwood/internal/boot"
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/meter"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/trunk"
+)
+
+// Spans of an edge.
+const (
+	reportEvery = time.Second
+	sweepEvery  = time.Second
+	tombstones  = 90 * time.Second
+	leaveAfter  = 2500 * time.Millisecond // of a stop: by then the platform sends no new connections
+	leaveQuiet  = 700 * time.Millisecond  // without any request
+)
+
+// Crossbar is one edge.
+type Crossbar struct {
+	set    *boot.Settings
+	logger log.Logger
+	began  time.Time
+	life   uint64
+
+	tree  atomic.Pointer[dialplan.Tree]
+	view  atomic.Pointer[view]
+	edges atomic.Int32 // as the home exchange last told
+
+	mu     sync.Mutex
+	dir    *directory.Directory
+	lines  map[string]*line // by server id
+	meters map[string]*meter.Meter
+	asked  map[string]*trunk.Asked
+
+	home     home
+	claims   claims
+	conns    conns
+	dialer   *http.Transport
+	waiting  queue
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	lastSeen atomic.Int64 // when a request last came, on the steady clock
+}
+
+// Run serves until ctx ends, and then until what it has taken is answered.
+func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
+	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, lines: map[string]*line{},
+		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
+	c.dir = directory.New(tombstones)
+	c.view.Store(&view{})
+	c.claims.open = map[ticket.Token]*claim{}
+	c.conns.idle = map[net.Conn]time.Time{}
+	c.waiting.waiters = map[string][]*waiter{}
+	c.dialer = &http.Transport{DisableCompression: true, Proxy: nil, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
+		MaxResponseHeaderBytes: 64 << 10,
+		DialContext:            (&net.Dialer{Timeout: dialLimit, KeepAlive: 5 * time.Second, Control: cutSoon}).DialContext}
+
+	front, err := net.Listen("tcp", set.Listen.Front)
+	if err != nil {
+		return err
+	}
+	readiness, err := net.Listen("tcp", set.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: c, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Hour, ConnState: c.conns.state,
+		MaxHeaderBytes: 64 << 10, ErrorLog: nil}
+	probe := &http.Server{Handler: http.HandlerFunc(c.ready), IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}
+	for _, s := range []struct {
+		server *http.Server
+		on     net.Listener
+	}{{server, front}, {probe, readiness}} {
+		go func() {
+			if err := s.server.Serve(s.on); !errors.Is(err, http.ErrServerClosed) && !c.leaving.Load() {
+				_ = logger.Log("event", "listener ends", "cause", err)
+			}
+		}()
+	}
+	_ = logger.Log("event", "crossbar starts", "node", set.Node, "zone", set.Zone)
+	go c.home.run(c)
+	c.work(ctx)
+	c.leave(front)
+	_ = logger.Log("event", "crossbar ends", "node", set.Node)
+	return nil
+}
+
+// now is the steady time since the process began.
+func (c *Crossbar) now() time.Duration { return time.Since(c.began) }
+
+// ready tells the platform whether to send clients here.
+func (c *Crossbar) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/readiness" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if c.leaving.Load() || c.tree.Load() == nil || len(c.view.Load().services) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// work does what is due by the clock.
+func (c *Crossbar) work(ctx context.Context) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.report()
+			c.sweep()
+		}
+	}
+}
+
+// leave ends in order: not ready at once, and serving until nothing comes any more or the time that is granted is
+// nearly over. It guards against breaking off what runs and against closing doors that clients still come to.
+func (c *Crossbar) leave(front net.Listener) {
+	c.leaving.Store(true)
+	_ = c.logger.Log("event", "told to end", "in_flight", c.inFlight.Load())
+	start := c.now()
+	grace := c.set.Seconds("grace_s", 6)
+	closed := false
+	for {
+		time.Sleep(50 * time.Millisecond)
+		gone := c.now() - start
+		idle := c.inFlight.Load() == 0
+		quiet := c.now()-time.Duration(c.lastSeen.Load()) > leaveQuiet
+		if idle && quiet && gone > min(leaveAfter, grace/2) || gone > grace-200*time.Millisecond {
+			return
+		}
+		if !closed && gone > grace-time.Second {
+			closed = true
+			front.Close()
+		}
+		if closed && idle {
+			return
+		}
+	}
+}
+
+// conns knows which clients' connections are idle, to close those that stay so for longer than the configuration says.
+type conns struct {
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+func (k *conns) state(conn net.Conn, s http.ConnState) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s == http.StateIdle {
+		k.idle[conn] = time.Now()
+	} else {
+		delete(k.idle, conn)
+	}
+}
+
+func (k *conns) sweep(after time.Duration) {
+	k.mu.Lock()
+	var old []net.Conn
+	for conn, since := range k.idle {
+		if time.Since(since) > after {
+			old = append(old, conn)
+			delete(k.idle, conn)
+		}
+	}
+	k.mu.Unlock()
+	for _, conn := range old {
+		conn.Close()
+	}
+}
+
+// sweep closes what has been idle for too long, on both sides.
+func (c *Crossbar) sweep() {
+	if tree := c.tree.Load(); tree != nil && tree.Config.Limits.Idle > 0 {
+		c.conns.sweep(time.Duration((tree.Config.Limits.Idle + 0.5) * float64(time.Second)))
+	}
+	c.mu.Lock()
+	lines := make([]*line, 0, len(c.lines))
+	for _, l := range c.lines {
+		lines = append(lines, l)
+	}
+	c.mu.Unlock()
+	for _, l := range lines {
+		l.sweep(c.now())
+	}
+}
+
+// report tells the home exchange what was met since the last report.
+func (c *Crossbar) report() {
+	r := &trunk.Report{Period: reportEvery.Seconds()}
+	c.mu.Lock()
+	for id, l := range c.lines {
+		if m := l.met(); m.Tries > 0 {
+			m.Server = id
+			r.Met = append(r.Met, m)
+		}
+	}
+	for _, a := range c.asked {
+		r.Asked = append(r.Asked, *a)
+	}
+	clear(c.asked)
+	c.mu.Unlock()
+	if len(r.Met)+len(r.Asked) > 0 {
+		c.home.send(&trunk.Frame{Report: r})
+	}
+}
--- /dev/null
+++ b/internal/crossbar/forward.go
@@ -0,0 +1,464 @@
+package crossbar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/meter"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/tone"
+	"mulleinwood/internal/trunk"
+)
+
+const (
+	waitShare  = 0.2 // of the aim that a request may wait here for room
+	claimShare = 0.5 // of the time left that a claim may take
+	claimMost  = 1200 * time.Millisecond
+	wayBack    = 5 * time.Millisecond // kept of the deadline for the answer's way
+	leastTime  = 10 * time.Millisecond
+	bufferMost = 4 << 20 // bytes of an answer that are held before any are passed on
+)
+
+// ending says how a try at a server went.
+type ending uint8
+
+// The endings. Only the first two allow a try elsewhere for what must not run twice.
+const (
+	notSent ending = iota // no byte left for the server
+	notRun                // the server says that it did not run
+	ran                   // a whole answer of this try came
+	perhaps               // anything else
+)
+
+// outcome is how a try ended, and the answer if there is one.
+type outcome struct {
+	ending ending
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// ServeHTTP takes a client's request.
+func (c *Crossbar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	now := c.now()
+	c.lastSeen.Store(int64(now))
+	if c.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	tree := c.tree.Load()
+	if tree == nil {
+		c.refuse(w, r, tone.NotReady.New("no configuration yet"))
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := tree.Find(r.Host, path)
+	if route == nil {
+		c.refuse(w, r, tone.NoRoute.New("no route for %s%s", r.Host, path))
+		return
+	}
+	t, err := c.take(w, r, tree, route, now)
+	if err != nil {
+		c.refuse(w, r, err)
+		return
+	}
+	if route.Kind == dialplan.Keyed {
+		c.keyed(w, t)
+		return
+	}
+	out := c.run(t)
+	c.answer(w, t, out)
+}
+
+// task is a request on its way.
+type task struct {
+	r       *http.Request
+	id      string
+	body    []byte
+	route   *dialplan.Route
+	service string
+	until   time.Duration
+	aim     time.Duration
+	began   time.Duration
+	tried   []*line
+	sent    int // tries that reached a server
+}
+
+// take reads a request whole and checks what its route needs.
+func (c *Crossbar) take(w http.ResponseWriter, r *http.Request, tree *dialplan.Tree, route *dialplan.Route, now time.Duration) (*task, error) {
+	t := &task{r: r, id: r.Header.Get("X-Attempt-Id"), route: route, began: now, aim: time.Duration(route.Setpoint * float64(time.Second))}
+	if t.id == "" {
+		return nil, tone.Malformed.New("X-Attempt-Id is missing")
+	}
+	if route.Kind == dialplan.Keyed && r.Header.Get("X-Operation-Key") == "" {
+		return nil, tone.Malformed.New("X-Operation-Key is missing on a keyed route")
+	}
+	t.until = now + time.Duration(route.Deadline*float64(time.Second))
+	if text := r.Header.Get("X-Deadline-Ms"); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 {
+			return nil, tone.Malformed.New("X-Deadline-Ms %q is no time", text)
+		}
+		t.until = min(t.until, now+time.Duration(ms*float64(time.Millisecond)))
+	}
+	if r.Body != nil && r.ContentLength != 0 {
+		limit := tree.Config.Limits.BodyBytes
+		if limit <= 0 {
+			limit = 64 << 20
+		}
+		if r.ContentLength > limit {
+			return nil, tone.TooLarge.New("body of %d bytes", r.ContentLength)
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		if err != nil {
+			if large := new(http.MaxBytesError); errors.As(err, &large) {
+				return nil, tone.TooLarge.New("body of more than %d bytes", limit)
+			}
+			return nil, tone.Malformed.Wrap(err, "body")
+		}
+		t.body = body
+	}
+	t.service = choose(route)
+	return t, nil
+}
+
+// choose draws one of a route's services by their gains.
+func choose(route *dialplan.Route) string {
+	shares := route.Shares()
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Gain
+	}
+	at := rand.Float64() * sum
+	for _, s := range shares {
+		if at -= s.Gain; at < 0 {
+			return s.Service
+		}
+	}
+	return shares[0].Service
+}
+
+// keyed runs an operation at most once: claimed before the first byte leaves, kept once it is answered.
+func (c *Crossbar) keyed(w http.ResponseWriter, t *task) {
+	key := ticket.KeyOf(strings.ToLower(t.r.Host), t.r.Header.Get("X-Operation-Key"))
+	left := t.until - c.now()
+	token, ruling := c.claim(key, min(claimMost, time.Duration(float64(left)*claimShare)))
+	switch ruling.Ruling {
+	case ticket.Refused:
+		c.refuse(w, t.r, tone.Unclaimed.New("the key could not be claimed"))
+		return
+	case ticket.Taken:
+		if ruling.Answer == nil {
+			c.refuse(w, t.r, tone.AtWork.New("the operation is at work"))
+			return
+		}
+		header := http.Header{}
+		for name, value := range ruling.Answer.Headers {
+			header.Set(name, value)
+		}
+		c.answer(w, t, outcome{ending: ran, status: ruling.Answer.Status, header: header, body: ruling.Answer.Body})
+		return
+	}
+	out := c.run(t)
+	switch out.ending {
+	case ran:
+		a := &ticket.Answer{Status: out.status, Headers: map[string]string{}, Body: out.body}
+		for _, name := range []string{"X-Server-Seal", "Content-Type"} {
+			if v := out.header.Get(name); v != "" {
+				a.Headers[name] = v
+			}
+		}
+		c.finish(key, token, a)
+	case notSent, notRun:
+		c.withdraw(key, token)
+	}
+	c.answer(w, t, out)
+}
+
+// run sends a request to servers until one answers, or no further try is allowed.
+func (c *Crossbar) run(t *task) (out outcome) {
+	m := c.asks(t.service)
+	out = outcome{ending: notSent, err: tone.NoServer.New("no server of %s", t.service)}
+	spent := false
+	for attempt := 0; ; {
+		left := t.until - c.now() - wayBack
+		if left < leastTime {
+			if t.sent == 0 {
+				return outcome{ending: notSent, err: tone.Busy.New("no time left")}
+			}
+			return out
+		}
+		l := c.seize(t, attempt > 0)
+		if l == nil {
+			if t.sent == 0 && out.ending == notSent {
+				out.err = tone.Busy.New("no room at %s", t.service)
+			}
+			if spent {
+				c.back(m)
+			}
+			return out
+		}
+		t.tried = append(t.tried, l)
+		next := c.try(t, l)
+		c.waiting.wake(t.service)
+		out = next
+		if next.ending != notSent {
+			t.sent++
+			attempt++
+			spent = false
+		}
+		safe := t.route.Kind == dialplan.Safe
+		again := next.ending == notSent || next.ending == notRun || next.ending == perhaps && safe ||
+			next.ending == ran && safe && next.status >= 500
+		if !again || t.sent >= t.route.Tries || len(t.tried) > 6 || c.now() > t.until-leastTime {
+			return out
+		}
+		if t.sent > 0 && !spent { // the next server may be the second that this request reaches
+			if !c.spend(m) {
+				return out
+			}
+			spent = true
+		}
+	}
+}
+
+// seize finds a server with room, waiting a little for one.
+func (c *Crossbar) seize(t *task, further bool) *line {
+	if l := c.pick(t.service, t.tried); l != nil || further {
+		return l
+	}
+	limit := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4)
+	w := c.waiting.wait(t.service, t.route.Priority, c.now())
+	defer c.waiting.leave(t.service, w)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.wake:
+			if l := c.pick(t.service, t.tried); l != nil {
+				return l
+			}
+		case <-timer.C:
+			return c.pick(t.service, t.tried)
+		}
+	}
+}
+
+var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true}
+
+// endToEnd copies the headers that concern more than one connection.
+func endToEnd(from http.Header) http.Header {
+	to := make(http.Header, len(from)+2)
+	named := from.Values("Connection")
+	for name, values := range from {
+		if !hop[name] {
+			to[name] = values
+		}
+	}
+	for _, list := range named {
+		for _, name := range strings.Split(list, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	return to
+}
+
+// try sends the request to one server.
+func (c *Crossbar) try(t *task, l *line) (out outcome) {
+	began := c.now()
+	left := t.until - began - wayBack
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.r.Context()), left)
+	defer cancel()
+	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
+	k, err := c.connect(dialCtx, l, false)
+	dialDone()
+	if err != nil {
+		l.done(c.now(), 0, false, false)
+		return outcome{ending: notSent, err: tone.NoServer.Wrap(err, "dial")}
+	}
+	l.mu.Lock()
+	dead := l.dead
+	l.mu.Unlock()
+	if dead { // it began to leave while we dialled
+		k.conn.Close()
+		l.done(c.now(), 0, false, false)
+		return outcome{ending: notSent, err: tone.NoServer.New("server left")}
+	}
+	req := c.request(ctx, t, l)
+	sent := c.now()
+	resp, err := k.conn.RoundTrip(req)
+	if err != nil {
+		k.conn.Close()
+		l.done(c.now(), 0, true, false)
+		kind := tone.PerhapsRun
+		if ctx.Err() != nil {
+			kind = tone.TimedOut
+		}
+		return outcome{ending: perhaps, err: kind.Wrap(err, "server %s", l.id)}
+	}
+	out = c.read(t, l, resp)
+	now := c.now()
+	switch {
+	case out.ending == perhaps:
+		k.conn.Close()
+	case resp.Close:
+		k.conn.Close()
+		l.tell(resp.Header, now)
+	default:
+		l.tell(resp.Header, now)
+		l.free(k, now, resp.Header)
+	}
+	l.done(now, now-sent, true, out.ending == ran && out.status < 500)
+	return out
+}
+
+// request makes what is sent to the server.
+func (c *Crossbar) request(ctx context.Context, t *task, l *line) *http.Request {
+	header := endToEnd(t.r.Header)
+	left := max(1, (t.until - c.now() - wayBack).Milliseconds())
+	header["X-Deadline-Ms"] = []string{strconv.FormatInt(left, 10)}
+	header["X-Expected-Instance"] = []string{l.id}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // so that none is added
+	}
+	u := &url.URL{Scheme: "http", Host: l.address, Opaque: t.r.RequestURI}
+	if strings.HasPrefix(t.r.RequestURI, "//") || !strings.HasPrefix(t.r.RequestURI, "/") {
+		copied := *t.r.URL
+		u = &copied
+		u.Scheme, u.Host = "http", l.address
+	}
+	req := (&http.Request{Method: t.r.Method, URL: u, Host: t.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	if t.body != nil || t.r.ContentLength > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(t.body))
+		req.ContentLength = int64(len(t.body))
+		if len(t.body) == 0 {
+			req.Body = http.NoBody
+		}
+	}
+	return req
+}
+
+// read takes a server's answer whole. It is this try's only if it carries its id, and whole only if its end was told.
+func (c *Crossbar) read(t *task, l *line, resp *http.Response) outcome {
+	defer resp.Body.Close()
+	bad := func(why string, args ...any) outcome {
+		return outcome{ending: perhaps, err: tone.PerhapsRun.New(why, args...)}
+	}
+	if got := resp.Header.Get("X-Attempt-Id"); got != t.id {
+		return bad("server %s answered another try: %q", l.id, got)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferMost+1))
+	if err != nil {
+		return bad("answer of server %s breaks off: %s", l.id, err)
+	}
+	if len(body) > bufferMost {
+		return bad("answer of server %s is over %d bytes", l.id, bufferMost)
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return bad("answer of server %s has no end of its own", l.id)
+	}
+	if resp.Header.Get("X-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		return outcome{ending: notRun, status: resp.StatusCode, header: resp.Header, body: body, err: tone.NotRun.New("server %s turned it away with %d", l.id, resp.StatusCode)}
+	}
+	if resp.StatusCode/100 == 2 && resp.Header.Get("X-Server-Seal") == "" {
+		return bad("success of server %s without a seal", l.id)
+	}
+	return outcome{ending: ran, status: resp.StatusCode, header: resp.Header, body: body}
+}
+
+// answer passes on what a server said, or says why nobody did.
+func (c *Crossbar) answer(w http.ResponseWriter, t *task, out outcome) {
+	if out.ending != ran {
+		err := out.err
+		if out.ending == notSent || out.ending == notRun {
+			if t.sent > 0 && out.ending == notSent && !errorx.IsOfType(err, tone.NotRun) {
+				err = tone.NotRun.Wrap(err, "turned away before")
+			}
+		}
+		c.refuse(w, t.r, err)
+		return
+	}
+	h := w.Header()
+	for name, values := range endToEnd(out.header) {
+		h[name] = values
+	}
+	h["X-Attempt-Id"] = []string{t.id}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // none is guessed
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(out.body))}
+	w.WriteHeader(out.status)
+	_, _ = w.Write(out.body) // a client that is gone has given up
+}
+
+// refuse answers an error as the table of kinds says.
+func (c *Crossbar) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	a := tone.For(err)
+	h := w.Header()
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+		h["X-Attempt-Id"] = []string{id}
+	}
+	if a.Retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.Retry*(0.75+rand.Float64()/2), 'f', 3, 64))
+	}
+	h["Content-Type"] = []string{"text/plain"}
+	body := tone.Kind(err) + "\n"
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(a.Status)
+	_, _ = io.WriteString(w, body) // a client that is gone has given up
+	if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusConflict || a.Status == 503 {
+		c.note(err, r)
+	}
+}
+
+// note logs what was given up, with its cause.
+func (c *Crossbar) note(err error, r *http.Request) {
+	_ = c.logger.Log("event", "given up", "kind", tone.Kind(err), "host", r.Host, "cause", err)
+}
+
+// asks counts a request for a service and gives the service's meter.
+func (c *Crossbar) asks(service string) *meter.Meter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.meters[service]
+	slack := c.set.Bound("retry_slack", 0)
+	if m == nil {
+		m = meter.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
+		c.meters[service] = m
+	}
+	m.Share(slack, int(c.edges.Load())*3)
+	m.Request()
+	a := c.asked[service]
+	if a == nil {
+		a = &trunk.Asked{Service: service}
+		c.asked[service] = a
+	}
+	a.Requests++
+	return m
+}
+
+func (c *Crossbar) spend(m *meter.Meter) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return m.Spend()
+}
+
+func (c *Crossbar) back(m *meter.Meter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.Back()
+}
--- /dev/null
+++ b/internal/crossbar/home.go
@@ -0,0 +1,235 @@
+package crossbar
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/trunk"
+)
+
+// home is the exchange that an edge belongs to: of its zone, if one there hears the rest of the core.
+type home struct {
+	mu    sync.Mutex
+	link  *trunk.Link
+	ip    string
+	zones map[string]string // of exchanges, by IP
+	known map[string]bool
+}
+
+const (
+	homeDial  = 400 * time.Millisecond
+	lookAgain = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
+	lookPause = 100 * time.Millisecond
+)
+
+// found is an exchange that answered.
+type found struct {
+	ip       string
+	zone     string
+	attached bool
+}
+
+// run keeps a home, for as long as the process lives.
+func (h *home) run(c *Crossbar) {
+	h.known, h.zones = map[string]bool{}, map[string]string{}
+	for _, ip := range c.set.SeedIPs() {
+		h.known[ip] = true
+	}
+	for {
+		if best, ok := h.look(c); ok {
+			h.stay(c, best)
+		}
+		time.Sleep(lookPause)
+	}
+}
+
+// look asks all exchanges that are known how they see the core, and takes the best: one that hears more than half of
+// it, then one of the own zone, then the one that rendezvous hashing names.
+func (h *home) look(c *Crossbar) (best found, ok bool) {
+	h.mu.Lock()
+	ips := make([]string, 0, len(h.known))
+	for ip := range h.known {
+		ips = append(ips, ip)
+	}
+	h.mu.Unlock()
+	answers := make(chan *found, len(ips))
+	for _, ip := range ips {
+		go func() { answers <- c.glance(ip) }()
+	}
+	score := func(f found) uint64 {
+		s := xxh3.HashString(c.set.Node+"\x00"+f.ip) >> 2
+		if f.zone == c.set.Zone {
+			s |= 1 << 62
+		}
+		if f.attached {
+			s |= 1 << 63
+		}
+		return s
+	}
+	for range ips {
+		if f := <-answers; f != nil {
+			h.mu.Lock()
+			h.zones[f.ip] = f.zone
+			h.mu.Unlock()
+			if !ok || score(*f) > score(best) {
+				best, ok = *f, true
+			}
+		}
+	}
+	return best, ok
+}
+
+// glance asks one exchange how it is.
+func (c *Crossbar) glance(ip string) (f *found) {
+	conn, err := net.DialTimeout("tcp", c.set.Inner(ip), homeDial)
+	if err != nil {
+		return nil
+	}
+	link := trunk.NewLink(conn)
+	link.Send(&trunk.Frame{Hello: &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
+	_ = link.Read(func(got *trunk.Frame) { // no answer is an answer
+		if got.Hello != nil && got.Pulse != nil {
+			f = &found{ip: ip, zone: got.Hello.Zone, attached: got.Pulse.Attached}
+		}
+		link.Close()
+	})
+	return f
+}
+
+// stay is at home until the link ends, or the exchange is cut off from the core, or one of the own zone is back.
+func (h *home) stay(c *Crossbar, at found) {
+	conn, err := net.DialTimeout("tcp", c.set.Inner(at.ip), homeDial)
+	if err != nil {
+		return
+	}
+	link := trunk.NewLink(conn)
+	hello := &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life}
+	if tree := c.tree.Load(); tree != nil {
+		hello.Version = uint64(tree.Config.Version)
+	}
+	link.Send(&trunk.Frame{Hello: hello})
+	c.mu.Lock()
+	entries := c.dir.All(c.now())
+	c.mu.Unlock()
+	if len(entries) > 0 { // an exchange that starts anew knows no server
+		link.Send(&trunk.Frame{Entries: entries})
+	}
+	h.mu.Lock()
+	h.link, h.ip = link, at.ip
+	h.mu.Unlock()
+	c.claims.again(c)
+	_ = c.logger.Log("event", "home", "exchange", at.ip, "zone", at.zone, "attached", at.attached)
+	var looked time.Duration
+	detached := time.Duration(0)
+	_ = link.Read(func(f *trunk.Frame) { // its end is logged below
+		if p := f.Pulse; p != nil {
+			c.edges.Store(int32(p.Edges))
+			h.mu.Lock()
+			for _, ip := range p.Exchanges {
+				h.known[ip] = true
+			}
+			h.mu.Unlock()
+			link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
+			now := c.now()
+			if !p.Attached {
+				if detached == 0 {
+					detached = now
+				}
+				if now-looked > 2*lookPause && now-detached > lookPause {
+					looked = now
+					if best, ok := h.look(c); ok && best.attached && best.ip != at.ip {
+						link.Close()
+					}
+				}
+			} else {
+				detached = 0
+				if at.zone != c.set.Zone && now-looked > lookAgain && h.localExists(c) {
+					looked = now
+					if best, ok := h.look(c); ok && best.attached && best.zone == c.set.Zone {
+						link.Close()
+					}
+				}
+			}
+		}
+		c.frame(link, f)
+	})
+	h.mu.Lock()
+	h.link = nil
+	h.mu.Unlock()
+	_ = c.logger.Log("event", "home lost", "exchange", at.ip)
+}
+
+// localExists tells whether any exchange of the own zone was ever seen.
+func (h *home) localExists(c *Crossbar) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	zones := []string{}
+	for _, z := range h.zones {
+		zones = append(zones, z)
+	}
+	return len(h.zones) < len(h.known) || slices.Contains(zones, c.set.Zone)
+}
+
+// send hands a frame to the home exchange, if there is one.
+func (h *home) send(f *trunk.Frame) bool {
+	h.mu.Lock()
+	link := h.link
+	h.mu.Unlock()
+	if link == nil {
+		return false
+	}
+	link.Send(f)
+	return true
+}
+
+// frame takes what the home exchange sends.
+func (c *Crossbar) frame(link *trunk.Link, f *trunk.Frame) {
+	if len(f.Entries) > 0 {
+		c.heard(f.Entries)
+	}
+	if f.Receipt != 0 {
+		link.Send(&trunk.Frame{Received: f.Receipt})
+	}
+	if f.Config != nil && !c.configure(f.Config) {
+		link.Send(&trunk.Frame{NeedAll: true})
+	}
+	if f.Weights != nil {
+		c.weigh(f.Weights)
+		if len(f.Weights.Marks) > 0 {
+			link.Send(&trunk.Frame{Report: &trunk.Report{Applied: f.Weights.Marks}})
+		}
+	}
+	for _, r := range f.Rulings {
+		c.claims.ruled(r)
+	}
+}
+
+// configure takes a configuration over, unless it is older than the one in force: within a life nothing goes back.
+func (c *Crossbar) configure(f *trunk.Config) (ok bool) {
+	tree := c.tree.Load()
+	if tree != nil && f.Version <= uint64(tree.Config.Version) {
+		return true
+	}
+	var next *dialplan.Config
+	var err error
+	switch {
+	case f.Whole != nil:
+		next, err = dialplan.Parse(f.Whole)
+	case tree != nil && f.Base == uint64(tree.Config.Version):
+		next, err = tree.Config.Patch(f.Change)
+	default:
+		return false
+	}
+	if err != nil {
+		_ = c.logger.Log("event", "configuration can't be read", "version", f.Version, "cause", err)
+		return f.Whole != nil
+	}
+	c.tree.Store(dialplan.NewTree(next))
+	_ = c.logger.Log("event", "configuration", "version", next.Version, "routes", len(next.Routes))
+	return true
+}
--- /dev/null
+++ b/internal/dialplan/config.go
@@ -0,0 +1,303 @@
+// Package dialplan holds the configuration: its form on the wire, its checks, how changes apply to it, and the tree of
+// matchers that finds a request's route. Nothing here does I/O.
+package dialplan
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+
+	"mulleinwood/internal/tone"
+)
+
+// Version is the number of a configuration, written r12 on the wire. 0 is none.
+type Version uint64
+
+// ParseVersion reads a version; "0" and an empty text stand for none.
+func ParseVersion(text string) (Version, bool) {
+	text = strings.Trim(strings.TrimSpace(text), `"`)
+	if text == "" || text == "0" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(strings.TrimPrefix(text, "r"), 10, 63)
+	return Version(n), err == nil && strings.HasPrefix(text, "r")
+}
+
+func (v Version) String() string { return "r" + strconv.FormatUint(uint64(v), 10) }
+
+// UnmarshalJSON reads a version.
+func (v *Version) UnmarshalJSON(b []byte) error {
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return err
+	}
+	n, ok := ParseVersion(text)
+	if !ok || n == 0 {
+		return tone.Invalid.New("version %q is not r and a number", text)
+	}
+	*v = n
+	return nil
+}
+
+// MarshalJSON writes a version.
+func (v Version) MarshalJSON() ([]byte, error) { return json.Marshal(v.String()) }
+
+// Kind says what may be repeated.
+type Kind string
+
+// The kinds of a route.
+const (
+	Safe   Kind = "safe"
+	Unsafe Kind = "unsafe"
+	Keyed  Kind = "keyed"
+)
+
+// Share is a part of a split route.
+type Share struct {
+	Service string  `json:"service"`
+	Gain    float64 `json:"gain"`
+}
+
+// Route is one channel of a plant. It keeps the bytes that it was sent as.
+type Route struct {
+	Name     string  `json:"name"`
+	Prefix   string  `json:"path_prefix"`
+	Kind     Kind    `json:"kind"`
+	Deadline float64 `json:"deadline_s"`
+	Setpoint float64 `json:"setpoint_s"`
+	Priority int     `json:"priority"`
+	Service  string  `json:"service"`
+	Split    []Share `json:"split"`
+	Tries    int     `json:"tries"`
+
+	Plant string          `json:"-"`
+	raw   json.RawMessage // as it was put: what is read back is what was sent
+}
+
+// Shares are the services that a route goes to.
+func (r *Route) Shares() []Share {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Share{{r.Service, 1}}
+}
+
+// Service is what a configuration says of a service.
+type Service struct {
+	Name        string `json:"name"`
+	HealthPath  string `json:"health_path"`
+	ConnLimit   int    `json:"conn_limit"`
+	SelfDedupes bool   `json:"self_dedupes"`
+
+	raw json.RawMessage
+}
+
+// Limits bound what clients may send and how long they may take.
+type Limits struct {
+	HeaderBytes int     `json:"max_header_bytes"`
+	BodyBytes   int64   `json:"max_body_bytes"`
+	HeaderWait  float64 `json:"header_wait_s"`
+	Idle        float64 `json:"idle_s"`
+}
+
+// Config is one whole configuration. It is not changed once it is made.
+type Config struct {
+	Version  Version
+	Plants   []string // hosts, in the order they came
+	Routes   []*Route // in order, grouped by plant when written
+	Services []*Service
+	Limits   Limits
+
+	limits json.RawMessage
+	other  map[string]json.RawMessage // fields that we don't know
+}
+
+type wirePlant struct {
+	Plant    string            `json:"plant"`
+	Channels []json.RawMessage `json:"channels"`
+}
+
+type wireItems struct {
+	Services []json.RawMessage `json:"services"`
+	Limits   json.RawMessage   `json:"limits"`
+	Plants   []wirePlant       `json:"plants"`
+}
+
+// Parse reads a whole configuration and checks it by itself.
+func Parse(body []byte) (*Config, error) {
+	var whole struct {
+		Version Version `json:"version"`
+		wireItems
+	}
+	if err := strict(body, &whole); err != nil {
+		return nil, err
+	}
+	c := &Config{Version: whole.Version, other: map[string]json.RawMessage{}}
+	if err := json.Unmarshal(body, &c.other); err != nil {
+		return nil, tone.Invalid.New("%s", err)
+	}
+	for _, known := range []string{"version", "services", "limits", "plants"} {
+		delete(c.other, known)
+	}
+	if err := c.upsert(whole.wireItems); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+// strict reads one JSON value and nothing after it.
+func strict(body []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(into); err != nil {
+		return tone.Invalid.New("body can't be read: %s", err)
+	}
+	if d.More() {
+		return tone.Invalid.New("body has more after its end")
+	}
+	return nil
+}
+
+// Patch applies a change of named items; the configuration itself stays as it is.
+func (c *Config) Patch(body []byte) (*Config, error) {
+	var change struct {
+		Version Version   `json:"version"`
+		Upsert  wireItems `json:"upsert"`
+		Remove  struct {
+			Routes   []string `json:"routes"`
+			Services []string `json:"services"`
+			Plants   []string `json:"plants"`
+		} `json:"remove"`
+	}
+	if err := strict(body, &change); err != nil {
+		return nil, err
+	}
+	if change.Version <= c.Version {
+		return nil, tone.Invalid.New("version %s is not above %s", change.Version, c.Version)
+	}
+	next := *c
+	next.Version = change.Version
+	next.Plants, next.Routes, next.Services = slices.Clone(c.Plants), slices.Clone(c.Routes), slices.Clone(c.Services)
+	next.Routes = slices.DeleteFunc(next.Routes, func(r *Route) bool {
+		return slices.Contains(change.Remove.Routes, r.Name) || slices.Contains(change.Remove.Plants, r.Plant)
+	})
+	next.Services = slices.DeleteFunc(next.Services, func(s *Service) bool {
+		return slices.Contains(change.Remove.Services, s.Name)
+	})
+	if err := next.upsert(change.Upsert); err != nil {
+		return nil, err
+	}
+	return &next, next.check()
+}
+
+func (c *Config) upsert(items wireItems) error {
+	if len(items.Limits) > 0 {
+		if err := json.Unmarshal(items.Limits, &c.Limits); err != nil {
+			return tone.Invalid.New("limits: %s", err)
+		}
+		c.limits = items.Limits
+	}
+	for _, raw := range items.Services {
+		s := &Service{raw: raw}
+		if err := json.Unmarshal(raw, s); err != nil {
+			return tone.Invalid.New("service: %s", err)
+		}
+		if i := slices.IndexFunc(c.Services, func(o *Service) bool { return o.Name == s.Name }); i >= 0 {
+			c.Services[i] = s
+		} else {
+			c.Services = append(c.Services, s)
+		}
+	}
+	at := map[string]int{}
+	for i, r := range c.Routes {
+		at[r.Name] = i
+	}
+	for _, plant := range items.Plants {
+		if !slices.Contains(c.Plants, plant.Plant) {
+			c.Plants = append(c.Plants, plant.Plant)
+		}
+		for _, raw := range plant.Channels {
+			r := &Route{raw: raw, Plant: plant.Plant}
+			if err := json.Unmarshal(raw, r); err != nil {
+				return tone.Invalid.New("route: %s", err)
+			}
+			if i, ok := at[r.Name]; ok {
+				c.Routes[i] = r
+			} else {
+				at[r.Name] = len(c.Routes)
+				c.Routes = append(c.Routes, r)
+			}
+		}
+	}
+	return nil
+}
+
+// check finds what makes a configuration invalid.
+func (c *Config) check() error {
+	known := map[string]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" {
+			return tone.Invalid.New("a service has no name")
+		}
+		known[s.Name] = true
+	}
+	for _, r := range c.Routes {
+		sum := 0.0
+		for _, share := range r.Shares() {
+			if !known[share.Service] {
+				return tone.Invalid.New("route %s: service %q is not known", r.Name, share.Service)
+			}
+			if share.Gain < 0 {
+				return tone.Invalid.New("route %s: a weight is negative", r.Name)
+			}
+			sum += share.Gain
+		}
+		switch {
+		case r.Name == "":
+			return tone.Invalid.New("a route of %s has no name", r.Plant)
+		case r.Plant == "":
+			return tone.Invalid.New("route %s has no host", r.Name)
+		case sum <= 0:
+			return tone.Invalid.New("route %s: the weights sum to 0", r.Name)
+		case r.Deadline <= 0:
+			return tone.Invalid.New("route %s: deadline_s is not above 0", r.Name)
+		case r.Tries <= 0:
+			return tone.Invalid.New("route %s: tries is not above 0", r.Name)
+		case !strings.HasPrefix(r.Prefix, "/"):
+			return tone.Invalid.New("route %s: path_prefix %q does not start with a slash", r.Name, r.Prefix)
+		case r.Kind != Safe && r.Kind != Unsafe && r.Kind != Keyed:
+			return tone.Invalid.New("route %s: kind %q is not known", r.Name, r.Kind)
+		}
+	}
+	return nil
+}
+
+// MarshalJSON lays the whole configuration out as it is put.
+func (c *Config) MarshalJSON() ([]byte, error) {
+	out := map[string]any{"version": c.Version}
+	for name, raw := range c.other {
+		out[name] = raw
+	}
+	services := []json.RawMessage{}
+	for _, s := range c.Services {
+		services = append(services, s.raw)
+	}
+	plants := []wirePlant{}
+	for _, name := range c.Plants {
+		p := wirePlant{Plant: name}
+		for _, r := range c.Routes {
+			if r.Plant == name {
+				p.Channels = append(p.Channels, r.raw)
+			}
+		}
+		if len(p.Channels) > 0 {
+			plants = append(plants, p)
+		}
+	}
+	out["services"], out["plants"] = services, plants
+	if len(c.limits) > 0 {
+		out["limits"] = c.limits
+	}
+	return json.Marshal(out)
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,133 @@
+// Package directory is the register of servers: what their beats say, merged so that the order in which planners hear
+// of it doesn't matter. A life (an id) only ever goes from ready to draining to gone; a late beat, a late planner or an
+// old snapshot can't undo that. It does no I/O and has no clock.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State of a server's life. It only grows.
+type State uint8
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Entry is what is known of one life of a server.
+type Entry struct {
+	ID       string  `cbor:"1,keyasint"`
+	Service  string  `cbor:"2,keyasint,omitempty"`
+	Address  string  `cbor:"3,keyasint,omitempty"`
+	Zone     string  `cbor:"4,keyasint,omitempty"`
+	Version  string  `cbor:"5,keyasint,omitempty"`
+	Capacity int     `cbor:"6,keyasint,omitempty"`
+	Warmup   float64 `cbor:"7,keyasint,omitempty"` // seconds that it is still slow, when heard
+	Seq      uint64  `cbor:"8,keyasint,omitempty"`
+	State    State   `cbor:"9,keyasint,omitempty"`
+	Silent   bool    `cbor:"10,keyasint,omitempty"` // its beats stopped
+	Owner    string  `cbor:"11,keyasint,omitempty"` // the planner that takes its beats
+}
+
+// Merge joins two accounts of a life. It is commutative, associative and idempotent.
+func Merge(a, b Entry) Entry {
+	newer, older := a, b
+	if b.Seq > a.Seq || b.Seq == a.Seq && (b.Silent && !a.Silent || b.Silent == a.Silent && b.Owner > a.Owner) {
+		newer, older = b, a
+	}
+	if newer.Address == "" { // a DELETE that overtook all beats
+		state, seq := newer.State, newer.Seq
+		newer = older
+		newer.State, newer.Seq = state, seq
+	}
+	newer.State = max(a.State, b.State)
+	return newer
+}
+
+// Directory holds all lives that are known, tombstones included.
+type Directory struct {
+	entries map[string]*held
+	hold    time.Duration // how long a life that is gone is remembered
+}
+
+type held struct {
+	Entry
+	heard time.Duration // when a beat last came here, or the entry last changed
+	warm  time.Duration // when it will be warm
+}
+
+// New makes an empty directory that remembers lives that are gone for a time.
+func New(hold time.Duration) *Directory {
+	return &Directory{entries: map[string]*held{}, hold: hold}
+}
+
+// Take merges an account heard at now and tells whether anything changed that others have to know.
+func (d *Directory) Take(e Entry, now time.Duration) (changed Entry, news bool) {
+	h := d.entries[e.ID]
+	if h == nil {
+		if e.State == Gone && e.Address == "" && e.Service == "" && e.Seq == 0 {
+			e.Seq = 1
+		}
+		h = &held{Entry: e, heard: now, warm: now + time.Duration(e.Warmup*float64(time.Second))}
+		d.entries[e.ID] = h
+		return h.Entry, true
+	}
+	merged := Merge(h.Entry, e)
+	news = merged.State != h.State || merged.Silent != h.Silent || merged.Address != h.Address ||
+		merged.Owner != h.Owner || merged.Capacity != h.Capacity || merged.Service != h.Service
+	if merged.Seq > h.Seq || news {
+		h.heard = now
+		if merged.Warmup > 0 {
+			h.warm = now + time.Duration(merged.Warmup*float64(time.Second))
+		}
+	}
+	h.Entry = merged
+	return h.Entry, news
+}
+
+// Get finds a life.
+func (d *Directory) Get(id string) (Entry, bool) {
+	if h := d.entries[id]; h != nil {
+		return h.Entry, true
+	}
+	return Entry{}, false
+}
+
+// Silence marks the lives whose beats stopped: those of this owner, and of owners that are lost. It also forgets lives
+// that are long gone. It returns what others have to know.
+func (d *Directory) Silence(owner string, lost func(owner string) bool, after, now time.Duration) (changed []Entry) {
+	for id, h := range d.entries {
+		if h.State == Gone {
+			if now-h.heard > d.hold {
+				delete(d.entries, id)
+			}
+			continue
+		}
+		if !h.Silent && now-h.heard > after && (h.Owner == owner || lost(h.Owner)) {
+			h.Silent, h.heard = true, now
+			changed = append(changed, h.Entry)
+		} else if h.Silent && now-h.heard > d.hold {
+			h.State, h.heard = Gone, now
+			changed = append(changed, h.Entry)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return changed
+}
+
+// All gives every life that is known, in order, with the warm-up that is left now.
+func (d *Directory) All(now time.Duration) []Entry {
+	all := make([]Entry, 0, len(d.entries))
+	for _, h := range d.entries {
+		e := h.Entry
+		e.Warmup = max(0, (h.warm - now).Seconds())
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,320 @@
+// Package exchange runs a control planner: it owns the deciders (agreement, directory, ledger, tables), feeds them with
+// what comes in on sockets and timers, and does what they say. One goroutine owns all of them; whatever waits for a
+// disk or a peer is a callback that it runs later.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/archive"
+	"mulleinwood/internal/boot"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/trunk"
+)
+
+// Spans of the control plane. They follow from how soon a second's bounds have to be met, not from a deployment.
+const (
+	tickEvery    = 50 * time.Millisecond
+	busyTick     = 10 * time.Millisecond // while claims wait for verdicts
+	beatEvery    = 150 * time.Millisecond
+	patience     = 500 * time.Millisecond
+	silentBeats  = 2.5 // beats that a server may leave out
+	ownerLost    = 2500 * time.Millisecond
+	tombstones   = 90 * time.Second
+	keySlack     = 5 * time.Second
+	claimHurry   = 20 * time.Millisecond
+	claimLimit   = 900 * time.Millisecond
+	fetchLimit   = 300 * time.Millisecond
+	receiptNear  = 300 * time.Millisecond // for edges to say that they hold an entry
+	receiptFar   = 600 * time.Millisecond // and for other exchanges, theirs included
+	redialEvery  = 300 * time.Millisecond
+	dialLimit    = 400 * time.Millisecond
+	storeAgain   = 100 * time.Millisecond
+	callLimit    = 1500 * time.Millisecond
+	compactAfter = 64 // entries of the log
+	historyKept  = 256
+)
+
+// Exchange is one control planner.
+type Exchange struct {
+	set    *boot.Settings
+	logger log.Logger
+	began  time.Time
+	life   uint64
+	inbox  chan func()
+
+	archive             *archive.Archive
+	store               store
+	members             []string
+	member              *agreement.Member // nil in an exchange that has no vote
+	blank               bool              // an empty disk, and the members aren't known yet
+	state               *history
+	waiters             map[uint64]waiter
+	reads               []read
+	dir                 *directory.Directory
+	ledger              *ticket.Ledger
+	office              *ticket.Office
+	copies              map[string]bool // ledgers that were copied, while ours is blank
+	copyAll             map[string]bool
+	peers               map[string]*peer // exchanges by IP
+	edges               map[string]*peer // by IP
+	receipts            map[uint64]*receipt
+	nextRcpt            uint64
+	fetches             map[ticket.Token]fetch
+	tables              *tables
+	known               map[string]bool // IPs of exchanges
+	claimers            map[ticket.Token]*peer
+	acked               map[string]directory.State // of servers that are leaving, what was acknowledged here
+	goneSince           map[string]time.Duration   // exchanges out of reach
+	nextPulse, nextCopy time.Duration
+	draining            bool   // told to end
+	said                string // role last logged
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
+	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
+		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{}, copyAll: map[string]bool{},
+		peers: map[string]*peer{}, edges: map[string]*peer{}, receipts: map[uint64]*receipt{},
+		fetches: map[ticket.Token]fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
+		goneSince: map[string]time.Duration{}}
+	x.dir = directory.New(tombstones)
+	x.tables = newTables(x)
+	if err := x.open(); err != nil {
+		return err
+	}
+	defer x.archive.Close()
+	listener, err := net.Listen("tcp", set.Inner(set.IP))
+	if err != nil {
+		return err
+	}
+	defer listener.Close()
+	control, err := net.Listen("tcp", set.Listen.Control)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: x.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
+		MaxHeaderBytes: 32 << 10}
+	go func() {
+		if err := server.Serve(control); !errors.Is(err, http.ErrServerClosed) {
+			_ = logger.Log("event", "control calls end", "cause", err)
+		}
+	}()
+	defer server.Close()
+	go x.accept(listener)
+	_ = logger.Log("event", "exchange starts", "node", set.Node, "zone", set.Zone, "members", strings.Join(x.members, " "), "blank", x.blank)
+	x.loop(ctx)
+	_ = logger.Log("event", "exchange ends", "node", set.Node)
+	return nil
+}
+
+// now is the steady time since the process began: jumps of the time of day don't show in it.
+func (x *Exchange) now() time.Duration { return time.Since(x.began) }
+
+// do has the owner run a function.
+func (x *Exchange) do(f func()) { x.inbox <- f }
+
+func (x *Exchange) open() error {
+	dir := os.TempDir()
+	if x.set.DataDir != nil {
+		dir = *x.set.DataDir
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	window := x.set.Seconds("key_window_s", 60) + keySlack
+	a, state, err := archive.Open(dir, window)
+	if err != nil {
+		return err
+	}
+	x.archive = a
+	for _, ip := range x.set.SeedIPs() {
+		x.known[ip] = true
+	}
+	delete(x.known, x.set.IP)
+	x.members = state.Members
+	blank := state.New && !x.set.FirstStart
+	if len(x.members) == 0 && x.set.FirstStart && slices.Contains(x.set.SeedIPs(), x.set.IP) {
+		x.members = x.set.SeedIPs()
+		slices.Sort(x.members)
+		if err := a.Commit([]*archive.Batch{{Members: x.members, Hard: &state.Hard}}); err != nil {
+			return err
+		}
+	}
+	x.ledger = ticket.NewLedger(window, blank || state.LedgerBlank)
+	for _, r := range state.Records {
+		x.ledger.Load(r, x.now())
+	}
+	x.blank = blank
+	if len(x.members) > 0 {
+		return x.join(state)
+	}
+	return nil
+}
+
+// join starts this planner's part in the agreement.
+func (x *Exchange) join(state *archive.State) error {
+	for _, ip := range x.members {
+		if ip != x.set.IP {
+			x.known[ip] = true
+		}
+	}
+	if !slices.Contains(x.members, x.set.IP) {
+		return nil
+	}
+	x.member = agreement.New(x.set.IP, x.members, agreement.Timing{Beat: beatEvery, Patience: patience}, x.life,
+		state.Hard, state.Snapshot, state.Entries, x.now())
+	at := slices.Index(x.members, x.set.IP)
+	order := append(slices.Clone(x.members[at:]), x.members[:at]...)
+	x.office = ticket.NewOffice(order, claimHurry, claimLimit)
+	return nil
+}
+
+// invited makes a planner with an empty disk a member again, once another says who the members are.
+func (x *Exchange) invited(members []string) {
+	if len(x.members) > 0 || len(members) == 0 {
+		return
+	}
+	x.members = slices.Clone(members)
+	hard := agreement.Hard{Blank: slices.Contains(members, x.set.IP)}
+	yes := hard.Blank
+	if !yes {
+		x.ledger.Restored() // it is asked by nobody
+	}
+	x.put(&archive.Batch{Members: x.members, Hard: &hard, LedgerBlank: &yes}, nil)
+	if err := x.join(&archive.State{Hard: hard}); err != nil {
+		_ = x.logger.Log("event", "can't join", "cause", err)
+	}
+	_ = x.logger.Log("event", "members learnt", "members", strings.Join(x.members, " "), "vote", x.member != nil)
+}
+
+func (x *Exchange) loop(ctx context.Context) {
+	tick := time.NewTimer(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-x.inbox:
+			f()
+			for more := true; more; { // what came in together is decided and stored together
+				select {
+				case f := <-x.inbox:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-tick.C:
+			x.tick()
+			next := tickEvery
+			if x.office != nil && x.office.Busy() {
+				next = busyTick
+			}
+			tick.Reset(next)
+		}
+		x.settle()
+	}
+}
+
+func (x *Exchange) tick() {
+	now := x.now()
+	if x.member != nil {
+		x.member.Tick(now)
+		asks, done := x.office.Tick(now)
+		x.askLedgers(asks)
+		for _, o := range done {
+			x.ruled(o)
+		}
+	}
+	x.ledger.Expire(now)
+	x.askCopies(now)
+	x.pulse(now)
+	x.overdue(now)
+	x.tables.tick(now)
+	changed := x.dir.Silence(x.set.IP, x.lost, time.Duration(silentBeats*x.set.BeatPeriod*float64(time.Second)), now)
+	if len(changed) > 0 {
+		for _, e := range changed {
+			_ = x.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.State == directory.Gone)
+		}
+		x.spread(changed, nil, 0, nil)
+	}
+}
+
+// settle does what the agreement wants done after the events of a turn, and hands the disk what has gathered.
+func (x *Exchange) settle() {
+	if x.member != nil {
+		out := x.member.Take()
+		for _, m := range out.Now {
+			x.sendAgree(m)
+		}
+		if !out.Empty() || len(out.After) > 0 {
+			last := uint64(0)
+			if n := len(out.Entries); n > 0 {
+				last = out.Entries[n-1].Index
+			} else if out.Snapshot != nil {
+				last = out.Snapshot.Index
+			}
+			after := out.After
+			done := func(bool) {
+				for _, m := range after {
+					x.sendAgree(m)
+				}
+				if last > 0 {
+					x.member.Stored(last, x.now())
+				}
+			}
+			if out.Empty() && x.store.idleAgree() {
+				done(true)
+			} else {
+				x.store.agree(&archive.Batch{Hard: out.Hard, Snapshot: out.Snapshot, Truncate: out.Truncate, Entries: out.Entries}, done)
+			}
+		}
+		x.apply(out)
+		x.answerReads()
+		x.sayRole()
+	}
+	x.store.run(x)
+}
+
+func (x *Exchange) sayRole() {
+	role := "follower of " + x.member.Leader()
+	if x.member.Role() == agreement.Leader {
+		role = "leader"
+	} else if x.member.Leader() == "" {
+		role = "no leader"
+	}
+	if x.member.Blank() {
+		role += ", disk not restored"
+	}
+	if role != x.said {
+		x.said = role
+		_ = x.logger.Log("event", "role", "role", role, "term", x.member.Term(), "commit", x.member.Commit())
+	}
+}
+
+func (x *Exchange) sendAgree(m agreement.Message) {
+	if p := x.peers[m.To]; p != nil {
+		p.link.Send(&trunk.Frame{Agree: []agreement.Message{m}})
+	}
+}
+
+// attached tells whether this planner hears more than half of the core.
+func (x *Exchange) attached() bool {
+	if x.member != nil {
+		return x.member.Attached(x.now())
+	}
+	return len(x.members) > 0 && len(x.peers) > len(x.members)/2
+}
--- /dev/null
+++ b/internal/exchange/keys.go
@@ -0,0 +1,234 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"mulleinwood/internal/archive"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/trunk"
+)
+
+// fetch waits for an answer that another exchange holds.
+type fetch struct {
+	until time.Duration
+	do    func(*ticket.Answer)
+}
+
+const copyChunk = 2000
+
+// keyFrame takes what a frame says of claims.
+func (x *Exchange) keyFrame(p *peer, f *trunk.Frame) {
+	now := x.now()
+	for _, r := range f.Claims {
+		if x.office == nil || x.draining {
+			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: r.Token, Ruling: ticket.Refused}}})
+			continue
+		}
+		r.Home = x.set.IP
+		x.claimers[r.Token] = p
+		x.askLedgers(x.office.Open(r, now))
+	}
+	for _, r := range f.Asks {
+		x.judge(r, func(v ticket.Verdict, holder ticket.Record) {
+			answer := trunk.Verdict{Token: r.Token, Verdict: v}
+			if v == ticket.Held {
+				answer.Holder = &holder
+			}
+			p.link.Send(&trunk.Frame{Verdicts: []trunk.Verdict{answer}})
+		})
+	}
+	for _, v := range f.Verdicts {
+		holder := ticket.Record{}
+		if v.Holder != nil {
+			holder = *v.Holder
+		}
+		x.verdict(p.ip, v.Token, v.Verdict, holder)
+	}
+	for _, r := range f.Voids {
+		if p.edge { // an edge's claim was put to all
+			x.void(r, x.members)
+		} else {
+			x.voidHere(r)
+		}
+	}
+	for _, r := range f.Done {
+		if r.Answer != nil {
+			r.Home = x.set.IP
+			x.ledger.Done(r, now)
+			x.store.record(r, nil)
+		}
+	}
+	for _, r := range f.Fetch {
+		r.Answer = x.ledger.Answer(r.Key, r.Token)
+		p.link.Send(&trunk.Frame{Fetched: []ticket.Record{r}})
+	}
+	for _, r := range f.Fetched {
+		if w, ok := x.fetches[r.Token]; ok {
+			delete(x.fetches, r.Token)
+			w.do(r.Answer)
+		}
+	}
+	if f.Copy {
+		x.sendCopy(p)
+	}
+	if f.Copied != nil {
+		x.copied(p, f.Copied)
+	}
+}
+
+// judge puts a claim to the ledger here; a grant is told once it is durable.
+func (x *Exchange) judge(r ticket.Record, tell func(ticket.Verdict, ticket.Record)) {
+	v, holder, store := x.ledger.Claim(r, x.now())
+	if !store {
+		tell(v, holder)
+		return
+	}
+	x.store.record(r, func(ok bool) {
+		if !ok { // the disk refuses: what isn't durable is not granted, and not remembered as if it were
+			x.ledger.Void(r.Key, r.Token, x.now())
+			tell(ticket.Unable, ticket.Record{})
+			return
+		}
+		tell(v, holder)
+	})
+}
+
+// askLedgers puts claims to ledgers.
+func (x *Exchange) askLedgers(asks []ticket.Ask) {
+	for _, a := range asks {
+		if a.To == x.set.IP {
+			r := a.Record
+			x.judge(r, func(v ticket.Verdict, holder ticket.Record) { x.verdict(x.set.IP, r.Token, v, holder) })
+		} else if p := x.peers[a.To]; p != nil {
+			p.link.Send(&trunk.Frame{Asks: []ticket.Record{a.Record}})
+		} else {
+			x.verdict(a.To, a.Record.Token, ticket.Unable, ticket.Record{})
+		}
+	}
+}
+
+func (x *Exchange) verdict(from string, token ticket.Token, v ticket.Verdict, holder ticket.Record) {
+	if x.office == nil {
+		return
+	}
+	asks, done := x.office.Verdict(from, token, v, holder, x.now())
+	x.askLedgers(asks)
+	if done != nil {
+		x.ruled(*done)
+	}
+}
+
+// ruled tells the claimer. Where another claim holds the key, its answer goes along, if there is one.
+func (x *Exchange) ruled(o ticket.Outcome) {
+	p := x.claimers[o.Token]
+	delete(x.claimers, o.Token)
+	if len(o.Void) > 0 {
+		x.void(ticket.Record{Key: o.Key, Token: o.Token}, o.Void)
+	}
+	tell := func(a *ticket.Answer) {
+		if p != nil {
+			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: o.Token, Ruling: o.Ruling, Answer: a}}})
+		}
+	}
+	if o.Ruling != ticket.Taken {
+		tell(nil)
+		return
+	}
+	h := o.Holder
+	if h.Home == x.set.IP {
+		tell(x.ledger.Answer(h.Key, h.Token))
+	} else if home := x.peers[h.Home]; home != nil {
+		x.fetches[h.Token] = fetch{until: x.now() + fetchLimit, do: x.also(h.Token, tell)}
+		home.link.Send(&trunk.Frame{Fetch: []ticket.Record{{Key: h.Key, Token: h.Token}}})
+	} else {
+		tell(nil)
+	}
+}
+
+// also lets one fetch serve all that wait for the same answer.
+func (x *Exchange) also(t ticket.Token, tell func(*ticket.Answer)) func(*ticket.Answer) {
+	if w, ok := x.fetches[t]; ok {
+		return func(a *ticket.Answer) { w.do(a); tell(a) }
+	}
+	return tell
+}
+
+// void withdraws a claim under which nothing was run, or ever will be.
+func (x *Exchange) void(r ticket.Record, at []string) {
+	for _, ip := range at {
+		if ip == x.set.IP {
+			x.voidHere(r)
+		} else if p := x.peers[ip]; p != nil {
+			p.link.Send(&trunk.Frame{Voids: []ticket.Record{{Key: r.Key, Token: r.Token}}})
+		}
+	}
+}
+
+func (x *Exchange) voidHere(r ticket.Record) {
+	if line, store := x.ledger.Void(r.Key, r.Token, x.now()); store {
+		x.store.record(line, nil)
+	}
+}
+
+// sendCopy hands a blank ledger all that this one holds.
+func (x *Exchange) sendCopy(p *peer) {
+	var part []ticket.Record
+	x.ledger.Each(func(r ticket.Record) {
+		if part = append(part, r); len(part) == copyChunk {
+			p.link.Send(&trunk.Frame{Copied: &trunk.Copied{Records: part}})
+			part = nil
+		}
+	})
+	p.link.Send(&trunk.Frame{Copied: &trunk.Copied{Records: part, Last: true, Blank: x.ledger.Blank()}})
+}
+
+// copied takes a part of another ledger. Once all of them are here and durable, this ledger grants again.
+func (x *Exchange) copied(p *peer, c *trunk.Copied) {
+	if !x.ledger.Blank() || x.member == nil {
+		return
+	}
+	for _, r := range c.Records {
+		x.ledger.Load(r, x.now())
+		x.store.record(r, nil)
+	}
+	if !c.Last {
+		return
+	}
+	x.copies[p.ip], x.copyAll[p.ip] = true, c.Blank
+	blankEverywhere := true
+	for _, ip := range x.members {
+		if ip == x.set.IP {
+			continue
+		}
+		if !x.copies[ip] {
+			return
+		}
+		blankEverywhere = blankEverywhere && x.copyAll[ip]
+	}
+	for _, ip := range x.members {
+		if ip != x.set.IP && x.copyAll[ip] && !blankEverywhere {
+			return // it will have more to tell once it is restored itself
+		}
+	}
+	no := false
+	x.put(&archive.Batch{LedgerBlank: &no}, func(ok bool) {
+		if ok && x.ledger.Blank() {
+			x.ledger.Restored()
+			_ = x.logger.Log("event", "ledger restored", "keys", x.ledger.Len())
+		}
+	})
+}
+
+// askCopies asks the other ledgers for what they hold, while this one is blank.
+func (x *Exchange) askCopies(now time.Duration) {
+	if x.member == nil || !x.ledger.Blank() || now < x.nextCopy {
+		return
+	}
+	x.nextCopy = now + time.Second
+	for ip, p := range x.peers {
+		if slices.Contains(x.members, ip) && (!x.copies[ip] || x.copyAll[ip]) {
+			p.link.Send(&trunk.Frame{Copy: true})
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/operator.go
@@ -0,0 +1,369 @@
+package exchange
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/tone"
+	"mulleinwood/internal/trunk"
+)
+
+const bodyMost = 32 << 20
+
+// waiter is a call that waits for its entry.
+type waiter struct {
+	term   uint64
+	until  time.Duration
+	answer func(version uint64, err error)
+}
+
+// read is a call that waits for the proof that this planner still leads.
+type read struct {
+	round  uint64
+	until  time.Duration
+	answer func(body []byte, err error)
+}
+
+// handler is the control calls' tree of matchers.
+func (x *Exchange) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /instances/{id}", x.beat)
+	mux.HandleFunc("DELETE /instances/{id}", x.leave)
+	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, false) })
+	mux.HandleFunc("PATCH /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, true) })
+	mux.HandleFunc("GET /config", x.readBack)
+	mux.HandleFunc("GET /status", x.status)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, tone.UnknownCall.New("%s %s is no call", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// refuse answers an error as the table of kinds says.
+func refuse(w http.ResponseWriter, err error) {
+	a := tone.For(err)
+	if a.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.Retry, 'f', -1, 64))
+	}
+	reply(w, a.Status, map[string]string{"error": err.Error()})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte(`{"error":"the answer can't be written"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // a caller that is gone asks again
+}
+
+// elsewhere sends a caller to the leader.
+func (x *Exchange) elsewhere(w http.ResponseWriter, r *http.Request, leader string) {
+	if leader == "" || leader == x.set.IP {
+		refuse(w, tone.NoLeader.New("nobody leads now"))
+		return
+	}
+	w.Header().Set("Location", "http://"+x.controlOf(leader)+r.URL.Path)
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
+// controlOf is where an exchange takes control calls: all use the same port.
+func (x *Exchange) controlOf(ip string) string {
+	_, port, err := net.SplitHostPort(x.set.Listen.Control)
+	if err != nil {
+		return ip
+	}
+	return net.JoinHostPort(ip, port)
+}
+
+func (x *Exchange) leads() bool { return x.member != nil && x.member.Role() == agreement.Leader }
+
+func (x *Exchange) leader() string {
+	if x.member != nil {
+		return x.member.Leader()
+	}
+	if len(x.members) > 0 {
+		for _, ip := range x.members {
+			if x.peers[ip] != nil {
+				return ip
+			}
+		}
+	}
+	return ""
+}
+
+type answered struct {
+	version uint64
+	body    []byte
+	leader  string
+	err     error
+}
+
+func (x *Exchange) change(w http.ResponseWriter, r *http.Request, patch bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	if err != nil {
+		kind := tone.Malformed
+		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+			kind = tone.TooLarge
+		}
+		refuse(w, kind.Wrap(err, "body"))
+		return
+	}
+	base, ok := dialplan.ParseVersion(r.Header.Get("If-Match"))
+	if !ok {
+		refuse(w, tone.Malformed.New("If-Match %q is no version", r.Header.Get("If-Match")))
+		return
+	}
+	if !patch {
+		if _, err := dialplan.Parse(body); err != nil {
+			refuse(w, err)
+			return
+		}
+	}
+	c := change{Base: uint64(base), Patch: patch, Body: body}
+	done := make(chan answered, 1)
+	x.do(func() { x.propose(c, done) })
+	select {
+	case a := <-done:
+		switch {
+		case a.leader != "":
+			x.elsewhere(w, r, a.leader)
+		case a.err != nil:
+			refuse(w, a.err)
+		default:
+			reply(w, http.StatusOK, map[string]any{"version": dialplan.Version(a.version)})
+		}
+	case <-r.Context().Done():
+	}
+}
+
+// propose puts a change into the history, if this planner leads.
+func (x *Exchange) propose(c change, done chan answered) {
+	if !x.leads() {
+		if leader := x.leader(); leader != "" && leader != x.set.IP {
+			done <- answered{leader: leader}
+		} else {
+			done <- answered{err: tone.NoLeader.New("nobody leads now")}
+		}
+		return
+	}
+	// What is plainly wrong needs no entry: whether it is stale or invalid, it is refused either way.
+	digest := c.digest()
+	known := slices.ContainsFunc(x.state.taken, func(t taken) bool { return t.Digest == digest })
+	if !known && len(x.waiters) == 0 && c.Base == x.state.version() {
+		if _, err := x.state.check(c); err != nil {
+			done <- answered{err: err}
+			return
+		}
+	}
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		done <- answered{err: tone.Malformed.Wrap(err, "change")}
+		return
+	}
+	index, term, _ := x.member.Propose(data, x.now())
+	x.waiters[index] = waiter{term: term, until: x.now() + callLimit, answer: func(version uint64, err error) {
+		done <- answered{version: version, err: err}
+	}}
+}
+
+// apply takes what the agreement committed.
+func (x *Exchange) apply(out agreement.Output) {
+	before := x.state.version()
+	var last *change
+	steps := 0
+	if out.Install != nil {
+		if err := x.state.restore(*out.Install); err != nil {
+			_ = x.logger.Log("event", "snapshot can't be read", "cause", err)
+			return
+		}
+		steps = 2
+	}
+	for _, e := range out.Committed {
+		c, err := x.state.apply(e)
+		if c != nil {
+			last, steps = c, steps+1
+			_ = x.logger.Log("event", "configuration", "version", dialplan.Version(x.state.version()), "index", e.Index, "term", e.Term, "routes", len(x.state.config.Routes))
+		}
+		if w, ok := x.waiters[e.Index]; ok {
+			delete(x.waiters, e.Index)
+			if w.term != e.Term {
+				err = tone.Unconfirmed.New("another change took its place")
+			}
+			w.answer(x.state.version(), err)
+		}
+	}
+	if x.state.version() != before {
+		f := &trunk.Config{Version: x.state.version()}
+		if steps == 1 && last.Patch {
+			f.Base, f.Change = before, last.Body
+		} else if whole, err := json.Marshal(x.state.config); err == nil {
+			f.Whole = whole
+		}
+		x.pushConfig(f)
+	}
+	if x.state.since > compactAfter {
+		if data, err := x.state.save(); err == nil {
+			x.member.Compact(x.state.index, data)
+			x.state.since = 0
+		}
+	}
+}
+
+// pushConfig sends a configuration to the edges, and to exchanges without a vote.
+func (x *Exchange) pushConfig(f *trunk.Config) {
+	for _, e := range x.edges {
+		e.link.Send(&trunk.Frame{Config: f})
+	}
+	for ip, p := range x.peers {
+		if x.leads() && !slices.Contains(x.members, ip) {
+			p.link.Send(&trunk.Frame{Config: f})
+		}
+	}
+	x.tables.configured()
+}
+
+// whole is the configuration for one who has none, or another.
+func (x *Exchange) whole() *trunk.Config {
+	if x.state.config == nil {
+		return nil
+	}
+	body, err := json.Marshal(x.state.config)
+	if err != nil {
+		return nil
+	}
+	return &trunk.Config{Version: x.state.version(), Whole: body}
+}
+
+// observed takes a configuration that an exchange without a vote was sent.
+func (x *Exchange) observed(c *trunk.Config) (whole bool) {
+	if x.member != nil || c.Version <= x.state.version() {
+		return true
+	}
+	var next *dialplan.Config
+	var err error
+	if c.Whole != nil {
+		next, err = dialplan.Parse(c.Whole)
+	} else if c.Base != x.state.version() {
+		return false
+	} else {
+		next, err = x.state.config.Patch(c.Change)
+	}
+	if err != nil {
+		_ = x.logger.Log("event", "configuration can't be read", "cause", err)
+		return false
+	}
+	x.state.config = next
+	x.pushConfig(x.whole())
+	return true
+}
+
+// readBack answers with the newest configuration, once it is sure that this planner still leads.
+func (x *Exchange) readBack(w http.ResponseWriter, r *http.Request) {
+	done := make(chan answered, 1)
+	x.do(func() {
+		if !x.leads() {
+			done <- answered{leader: x.leader()}
+			return
+		}
+		round := x.member.Confirm(x.now())
+		x.reads = append(x.reads, read{round, x.now() + callLimit, func(body []byte, err error) { done <- answered{body: body, err: err} }})
+	})
+	select {
+	case a := <-done:
+		switch {
+		case a.err != nil:
+			refuse(w, a.err)
+		case a.body == nil:
+			x.elsewhere(w, r, a.leader)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+			_, _ = w.Write(a.body) // a caller that is gone asks again
+		}
+	case <-r.Context().Done():
+	}
+}
+
+func (x *Exchange) answerReads() {
+	x.reads = slices.DeleteFunc(x.reads, func(r read) bool {
+		switch {
+		case x.leads() && x.member.Confirmed(r.round):
+			if x.state.config == nil {
+				r.answer([]byte(`{}`), nil)
+			} else {
+				body, err := json.Marshal(x.state.config)
+				r.answer(body, err)
+			}
+		case !x.leads() || x.now() > r.until:
+			r.answer(nil, tone.NoLeader.New("it could not be confirmed that this planner leads"))
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// overdue answers calls that waited for too long, and drops receipts and fetches that nobody answers.
+func (x *Exchange) overdue(now time.Duration) {
+	for index, w := range x.waiters {
+		if now > w.until || !x.leads() {
+			delete(x.waiters, index)
+			w.answer(0, tone.Unconfirmed.New("no agreement in time: the change may still be taken"))
+		}
+	}
+	for token, f := range x.fetches {
+		if now > f.until {
+			delete(x.fetches, token)
+			f.do(nil)
+		}
+	}
+	for id, r := range x.receipts {
+		if now > r.until {
+			delete(x.receipts, id)
+			r.done()
+		}
+	}
+}
+
+// status tells operators how this planner sees the system.
+func (x *Exchange) status(w http.ResponseWriter, _ *http.Request) {
+	done := make(chan map[string]any, 1)
+	x.do(func() {
+		s := map[string]any{"node": x.set.Node, "ip": x.set.IP, "zone": x.set.Zone, "attached": x.attached(), "version": dialplan.Version(x.state.version()),
+			"leader": x.leader(), "members": x.members, "keys": x.ledger.Len(), "ledger_blank": x.ledger.Blank(), "disk_refuses": x.store.failing}
+		edges, peers := []string{}, []string{}
+		for _, e := range x.edges {
+			edges = append(edges, e.node)
+		}
+		for ip := range x.peers {
+			peers = append(peers, ip)
+		}
+		slices.Sort(edges)
+		slices.Sort(peers)
+		s["edges"], s["exchanges"] = edges, peers
+		servers := []map[string]any{}
+		for _, e := range x.dir.All(x.now()) {
+			servers = append(servers, map[string]any{"id": e.ID, "service": e.Service, "zone": e.Zone, "address": e.Address,
+				"state": []string{"ready", "draining", "gone"}[e.State], "silent": e.Silent, "factor": x.tables.factor(e.ID)})
+		}
+		s["servers"] = servers
+		if x.member != nil {
+			s["term"], s["commit"], s["last"], s["blank"] = x.member.Term(), x.member.Commit(), x.member.Last(), x.member.Blank()
+		}
+		done <- s
+	})
+	reply(w, http.StatusOK, <-done)
+}
--- /dev/null
+++ b/internal/exchange/registrar.go
@@ -0,0 +1,127 @@
+package exchange
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/tone"
+)
+
+// beatBody is what a server says of itself.
+type beatBody struct {
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Version  string  `json:"version"`
+	Capacity int     `json:"capacity"`
+	State    string  `json:"state"`
+	Warmup   float64 `json:"warmup_left_s"`
+	Seq      uint64  `json:"call_seq"`
+}
+
+const beatMost = 64 << 10
+
+// beat takes a server's call. That a server is leaving is acknowledged once those who could send to it know.
+func (x *Exchange) beat(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatMost))
+	if err != nil {
+		refuse(w, tone.Malformed.Wrap(err, "body"))
+		return
+	}
+	var b beatBody
+	if err := json.Unmarshal(text, &b); err != nil {
+		refuse(w, tone.Malformed.New("body: %s", err))
+		return
+	}
+	if b.Service == "" || b.Address == "" || b.State != "ready" && b.State != "draining" || b.Capacity < 0 {
+		refuse(w, tone.Malformed.New("a beat needs service, address, capacity and a state, ready or draining"))
+		return
+	}
+	e := directory.Entry{ID: r.PathValue("id"), Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
+		Capacity: max(1, b.Capacity), Warmup: b.Warmup, Seq: b.Seq, Owner: x.set.IP}
+	if b.State == "draining" {
+		e.State = directory.Draining
+	}
+	x.register(w, r, e)
+}
+
+// leave takes a server's last call.
+func (x *Exchange) leave(w http.ResponseWriter, r *http.Request) {
+	x.register(w, r, directory.Entry{ID: r.PathValue("id"), State: directory.Gone, Owner: x.set.IP})
+}
+
+type registered struct {
+	target string
+	err    error
+}
+
+func (x *Exchange) register(w http.ResponseWriter, r *http.Request, e directory.Entry) {
+	done := make(chan registered, 1)
+	x.do(func() { x.registerNow(e, done) })
+	select {
+	case a := <-done:
+		switch {
+		case a.err != nil:
+			refuse(w, a.err)
+		case a.target != "":
+			reply(w, http.StatusOK, map[string]string{"beat_target": a.target})
+		default:
+			reply(w, http.StatusOK, struct{}{})
+		}
+	case <-r.Context().Done():
+	}
+}
+
+func (x *Exchange) registerNow(e directory.Entry, done chan registered) {
+	old, known := x.dir.Get(e.ID)
+	if e.State == directory.Gone && known {
+		e.Seq = old.Seq
+	}
+	leaving := e.State > directory.Ready
+	if leaving && len(x.members) > 0 && !x.attached() {
+		// Cut off from the others, this planner can't let them know; another can.
+		done <- registered{err: tone.NoLeader.New("cut off from the other planners")}
+		return
+	}
+	changed, news := x.dir.Take(e, x.now())
+	if !known || changed.State != old.State {
+		_ = x.logger.Log("event", "server", "server", changed.ID, "service", changed.Service, "zone", changed.Zone,
+			"address", changed.Address, "state", changed.State, "seq", changed.Seq)
+	}
+	answer := registered{target: x.beatTarget(e.Zone)}
+	list := []directory.Entry{}
+	if news || leaving {
+		list = append(list, changed)
+	}
+	if !leaving {
+		x.spread(list, nil, 0, nil)
+		done <- answer
+		return
+	}
+	if known && old.State >= changed.State && !news && x.acked[e.ID] >= changed.State {
+		done <- answer // said before, and known
+		return
+	}
+	x.spread(list, nil, receiptFar, func() {
+		if x.acked == nil {
+			x.acked = map[string]directory.State{}
+		}
+		x.acked[e.ID] = max(x.acked[e.ID], changed.State)
+		done <- answer
+	})
+}
+
+// beatTarget is the exchange of the server's zone, so that beats don't cross zones.
+func (x *Exchange) beatTarget(zone string) string {
+	if zone == "" || zone == x.set.Zone {
+		return ""
+	}
+	for ip, p := range x.peers {
+		if p.zone == zone && p.attached {
+			return x.controlOf(ip)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/exchange/store.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"time"
+
+	"mulleinwood/internal/archive"
+	"mulleinwood/internal/ticket"
+)
+
+// store gathers what has to become durable while the disk is at work, so that one sync serves all of it.
+type store struct {
+	pending []*archive.Batch // of the agreement, in order
+	after   []func(bool)
+	records []ticket.Record
+	claimed []func(bool)
+	busy    bool
+	again   time.Duration // not before, after a failure
+	failing bool
+}
+
+// idleAgree tells that nothing of the agreement waits for the disk.
+func (s *store) idleAgree() bool { return !s.busy && len(s.pending) == 0 }
+
+func (s *store) agree(b *archive.Batch, done func(bool)) {
+	s.pending = append(s.pending, b)
+	s.after = append(s.after, done)
+}
+
+// record makes a line of the ledger durable; done hears whether it is.
+func (s *store) record(r ticket.Record, done func(bool)) {
+	s.records = append(s.records, r)
+	if done != nil {
+		s.claimed = append(s.claimed, done)
+	}
+}
+
+func (x *Exchange) put(b *archive.Batch, done func(bool)) {
+	if done == nil {
+		done = func(bool) {}
+	}
+	x.store.agree(b, done)
+}
+
+// run hands the disk what has gathered, if it is free. A disk that refuses keeps the agreement's part waiting: nothing
+// of it may be told or dropped. Claims are refused at once: other ledgers can take them.
+func (s *store) run(x *Exchange) {
+	if s.busy || len(s.pending) == 0 && len(s.records) == 0 || x.now() < s.again && len(s.records) == 0 {
+		return
+	}
+	if s.failing && x.now() < s.again {
+		claimed := s.claimed
+		s.records, s.claimed = nil, nil
+		for _, done := range claimed {
+			done(false)
+		}
+		return
+	}
+	pending, after, records, claimed := s.pending, s.after, s.records, s.claimed
+	s.pending, s.after, s.records, s.claimed, s.busy = nil, nil, nil, nil, true
+	batches := pending
+	if len(records) > 0 {
+		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records})
+	}
+	go func() {
+		err := x.archive.Commit(batches)
+		x.do(func() {
+			s.busy = false
+			if err != nil {
+				if !s.failing {
+					_ = x.logger.Log("event", "disk refuses", "cause", err)
+				}
+				s.failing, s.again = true, x.now()+storeAgain
+				s.pending, s.after = append(pending, s.pending...), append(after, s.after...)
+			} else {
+				if s.failing {
+					_ = x.logger.Log("event", "disk takes writes again")
+				}
+				s.failing = false
+				for _, done := range after {
+					done(true)
+				}
+			}
+			for _, done := range claimed {
+				done(err == nil)
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,180 @@
+// Package ticket is the ledger of operations that may run only once. Each planner that counts holds a Ledger of claims;
+// an Office beside it collects enough of them for a claim to stand. Both are values fed with events.
+//
+// A claim stands once more than half of the ledgers hold it durably. A ledger whose disk came back empty grants nothing
+// before it has copied what every other ledger holds, so any two claims that stand have a ledger in common that
+// remembers. A claim is withdrawn only while it is certain that nothing was run under it.
+package ticket
+
+import (
+	"crypto/sha256"
+	"time"
+)
+
+// Key names an operation: its tenant and its key, hashed.
+type Key [16]byte
+
+// KeyOf hashes a tenant's key. The same key of another tenant is another operation.
+func KeyOf(tenant, key string) Key {
+	h := sha256.New()
+	h.Write([]byte(tenant))
+	h.Write([]byte{0})
+	h.Write([]byte(key))
+	return Key(h.Sum(nil)[:16])
+}
+
+// Token names one attempt to claim a key: the life of the claimer and a number of its own.
+type Token struct {
+	_    struct{} `cbor:",toarray"`
+	Life uint64
+	N    uint64
+}
+
+// Answer is what the first run answered.
+type Answer struct {
+	Status  int               `cbor:"1,keyasint"`
+	Headers map[string]string `cbor:"2,keyasint,omitempty"`
+	Body    []byte            `cbor:"3,keyasint,omitempty"`
+}
+
+// Record is a line of the ledger.
+type Record struct {
+	Key    Key     `cbor:"1,keyasint"`
+	Token  Token   `cbor:"2,keyasint"`
+	Home   string  `cbor:"3,keyasint,omitempty"` // the planner that will hold the answer
+	Void   bool    `cbor:"4,keyasint,omitempty"` // withdrawn: nothing was run under it
+	Answer *Answer `cbor:"5,keyasint,omitempty"`
+}
+
+// Verdict of one ledger on a claim.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Unable  Verdict = iota // the ledger can't tell now: its disk is ill, or not restored yet
+	Granted                // it holds the claim, durably
+	Held                   // another token holds the key
+)
+
+// Ledger holds the claims of one planner.
+type Ledger struct {
+	window time.Duration
+	claims map[Key]*claim
+	ages   []aged
+	voided map[Token]time.Duration // withdrawn before the claim came: it may still be on its way
+	blank  bool
+}
+
+type claim struct {
+	Record
+	born time.Duration
+}
+
+type aged struct {
+	key  Key
+	born time.Duration
+}
+
+// NewLedger makes a ledger. A blank one grants nothing before Restored.
+func NewLedger(window time.Duration, blank bool) *Ledger {
+	return &Ledger{window: window, claims: map[Key]*claim{}, voided: map[Token]time.Duration{}, blank: blank}
+}
+
+// Load takes over a line that the disk or another ledger held. Its age is not known: it counts from now.
+func (l *Ledger) Load(r Record, now time.Duration) {
+	c := l.claims[r.Key]
+	switch {
+	case r.Void:
+		if c != nil && c.Token == r.Token {
+			delete(l.claims, r.Key)
+		}
+	case c == nil || c.Token != r.Token:
+		l.claims[r.Key] = &claim{Record: r, born: now}
+		l.ages = append(l.ages, aged{r.Key, now})
+	case r.Answer != nil:
+		c.Answer = r.Answer
+	}
+}
+
+// Restored ends the time in which a blank ledger grants nothing.
+func (l *Ledger) Restored() { l.blank = false }
+
+// Blank tells whether the ledger still grants nothing.
+func (l *Ledger) Blank() bool { return l.blank }
+
+// Len is how many claims are held.
+func (l *Ledger) Len() int { return len(l.claims) }
+
+// Claim takes a claim. If it is granted, store has to be durable before that is told.
+func (l *Ledger) Claim(r Record, now time.Duration) (v Verdict, holder Record, store bool) {
+	if l.blank {
+		return Unable, Record{}, false
+	}
+	if c := l.claims[r.Key]; c != nil {
+		if c.Token == r.Token {
+			return Granted, c.Record, true // stored again at worst: whoever asks twice may have got no answer
+		}
+		return Held, Record{Key: c.Key, Token: c.Token, Home: c.Home}, false
+	}
+	if _, late := l.voided[r.Token]; late {
+		return Unable, Record{}, false
+	}
+	l.claims[r.Key] = &claim{Record: r, born: now}
+	l.ages = append(l.ages, aged{r.Key, now})
+	return Granted, r, true
+}
+
+// Void withdraws a claim under which nothing was run, or ever will be.
+func (l *Ledger) Void(key Key, token Token, now time.Duration) (r Record, store bool) {
+	l.voided[token] = now
+	if c := l.claims[key]; c != nil && c.Token == token && c.Answer == nil {
+		delete(l.claims, key)
+		return Record{Key: key, Token: token, Void: true}, true
+	}
+	return Record{}, false
+}
+
+// Done keeps the answer of a claim's run.
+func (l *Ledger) Done(r Record, now time.Duration) {
+	if c := l.claims[r.Key]; c != nil {
+		if c.Token == r.Token {
+			c.Answer = r.Answer
+		}
+		return
+	}
+	l.claims[r.Key] = &claim{Record: r, born: now}
+	l.ages = append(l.ages, aged{r.Key, now})
+}
+
+// Answer finds the answer of a claim's run.
+func (l *Ledger) Answer(key Key, token Token) *Answer {
+	if c := l.claims[key]; c != nil && c.Token == token {
+		return c.Answer
+	}
+	return nil
+}
+
+// Each hands out every line without its answer, for a ledger that copies.
+func (l *Ledger) Each(do func(Record)) {
+	for _, c := range l.claims {
+		do(Record{Key: c.Key, Token: c.Token, Home: c.Home})
+	}
+}
+
+// Expire forgets claims whose window is over.
+func (l *Ledger) Expire(now time.Duration) {
+	n := 0
+	for ; n < len(l.ages) && now-l.ages[n].born > l.window; n++ {
+		if c := l.claims[l.ages[n].key]; c != nil && now-c.born > l.window {
+			delete(l.claims, l.ages[n].key)
+		}
+	}
+	if n > 0 {
+		l.ages = append([]aged(nil), l.ages[n:]...)
+	}
+	for t, at := range l.voided {
+		if now-at > 10*time.Second {
+			delete(l.voided, t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tone/tone.go
@@ -0,0 +1,75 @@
+// Package tone is the closed list of error kinds and the one table from kind to answer.
+package tone
+
+import (
+	"net/http"
+
+	"github.com/joomcode/errorx"
+)
+
+var space = errorx.NewNamespace("mulleinwood")
+
+// The kinds of error.
+var (
+	Settings    = space.NewType("settings")     // the settings file is missing or wrong
+	NoRoute     = space.NewType("no_route")     // no route matches host and path
+	Malformed   = space.NewType("malformed")    // the request can't be read or lacks what its route needs
+	TooLarge    = space.NewType("too_large")    // over the configuration's limits
+	AtWork      = space.NewType("at_work")      // the key's operation is being run
+	NotReady    = space.NewType("not_ready")    // no configuration held yet
+	NoServer    = space.NewType("no_server")    // no server to send to; nothing was sent
+	Busy        = space.NewType("busy")         // no room in time; nothing was sent
+	Unclaimed   = space.NewType("unclaimed")    // the key could not be claimed; nothing was sent
+	NotRun      = space.NewType("not_run")      // servers turned it away; it never ran
+	PerhapsRun  = space.NewType("perhaps_run")  // sent, and no whole answer came
+	TimedOut    = space.NewType("timed_out")    // sent, and the time ran out
+	Invalid     = space.NewType("invalid")      // a configuration that breaks a demand
+	Stale       = space.NewType("stale")        // built on a version that is not the current one
+	NoLeader    = space.NewType("no_leader")    // nobody can decide now
+	Unconfirmed = space.NewType("unconfirmed")  // a change whose outcome is not known
+	UnknownCall = space.NewType("unknown_call") // no such call
+)
+
+// Answer is how a kind is told to a caller. Retry is the Retry-After in seconds, 0 for none: it stands only where the
+// request has not run and never will.
+type Answer struct {
+	Status int
+	Retry  float64
+}
+
+var answers = map[*errorx.Type]Answer{
+	NoRoute:     {http.StatusNotFound, 0},
+	Malformed:   {http.StatusBadRequest, 0},
+	TooLarge:    {http.StatusRequestEntityTooLarge, 0},
+	AtWork:      {http.StatusConflict, 0},
+	NotReady:    {http.StatusServiceUnavailable, 0.2},
+	NoServer:    {http.StatusServiceUnavailable, 0.2},
+	Busy:        {http.StatusServiceUnavailable, 0.1},
+	Unclaimed:   {http.StatusServiceUnavailable, 0.1},
+	NotRun:      {http.StatusServiceUnavailable, 0.1},
+	PerhapsRun:  {http.StatusBadGateway, 0},
+	TimedOut:    {http.StatusGatewayTimeout, 0},
+	Invalid:     {http.StatusBadRequest, 0},
+	Stale:       {http.StatusPreconditionFailed, 0},
+	NoLeader:    {http.StatusServiceUnavailable, 0.2},
+	Unconfirmed: {http.StatusBadGateway, 0},
+	UnknownCall: {http.StatusNotFound, 0},
+}
+
+// For finds the answer to an error; one of no kind of ours is an unconfirmed outcome.
+func For(err error) Answer {
+	for kind, answer := range answers {
+		if errorx.IsOfType(err, kind) {
+			return answer
+		}
+	}
+	return answers[PerhapsRun]
+}
+
+// Kind is the short name of an error's kind, for logs.
+func Kind(err error) string {
+	if e := errorx.Cast(err); e != nil {
+		return e.Type().FullName()
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/trunk/frame.go
@@ -0,0 +1,130 @@
+// Package trunk is what the system's processes say to each other: frames of CBOR, each after its length, over one TCP
+// connection a pair. Both ends send pulses, so that a cut, which is silent, is heard within a second.
+package trunk
+
+import (
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/ticket"
+)
+
+// Frame is one message. Most have one field set; what is said together travels together.
+type Frame struct {
+	Hello    *Hello              `cbor:"1,keyasint,omitempty"`
+	Pulse    *Pulse              `cbor:"2,keyasint,omitempty"`
+	Agree    []agreement.Message `cbor:"3,keyasint,omitempty"`
+	Entries  []directory.Entry   `cbor:"4,keyasint,omitempty"`
+	Receipt  uint64              `cbor:"5,keyasint,omitempty"` // to be sent back once Entries are in force
+	Received uint64              `cbor:"6,keyasint,omitempty"`
+	Config   *Config             `cbor:"7,keyasint,omitempty"`
+	Weights  *Weights            `cbor:"8,keyasint,omitempty"`
+	Report   *Report             `cbor:"9,keyasint,omitempty"`
+	Claims   []ticket.Record     `cbor:"10,keyasint,omitempty"` // edge to its exchange
+	Rulings  []Ruling            `cbor:"11,keyasint,omitempty"` // and back
+	Asks     []ticket.Record     `cbor:"12,keyasint,omitempty"` // office to ledger
+	Verdicts []Verdict           `cbor:"13,keyasint,omitempty"` // and back
+	Voids    []ticket.Record     `cbor:"14,keyasint,omitempty"`
+	Done     []ticket.Record     `cbor:"15,keyasint,omitempty"`
+	Fetch    []ticket.Record     `cbor:"16,keyasint,omitempty"` // an answer that another exchange holds
+	Fetched  []ticket.Record     `cbor:"17,keyasint,omitempty"`
+	Copy     bool                `cbor:"18,keyasint,omitempty"` // the whole ledger is wanted
+	Copied   *Copied             `cbor:"19,keyasint,omitempty"`
+	NeedAll  bool                `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
+}
+
+// Hello opens a connection, both ways.
+type Hello struct {
+	Node    string   `cbor:"1,keyasint"`
+	IP      string   `cbor:"2,keyasint"`
+	Zone    string   `cbor:"3,keyasint"`
+	Edge    bool     `cbor:"4,keyasint,omitempty"`
+	Life    uint64   `cbor:"5,keyasint"`
+	Version uint64   `cbor:"6,keyasint,omitempty"` // of the configuration held
+	Members []string `cbor:"7,keyasint,omitempty"` // of the agreement, as an exchange knows them
+	Look    bool     `cbor:"8,keyasint,omitempty"` // only to see how an exchange is
+}
+
+// Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Home is how many edges
+// and the addresses of exchanges that it knows.
+type Pulse struct {
+	Attached  bool     `cbor:"1,keyasint,omitempty"`
+	Version   uint64   `cbor:"2,keyasint,omitempty"`
+	Edges     int      `cbor:"3,keyasint,omitempty"`
+	Exchanges []string `cbor:"4,keyasint,omitempty"`
+	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
+}
+
+// Zoned is a zone's traffic of one service.
+type Zoned struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Zone    string
+	Rate    float64
+}
+
+// Config carries a configuration, whole or as the change that leads to it.
+type Config struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Base    uint64 `cbor:"2,keyasint,omitempty"` // the change applies to this version
+	Whole   []byte `cbor:"3,keyasint,omitempty"`
+	Change  []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// Weights are changed lines of an edge's tables.
+type Weights struct {
+	Marks []uint32 `cbor:"1,keyasint,omitempty"` // to be answered by Report.Applied
+	Lines []Weight `cbor:"3,keyasint,omitempty"`
+}
+
+// Weight is a server's in the table of its service; 0 takes it out.
+type Weight struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Weight float64
+}
+
+// Report is what an edge saw, since its last one.
+type Report struct {
+	Period  float64  `cbor:"1,keyasint"` // seconds
+	Met     []Met    `cbor:"2,keyasint,omitempty"`
+	Asked   []Asked  `cbor:"3,keyasint,omitempty"`
+	Applied []uint32 `cbor:"4,keyasint,omitempty"` // tokens of weights
+}
+
+// Met is what an edge met at one server.
+type Met struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Tries  uint32
+	Failed uint32
+	Time   float64 // seconds, over all answers
+}
+
+// Asked counts the requests for a service.
+type Asked struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Requests uint32
+	Failed   uint32
+}
+
+// Ruling tells an edge the outcome of its claim.
+type Ruling struct {
+	Token  ticket.Token   `cbor:"1,keyasint"`
+	Ruling ticket.Ruling  `cbor:"2,keyasint"`
+	Answer *ticket.Answer `cbor:"3,keyasint,omitempty"` // of the first run
+}
+
+// Verdict tells an office what a ledger says.
+type Verdict struct {
+	Token   ticket.Token   `cbor:"1,keyasint"`
+	Verdict ticket.Verdict `cbor:"2,keyasint"`
+	Holder  *ticket.Record `cbor:"3,keyasint,omitempty"`
+}
+
+// Copied is a part of a ledger, for one that copies.
+type Copied struct {
+	Records []ticket.Record `cbor:"1,keyasint,omitempty"`
+	Last    bool            `cbor:"2,keyasint,omitempty"`
+	Blank   bool            `cbor:"3,keyasint,omitempty"` // the sender knows nothing itself
+}
