Grant nobody a key that a blank ledger copied, and let only claimers withdraw claims

Traced: the first claim stood on the wiped ledger and one more; a repeat's claim, given up while the core was down, stayed on the third. The wiped ledger copied both, kept the last, and granted it to the repeat.

Excluded: bbolt after a loss of power (the record was there), the token's identity, the window.

Changed: a copied key is granted to nobody; one copied for two tokens can't be withdrawn, there or where it is copied to; an office forgets the grants of a ledger that began a new life; a claim that fails to be stored again stays if it was durable; only the claimer withdraws, since two offices may rule on one claim.

--- a/internal/crossbar/claims.go
+++ b/internal/crossbar/claims.go
@@ -40,6 +40,9 @@
 	defer timer.Stop()
 	select {
 	case ruling := <-one.done:
+		if ruling.Ruling != ticket.Stands {
+			c.withdraw(r.Key, r.Token)
+		}
 		return r.Token, ruling
 	case <-timer.C:
 		c.withdraw(r.Key, r.Token)
@@ -60,12 +63,10 @@
 func (k *claims) ruled(r trunk.Ruling) {
 	k.mu.Lock()
 	one := k.open[r.Token]
+	delete(k.open, r.Token) // what is decided is not asked again, of whoever
 	k.mu.Unlock()
 	if one != nil {
-		select {
-		case one.done <- r:
-		default: // told twice
-		}
+		one.done <- r // it has room for the one ruling
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,7 +74,8 @@
 	nextRcpt            uint64
 	fetches             map[ticket.Token]fetch
 	tables              *tables
-	known               map[string]bool // IPs of exchanges
+	known               map[string]bool   // IPs of exchanges
+	lives               map[string]uint64 // of exchanges, when last met
 	claimers            map[ticket.Token]*peer
 	acked               map[string]directory.State // of servers that are leaving, what was acknowledged here
 	goneSince           map[string]time.Duration   // exchanges out of reach
@@ -89,7 +90,7 @@
 		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{}, copyAll: map[string]bool{},
 		peers: map[string]*peer{}, edges: map[string]*peer{}, receipts: map[uint64]*receipt{},
 		fetches: map[ticket.Token]fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
-		goneSince: map[string]time.Duration{}}
+		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
 	x.dir = directory.New(tombstones)
 	x.tables = newTables(x)
 	if err := x.open(); err != nil {
--- a/internal/exchange/keys.go
+++ b/internal/exchange/keys.go
@@ -86,9 +86,10 @@
 	}
 	x.store.record(r, func(ok bool) {
 		if !ok { // the disk refuses: what isn't durable is not granted, and not remembered as if it were
-			x.ledger.Void(r.Key, r.Token, x.now())
-			tell(ticket.Unable, ticket.Record{})
-			return
+			x.ledger.Failed(r.Key, r.Token)
+		}
+		if !ok || !x.ledger.Stored(r.Key, r.Token) {
+			v = ticket.Unable
 		}
 		tell(v, holder)
 	})
@@ -119,13 +120,11 @@
 	}
 }
 
-// ruled tells the claimer. Where another claim holds the key, its answer goes along, if there is one.
+// ruled tells the claimer, who alone withdraws what doesn't stand: two offices may be asked about one claim, and only
+// the claimer knows which of them it heard. Where another claim holds the key, its answer goes along, if there is one.
 func (x *Exchange) ruled(o ticket.Outcome) {
 	p := x.claimers[o.Token]
 	delete(x.claimers, o.Token)
-	if len(o.Void) > 0 {
-		x.void(ticket.Record{Key: o.Key, Token: o.Token}, o.Void)
-	}
 	tell := func(a *ticket.Answer) {
 		if p != nil {
 			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: o.Token, Ruling: o.Ruling, Answer: a}}})
@@ -189,8 +188,7 @@
 		return
 	}
 	for _, r := range c.Records {
-		x.ledger.Load(r, x.now())
-		x.store.record(r, nil)
+		x.store.record(x.ledger.Copy(r, x.now()), nil)
 	}
 	if !c.Last {
 		return
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -105,6 +105,12 @@
 			old.link.Close()
 		}
 		x.peers[p.ip] = p
+		if before, met := x.lives[p.ip]; met && before != h.Life && x.office != nil {
+			for _, o := range x.office.Forget(p.ip) {
+				x.ruled(o)
+			}
+		}
+		x.lives[p.ip] = h.Life
 		delete(x.goneSince, p.ip)
 		x.meet(p.ip)
 	}
@@ -122,6 +128,9 @@
 }
 
 func (x *Exchange) left(p *peer) {
+	if x.edges[p.ip] != p && x.peers[p.ip] != p {
+		return
+	}
 	if p.edge && x.edges[p.ip] == p {
 		delete(x.edges, p.ip)
 		x.tables.leave(p)
--- a/internal/ticket/office.go
+++ b/internal/ticket/office.go
@@ -7,7 +7,7 @@
 
 // The rulings.
 const (
-	Refused Ruling = iota // it could not be decided; it is withdrawn
+	Refused Ruling = iota // it could not be decided: the claimer withdraws it
 	Stands                // the claimer may run it
 	Taken                 // another claim holds the key
 )
@@ -17,8 +17,7 @@
 	Token  Token
 	Key    Key
 	Ruling Ruling
-	Holder Record   // of the claim that holds the key
-	Void   []string // ledgers that may hold a claim that doesn't stand
+	Holder Record // of the claim that holds the key
 }
 
 // Ask is a claim to be put to a ledger.
@@ -121,17 +120,24 @@
 
 func (o *Office) close(c *opened, out Outcome) *Outcome {
 	out.Token, out.Key = c.record.Token, c.record.Key
-	if out.Ruling != Stands {
-		for _, id := range o.members[:c.asked] {
-			if c.verdicts[id] != Held {
-				out.Void = append(out.Void, id)
-			}
-		}
-	}
 	delete(o.open, c.record.Token)
 	return &out
 }
 
+// Forget takes back what a ledger granted to claims that are still open: it began a new life, perhaps without its disk.
+func (o *Office) Forget(from string) (done []Outcome) {
+	for _, c := range o.open {
+		if c.verdicts[from] != Granted {
+			continue
+		}
+		c.verdicts[from] = Unable
+		if _, out := o.judge(c); out != nil {
+			done = append(done, *out)
+		}
+	}
+	return done
+}
+
 // Tick asks further ledgers where the first are slow, and gives up on what takes too long.
 func (o *Office) Tick(now time.Duration) (asks []Ask, done []Outcome) {
 	for _, c := range o.open {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -44,6 +44,10 @@
 	Home   string  `cbor:"3,keyasint,omitempty"` // the planner that will hold the answer
 	Void   bool    `cbor:"4,keyasint,omitempty"` // withdrawn: nothing was run under it
 	Answer *Answer `cbor:"5,keyasint,omitempty"`
+	Copied bool    `cbor:"6,keyasint,omitempty"` // from another ledger: nobody is granted it here
+	// Contested: copied for two tokens. Which of them stood is not known, so neither can be withdrawn, here or where it
+	// is copied to.
+	Contested bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Verdict of one ledger on a claim.
@@ -67,7 +71,8 @@
 
 type claim struct {
 	Record
-	born time.Duration
+	born    time.Duration
+	durable bool
 }
 
 type aged struct {
@@ -80,7 +85,7 @@
 	return &Ledger{window: window, claims: map[Key]*claim{}, voided: map[Token]time.Duration{}, blank: blank}
 }
 
-// Load takes over a line that the disk or another ledger held. Its age is not known: it counts from now.
+// Load takes over a line that the disk held. Its age is not known: it counts from now.
 func (l *Ledger) Load(r Record, now time.Duration) {
 	c := l.claims[r.Key]
 	switch {
@@ -89,11 +94,34 @@
 			delete(l.claims, r.Key)
 		}
 	case c == nil || c.Token != r.Token:
-		l.claims[r.Key] = &claim{Record: r, born: now}
-		l.ages = append(l.ages, aged{r.Key, now})
-	case r.Answer != nil:
-		c.Answer = r.Answer
+		l.add(r, now).durable = true
+	default:
+		c.Copied, c.Contested = c.Copied || r.Copied, c.Contested || r.Contested
+		if r.Answer != nil {
+			c.Answer = r.Answer
+		}
+	}
+}
+
+// Copy takes over a line of another ledger, while this one is blank. What this ledger granted itself before it lost its
+// disk is not known, so nobody is granted a copied key: two ledgers may hold two claims of one key, of which one stood
+// with the grant that is lost here, and to grant the other would let both stand.
+func (l *Ledger) Copy(r Record, now time.Duration) Record {
+	if c := l.claims[r.Key]; c != nil {
+		c.Copied, c.Contested = true, c.Contested || r.Contested || c.Token != r.Token
+		return c.Record
 	}
+	r.Copied = true
+	c := l.add(r, now)
+	c.durable = true
+	return c.Record
+}
+
+func (l *Ledger) add(r Record, now time.Duration) *claim {
+	c := &claim{Record: r, born: now}
+	l.claims[r.Key] = c
+	l.ages = append(l.ages, aged{r.Key, now})
+	return c
 }
 
 // Restored ends the time in which a blank ledger grants nothing.
@@ -105,29 +133,45 @@
 // Len is how many claims are held.
 func (l *Ledger) Len() int { return len(l.claims) }
 
-// Claim takes a claim. If it is granted, store has to be durable before that is told.
+// Claim takes a claim. If it is granted and store says so, it has to be durable before that is told: Stored or Failed
+// tells how it went.
 func (l *Ledger) Claim(r Record, now time.Duration) (v Verdict, holder Record, store bool) {
 	if l.blank {
 		return Unable, Record{}, false
 	}
 	if c := l.claims[r.Key]; c != nil {
-		if c.Token == r.Token {
-			return Granted, c.Record, true // stored again at worst: whoever asks twice may have got no answer
+		if c.Token == r.Token && !c.Copied {
+			return Granted, c.Record, !c.durable
 		}
 		return Held, Record{Key: c.Key, Token: c.Token, Home: c.Home}, false
 	}
 	if _, late := l.voided[r.Token]; late {
 		return Unable, Record{}, false
 	}
-	l.claims[r.Key] = &claim{Record: r, born: now}
-	l.ages = append(l.ages, aged{r.Key, now})
-	return Granted, r, true
+	return Granted, l.add(r, now).Record, true
+}
+
+// Stored tells that a claim is durable, and answers whether it may be granted: it may have been withdrawn meanwhile.
+func (l *Ledger) Stored(key Key, token Token) bool {
+	c := l.claims[key]
+	if c == nil || c.Token != token {
+		return false
+	}
+	c.durable = true
+	return true
+}
+
+// Failed tells that a claim could not be stored. One that was durable before stays.
+func (l *Ledger) Failed(key Key, token Token) {
+	if c := l.claims[key]; c != nil && c.Token == token && !c.durable {
+		delete(l.claims, key)
+	}
 }
 
 // Void withdraws a claim under which nothing was run, or ever will be.
 func (l *Ledger) Void(key Key, token Token, now time.Duration) (r Record, store bool) {
 	l.voided[token] = now
-	if c := l.claims[key]; c != nil && c.Token == token && c.Answer == nil {
+	if c := l.claims[key]; c != nil && c.Token == token && c.Answer == nil && !c.Contested {
 		delete(l.claims, key)
 		return Record{Key: key, Token: token, Void: true}, true
 	}
@@ -142,8 +186,7 @@
 		}
 		return
 	}
-	l.claims[r.Key] = &claim{Record: r, born: now}
-	l.ages = append(l.ages, aged{r.Key, now})
+	l.add(r, now)
 }
 
 // Answer finds the answer of a claim's run.
@@ -157,7 +200,7 @@
 // Each hands out every line without its answer, for a ledger that copies.
 func (l *Ledger) Each(do func(Record)) {
 	for _, c := range l.claims {
-		do(Record{Key: c.Key, Token: c.Token, Home: c.Home})
+		do(Record{Key: c.Key, Token: c.Token, Home: c.Home, Contested: c.Contested})
 	}
 }
 
--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,292 @@
+package ticket_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/ticket"
+)
+
+func TestTicket(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ticket")
+}
+
+const window = time.Minute
+
+func token(n uint64) ticket.Token { return ticket.Token{Life: 1, N: n} }
+
+// put gives a ledger a claim and makes it durable, as a host does.
+func put(l *ticket.Ledger, r ticket.Record, now time.Duration) ticket.Verdict {
+	v, _, store := l.Claim(r, now)
+	if store && !l.Stored(r.Key, r.Token) {
+		return ticket.Unable
+	}
+	return v
+}
+
+var _ = Describe("a ledger", func() {
+	key := ticket.KeyOf("toll.example", "k-1")
+
+	It("grants a key to one token, and to that one again", func() {
+		l := ticket.NewLedger(window, false)
+		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 0)).To(Equal(ticket.Granted))
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Held))
+		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Granted))
+	})
+	It("takes the same key of another tenant for another operation", func() {
+		l := ticket.NewLedger(window, false)
+		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		Expect(put(l, ticket.Record{Key: ticket.KeyOf("bridge.example", "k-1"), Token: token(2)}, 1)).To(Equal(ticket.Granted))
+	})
+	It("grants again once a claim is withdrawn, but not a claim that comes after its withdrawal", func() {
+		l := ticket.NewLedger(window, false)
+		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l.Void(key, token(1), 1)
+		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Unable))
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 3)).To(Equal(ticket.Granted))
+	})
+	It("keeps a durable claim when storing it once more fails", func() {
+		l := ticket.NewLedger(window, false)
+		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l.Failed(key, token(1))
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Held))
+	})
+	It("forgets a claim that the disk refused", func() {
+		l := ticket.NewLedger(window, false)
+		_, _, store := l.Claim(ticket.Record{Key: key, Token: token(1)}, 0)
+		Expect(store).To(BeTrue())
+		l.Failed(key, token(1))
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Granted))
+	})
+	It("keeps a claim for its window, and no longer", func() {
+		l := ticket.NewLedger(window, false)
+		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l.Expire(window)
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, window)).To(Equal(ticket.Held))
+		l.Expire(window + 1)
+		Expect(l.Len()).To(BeZero())
+	})
+	It("grants nothing while blank, and nobody a key that it copied", func() {
+		l := ticket.NewLedger(window, true)
+		Expect(put(l, ticket.Record{Key: key, Token: token(3)}, 0)).To(Equal(ticket.Unable))
+		l.Copy(ticket.Record{Key: key, Token: token(1)}, 1) // stood, with the grant that was lost here
+		l.Copy(ticket.Record{Key: key, Token: token(2)}, 1) // held by one ledger alone
+		l.Restored()
+		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Held))
+		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 2)).To(Equal(ticket.Held))
+	})
+})
+
+var _ = Describe("an office", func() {
+	key := ticket.KeyOf("toll.example", "k-1")
+	open := func(o *ticket.Office, n uint64) []ticket.Ask {
+		return o.Open(ticket.Record{Key: key, Token: token(n)}, 0)
+	}
+
+	It("asks its own ledger and one more, and the third when they are slow", func() {
+		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		Expect(open(o, 1)).To(HaveLen(2))
+		asks, done := o.Tick(21)
+		Expect(done).To(BeEmpty())
+		Expect(asks).To(HaveLen(1))
+		Expect(asks[0].To).To(Equal("c"))
+	})
+	It("lets a claim stand on more than half of the ledgers, whatever a stale claim holds elsewhere", func() {
+		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		open(o, 1)
+		o.Verdict("a", token(1), ticket.Granted, ticket.Record{}, 1)
+		asks, _ := o.Verdict("b", token(1), ticket.Held, ticket.Record{Token: token(9)}, 1)
+		Expect(asks).To(HaveLen(1))
+		_, done := o.Verdict("c", token(1), ticket.Granted, ticket.Record{}, 1)
+		Expect(done.Ruling).To(Equal(ticket.Stands))
+	})
+	It("takes back the grant of a ledger that began a new life", func() {
+		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		open(o, 1)
+		o.Verdict("b", token(1), ticket.Granted, ticket.Record{}, 1)
+		Expect(o.Forget("b")).To(BeEmpty())
+		_, done := o.Verdict("a", token(1), ticket.Granted, ticket.Record{}, 2)
+		Expect(done).To(BeNil())
+	})
+	It("refuses what can't be decided in time", func() {
+		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		open(o, 1)
+		_, done := o.Tick(901)
+		Expect(done).To(HaveLen(1))
+		Expect(done[0].Ruling).To(Equal(ticket.Refused))
+	})
+})
+
+// Claims race over three ledgers while messages are lost and late, claimers give up, and one ledger after the other
+// loses its disk. Whatever happens, two claims of a key never both stand.
+var _ = Describe("ledgers and offices together", func() {
+	It("never let two claims of a key stand", func() {
+		for seed := range uint64(6000) {
+			if w := newWorld(seed); !w.play() {
+				Fail("seed " + time.Duration(seed).String() + ": two claims stand")
+			}
+		}
+	})
+})
+
+type message struct {
+	at  int
+	do  func()
+	via string // the ledger it came from or goes to, with its life
+	age int
+}
+
+type world struct {
+	rng     *rand.Rand
+	names   []string
+	ledgers map[string]*ticket.Ledger
+	lives   map[string]int
+	offices map[string]*ticket.Office
+	copies  map[string]map[string]bool
+	mail    []message
+	step    int
+	stands  map[ticket.Token]bool
+	alive   map[ticket.Token]bool // not given up by its claimer
+	key     ticket.Key
+	lost    int // the step of the last loss of a disk
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), names: []string{"a", "b", "c"}, ledgers: map[string]*ticket.Ledger{}, lives: map[string]int{},
+		offices: map[string]*ticket.Office{}, copies: map[string]map[string]bool{}, stands: map[ticket.Token]bool{},
+		alive: map[ticket.Token]bool{}, key: ticket.KeyOf("t", "k"), lost: -100}
+	for i, n := range w.names {
+		w.ledgers[n] = ticket.NewLedger(time.Hour, false)
+		w.offices[n] = ticket.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
+	}
+	return w
+}
+
+func (w *world) now() time.Duration { return time.Duration(w.step) }
+
+// send delivers later, or never; a message to or from a life that is over is lost with its connection.
+func (w *world) send(peer string, do func()) {
+	if w.rng.IntN(12) == 0 {
+		return
+	}
+	w.mail = append(w.mail, message{at: w.step + 1 + w.rng.IntN(8), do: do, via: peer, age: w.lives[peer]})
+}
+
+func (w *world) asks(office string, asks []ticket.Ask) {
+	for _, a := range asks {
+		life := w.lives[office]
+		w.send(a.To, func() {
+			v, holder, store := w.ledgers[a.To].Claim(a.Record, w.now())
+			if store && !w.ledgers[a.To].Stored(a.Record.Key, a.Record.Token) {
+				v = ticket.Unable
+			}
+			w.send(a.To, func() {
+				if w.lives[office] != life {
+					return
+				}
+				more, done := w.offices[office].Verdict(a.To, a.Record.Token, v, holder, w.now())
+				w.asks(office, more)
+				if done != nil {
+					w.ruled(*done)
+				}
+			})
+		})
+	}
+}
+
+func (w *world) ruled(o ticket.Outcome) {
+	if o.Ruling == ticket.Stands && w.alive[o.Token] {
+		w.stands[o.Token] = true
+		return
+	}
+	w.withdraw(o.Token)
+}
+
+func (w *world) withdraw(t ticket.Token) {
+	if w.stands[t] || !w.alive[t] {
+		return
+	}
+	w.alive[t] = false
+	for _, n := range w.names {
+		w.send(n, func() { w.ledgers[n].Void(w.key, t, w.now()) })
+	}
+}
+
+// wipe ends a ledger's life and its disk; its office ends with it, the others hear of the new life before it copies.
+func (w *world) wipe(n string) {
+	w.lost = w.step
+	w.lives[n]++
+	w.ledgers[n] = ticket.NewLedger(time.Hour, true)
+	w.copies[n] = map[string]bool{}
+	for _, o := range w.names {
+		if o != n {
+			for _, done := range w.offices[o].Forget(n) {
+				w.ruled(done)
+			}
+			life := w.lives[n]
+			w.mail = append(w.mail, message{at: w.step + 1 + w.rng.IntN(6), via: o, age: w.lives[o], do: func() {
+				var all []ticket.Record
+				w.ledgers[o].Each(func(r ticket.Record) { all = append(all, r) })
+				w.mail = append(w.mail, message{at: w.step + 1 + w.rng.IntN(6), via: n, age: life, do: func() {
+					for _, r := range all {
+						w.ledgers[n].Copy(r, w.now())
+					}
+					if w.copies[n][o] = true; len(w.copies[n]) == 2 {
+						w.ledgers[n].Restored()
+					}
+				}})
+			}})
+		}
+	}
+	i := map[string]int{"a": 0, "b": 1, "c": 2}[n]
+	w.offices[n] = ticket.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
+}
+
+func (w *world) play() bool {
+	next := uint64(0)
+	for w.step = 1; w.step < 160; w.step++ {
+		if w.rng.IntN(10) == 0 {
+			next++
+			at := w.names[w.rng.IntN(3)]
+			t := token(next)
+			w.alive[t] = true
+			w.asks(at, w.offices[at].Open(ticket.Record{Key: w.key, Token: t, Home: at}, w.now()))
+		}
+		if w.rng.IntN(40) == 0 && next > 0 {
+			w.withdraw(token(1 + w.rng.Uint64N(next)))
+		}
+		restored := true
+		for _, l := range w.ledgers {
+			restored = restored && !l.Blank()
+		}
+		if w.rng.IntN(25) == 0 && restored {
+			w.wipe(w.names[w.rng.IntN(3)])
+		}
+		for _, n := range w.names {
+			asks, done := w.offices[n].Tick(w.now())
+			w.asks(n, asks)
+			for _, o := range done {
+				w.ruled(o)
+			}
+		}
+		mail := w.mail
+		w.mail = nil
+		for _, m := range mail {
+			switch {
+			case m.at > w.step:
+				w.mail = append(w.mail, m)
+			case w.lives[m.via] == m.age:
+				m.do()
+			}
+		}
+		if len(w.stands) > 1 {
+			return false
+		}
+	}
+	return true
+}
