--- a/rules/api.go
+++ b/rules/api.go
@@ -1,6 +1,6 @@
 // Package rules holds the decisions of a control plane that assigns servers to proxies.
 //
-// This file is its whole interface: settings, events in, actions out. The decisions are in rules.go.
+// This file is its whole interface: settings, events in, actions out. The decisions are in rules.go and the files beside it that the deploy file lists.
 // Times are milliseconds on the caller's clock. Nothing here knows a wire format.
 package rules
 
--- a/rules/ranked.go
+++ b/rules/ranked.go
@@ -3,7 +3,7 @@
 import "container/heap"
 
 // ranked is a set whose first element, by an order that only falls for elements that are looked at, is found without
-// comparing all. No decision is made here; the orders are in rules.go.
+// comparing all. No decision is made here; the orders are in dealing.go.
 type ranked[T any] struct {
 	items  []T
 	before func(a, b T) bool
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,9 +1,11 @@
 package rules
 
-// What a controller remembers. No decision is made here; they are in rules.go.
+// What a controller remembers. No decision is made here; they are in the files of policy.
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -123,6 +125,30 @@
 	logFrom                       float64 // since when they are counted
 }
 
+// New returns a controller that knows only its settings.
+func New(set Settings, seed uint64) *Controller {
+	c := &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), fit: 1, limit: math.Inf(1),
+		base: math.Inf(1), zones: make([]zone, max(1, set.Zones)), demands: make([]float64, len(set.Classes)),
+		server: map[ServerID]*server{}, proxy: map[ProxyID]*proxy{}, part: Part{Channel: 1}}
+	for k := range set.Classes {
+		c.order = append(c.order, k)
+	}
+	slices.SortStableFunc(c.order, func(i, j int) int { return poorer(set.Classes[i], set.Classes[j]) })
+	return c
+}
+
+// join takes a proxy in. The lines and levels of its table stay as we know them: it is bound to it again.
+func (c *Controller) join(e Joined) {
+	p, n := c.proxy[e.Proxy], len(c.set.Classes)
+	if p == nil {
+		p = &proxy{id: e.Proxy, usual: e.Rate, demand: make([]float64, n), told: make([]float64, n)}
+		p.levels = slices.Repeat([]float64{-1}, n) // none ordered yet
+		c.proxy[e.Proxy], c.proxies = p, append(c.proxies, p)
+		slices.SortFunc(c.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
+	}
+	p.joined, p.bound, p.owed, p.zone, p.writes = true, false, nil, min(e.Zone, len(c.zones)-1), nil
+}
+
 // Mine tells what the controller's own proxies bring, as of its last look, and the lines thought to wait for them.
 func (c *Controller) Mine() (own Part, waiting float64) { return c.mine, c.queue }
 
