--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -58,8 +58,8 @@
 	lastSeen atomic.Int64 // when a request last came, on the steady clock
 }
 
-// Run serves until ctx ends, and then until what it has taken is answered.
-func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
+// New makes an edge that holds nothing yet.
+func New(set *boot.Settings, logger log.Logger) *Crossbar {
 	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, lines: map[string]*line{},
 		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
 	c.dir = directory.New(tombstones)
@@ -70,7 +70,12 @@
 	c.dialer = &http.Transport{DisableCompression: true, Proxy: nil, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
 		MaxResponseHeaderBytes: 64 << 10,
 		DialContext:            (&net.Dialer{Timeout: dialLimit, KeepAlive: 5 * time.Second, Control: cutSoon}).DialContext}
+	return c
+}
 
+// Run serves until ctx ends, and then until what it has taken is answered.
+func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
+	c := New(set, logger)
 	front, err := net.Listen("tcp", set.Listen.Front)
 	if err != nil {
 		return err
--- a/internal/dialplan/config.go
+++ b/internal/dialplan/config.go
@@ -3,7 +3,6 @@
 package dialplan
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -134,6 +133,9 @@
 	if err := strict(body, &whole); err != nil {
 		return nil, err
 	}
+	if whole.Version == 0 {
+		return nil, tone.Invalid.New("version is missing")
+	}
 	c := &Config{Version: whole.Version, other: map[string]json.RawMessage{}}
 	if err := json.Unmarshal(body, &c.other); err != nil {
 		return nil, tone.Invalid.New("%s", err)
@@ -149,13 +151,9 @@
 
 // strict reads one JSON value and nothing after it.
 func strict(body []byte, into any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	if err := d.Decode(into); err != nil {
+	if err := json.Unmarshal(body, into); err != nil {
 		return tone.Invalid.New("body can't be read: %s", err)
 	}
-	if d.More() {
-		return tone.Invalid.New("body has more after its end")
-	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/dialplan/dialplan_test.go
@@ -0,0 +1,107 @@
+package dialplan_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/dialplan"
+)
+
+func TestDialplan(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dialplan")
+}
+
+const whole = `{"version":"r7","note":{"kept":true},"services":[{"name":"tags","health_path":"/health","conn_limit":110,"extra":1},{"name":"ledger"}],` +
+	`"limits":{"max_body_bytes":1000,"idle_s":15},"plants":[{"plant":"A.example","channels":[` +
+	`{"name":"r-1","path_prefix":"/a/","kind":"safe","deadline_s":1,"setpoint_s":0.4,"service":"tags","tries":2},` +
+	`{"name":"r-2","path_prefix":"/a/b/","kind":"keyed","deadline_s":1.2,"split":[{"service":"tags","gain":9},{"service":"ledger","gain":1}],"tries":2}]}]}`
+
+func parse(text string) *dialplan.Config {
+	c, err := dialplan.Parse([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+var _ = Describe("a configuration", func() {
+	It("is read back as it was put, with fields that nobody here knows", func() {
+		out, err := json.Marshal(parse(whole))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(MatchJSON(whole))
+	})
+	DescribeTable("is refused when", func(old, new string) {
+		Expect(whole).To(ContainSubstring(old))
+		_, err := dialplan.Parse([]byte(strings.Replace(whole, old, new, 1)))
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("a route names an unknown service", `"service":"tags"`, `"service":"tabs"`),
+		Entry("the weights of a route sum to 0", `"gain":9},{"service":"ledger","gain":1`, `"gain":0},{"service":"ledger","gain":0`),
+		Entry("a deadline equals 0", `"deadline_s":1,`, `"deadline_s":0,`),
+		Entry("a route has no tries", `"tries":2`, `"tries":0`),
+		Entry("a prefix does not start with a slash", `"/a/"`, `"a/"`),
+		Entry("it is cut short", `]}]}`, `]}`),
+		Entry("a number is none", `"conn_limit":110`, `"conn_limit":"many"`),
+		Entry("it has no version", `"version":"r7",`, ``),
+		Entry("its version is no number", `"r7"`, `"seven"`),
+		Entry("more follows it", `]}]}`, `]}]}{}`),
+		Entry("a bracket too many follows it", `]}]}`, `]}]}}`),
+	)
+	It("takes a change of named items and stays as it was itself", func() {
+		c := parse(whole)
+		next, err := c.Patch([]byte(`{"version":"r9","upsert":{"plants":[{"plant":"b.example","channels":[{"name":"r-3","path_prefix":"/","kind":"safe","deadline_s":2,"service":"ledger","tries":1}]}]},"remove":{"routes":["r-1"]}}`))
+		Expect(err).NotTo(HaveOccurred())
+		t := dialplan.NewTree(next)
+		Expect(t.Find("a.example", "/a/x")).To(BeNil())
+		Expect(t.Find("b.example", "/any").Name).To(Equal("r-3"))
+		Expect(dialplan.NewTree(c).Find("a.example", "/a/x").Name).To(Equal("r-1"))
+	})
+	DescribeTable("refuses a change that", func(change string) {
+		_, err := parse(whole).Patch([]byte(change))
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("is not newer", `{"version":"r7"}`),
+		Entry("removes a service that a route needs", `{"version":"r8","remove":{"services":["ledger"]}}`),
+		Entry("is cut short", `{"version":"r8","upsert":{"plants":[`),
+	)
+})
+
+var _ = Describe("the tree of matchers", func() {
+	DescribeTable("finds the longest prefix", func(host, path, want string) {
+		r := dialplan.NewTree(parse(whole)).Find(host, path)
+		if want == "" {
+			Expect(r).To(BeNil())
+			return
+		}
+		Expect(r.Name).To(Equal(want))
+	},
+		Entry("a prefix", "a.example", "/a/x", "r-1"),
+		Entry("a longer one", "a.example", "/a/b/x", "r-2"),
+		Entry("the prefix itself", "a.example", "/a/b/", "r-2"),
+		Entry("no slash after the last segment", "a.example", "/a/b", "r-1"),
+		Entry("a segment that only begins so", "a.example", "/ab/", ""),
+		Entry("a host in capitals with a port", "A.EXAMPLE:8080", "/a/x", "r-1"),
+		Entry("another host", "b.example", "/a/x", ""),
+		Entry("an empty segment", "a.example", "//a/x", ""),
+	)
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := dialplan.Parse(body)
+		if err != nil {
+			return
+		}
+		text, err := json.Marshal(c)
+		if err != nil {
+			t.Fatalf("taken, but can't be written: %v", err)
+		}
+		if _, err := dialplan.Parse(text); err != nil {
+			t.Fatalf("written, but not taken again: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,93 @@
+package directory_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/directory"
+)
+
+func TestDirectory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "directory")
+}
+
+const beat = 1500 * time.Millisecond
+
+func never(string) bool { return false }
+
+func entry(seq uint64, state directory.State) directory.Entry {
+	return directory.Entry{ID: "i-1", Service: "ledger", Address: "10.0.0.9:80", Capacity: 2, Seq: seq, State: state, Owner: "x"}
+}
+
+var _ = Describe("a directory", func() {
+	It("keeps a server draining when a late beat says ready", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Draining), 0)
+		now, news := d.Take(entry(4, directory.Ready), 1)
+		Expect(now.State).To(Equal(directory.Draining))
+		Expect(news).To(BeFalse())
+		now, _ = d.Take(entry(6, directory.Ready), 2)
+		Expect(now.State).To(Equal(directory.Draining))
+	})
+	It("keeps a life gone when a snapshot of one who missed that comes", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Gone), 0)
+		now, news := d.Take(entry(9, directory.Ready), 1)
+		Expect(now.State).To(Equal(directory.Gone))
+		Expect(news).To(BeFalse())
+	})
+	It("takes an address given to another service for another life", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Gone), 0)
+		next := directory.Entry{ID: "i-2", Service: "tags", Address: "10.0.0.9:80", Capacity: 2, Seq: 1}
+		now, news := d.Take(next, 1)
+		Expect(news).To(BeTrue())
+		Expect(now.Service).To(Equal("tags"))
+		old, _ := d.Get("i-1")
+		Expect(old.State).To(Equal(directory.Gone))
+	})
+	It("marks silent whose beats stop, and takes the next beat back", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Ready), 0)
+		Expect(d.Silence("x", never, 3*beat, 3*beat)).To(BeEmpty())
+		Expect(d.Silence("x", never, 3*beat, 3*beat+1)).To(HaveLen(1))
+		now, news := d.Take(entry(6, directory.Ready), 4*beat)
+		Expect(now.Silent).To(BeFalse())
+		Expect(news).To(BeTrue())
+	})
+	It("leaves the beats of others alone, while those are heard", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Ready), 0)
+		Expect(d.Silence("y", never, 3*beat, 9*beat)).To(BeEmpty())
+		Expect(d.Silence("y", func(string) bool { return true }, 3*beat, 9*beat)).To(HaveLen(1))
+	})
+	It("comes to the same, whatever the order of what it hears", func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range 2000 {
+			var all []directory.Entry
+			for range 5 {
+				e := entry(rng.Uint64N(4), directory.State(rng.IntN(3)))
+				e.Silent, e.Owner = rng.IntN(3) == 0, string(rune('x'+rng.IntN(2)))
+				all = append(all, e)
+			}
+			want := directory.Entry{}
+			for round := range 4 {
+				got := all[0]
+				for _, e := range all[1:] {
+					got = directory.Merge(got, e)
+				}
+				got = directory.Merge(got, got)
+				if round == 0 {
+					want = got
+				}
+				Expect(got).To(Equal(want))
+				rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			}
+		}
+	})
+})
