Test the crossbar among scripted servers and exchanges on a fake clock

Covered: answers of another try, short bodies, closes, spoilt bytes, silence, proof of not running, missing seals, answers without an end, the budget, servers that leave, addresses used again, keyed operations in each ruling, bad requests, configurations that would go back.

--- /dev/null
+++ b/internal/crossbar/crossbar_test.go
@@ -0,0 +1,400 @@
+package crossbar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/boot"
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/trunk"
+)
+
+const settings = `
+node: "edge-1"
+ip: "10.0.0.1"
+zone: "hall"
+seeds: ["10.0.0.8:1"]
+inner_port_range: [7000, 7001]
+bounds: ["retry_ratio=0.5,retry_slack=40"]
+`
+
+const plan = `{"version":"r1","services":[{"name":"tags"}],"limits":{"max_body_bytes":100},"plants":[{"plant":"a.example","channels":[` +
+	`{"name":"s","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2},` +
+	`{"name":"u","path_prefix":"/u/","kind":"unsafe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2},` +
+	`{"name":"k","path_prefix":"/k/","kind":"keyed","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]}]}`
+
+// hall is an edge among scripted peers, on a fake clock.
+type hall struct {
+	*Crossbar
+	g        *WithT
+	mu       sync.Mutex
+	servers  map[string]func(*http.Request) string // by address: the bytes of an answer; none hangs
+	got      []*http.Request                       // what servers were sent
+	bodies   []string
+	dials    int
+	rule     func(ticket.Record) (ticket.Ruling, *ticket.Answer)
+	voids    []ticket.Record
+	kept     []ticket.Record
+	exchange *trunk.Link
+}
+
+func in(t *testing.T, play func(*hall)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		set, err := boot.Parse("test", []byte(settings))
+		g.Expect(err).NotTo(HaveOccurred())
+		h := &hall{Crossbar: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
+		h.dialer.DialContext = h.dial
+		g.Expect(h.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
+		near, far := net.Pipe()
+		h.home.link = trunk.NewLink(near)
+		h.exchange = trunk.NewLink(far)
+		go func() { _ = h.home.link.Read(func(f *trunk.Frame) { h.frame(h.home.link, f) }) }()
+		go func() { _ = h.exchange.Read(h.frameAtExchange) }()
+		defer func() {
+			h.home.link.Close()
+			h.exchange.Close()
+			for _, l := range h.lines {
+				l.end()
+			}
+			synctest.Wait()
+		}()
+		play(h)
+	})
+}
+
+func (h *hall) frameAtExchange(f *trunk.Frame) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range f.Claims {
+		if h.rule != nil {
+			ruling, answer := h.rule(r)
+			h.exchange.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: r.Token, Ruling: ruling, Answer: answer}}})
+		}
+	}
+	h.voids = append(h.voids, f.Voids...)
+	h.kept = append(h.kept, f.Done...)
+}
+
+// dial connects to a scripted server.
+func (h *hall) dial(_ context.Context, _, address string) (net.Conn, error) {
+	h.mu.Lock()
+	answer := h.servers[address]
+	h.dials++
+	h.mu.Unlock()
+	if answer == nil {
+		return nil, fmt.Errorf("nobody at %s", address)
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		in := bufio.NewReader(far)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			h.mu.Lock()
+			h.got, h.bodies = append(h.got, r), append(h.bodies, string(body))
+			h.mu.Unlock()
+			text := answer(r)
+			text, closes := strings.CutSuffix(text, "<close>")
+			if text == "" && !closes {
+				_, _ = io.Copy(io.Discard, in) // hangs until the caller goes
+				return
+			}
+			if _, err := io.WriteString(far, text); err != nil || closes {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// serve adds a server with a script.
+func (h *hall) serve(id string, answer func(*http.Request) string) {
+	h.mu.Lock()
+	h.servers[id+":80"] = answer
+	h.mu.Unlock()
+	h.heard([]directory.Entry{{ID: id, Service: "tags", Address: id + ":80", Zone: "hall", Capacity: 2, Seq: 1}})
+}
+
+func (h *hall) ask(method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	r.RequestURI = path
+	r.Header.Set("X-Attempt-Id", "try-1")
+	r.Header.Set("X-Deadline-Ms", "1000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i] != "" {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	synctest.Wait()
+	return w
+}
+
+func reply(r *http.Request, status, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Attempt-Id"), extra, len(body), body)
+}
+
+func good(r *http.Request) string { return reply(r, "200 OK", "X-Server-Seal: seal\r\n", "bytes") }
+func full(r *http.Request) string { return reply(r, "503 Full", "X-Not-Run: 1\r\n", "") }
+func hang(*http.Request) string   { return "" }
+func cut(r *http.Request) string  { return strings.TrimSuffix(good(r), "tes") + "<close>" }
+func other(*http.Request) string {
+	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: try-0\r\nX-Server-Seal: seal\r\nContent-Length: 1\r\n\r\nx"
+}
+
+func TestRequestGoesUnchangedAndAnswerComesBack(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		w := h.ask("POST", "/u/x?q=%2f", "hello", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "gone", "X-Expected-Instance", "i-9")
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(w.Body.String()).To(Equal("bytes"))
+		h.g.Expect(w.Header().Get("X-Server-Seal")).To(Equal("seal"))
+		got := h.got[0]
+		h.g.Expect(got.RequestURI).To(Equal("/u/x?q=%2f"))
+		h.g.Expect(got.Host).To(Equal("a.example"))
+		h.g.Expect(h.bodies[0]).To(Equal("hello"))
+		h.g.Expect(got.Header.Get("X-Own")).To(Equal("kept"))
+		h.g.Expect(got.Header).NotTo(HaveKey("X-Hop"))
+		h.g.Expect(got.Header).NotTo(HaveKey("Accept-Encoding"))
+		h.g.Expect(got.Header.Get("X-Expected-Instance")).To(Equal("i-1"))
+		h.g.Expect(got.Header.Get("X-Deadline-Ms")).To(Equal("995"))
+	})
+}
+
+// What a server did is told from what came: only proof that it never ran allows another server for what is unsafe.
+func TestEndings(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		first        func(*http.Request) string
+		path         string
+		status, sent int
+	}{
+		{"an answer to another try, safe", other, "/s/x", 200, 2},
+		{"an answer to another try, unsafe", other, "/u/x", 502, 1},
+		{"a body cut short, safe", cut, "/s/x", 200, 2},
+		{"a body cut short, unsafe", cut, "/u/x", 502, 1},
+		{"a close without an answer, unsafe", func(*http.Request) string { return "<close>" }, "/u/x", 502, 1},
+		{"bytes that are no answer, unsafe", func(*http.Request) string { return "spoilt\r\n\r\n" }, "/u/x", 502, 1},
+		{"turned away, unsafe", full, "/u/x", 200, 2},
+		{"a failure of the server's own, unsafe", func(r *http.Request) string { return reply(r, "500 Oops", "", "") }, "/u/x", 500, 1},
+		{"a success without a seal, unsafe", func(r *http.Request) string { return reply(r, "200 OK", "", "x") }, "/u/x", 502, 1},
+		{"a success with no end of its own, unsafe", func(r *http.Request) string {
+			return "HTTP/1.1 200 OK\r\nX-Attempt-Id: try-1\r\nX-Server-Seal: seal\r\n\r\nbytes<close>"
+		}, "/u/x", 502, 1},
+		{"silence, unsafe", hang, "/u/x", 504, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in(t, func(h *hall) {
+				first := true
+				script := func(r *http.Request) string {
+					h.mu.Lock()
+					mine := first
+					first = false
+					h.mu.Unlock()
+					if mine {
+						return c.first(r)
+					}
+					return good(r)
+				}
+				h.serve("i-1", script)
+				h.serve("i-2", script)
+				for range 4 { // fills the purse
+					h.asks("tags")
+				}
+				w := h.ask("POST", c.path, "x")
+				h.g.Expect(w.Code).To(Equal(c.status))
+				h.g.Expect(h.got).To(HaveLen(c.sent))
+			})
+		})
+	}
+}
+
+func TestNoFurtherTryWithoutBudget(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", full)
+		h.serve("i-2", full)
+		w := h.ask("GET", "/s/x", "")
+		h.g.Expect(w.Code).To(Equal(503))
+		h.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+		h.g.Expect(h.got).To(HaveLen(1))
+	})
+}
+
+func TestRefusalWithoutAnyServerComesAtOnce(t *testing.T) {
+	in(t, func(h *hall) {
+		w := h.ask("GET", "/s/x", "")
+		h.g.Expect(w.Code).To(Equal(503))
+		h.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+		h.g.Expect(h.now()).To(BeNumerically("<=", 100*time.Millisecond))
+	})
+}
+
+func TestServerThatLeavesGetsNothing(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.g.Expect(h.ask("GET", "/s/x", "").Code).To(Equal(200))
+		h.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 2, State: directory.Draining}})
+		h.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 1}}) // late
+		h.g.Expect(h.ask("GET", "/s/x", "").Code).To(Equal(503))
+		h.g.Expect(h.got).To(HaveLen(1))
+	})
+}
+
+func TestConnectionsEndWithALifeNotWithAnAddress(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.ask("GET", "/s/x", "")
+		h.ask("GET", "/s/x", "")
+		h.g.Expect(h.dials).To(Equal(1))
+		h.heard([]directory.Entry{{ID: "i-1", Seq: 2, State: directory.Gone}, {ID: "i-2", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
+		h.ask("GET", "/s/x", "")
+		h.g.Expect(h.dials).To(Equal(2))
+		h.g.Expect(h.got[2].Header.Get("X-Expected-Instance")).To(Equal("i-2"))
+	})
+}
+
+func TestKeyedOperations(t *testing.T) {
+	stands := func(ticket.Record) (ticket.Ruling, *ticket.Answer) { return ticket.Stands, nil }
+	t.Run("run once claimed, and their answer is kept", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.rule = stands
+			h.serve("i-1", good)
+			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(200))
+			h.g.Expect(h.kept).To(HaveLen(1))
+			h.g.Expect(string(h.kept[0].Answer.Body)).To(Equal("bytes"))
+			h.g.Expect(h.kept[0].Answer.Headers).To(HaveKeyWithValue("X-Server-Seal", "seal"))
+		})
+	})
+	t.Run("are 409 while another runs them", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.rule = func(ticket.Record) (ticket.Ruling, *ticket.Answer) { return ticket.Taken, nil }
+			h.serve("i-1", good)
+			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(409))
+			h.g.Expect(h.got).To(BeEmpty())
+		})
+	})
+	t.Run("repeat the first answer, for this try", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.rule = func(ticket.Record) (ticket.Ruling, *ticket.Answer) {
+				return ticket.Taken, &ticket.Answer{Status: 201, Headers: map[string]string{"X-Server-Seal": "first"}, Body: []byte("one")}
+			}
+			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k")
+			h.g.Expect(w.Code).To(Equal(201))
+			h.g.Expect(w.Body.String()).To(Equal("one"))
+			h.g.Expect(w.Header().Get("X-Server-Seal")).To(Equal("first"))
+			h.g.Expect(w.Header().Get("X-Attempt-Id")).To(Equal("try-1"))
+		})
+	})
+	t.Run("send nothing without a clear claim, and withdraw it", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.serve("i-1", good)
+			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k") // the exchange says nothing
+			h.g.Expect(w.Code).To(Equal(503))
+			h.g.Expect(h.got).To(BeEmpty())
+			h.g.Expect(h.voids).To(HaveLen(1))
+		})
+	})
+	t.Run("are withdrawn on proof that they never ran, and only then", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.rule = stands
+			h.serve("i-1", full)
+			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(503))
+			h.g.Expect(h.voids).To(HaveLen(1))
+		})
+		in(t, func(h *hall) {
+			h.rule = stands
+			h.serve("i-1", cut)
+			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(502))
+			h.g.Expect(h.voids).To(BeEmpty())
+			h.g.Expect(h.kept).To(BeEmpty())
+		})
+	})
+	t.Run("need a key", func(t *testing.T) {
+		in(t, func(h *hall) { h.g.Expect(h.ask("POST", "/k/x", "x").Code).To(Equal(400)) })
+	})
+	t.Run("that wait for a claim are put to a new home, unless they were decided", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.rule = stands
+			h.serve("i-1", good)
+			h.ask("POST", "/k/x", "x", "X-Operation-Key", "k")
+			h.g.Expect(h.claims.open).To(BeEmpty())
+		})
+	})
+}
+
+func TestBadRequestsHarmNobody(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		for _, c := range []struct {
+			path, body, header, value string
+			status                    int
+		}{
+			{"/none/x", "", "", "", 404},
+			{"/s/x", "", "X-Attempt-Id", "", 400},
+			{"/s/x", "", "X-Deadline-Ms", "soon", 400},
+			{"/s/x", strings.Repeat("x", 101), "", "", 413},
+			{"/s/x", "", "", "", 200},
+		} {
+			w := h.ask("GET", c.path, c.body, c.header, c.value)
+			h.g.Expect(w.Code).To(Equal(c.status), "%+v", c)
+		}
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	in(t, func(h *hall) {
+		newer := strings.Replace(plan, `"r1"`, `"r5"`, 1)
+		h.g.Expect(h.configure(&trunk.Config{Version: 5, Whole: []byte(newer)})).To(BeTrue())
+		h.g.Expect(h.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
+		h.g.Expect(h.tree.Load().Config.Version).To(Equal(dialplan.Version(5)))
+		h.g.Expect(h.configure(&trunk.Config{Version: 9, Base: 7, Change: []byte(`{"version":"r9"}`)})).To(BeFalse(), "a change on another version needs the whole")
+	})
+}
+
+func BenchmarkRequest(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Seal", "seal")
+		_, _ = io.WriteString(w, "bytes")
+	}))
+	defer server.Close()
+	set, err := boot.Parse("test", []byte(settings))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := New(set, log.NewNopLogger())
+	c.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})
+	c.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: server.Listener.Addr().String(), Zone: "hall", Capacity: 2, Seq: 1}})
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequest("GET", "http://a.example/s/x", nil)
+		r.RequestURI = "/s/x"
+		r.Header.Set("X-Attempt-Id", "try")
+		w := httptest.NewRecorder()
+		c.ServeHTTP(w, r)
+		if w.Code != 200 {
+			b.Fatal(w.Code)
+		}
+	}
+}
