--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -41,6 +41,7 @@
 		Name:  "operator",
 		Usage: "operators' client of the gateway",
 		Commands: []*cli.Command{
+			try(),
 			{Name: "config", Usage: "the configuration", Commands: []*cli.Command{
 				{Name: "get", Usage: "print the newest configuration", Flags: []cli.Flag{at}, Action: get("/config")},
 			}},
