Ask a second exchange for a claim when the home is slow or gone

Unclaimed requests were also told to come back after 0.1 s, while a core that is away takes a second or more.

Changed: after 60 ms without a ruling, or at once without a home, another exchange is asked under the same token; that one could not decide counts only once no other is asked. Unclaimed requests are told to come back after a second.

--- a/internal/crossbar/claims.go
+++ b/internal/crossbar/claims.go
@@ -17,9 +17,14 @@
 
 type claim struct {
 	record ticket.Record
+	asked  int // exchanges that were asked and have not ruled
 	done   chan trunk.Ruling
 }
 
+// claimHurry is how long the home exchange has before another is asked, too: it may have died, and a cut is heard
+// only by its silence.
+const claimHurry = 60 * time.Millisecond
+
 // claim asks for the right to run a key's operation. Without a clear answer in time it is withdrawn: nothing was run
 // under it, and nothing ever will be.
 func (c *Crossbar) claim(key ticket.Key, limit time.Duration) (ticket.Token, trunk.Ruling) {
@@ -30,12 +35,17 @@
 	one := &claim{record: r, done: make(chan trunk.Ruling, 1)}
 	k.open[r.Token] = one
 	k.mu.Unlock()
+	hurry := claimHurry
+	if !k.put(c.home.send, one) {
+		hurry = 0
+	}
+	second := time.AfterFunc(hurry, func() { k.put(c.home.sendElsewhere(c), one) })
+	defer second.Stop()
 	defer func() {
 		k.mu.Lock()
 		delete(k.open, r.Token)
 		k.mu.Unlock()
 	}()
-	c.home.send(&trunk.Frame{Claims: []ticket.Record{r}})
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -60,25 +70,50 @@
 	c.home.send(&trunk.Frame{Done: []ticket.Record{{Key: key, Token: token, Answer: a}}})
 }
 
+// put asks one exchange more, unless the claim is decided.
+func (k *claims) put(send func(*trunk.Frame) bool, one *claim) bool {
+	k.mu.Lock()
+	if k.open[one.record.Token] == nil {
+		k.mu.Unlock()
+		return true
+	}
+	one.asked++
+	k.mu.Unlock()
+	if send(&trunk.Frame{Claims: []ticket.Record{one.record}}) {
+		return true
+	}
+	k.mu.Lock()
+	one.asked--
+	k.mu.Unlock()
+	return false
+}
+
+// ruled takes an exchange's word. That one could not decide it matters only once no other is asked: the first to decide
+// is believed, and then nobody is asked again.
 func (k *claims) ruled(r trunk.Ruling) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	one := k.open[r.Token]
-	delete(k.open, r.Token) // what is decided is not asked again, of whoever
-	k.mu.Unlock()
-	if one != nil {
-		one.done <- r // it has room for the one ruling
+	if one == nil {
+		return
+	}
+	one.asked--
+	if r.Ruling == ticket.Refused && one.asked > 0 {
+		return
 	}
+	delete(k.open, r.Token)
+	one.done <- r // it has room for the one ruling
 }
 
 // again puts open claims to a new home: the former may have died with them.
 func (k *claims) again(c *Crossbar) {
 	k.mu.Lock()
-	var all []ticket.Record
+	var all []*claim
 	for _, one := range k.open {
-		all = append(all, one.record)
+		all = append(all, one)
 	}
 	k.mu.Unlock()
-	if len(all) > 0 {
-		c.home.send(&trunk.Frame{Claims: all})
+	for _, one := range all {
+		k.put(c.home.send, one)
 	}
 }
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -64,6 +64,10 @@
 		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
 	c.dir = directory.New(tombstones)
 	c.view.Store(&view{})
+	c.home.known, c.home.zones, c.home.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
+	for _, ip := range set.SeedIPs() {
+		c.home.known[ip] = true
+	}
 	c.claims.open = map[ticket.Token]*claim{}
 	c.conns.idle = map[net.Conn]time.Time{}
 	c.waiting.waiters = map[string][]*waiter{}
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -1,6 +1,7 @@
 package crossbar
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"sync"
@@ -19,8 +20,12 @@
 	ip    string
 	zones map[string]string // of exchanges, by IP
 	known map[string]bool
+	guest *trunk.Link   // at another exchange, for claims that home doesn't rule on
+	calls chan struct{} // held by who dials for it
 }
 
+const guestQuiet = 3 * time.Second // without a claim, after which the edge leaves that other exchange
+
 const (
 	homeDial  = 400 * time.Millisecond
 	lookAgain = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
@@ -36,10 +41,6 @@
 
 // run keeps a home, for as long as the process lives.
 func (h *home) run(c *Crossbar) {
-	h.known, h.zones = map[string]bool{}, map[string]string{}
-	for _, ip := range c.set.SeedIPs() {
-		h.known[ip] = true
-	}
 	for {
 		if best, ok := h.look(c); ok {
 			h.stay(c, best)
@@ -187,6 +188,94 @@
 	return true
 }
 
+// sendElsewhere hands a frame to an exchange that is not home.
+func (h *home) sendElsewhere(c *Crossbar) func(*trunk.Frame) bool {
+	return func(f *trunk.Frame) bool {
+		h.calls <- struct{}{}
+		defer func() { <-h.calls }()
+		h.mu.Lock()
+		link, home := h.guest, h.ip
+		if h.link == nil {
+			home = ""
+		}
+		ips := make([]string, 0, len(h.known))
+		for ip := range h.known {
+			if ip != home {
+				ips = append(ips, ip)
+			}
+		}
+		h.mu.Unlock()
+		if link == nil {
+			if link = c.visit(ips); link == nil {
+				return false
+			}
+			h.mu.Lock()
+			h.guest = link
+			h.mu.Unlock()
+		}
+		link.Send(f)
+		return true
+	}
+}
+
+// visit links to the first of these exchanges that answers.
+func (c *Crossbar) visit(ips []string) *trunk.Link {
+	slices.SortFunc(ips, func(a, b string) int {
+		return cmp.Compare(xxh3.HashString(c.set.Node+"\x00"+a), xxh3.HashString(c.set.Node+"\x00"+b))
+	})
+	conns := make(chan net.Conn, len(ips))
+	for _, ip := range ips {
+		go func() {
+			conn, err := net.DialTimeout("tcp", c.set.Inner(ip), homeDial)
+			if err != nil {
+				conn = nil
+			}
+			conns <- conn
+		}()
+	}
+	var first net.Conn
+	for n := range ips {
+		if first = <-conns; first != nil {
+			go func() { // the others are not needed
+				for range len(ips) - n - 1 {
+					if conn := <-conns; conn != nil {
+						conn.Close()
+					}
+				}
+			}()
+			break
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	link := trunk.NewLink(first)
+	link.Send(&trunk.Frame{Hello: &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
+	go func() {
+		last := c.now()
+		_ = link.Read(func(f *trunk.Frame) { // whoever needs it again visits again
+			if len(f.Rulings) > 0 {
+				last = c.now()
+				for _, r := range f.Rulings {
+					c.claims.ruled(r)
+				}
+			}
+			if f.Pulse != nil {
+				link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
+			}
+			if c.now()-last > guestQuiet {
+				link.Close()
+			}
+		})
+		c.home.mu.Lock()
+		if c.home.guest == link {
+			c.home.guest = nil
+		}
+		c.home.mu.Unlock()
+	}()
+	return link
+}
+
 // frame takes what the home exchange sends.
 func (c *Crossbar) frame(link *trunk.Link, f *trunk.Frame) {
 	if len(f.Entries) > 0 {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -70,6 +70,7 @@
 	copyAll             map[string]bool
 	peers               map[string]*peer // exchanges by IP
 	edges               map[string]*peer // by IP
+	guests              map[*peer]bool
 	receipts            map[uint64]*receipt
 	nextRcpt            uint64
 	fetches             map[ticket.Token]fetch
@@ -88,7 +89,7 @@
 func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
 	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
 		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{}, copyAll: map[string]bool{},
-		peers: map[string]*peer{}, edges: map[string]*peer{}, receipts: map[uint64]*receipt{},
+		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, receipts: map[uint64]*receipt{},
 		fetches: map[ticket.Token]fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
 	x.dir = directory.New(tombstones)
--- a/internal/exchange/keys.go
+++ b/internal/exchange/keys.go
@@ -17,9 +17,8 @@
 
 const copyChunk = 2000
 
-// keyFrame takes what a frame says of claims.
-func (x *Exchange) keyFrame(p *peer, f *trunk.Frame) {
-	now := x.now()
+// claimed takes the claims of an edge.
+func (x *Exchange) claimed(p *peer, f *trunk.Frame) {
 	for _, r := range f.Claims {
 		if x.office == nil || x.draining {
 			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: r.Token, Ruling: ticket.Refused}}})
@@ -27,8 +26,14 @@
 		}
 		r.Home = x.set.IP
 		x.claimers[r.Token] = p
-		x.askLedgers(x.office.Open(r, now))
+		x.askLedgers(x.office.Open(r, x.now()))
 	}
+}
+
+// keyFrame takes what a frame says of claims.
+func (x *Exchange) keyFrame(p *peer, f *trunk.Frame) {
+	now := x.now()
+	x.claimed(p, f)
 	for _, r := range f.Asks {
 		x.judge(r, func(v ticket.Verdict, holder ticket.Record) {
 			answer := trunk.Verdict{Token: r.Token, Verdict: v}
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -16,6 +16,7 @@
 	ip       string
 	zone     string
 	edge     bool
+	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
 	attached bool
 	hears    []string // exchanges that it has links to
 	usual    []trunk.Zoned
@@ -91,8 +92,9 @@
 
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
 func (x *Exchange) joined(p *peer, h *trunk.Hello) {
-	if h.Look {
+	if p.look = h.Look; h.Look {
 		p.link.Send(&trunk.Frame{Hello: x.hello(), Pulse: x.makePulse()})
+		x.guests[p] = true
 		return
 	}
 	if p.edge {
@@ -128,6 +130,7 @@
 }
 
 func (x *Exchange) left(p *peer) {
+	delete(x.guests, p)
 	if x.edges[p.ip] != p && x.peers[p.ip] != p {
 		return
 	}
@@ -158,6 +161,10 @@
 
 // frame takes what a peer sends.
 func (x *Exchange) frame(p *peer, f *trunk.Frame) {
+	if p.look {
+		x.claimed(p, f)
+		return
+	}
 	if p.edge && x.edges[p.ip] != p || !p.edge && x.peers[p.ip] != p {
 		return // superseded
 	}
@@ -279,6 +286,9 @@
 	for _, e := range x.edges {
 		e.link.Send(f)
 	}
+	for g := range x.guests {
+		g.link.Send(f)
+	}
 	f = &trunk.Frame{Pulse: x.makePulse()}
 	f.Pulse.Usual = x.tables.mine()
 	for _, p := range x.peers {
--- a/internal/tone/tone.go
+++ b/internal/tone/tone.go
@@ -45,7 +45,7 @@
 	NotReady:    {http.StatusServiceUnavailable, 0.2},
 	NoServer:    {http.StatusServiceUnavailable, 0.2},
 	Busy:        {http.StatusServiceUnavailable, 0.1},
-	Unclaimed:   {http.StatusServiceUnavailable, 0.1},
+	Unclaimed:   {http.StatusServiceUnavailable, 1}, // more than half of the core is out of reach: that takes a while
 	NotRun:      {http.StatusServiceUnavailable, 0.1},
 	PerhapsRun:  {http.StatusBadGateway, 0},
 	TimedOut:    {http.StatusGatewayTimeout, 0},
