Use home servers first while they have room, and send full pulses once a second

Changed: the ordinary pick looks at home lines with room first, then at the whole table; one pulse in four carries links and traffic. Home tables, 0.25 s pulses and the table's shares stay.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -187,7 +187,7 @@
 }
 
 func (m *Member) send(after bool, msg Message) {
-	msg.From, msg.Term = m.id, msg.Term
+	msg.From = m.id
 	if msg.Term == 0 {
 		msg.Term = m.hard.Term
 	}
--- a/internal/crossbar/lines.go
+++ b/internal/crossbar/lines.go
@@ -181,7 +181,7 @@
 func (c *Crossbar) pick(service string, not []*line) *line {
 	all := c.view.Load().services[service]
 	now := c.now()
-	for round := range 3 {
+	for round := range 4 {
 		type candidate struct {
 			l      *line
 			weight float64
@@ -198,12 +198,14 @@
 			home := l.zone == c.set.Zone
 			ok, weight := false, l.weight
 			switch round {
-			case 0: // the ordinary path
+			case 0: // the ordinary path: by the table, at home while there is room, since to cross zones has a price
+				ok = home && l.open(now, l.capacity) && (!l.weighed || l.weight > 0) && load < 1
+			case 1: // by the table, wherever
 				ok = l.open(now, l.capacity) && (l.weighed && l.weight > 0 || !l.weighed && home) && load < 1.5
-			case 1: // room elsewhere
+			case 2: // room elsewhere
 				ok = l.open(now, l.capacity) && load < 1
 				weight = 1
-			case 2: // nothing better is left: those in doubt, too, and some that are full
+			case 3: // nothing better is left: those in doubt, too, and some that are full
 				ok = !l.dead && l.out < 2*l.capacity
 				weight = 1
 				if !home || now < l.until {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -45,6 +45,7 @@
 	callLimit    = 1500 * time.Millisecond
 	compactAfter = 64 // entries of the log
 	historyKept  = 256
+	fullEvery    = 4 // pulses, of which one is full
 )
 
 // Exchange is one control planner.
@@ -81,6 +82,7 @@
 	acked               map[string]directory.State // of servers that are leaving, what was acknowledged here
 	goneSince           map[string]time.Duration   // exchanges out of reach
 	nextPulse, nextCopy time.Duration
+	pulses              int
 	draining            bool   // told to end
 	said                string // role last logged
 }
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -93,7 +93,7 @@
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
 func (x *Exchange) joined(p *peer, h *trunk.Hello) {
 	if p.look = h.Look; h.Look {
-		p.link.Send(&trunk.Frame{Hello: x.hello(), Pulse: x.makePulse()})
+		p.link.Send(&trunk.Frame{Hello: x.hello(), Pulse: x.makePulse(true)})
 		x.guests[p] = true
 		return
 	}
@@ -119,7 +119,7 @@
 	_ = x.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
 	answer := x.hello()
 	answer.Members = x.members
-	f := &trunk.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse()}
+	f := &trunk.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
 	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.version() {
 		f.Config = x.whole()
 	}
@@ -172,7 +172,10 @@
 		x.invited(f.Hello.Members)
 	}
 	if f.Pulse != nil {
-		p.attached, p.hears, p.usual = f.Pulse.Attached, f.Pulse.Exchanges, f.Pulse.Usual
+		p.attached = f.Pulse.Attached
+		if f.Pulse.Full {
+			p.hears, p.usual = f.Pulse.Exchanges, f.Pulse.Usual
+		}
 		for _, ip := range f.Pulse.Exchanges {
 			x.meet(ip)
 		}
@@ -260,8 +263,11 @@
 }
 
 // makePulse says how this planner sees the system.
-func (x *Exchange) makePulse() *trunk.Pulse {
-	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.version(), Edges: len(x.edges)}
+func (x *Exchange) makePulse(full bool) *trunk.Pulse {
+	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.version(), Edges: len(x.edges), Full: full}
+	if !full {
+		return p
+	}
 	for ip := range x.peers {
 		p.Exchanges = append(p.Exchanges, ip)
 	}
@@ -282,15 +288,19 @@
 		}
 	}
 	x.nextPulse = now + trunk.PulseEvery
-	f := &trunk.Frame{Pulse: x.makePulse()}
+	x.pulses++
+	full := x.pulses%fullEvery == 0
+	f := &trunk.Frame{Pulse: x.makePulse(full)}
 	for _, e := range x.edges {
 		e.link.Send(f)
 	}
 	for g := range x.guests {
 		g.link.Send(f)
 	}
-	f = &trunk.Frame{Pulse: x.makePulse()}
-	f.Pulse.Usual = x.tables.mine()
+	f = &trunk.Frame{Pulse: x.makePulse(full)}
+	if full {
+		f.Pulse.Usual = x.tables.mine()
+	}
 	for _, p := range x.peers {
 		p.link.Send(f)
 	}
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -44,12 +44,13 @@
 	Look    bool     `cbor:"8,keyasint,omitempty"` // only to see how an exchange is
 }
 
-// Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Home is how many edges
-// and the addresses of exchanges that it knows.
+// Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Every few pulses are
+// full: with the exchanges that the sender is linked to, and the traffic of its edges.
 type Pulse struct {
 	Attached  bool     `cbor:"1,keyasint,omitempty"`
 	Version   uint64   `cbor:"2,keyasint,omitempty"`
 	Edges     int      `cbor:"3,keyasint,omitempty"`
+	Full      bool     `cbor:"6,keyasint,omitempty"`
 	Exchanges []string `cbor:"4,keyasint,omitempty"`
 	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
 }
