Keep answers through a lost disk, fetch them from any exchange, and sync less

Need: repeats of answered operations met 409 where the home had changed or lost its disk; each answer kept cost a sync that nobody waited for.

Changed: an edge keeps its last answers (8 MB at most) and hands them to a home whose disk came back empty; an office asks all exchanges for an answer; lines of the ledger that nobody waits for ride along with the next sync or wait 0.1 s; controllers look four times a second.

--- a/internal/crossbar/claims.go
+++ b/internal/crossbar/claims.go
@@ -1,6 +1,7 @@
 package crossbar
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +14,18 @@
 	mu   sync.Mutex
 	next uint64
 	open map[ticket.Token]*claim
+	kept []keptAnswer // of the last window, oldest first: a home that loses its disk is given them again
+	size int          // bytes of their bodies
 }
 
+type keptAnswer struct {
+	at     time.Duration
+	record ticket.Record
+}
+
+// keptMost bounds the memory that kept answers take: an edge has a small machine.
+const keptMost = 8 << 20
+
 type claim struct {
 	record ticket.Record
 	asked  int // exchanges that were asked and have not ruled
@@ -67,7 +78,32 @@
 
 // finish has the answer of a claim's run kept, for repeats.
 func (c *Crossbar) finish(key ticket.Key, token ticket.Token, a *ticket.Answer) {
-	c.home.send(&trunk.Frame{Done: []ticket.Record{{Key: key, Token: token, Answer: a}}})
+	r := ticket.Record{Key: key, Token: token, Answer: a}
+	c.home.send(&trunk.Frame{Done: []ticket.Record{r}})
+	k, now, window := &c.claims, c.now(), c.set.Seconds("key_window_s", 60)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kept, k.size = append(k.kept, keptAnswer{now, r}), k.size+len(a.Body)
+	n := 0
+	for ; n < len(k.kept) && (now-k.kept[n].at > window || k.size > keptMost); n++ {
+		k.size -= len(k.kept[n].record.Answer.Body)
+	}
+	if n > 0 {
+		k.kept = slices.Delete(k.kept, 0, n)
+	}
+}
+
+// restore gives a home whose disk came back empty the answers that this edge still holds.
+func (k *claims) restore(link *trunk.Link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := &trunk.Frame{}
+	for i, a := range k.kept {
+		if f.Done = append(f.Done, a.record); len(f.Done) == 100 || i == len(k.kept)-1 {
+			link.Send(f)
+			f = &trunk.Frame{}
+		}
+	}
 }
 
 // put asks one exchange more, unless the claim is decided.
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -281,6 +281,9 @@
 	if len(f.Entries) > 0 {
 		c.heard(f.Entries)
 	}
+	if f.Hello != nil && f.Hello.Blank {
+		c.claims.restore(link)
+	}
 	if f.Receipt != 0 {
 		link.Send(&trunk.Frame{Received: f.Receipt})
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,6 +42,7 @@
 	redialEvery  = 300 * time.Millisecond
 	dialLimit    = 400 * time.Millisecond
 	storeAgain   = 100 * time.Millisecond
+	lazyMost     = 100 * time.Millisecond // that a line waits for the disk when nobody waits for the line
 	callLimit    = 1500 * time.Millisecond
 	compactAfter = 64 // entries of the log
 	historyKept  = 256
@@ -74,7 +75,7 @@
 	guests              map[*peer]bool
 	receipts            map[uint64]*receipt
 	nextRcpt            uint64
-	fetches             map[ticket.Token]fetch
+	fetches             map[ticket.Token]*fetch
 	tables              *tables
 	known               map[string]bool   // IPs of exchanges
 	lives               map[string]uint64 // of exchanges, when last met
@@ -92,7 +93,7 @@
 	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
 		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{}, copyAll: map[string]bool{},
 		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, receipts: map[uint64]*receipt{},
-		fetches: map[ticket.Token]fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
+		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
 	x.dir = directory.New(tombstones)
 	x.tables = newTables(x)
--- a/internal/exchange/keys.go
+++ b/internal/exchange/keys.go
@@ -12,6 +12,7 @@
 // fetch waits for an answer that another exchange holds.
 type fetch struct {
 	until time.Duration
+	left  int // exchanges that have not said
 	do    func(*ticket.Answer)
 }
 
@@ -61,7 +62,7 @@
 		if r.Answer != nil {
 			r.Home = x.set.IP
 			x.ledger.Done(r, now)
-			x.store.record(r, nil)
+			x.store.record(r, now, nil)
 		}
 	}
 	for _, r := range f.Fetch {
@@ -70,8 +71,10 @@
 	}
 	for _, r := range f.Fetched {
 		if w, ok := x.fetches[r.Token]; ok {
-			delete(x.fetches, r.Token)
-			w.do(r.Answer)
+			if w.left--; r.Answer != nil || w.left <= 0 {
+				delete(x.fetches, r.Token)
+				w.do(r.Answer)
+			}
 		}
 	}
 	if f.Copy {
@@ -89,7 +92,7 @@
 		tell(v, holder)
 		return
 	}
-	x.store.record(r, func(ok bool) {
+	x.store.record(r, x.now(), func(ok bool) {
 		if !ok { // the disk refuses: what isn't durable is not granted, and not remembered as if it were
 			x.ledger.Failed(r.Key, r.Token)
 		}
@@ -140,14 +143,22 @@
 		return
 	}
 	h := o.Holder
-	if h.Home == x.set.IP {
-		tell(x.ledger.Answer(h.Key, h.Token))
-	} else if home := x.peers[h.Home]; home != nil {
-		x.fetches[h.Token] = fetch{until: x.now() + fetchLimit, do: x.also(h.Token, tell)}
-		home.link.Send(&trunk.Frame{Fetch: []ticket.Record{{Key: h.Key, Token: h.Token}}})
-	} else {
+	if a := x.ledger.Answer(h.Key, h.Token); a != nil {
+		tell(a)
+		return
+	}
+	// The answer is where the claimer's home was when it came, mostly at the ledger's Home: all are asked at once.
+	asked := 0
+	do := x.also(h.Token, tell)
+	for _, p := range x.peers {
+		p.link.Send(&trunk.Frame{Fetch: []ticket.Record{{Key: h.Key, Token: h.Token}}})
+		asked++
+	}
+	if asked == 0 {
 		tell(nil)
+		return
 	}
+	x.fetches[h.Token] = &fetch{until: x.now() + fetchLimit, left: asked, do: do}
 }
 
 // also lets one fetch serve all that wait for the same answer.
@@ -171,7 +182,7 @@
 
 func (x *Exchange) voidHere(r ticket.Record) {
 	if line, store := x.ledger.Void(r.Key, r.Token, x.now()); store {
-		x.store.record(line, nil)
+		x.store.record(line, x.now(), nil)
 	}
 }
 
@@ -193,7 +204,7 @@
 		return
 	}
 	for _, r := range c.Records {
-		x.store.record(x.ledger.Copy(r, x.now()), nil)
+		x.store.record(x.ledger.Copy(r, x.now()), x.now(), nil)
 	}
 	if !c.Last {
 		return
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -118,6 +118,7 @@
 	}
 	_ = x.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
 	answer := x.hello()
+	answer.Blank = x.ledger.Blank()
 	answer.Members = x.members
 	f := &trunk.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
 	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.version() {
--- a/internal/exchange/store.go
+++ b/internal/exchange/store.go
@@ -13,6 +13,7 @@
 	after   []func(bool)
 	records []ticket.Record
 	claimed []func(bool)
+	lazy    time.Duration // since when lines wait that nobody waits for; 0: none do
 	busy    bool
 	again   time.Duration // not before, after a failure
 	failing bool
@@ -26,14 +27,22 @@
 	s.after = append(s.after, done)
 }
 
-// record makes a line of the ledger durable; done hears whether it is.
-func (s *store) record(r ticket.Record, done func(bool)) {
+// record makes a line of the ledger durable; done hears whether it is. A line that nobody waits for rides along with
+// the next sync, or with one of its own a little later: syncs are what the disk and the processor spend.
+func (s *store) record(r ticket.Record, now time.Duration, done func(bool)) {
 	s.records = append(s.records, r)
 	if done != nil {
 		s.claimed = append(s.claimed, done)
+	} else if s.lazy == 0 {
+		s.lazy = now
 	}
 }
 
+// due tells whether anything has to go to the disk now.
+func (s *store) due(now time.Duration) bool {
+	return len(s.pending) > 0 || len(s.claimed) > 0 || len(s.records) > 0 && now-s.lazy >= lazyMost
+}
+
 func (x *Exchange) put(b *archive.Batch, done func(bool)) {
 	if done == nil {
 		done = func(bool) {}
@@ -44,19 +53,19 @@
 // run hands the disk what has gathered, if it is free. A disk that refuses keeps the agreement's part waiting: nothing
 // of it may be told or dropped. Claims are refused at once: other ledgers can take them.
 func (s *store) run(x *Exchange) {
-	if s.busy || len(s.pending) == 0 && len(s.records) == 0 || x.now() < s.again && len(s.records) == 0 {
+	if s.busy || !s.due(x.now()) || x.now() < s.again && len(s.records) == 0 {
 		return
 	}
 	if s.failing && x.now() < s.again {
 		claimed := s.claimed
-		s.records, s.claimed = nil, nil
+		s.records, s.claimed, s.lazy = nil, nil, 0
 		for _, done := range claimed {
 			done(false)
 		}
 		return
 	}
 	pending, after, records, claimed := s.pending, s.after, s.records, s.claimed
-	s.pending, s.after, s.records, s.claimed, s.busy = nil, nil, nil, nil, true
+	s.pending, s.after, s.records, s.claimed, s.busy, s.lazy = nil, nil, nil, nil, true, 0
 	batches := pending
 	if len(records) > 0 {
 		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records})
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -39,7 +39,7 @@
 	reportPeriod  = 1000.0 // milliseconds, between an edge's reports
 	channelWide   = 1e6    // lines: an exchange's links to its edges bound nothing
 	warmupLongest = 30000.0
-	tableLook     = 100 * time.Millisecond
+	tableLook     = 250 * time.Millisecond
 )
 
 func newTables(x *Exchange) *tables {
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -42,6 +42,7 @@
 	Version uint64   `cbor:"6,keyasint,omitempty"` // of the configuration held
 	Members []string `cbor:"7,keyasint,omitempty"` // of the agreement, as an exchange knows them
 	Look    bool     `cbor:"8,keyasint,omitempty"` // only to see how an exchange is
+	Blank   bool     `cbor:"9,keyasint,omitempty"` // the disk came back empty: answers that others still hold are wanted
 }
 
 // Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Every few pulses are
