Repeat withdrawals, refuse early while no exchange is in reach, and let fresh requests go first

Changed: withdrawals are repeated for four seconds and to each new home; a claim is given up after a fifth of the aim if no exchange can be reached; among requests that wait for room, those whose client has waited longer than the aim come last and may wait longer; without any server nothing waits.

Tests for each on a fake clock.

--- a/internal/crossbar/claims.go
+++ b/internal/crossbar/claims.go
@@ -11,13 +11,17 @@
 
 // claims are those that this edge has asked for and not heard of.
 type claims struct {
-	mu   sync.Mutex
-	next uint64
-	open map[ticket.Token]*claim
-	kept []keptAnswer // of the last window, oldest first: a home that loses its disk is given them again
-	size int          // bytes of their bodies
+	mu    sync.Mutex
+	next  uint64
+	open  map[ticket.Token]*claim
+	kept  []keptAnswer // of the last window, oldest first: a home that loses its disk is given them again
+	size  int          // bytes of their bodies
+	voids []keptAnswer // claims that were withdrawn lately
 }
 
+// voidFor is how long a withdrawal is repeated: as long as a core that lost power takes to be back.
+const voidFor = 4 * time.Second
+
 type keptAnswer struct {
 	at     time.Duration
 	record ticket.Record
@@ -36,9 +40,9 @@
 // only by its silence.
 const claimHurry = 60 * time.Millisecond
 
-// claim asks for the right to run a key's operation. Without a clear answer in time it is withdrawn: nothing was run
-// under it, and nothing ever will be.
-func (c *Crossbar) claim(key ticket.Key, limit time.Duration) (ticket.Token, trunk.Ruling) {
+// claim asks for the right to run a key's operation. If no exchange can be reached early, or none answers clearly in
+// time, it is withdrawn: nothing was run under it, and nothing ever will be.
+func (c *Crossbar) claim(key ticket.Key, early, limit time.Duration) (ticket.Token, trunk.Ruling) {
 	k := &c.claims
 	k.mu.Lock()
 	k.next++
@@ -57,23 +61,50 @@
 		delete(k.open, r.Token)
 		k.mu.Unlock()
 	}()
-	timer := time.NewTimer(limit)
+	began := c.now()
+	timer := time.NewTimer(min(early, limit))
 	defer timer.Stop()
-	select {
-	case ruling := <-one.done:
-		if ruling.Ruling != ticket.Stands {
+	for {
+		select {
+		case ruling := <-one.done:
+			if ruling.Ruling != ticket.Stands {
+				c.withdraw(r.Key, r.Token)
+			}
+			return r.Token, ruling
+		case <-timer.C:
+			if gone := c.now() - began; gone < limit && c.home.reaches() {
+				timer.Reset(limit - gone) // somebody is at it
+				continue
+			}
 			c.withdraw(r.Key, r.Token)
+			return r.Token, trunk.Ruling{Token: r.Token, Ruling: ticket.Refused}
 		}
-		return r.Token, ruling
-	case <-timer.C:
-		c.withdraw(r.Key, r.Token)
-		return r.Token, trunk.Ruling{Token: r.Token, Ruling: ticket.Refused}
 	}
 }
 
-// withdraw voids a claim under which nothing was run.
+// withdraw voids a claim under which nothing was run. It is said again for a while: a core that could not rule on the
+// claim may not hear of its end either, and whoever holds it would turn away the client's next try.
 func (c *Crossbar) withdraw(key ticket.Key, token ticket.Token) {
-	c.home.send(&trunk.Frame{Voids: []ticket.Record{{Key: key, Token: token}}})
+	r := ticket.Record{Key: key, Token: token}
+	c.home.send(&trunk.Frame{Voids: []ticket.Record{r}})
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.voids = append(c.claims.voids, keptAnswer{c.now(), r})
+}
+
+// sayAgain repeats what was withdrawn lately.
+func (k *claims) sayAgain(c *Crossbar) {
+	k.mu.Lock()
+	now := c.now()
+	k.voids = slices.DeleteFunc(k.voids, func(v keptAnswer) bool { return now-v.at > voidFor })
+	f := &trunk.Frame{}
+	for _, v := range k.voids {
+		f.Voids = append(f.Voids, v.record)
+	}
+	k.mu.Unlock()
+	if len(f.Voids) > 0 {
+		c.home.send(f)
+	}
 }
 
 // finish has the answer of a claim's run kept, for repeats.
@@ -143,6 +174,7 @@
 
 // again puts open claims to a new home: the former may have died with them.
 func (k *claims) again(c *Crossbar) {
+	k.sayAgain(c)
 	k.mu.Lock()
 	var all []*claim
 	for _, one := range k.open {
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -136,6 +136,7 @@
 		case <-tick.C:
 			c.report()
 			c.sweep()
+			c.claims.sayAgain(c)
 		}
 	}
 }
--- a/internal/crossbar/crossbar_test.go
+++ b/internal/crossbar/crossbar_test.go
@@ -62,12 +62,13 @@
 		h.dialer.DialContext = h.dial
 		g.Expect(h.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
 		near, far := net.Pipe()
-		h.home.link = trunk.NewLink(near)
+		link := trunk.NewLink(near)
+		h.home.link = link
 		h.exchange = trunk.NewLink(far)
-		go func() { _ = h.home.link.Read(func(f *trunk.Frame) { h.frame(h.home.link, f) }) }()
+		go func() { _ = link.Read(func(f *trunk.Frame) { h.frame(link, f) }) }()
 		go func() { _ = h.exchange.Read(h.frameAtExchange) }()
 		defer func() {
-			h.home.link.Close()
+			link.Close()
 			h.exchange.Close()
 			for _, l := range h.lines {
 				l.end()
@@ -136,6 +137,12 @@
 }
 
 func (h *hall) ask(method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	w := h.send(method, path, body, headers...)
+	synctest.Wait()
+	return w
+}
+
+func (h *hall) send(method, path, body string, headers ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
 	r.RequestURI = path
 	r.Header.Set("X-Attempt-Id", "try-1")
@@ -147,7 +154,6 @@
 	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
-	synctest.Wait()
 	return w
 }
 
@@ -330,6 +336,22 @@
 			h.g.Expect(h.kept).To(BeEmpty())
 		})
 	})
+	t.Run("are refused early while no exchange can be reached, and withdrawn once one can", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.serve("i-1", good)
+			link := h.home.link
+			h.home.link, h.home.known = nil, map[string]bool{}
+			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k")
+			h.g.Expect(w.Code).To(Equal(503))
+			h.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+			h.g.Expect(h.now()).To(BeNumerically("<=", 100*time.Millisecond), "a fifth of the aim and a little")
+			h.home.link = link
+			h.claims.again(h.Crossbar)
+			synctest.Wait()
+			h.g.Expect(h.voids).To(HaveLen(1))
+			h.g.Expect(h.got).To(BeEmpty())
+		})
+	})
 	t.Run("need a key", func(t *testing.T) {
 		in(t, func(h *hall) { h.g.Expect(h.ask("POST", "/k/x", "x").Code).To(Equal(400)) })
 	})
@@ -343,6 +365,39 @@
 	})
 }
 
+// While all servers are full, those who can still be in time go before those who can't, whoever came first.
+func TestFreshRequestsGoFirst(t *testing.T) {
+	in(t, func(h *hall) {
+		open := make(chan struct{})
+		h.serve("i-1", func(r *http.Request) string { <-open; return good(r) })
+		var order []string
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		send := func(name, left string) {
+			all.Go(func() {
+				w := h.send("GET", "/s/"+name, "", "X-Deadline-Ms", left)
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, fmt.Sprint(name, " ", w.Code))
+			})
+			synctest.Wait()
+		}
+		for i := range 4 { // two run, two may queue at the server
+			send(fmt.Sprint("first-", i), "2000")
+		}
+		send("stale", "1000")
+		send("fresh", "2000")
+		open <- struct{}{}
+		synctest.Wait()
+		mu.Lock()
+		h.g.Expect(order).To(HaveLen(1))
+		mu.Unlock()
+		close(open)
+		all.Wait()
+		h.g.Expect(h.got[4].URL.Path).To(Equal("/s/fresh"))
+	})
+}
+
 func TestBadRequestsHarmNobody(t *testing.T) {
 	in(t, func(h *hall) {
 		h.serve("i-1", good)
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -27,6 +27,7 @@
 	claimMost  = 1200 * time.Millisecond
 	wayBack    = 5 * time.Millisecond // kept of the deadline for the answer's way
 	leastTime  = 10 * time.Millisecond
+	staleRank  = 1000    // below every priority
 	bufferMost = 4 << 20 // bytes of an answer that are held before any are passed on
 )
 
@@ -94,7 +95,8 @@
 	aim     time.Duration
 	began   time.Duration
 	tried   []*line
-	sent    int // tries that reached a server
+	sent    int  // tries that reached a server
+	stale   bool // the client has waited for longer than the aim: what is fresh is worth more
 }
 
 // take reads a request whole and checks what its route needs.
@@ -113,6 +115,7 @@
 			return nil, tone.Malformed.New("X-Deadline-Ms %q is no time", text)
 		}
 		t.until = min(t.until, now+time.Duration(ms*float64(time.Millisecond)))
+		t.stale = route.Deadline-ms/1000 > route.Setpoint
 	}
 	if r.Body != nil && r.ContentLength != 0 {
 		limit := tree.Config.Limits.BodyBytes
@@ -155,7 +158,7 @@
 func (c *Crossbar) keyed(w http.ResponseWriter, t *task) {
 	key := ticket.KeyOf(strings.ToLower(t.r.Host), t.r.Header.Get("X-Operation-Key"))
 	left := t.until - c.now()
-	token, ruling := c.claim(key, min(claimMost, time.Duration(float64(left)*claimShare)))
+	token, ruling := c.claim(key, time.Duration(float64(t.aim)*waitShare), min(claimMost, time.Duration(float64(left)*claimShare)))
 	switch ruling.Ruling {
 	case ticket.Refused:
 		c.refuse(w, t.r, tone.Unclaimed.New("the key could not be claimed"))
@@ -237,11 +240,14 @@
 
 // seize finds a server with room, waiting a little for one.
 func (c *Crossbar) seize(t *task, further bool) *line {
-	if l := c.pick(t.service, t.tried); l != nil || further {
-		return l
+	if l := c.pick(t.service, t.tried); l != nil || further || len(c.view.Load().services[t.service]) == 0 {
+		return l // without any server there is nothing to wait for
 	}
-	limit := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4)
-	w := c.waiting.wait(t.service, t.route.Priority, c.now())
+	limit, rank := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4), t.route.Priority
+	if t.stale { // it comes after all that can still be in time, and has nothing to lose by waiting
+		limit, rank = (t.until-c.now())/3, rank+staleRank
+	}
+	w := c.waiting.wait(t.service, rank, c.now())
 	defer c.waiting.leave(t.service, w)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -188,6 +188,13 @@
 	return true
 }
 
+// reaches tells whether any exchange can be asked now.
+func (h *home) reaches() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.link != nil || h.guest != nil
+}
+
 // sendElsewhere hands a frame to an exchange that is not home.
 func (h *home) sendElsewhere(c *Crossbar) func(*trunk.Frame) bool {
 	return func(f *trunk.Frame) bool {
