Let planners that start again go by what was committed at once

Excluded: servers, claims, the way to an exchange.

Cause: members knew their log, and not how much of it is committed, before a leader was elected. Changed: what is known to be committed is stored along; looking for a home no longer waits for exchanges that are down.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -66,6 +66,8 @@
 	Vote  string `cbor:"2,keyasint"`
 	Blank bool   `cbor:"3,keyasint"` // the disk came back empty and what it held isn't restored yet
 	Floor uint64 `cbor:"4,keyasint"` // no votes up to this term
+	// Commit is what was known to be committed: a member that starts again goes by it at once, before anyone leads.
+	Commit uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Output is what has to be done after events. Now goes at once; After goes once Store is done.
@@ -144,6 +146,7 @@
 		terms: map[string]uint64{}, blankAll: map[string]bool{}}
 	slices.Sort(m.members)
 	m.stored = m.last()
+	m.commit = max(m.commit, min(hard.Commit, m.stored))
 	m.rest()
 	if snap.Index > 0 {
 		s := snap
@@ -212,7 +215,8 @@
 		for i := m.applied + 1; i <= m.commit; i++ {
 			m.out.Committed = append(m.out.Committed, m.log[i-m.snap.Index-1])
 		}
-		m.applied = m.commit
+		m.applied, m.hard.Commit = m.commit, m.commit
+		m.keep()
 	}
 	out := m.out
 	m.out = Output{}
@@ -276,7 +280,7 @@
 	term := m.hard.Term + 1
 	if !pre {
 		kind = AskVote
-		m.hard = Hard{Term: term, Vote: m.id, Floor: m.hard.Floor}
+		m.hard.Term, m.hard.Vote = term, m.id
 		m.keep()
 	}
 	logTerm, _ := m.termOf(m.last())
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -76,6 +76,10 @@
 		Expect(kinds(out.After, agreement.Vote)).To(HaveLen(1))
 		Expect(out.Hard.Vote).To(Equal("b"))
 	})
+	It("goes by what was committed as soon as it starts again", func() {
+		m := member("a", agreement.Hard{Term: 3, Commit: 1}, agreement.Entry{Term: 2, Index: 1, Data: []byte("x")}, agreement.Entry{Term: 3, Index: 2})
+		Expect(m.Take().Committed).To(HaveLen(1))
+	})
 	It("votes once a term", func() {
 		m := member("a", agreement.Hard{})
 		m.Step(agreement.Message{Kind: agreement.AskVote, From: "b", To: "a", Term: 3}, time.Second)
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -29,7 +29,8 @@
 const (
 	homeDial  = 400 * time.Millisecond
 	lookAgain = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
-	lookPause = 100 * time.Millisecond
+	lookPause = 50 * time.Millisecond
+	lookMore  = 60 * time.Millisecond // for further answers after the first
 )
 
 // found is an exchange that answered.
@@ -72,14 +73,24 @@
 		}
 		return s
 	}
+	var enough <-chan time.Time
 	for range ips {
-		if f := <-answers; f != nil {
+		select {
+		case f := <-answers:
+			if f == nil {
+				continue
+			}
 			h.mu.Lock()
 			h.zones[f.ip] = f.zone
 			h.mu.Unlock()
 			if !ok || score(*f) > score(best) {
 				best, ok = *f, true
 			}
+			if enough == nil { // one that is down or cut off doesn't hold up the others
+				enough = time.After(lookMore)
+			}
+		case <-enough:
+			return best, ok
 		}
 	}
 	return best, ok
