Give operators a client of their own, counters and an exchange's view; answer beats at once

Seen while trying it on a busy disk: a leader whose followers' disks took a second stepped down, since their answers to its beats waited for the disk. A beat without entries is answered at once, for what is durable.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -527,6 +527,15 @@
 		m.extend(msg.Entries)
 		reply.OK, reply.Index = true, msg.Index+uint64(len(msg.Entries))
 	}
+	if len(msg.Entries) == 0 && msg.Snapshot == nil && reply.OK && !m.hard.Blank {
+		// A beat is answered at once, for what is durable: a slow disk shall not make its leader seem alone.
+		reply.Index = min(reply.Index, m.stored)
+		if at := min(msg.Commit, msg.Index); at > m.commit {
+			m.commit = at
+		}
+		m.send(false, reply)
+		return
+	}
 	if at := min(msg.Commit, reply.Index); at > m.commit {
 		m.commit = at
 	}
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -18,6 +18,7 @@
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/meter"
+	"mulleinwood/internal/tally"
 	"mulleinwood/internal/ticket"
 	"mulleinwood/internal/trunk"
 )
@@ -48,6 +49,11 @@
 	meters map[string]*meter.Meter
 	asked  map[string]*trunk.Asked
 
+	noted struct { // under mu
+		second int64
+		lines  map[string]int
+	}
+	tally    *tally.Tally
 	home     home
 	claims   claims
 	conns    conns
@@ -63,11 +69,13 @@
 	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, lines: map[string]*line{},
 		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
 	c.dir = directory.New(tombstones)
+	c.tally = tally.New(tally.Crossbar)
 	c.view.Store(&view{})
 	c.home.known, c.home.zones, c.home.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
 	for _, ip := range set.SeedIPs() {
 		c.home.known[ip] = true
 	}
+	c.noted.lines = map[string]int{}
 	c.claims.open = map[ticket.Token]*claim{}
 	c.conns.idle = map[net.Conn]time.Time{}
 	c.waiting.waiters = map[string][]*waiter{}
@@ -114,6 +122,10 @@
 
 // ready tells the platform whether to send clients here.
 func (c *Crossbar) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/metrics" {
+		c.tally.Handler().ServeHTTP(w, r)
+		return
+	}
 	if r.URL.Path != "/readiness" {
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -27,6 +27,7 @@
 	claimMost  = 1200 * time.Millisecond
 	wayBack    = 5 * time.Millisecond // kept of the deadline for the answer's way
 	leastTime  = 10 * time.Millisecond
+	notedMost  = 5       // lines of log a second for each kind of error
 	staleRank  = 1000    // below every priority
 	bufferMost = 4 << 20 // bytes of an answer that are held before any are passed on
 )
@@ -42,6 +43,10 @@
 	perhaps               // anything else
 )
 
+func (e ending) String() string {
+	return [...]string{"not_sent", "not_run", "ran", "perhaps"}[min(e, perhaps)]
+}
+
 // outcome is how a try ended, and the answer if there is one.
 type outcome struct {
 	ending ending
@@ -216,6 +221,7 @@
 		}
 		t.tried = append(t.tried, l)
 		next := c.try(t, l)
+		c.tally.Tries.WithLabelValues(next.ending.String()).Inc()
 		c.waiting.wake(t.service)
 		out = next
 		if next.ending != notSent {
@@ -407,6 +413,7 @@
 		h["Content-Type"] = nil // none is guessed
 	}
 	h["Content-Length"] = []string{strconv.Itoa(len(out.body))}
+	c.tally.Requests.WithLabelValues(string(t.route.Kind), strconv.Itoa(out.status)).Inc()
 	w.WriteHeader(out.status)
 	_, _ = w.Write(out.body) // a client that is gone has given up
 }
@@ -426,14 +433,24 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(a.Status)
 	_, _ = io.WriteString(w, body) // a client that is gone has given up
-	if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusConflict || a.Status == 503 {
-		c.note(err, r)
-	}
+	c.tally.GivenUp.WithLabelValues(tone.Kind(err)).Inc()
+	c.note(err, r)
 }
 
-// note logs what was given up, with its cause.
+// note logs what was given up, with its cause: a few lines a second of each kind, since a flood of refusals should not
+// cost more than the requests did. The counters tell all.
 func (c *Crossbar) note(err error, r *http.Request) {
-	_ = c.logger.Log("event", "given up", "kind", tone.Kind(err), "host", r.Host, "cause", err)
+	kind, second := tone.Kind(err), int64(c.now()/time.Second)
+	c.mu.Lock()
+	if c.noted.second != second {
+		c.noted.second, c.noted.lines = second, map[string]int{}
+	}
+	c.noted.lines[kind]++
+	n := c.noted.lines[kind]
+	c.mu.Unlock()
+	if n <= notedMost {
+		_ = c.logger.Log("event", "given up", "kind", kind, "try", r.Header.Get("X-Attempt-Id"), "host", r.Host, "cause", err)
+	}
 }
 
 // asks counts a request for a service and gives the service's meter.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,6 +19,8 @@
 	Gone
 )
 
+func (s State) String() string { return [...]string{"ready", "draining", "gone"}[min(s, Gone)] }
+
 // Entry is what is known of one life of a server.
 type Entry struct {
 	ID       string  `cbor:"1,keyasint"`
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"mulleinwood/internal/archive"
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/tally"
 	"mulleinwood/internal/ticket"
 	"mulleinwood/internal/trunk"
 )
@@ -57,6 +58,7 @@
 	life   uint64
 	inbox  chan func()
 
+	tally               *tally.Tally
 	archive             *archive.Archive
 	store               store
 	members             []string
@@ -96,6 +98,7 @@
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
 	x.dir = directory.New(tombstones)
+	x.tally = tally.New(tally.Exchange)
 	x.tables = newTables(x)
 	if err := x.open(); err != nil {
 		return err
--- a/internal/exchange/keys.go
+++ b/internal/exchange/keys.go
@@ -131,6 +131,7 @@
 // ruled tells the claimer, who alone withdraws what doesn't stand: two offices may be asked about one claim, and only
 // the claimer knows which of them it heard. Where another claim holds the key, its answer goes along, if there is one.
 func (x *Exchange) ruled(o ticket.Outcome) {
+	x.tally.Claims.WithLabelValues(o.Ruling.String()).Inc()
 	p := x.claimers[o.Token]
 	delete(x.claimers, o.Token)
 	tell := func(a *ticket.Answer) {
--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 
 	"mulleinwood/internal/agreement"
 	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/operator"
 	"mulleinwood/internal/tone"
 	"mulleinwood/internal/trunk"
 )
@@ -42,7 +44,9 @@
 	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, false) })
 	mux.HandleFunc("PATCH /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, true) })
 	mux.HandleFunc("GET /config", x.readBack)
+	mux.HandleFunc("GET /config/history", x.pastVersions)
 	mux.HandleFunc("GET /status", x.status)
+	mux.Handle("GET /metrics", x.tally.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, tone.UnknownCall.New("%s %s is no call", r.Method, r.URL.Path))
 	})
@@ -338,32 +342,43 @@
 	}
 }
 
+// pastVersions tells which versions were taken, newest first.
+func (x *Exchange) pastVersions(w http.ResponseWriter, _ *http.Request) {
+	type past struct{ Version, Digest string }
+	done := make(chan []past, 1)
+	x.do(func() {
+		all := []past{}
+		for _, t := range slices.Backward(x.state.taken) {
+			all = append(all, past{dialplan.Version(t.Version).String(), hex.EncodeToString(t.Digest[:8])})
+		}
+		done <- all
+	})
+	reply(w, http.StatusOK, <-done)
+}
+
 // status tells operators how this planner sees the system.
 func (x *Exchange) status(w http.ResponseWriter, _ *http.Request) {
-	done := make(chan map[string]any, 1)
+	done := make(chan operator.View, 1)
 	x.do(func() {
-		s := map[string]any{"node": x.set.Node, "ip": x.set.IP, "zone": x.set.Zone, "attached": x.attached(), "version": dialplan.Version(x.state.version()),
-			"leader": x.leader(), "members": x.members, "keys": x.ledger.Len(), "ledger_blank": x.ledger.Blank(), "disk_refuses": x.store.failing}
-		edges, peers := []string{}, []string{}
+		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: dialplan.Version(x.state.version()).String(),
+			Leader: x.leader(), Members: x.members, Keys: x.ledger.Len(), LedgerBlank: x.ledger.Blank(), DiskRefuses: x.store.failing, DiskMs: x.store.took()}
 		for _, e := range x.edges {
-			edges = append(edges, e.node)
+			v.Edges = append(v.Edges, e.node)
 		}
 		for ip := range x.peers {
-			peers = append(peers, ip)
+			v.Exchanges, v.Control = append(v.Exchanges, ip), append(v.Control, x.controlOf(ip))
 		}
-		slices.Sort(edges)
-		slices.Sort(peers)
-		s["edges"], s["exchanges"] = edges, peers
-		servers := []map[string]any{}
+		slices.Sort(v.Edges)
+		slices.Sort(v.Exchanges)
+		slices.Sort(v.Control)
 		for _, e := range x.dir.All(x.now()) {
-			servers = append(servers, map[string]any{"id": e.ID, "service": e.Service, "zone": e.Zone, "address": e.Address,
-				"state": []string{"ready", "draining", "gone"}[e.State], "silent": e.Silent, "factor": x.tables.factor(e.ID)})
+			v.Servers = append(v.Servers, operator.Server{ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Address,
+				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: x.tables.weight(e.ID)})
 		}
-		s["servers"] = servers
 		if x.member != nil {
-			s["term"], s["commit"], s["last"], s["blank"] = x.member.Term(), x.member.Commit(), x.member.Last(), x.member.Blank()
+			v.Term, v.Commit, v.Last, v.Blank = x.member.Term(), x.member.Commit(), x.member.Last(), x.member.Blank()
 		}
-		done <- s
+		done <- v
 	})
 	reply(w, http.StatusOK, <-done)
 }
--- a/internal/exchange/store.go
+++ b/internal/exchange/store.go
@@ -17,8 +17,12 @@
 	busy    bool
 	again   time.Duration // not before, after a failure
 	failing bool
+	mean    float64 // milliseconds of the last writes
 }
 
+// took is how many milliseconds a write takes lately.
+func (s *store) took() float64 { return s.mean }
+
 // idleAgree tells that nothing of the agreement waits for the disk.
 func (s *store) idleAgree() bool { return !s.busy && len(s.pending) == 0 }
 
@@ -70,10 +74,14 @@
 	if len(records) > 0 {
 		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records})
 	}
+	began := x.now()
 	go func() {
 		err := x.archive.Commit(batches)
+		spent := x.now() - began
+		x.tally.Syncs.Observe(spent.Seconds())
 		x.do(func() {
 			s.busy = false
+			s.mean += 0.2 * (float64(spent.Microseconds())/1000 - s.mean)
 			if err != nil {
 				if !s.failing {
 					_ = x.logger.Log("event", "disk refuses", "cause", err)
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -295,8 +295,8 @@
 	}
 }
 
-// factor is the weight that some edge was last sent for a server.
-func (t *tables) factor(server string) float64 {
+// weight is what some edge was last sent for a server.
+func (t *tables) weight(server string) float64 {
 	for _, s := range t.services {
 		for _, held := range s.weights {
 			if w, ok := held[server]; ok && w > 0 {
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,200 @@
+// Package operator is the operators' client: it calls exchanges, follows them to the leader, and goes to the next when
+// one doesn't answer.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Client calls a system by the control addresses of some exchanges.
+type Client struct {
+	At   []string
+	HTTP *http.Client
+	Say  func(format string, args ...any) // progress of what takes long
+}
+
+// New makes a client.
+func New(at []string, say func(string, ...any)) *Client {
+	return &Client{At: at, Say: say, HTTP: &http.Client{Timeout: 3 * time.Second,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// Refused is a clear answer that is not a success.
+type Refused struct {
+	Status int
+	Reason string
+}
+
+func (r *Refused) Error() string { return fmt.Sprintf("refused with %d: %s", r.Status, r.Reason) }
+
+const (
+	rounds = 6
+	follow = 2
+)
+
+// Call makes one call. Without a clear answer it is made again, unchanged, at the next exchange, pausing for longer
+// each round; a change that was taken in the meantime is known to the system by its bytes.
+func (c *Client) Call(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
+	var last error
+	pause := 100 * time.Millisecond
+	for round := range rounds {
+		for _, at := range c.At {
+			text, err := c.once(ctx, at, method, path, header, body)
+			if err == nil {
+				return text, nil
+			}
+			if refused := new(Refused); errors.As(err, &refused) && refused.Status < 500 {
+				return nil, err
+			}
+			last = fmt.Errorf("%s at %s: %w", path, at, err)
+			if ctx.Err() != nil {
+				return nil, last
+			}
+		}
+		if round < rounds-1 {
+			c.Say("no clear answer, again in %s: %v", pause, last)
+			select {
+			case <-ctx.Done():
+				return nil, last
+			case <-time.After(pause):
+			}
+			pause *= 2
+		}
+	}
+	return nil, last
+}
+
+func (c *Client) once(ctx context.Context, at, method, path string, header http.Header, body []byte) ([]byte, error) {
+	url := "http://" + at + path
+	for range follow + 1 {
+		req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		for name, values := range header {
+			req.Header[name] = values
+		}
+		resp, err := c.HTTP.Do(req)
+		if err != nil {
+			return nil, err
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusTemporaryRedirect:
+			url = resp.Header.Get("Location")
+		case resp.StatusCode/100 == 2:
+			return text, nil
+		default:
+			var said struct {
+				Error string `json:"error"`
+			}
+			if json.Unmarshal(text, &said) != nil || said.Error == "" {
+				said.Error = strings.TrimSpace(string(text))
+			}
+			return nil, &Refused{resp.StatusCode, said.Error}
+		}
+	}
+	return nil, errors.New("sent on too often")
+}
+
+// Each asks every exchange that is known for its own view, those that others are linked to included.
+func (c *Client) Each(ctx context.Context) (views []View, silent []string) {
+	asked := map[string]bool{}
+	todo := append([]string{}, c.At...)
+	for len(todo) > 0 {
+		at := todo[0]
+		todo = todo[1:]
+		if asked[at] {
+			continue
+		}
+		asked[at] = true
+		text, err := c.once(ctx, at, http.MethodGet, "/status", nil, nil)
+		var v View
+		if err != nil || json.Unmarshal(text, &v) != nil {
+			silent = append(silent, at)
+			continue
+		}
+		views = append(views, v)
+		todo = append(todo, v.Control...)
+	}
+	return views, silent
+}
+
+// View is how one exchange sees the system.
+type View struct {
+	Node        string   `json:"node"`
+	IP          string   `json:"ip"`
+	Zone        string   `json:"zone"`
+	Attached    bool     `json:"attached"`
+	Version     string   `json:"version"`
+	Leader      string   `json:"leader"`
+	Members     []string `json:"members"`
+	Term        uint64   `json:"term"`
+	Commit      uint64   `json:"commit"`
+	Last        uint64   `json:"last"`
+	Blank       bool     `json:"blank"`
+	LedgerBlank bool     `json:"ledger_blank"`
+	Keys        int      `json:"keys"`
+	DiskRefuses bool     `json:"disk_refuses"`
+	DiskMs      float64  `json:"disk_ms"`
+	Edges       []string `json:"edges"`
+	Exchanges   []string `json:"exchanges"`
+	Control     []string `json:"control"`
+	Servers     []Server `json:"servers"`
+}
+
+// Server is a server as an exchange sees it.
+type Server struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`
+	State    string  `json:"state"`
+	Silent   bool    `json:"silent"`
+	Capacity int     `json:"capacity"`
+	Weight   float64 `json:"weight"`
+}
+
+// Faults are what an operator should look at, a line each.
+func Faults(views []View, silent []string) (faults []string) {
+	for _, at := range silent {
+		faults = append(faults, at+" does not answer")
+	}
+	leaders, newest := map[string]bool{}, uint64(0)
+	for _, v := range views {
+		if v.Leader != "" {
+			leaders[v.Leader] = true
+		}
+		newest = max(newest, v.Commit)
+	}
+	if len(leaders) == 0 {
+		faults = append(faults, "nobody leads: configurations can't be changed")
+	} else if len(leaders) > 1 {
+		faults = append(faults, "exchanges don't agree on who leads")
+	}
+	for _, v := range views {
+		say := func(cond bool, what string) {
+			if cond {
+				faults = append(faults, v.Node+" "+what)
+			}
+		}
+		say(!v.Attached, "is cut off from the core")
+		say(v.Commit < newest, fmt.Sprintf("lags: it is at change %d of %d", v.Commit, newest))
+		say(v.Blank || v.LedgerBlank, "has an empty disk that is not restored yet")
+		say(v.DiskRefuses, "has a disk that refuses writes")
+		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
+	}
+	return faults
+}
--- a/internal/testdesk/desk.go
+++ b/internal/testdesk/desk.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -42,6 +43,7 @@
 	readinessPort = 18640
 	innerPort     = 17620
 	calm          = 15 * time.Second
+	comeBack      = 5 // times that a request which was refused is sent again
 )
 
 func (d *Desk) settings(name, role, ip string, first bool) string {
@@ -168,11 +170,24 @@
 	return nil
 }
 
-// Ask sends a request through an edge.
-func (d *Desk) Ask(edge int, method, path, body string, headers ...string) (int, string, error) {
+// Ask sends a request through an edge, and again when it is refused and told when to come back, as clients do.
+func (d *Desk) Ask(edge int, method, path, body string, headers ...string) (status int, text string, err error) {
+	for range comeBack {
+		var after string
+		if status, text, after, err = d.once(edge, method, path, body, headers...); err != nil || after == "" {
+			return status, text, err
+		}
+		if s, err := strconv.ParseFloat(after, 64); err == nil {
+			time.Sleep(time.Duration(s * float64(time.Second)))
+		}
+	}
+	return status, text, err
+}
+
+func (d *Desk) once(edge int, method, path, body string, headers ...string) (status int, answer, retryAfter string, err error) {
 	req, err := http.NewRequest(method, "http://"+address(fmt.Sprintf("127.0.61.1%d", edge), frontPort)+path, strings.NewReader(body))
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	req.Host = "toll.example"
 	req.Header.Set("X-Attempt-Id", fmt.Sprintf("try-%d", time.Now().UnixNano()))
@@ -182,11 +197,11 @@
 	}
 	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, strings.TrimSpace(string(text)), err
+	return resp.StatusCode, strings.TrimSpace(string(text)), resp.Header.Get("Retry-After"), err
 }
 
 // Try sends a request of each kind and shows what comes back; a repeat of the operation goes through the other edge.
--- a/internal/ticket/office.go
+++ b/internal/ticket/office.go
@@ -12,6 +12,8 @@
 	Taken                 // another claim holds the key
 )
 
+func (r Ruling) String() string { return [...]string{"refused", "stands", "taken"}[min(r, Taken)] }
+
 // Outcome of a claim.
 type Outcome struct {
 	Token  Token
