Make as many members as the tolerance needs, and restore when as many disks are lost

Need: a system that has to bear the loss of two counted machines needs five members; only the three seeds were members, and a second empty disk would have kept both from ever being restored.

Changed: the first seed names the members once it has met enough exchanges that count (twice the tolerance and one); an empty disk is restored from all that can have kept theirs, instead of from all. Edges and controllers are told how large the whole fleet is.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -3,7 +3,7 @@
 // caller stores what Output says, sends the messages, and tells when storing is done.
 //
 // Two things differ from the textbook. A member whose disk came back empty counts for nothing until it has heard the
-// term of every other member and then holds all that a leader of at least the highest of them had: a member that
+// terms of all members that can have kept theirs, and holds all that a leader of at least the highest had: a member that
 // forgot its votes and entries would otherwise help to elect one who lacks what was acknowledged. And before it stands
 // for election, a member asks whether it would be elected, so that one that was cut off doesn't depose a leader.
 package agreement
@@ -87,10 +87,11 @@
 	return o.Hard == nil && o.Snapshot == nil && o.Truncate == 0 && len(o.Entries) == 0
 }
 
-// Timing holds the member's spans.
+// Timing holds the member's spans, and how many members may lose their disks at once.
 type Timing struct {
 	Beat     time.Duration // between two of a leader's messages
 	Patience time.Duration // without a leader, before asking for votes; up to twice that by chance
+	Lost     int           // members that may lose their disks at once
 }
 
 // Role of a member.
@@ -439,8 +440,10 @@
 		return
 	case TellTerm:
 		if m.hard.Blank {
-			m.terms[msg.From] = max(m.terms[msg.From], msg.Term)
 			m.blankAll[msg.From] = msg.Blank
+			if delete(m.terms, msg.From); !msg.Blank { // one that knows nothing itself has nothing to tell
+				m.terms[msg.From] = msg.Term
+			}
 			m.restore()
 		}
 		return
@@ -600,26 +603,34 @@
 	}
 }
 
-// complete tells whether a blank member has heard the term of every other member.
-func (m *Member) complete() bool { return len(m.terms) == len(m.members)-1 }
+// complete tells whether a blank member has heard the terms of enough others: of all that can have kept their disks when
+// as many as are borne lost theirs. Whoever it voted for, or made an entry count with, has one of those among them.
+func (m *Member) complete() bool { return len(m.terms) >= len(m.members)-m.timing.Lost }
 
 // restore sees how far a blank member has come. Where all are blank, nothing was ever agreed: all begin anew.
 func (m *Member) restore() {
-	if !m.hard.Blank || !m.complete() {
+	if !m.hard.Blank {
 		return
 	}
-	all, floor := true, m.hard.Floor
-	for id, term := range m.terms {
-		floor = max(floor, term)
-		all = all && m.blankAll[id]
-	}
-	if floor > m.hard.Floor {
-		m.hard.Floor = floor
-		m.keep()
+	all := len(m.blankAll) == len(m.members)-1
+	for _, blank := range m.blankAll {
+		all = all && blank
 	}
 	if all && m.last() == 0 {
 		m.hard.Blank = false
 		m.keep()
 		m.rest()
+		return
+	}
+	if !m.complete() {
+		return
+	}
+	floor := m.hard.Floor
+	for _, term := range m.terms {
+		floor = max(floor, term)
+	}
+	if floor > m.hard.Floor {
+		m.hard.Floor = floor
+		m.keep()
 	}
 }
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -38,6 +38,7 @@
 	FirstStart bool              `json:"first_start"`
 	Counted    bool              `json:"counted"`
 	Limits     Limits            `json:"limits"`
+	Tolerance  Tolerance         `json:"tolerance"`
 	DataDir    *string           `json:"data_dir"`
 	BeatPeriod float64           `json:"beat_period_s"`
 	BoundList  []string          `json:"bounds"`
@@ -52,6 +53,11 @@
 	Control   string `json:"control"`
 }
 
+// Tolerance says what may be lost at once.
+type Tolerance struct {
+	Machines int `json:"machines"`
+}
+
 // Limits are those of the process.
 type Limits struct {
 	CPUShare    float64 `json:"cpu_share"`
--- a/internal/boot/schema.cue
+++ b/internal/boot/schema.cue
@@ -24,6 +24,10 @@
 		disk_mb:      number | *0
 		...
 	}
+	tolerance: {
+		machines: int & >=0 | *1
+		...
+	}
 	data_dir:      string | null | *null
 	beat_period_s: number & >0 | *1.5
 	bounds: [...string]
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -41,7 +41,7 @@
 
 	tree  atomic.Pointer[dialplan.Tree]
 	view  atomic.Pointer[view]
-	edges atomic.Int32 // as the home exchange last told
+	edges atomic.Int32 // in the whole fleet, as the home exchange last told
 
 	mu     sync.Mutex
 	dir    *directory.Directory
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -463,7 +463,7 @@
 		m = meter.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
 		c.meters[service] = m
 	}
-	m.Share(slack, int(c.edges.Load())*3)
+	m.Share(slack, int(c.edges.Load()))
 	m.Request()
 	a := c.asked[service]
 	if a == nil {
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -140,7 +140,7 @@
 	detached := time.Duration(0)
 	_ = link.Read(func(f *trunk.Frame) { // its end is logged below
 		if p := f.Pulse; p != nil {
-			c.edges.Store(int32(p.Edges))
+			c.edges.Store(int32(p.Fleet))
 			h.mu.Lock()
 			for _, ip := range p.Exchanges {
 				h.known[ip] = true
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -70,8 +71,7 @@
 	dir                 *directory.Directory
 	ledger              *ticket.Ledger
 	office              *ticket.Office
-	copies              map[string]bool // ledgers that were copied, while ours is blank
-	copyAll             map[string]bool
+	copies              map[string]bool  // ledgers that were copied while ours is blank, and whether they were blank too
 	peers               map[string]*peer // exchanges by IP
 	edges               map[string]*peer // by IP
 	guests              map[*peer]bool
@@ -80,6 +80,8 @@
 	fetches             map[ticket.Token]*fetch
 	tables              *tables
 	known               map[string]bool   // IPs of exchanges
+	founder             bool              // names the members, once there are enough
+	fresh               bool              // the whole system starts for the first time
 	lives               map[string]uint64 // of exchanges, when last met
 	claimers            map[ticket.Token]*peer
 	acked               map[string]directory.State // of servers that are leaving, what was acknowledged here
@@ -93,7 +95,7 @@
 // Run serves until ctx ends.
 func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
 	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
-		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{}, copyAll: map[string]bool{},
+		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{},
 		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, receipts: map[uint64]*receipt{},
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
@@ -154,9 +156,11 @@
 	delete(x.known, x.set.IP)
 	x.members = state.Members
 	blank := state.New && !x.set.FirstStart
-	if len(x.members) == 0 && x.set.FirstStart && slices.Contains(x.set.SeedIPs(), x.set.IP) {
-		x.members = x.set.SeedIPs()
-		slices.Sort(x.members)
+	seeds := x.set.SeedIPs()
+	slices.Sort(seeds)
+	x.founder = len(x.members) == 0 && x.set.FirstStart && x.set.Counted && len(seeds) > 0 && seeds[0] == x.set.IP
+	if len(x.members) == 0 && x.set.FirstStart && slices.Contains(seeds, x.set.IP) && len(seeds) >= x.wanted() {
+		x.members = seeds
 		if err := a.Commit([]*archive.Batch{{Members: x.members, Hard: &state.Hard}}); err != nil {
 			return err
 		}
@@ -166,12 +170,51 @@
 		x.ledger.Load(r, x.now())
 	}
 	x.blank = blank
+	x.fresh = state.New && x.set.FirstStart
 	if len(x.members) > 0 {
 		return x.join(state)
 	}
 	return nil
 }
 
+// wanted is how many members the agreement needs, so that more than half remain when as many as are borne are lost.
+func (x *Exchange) wanted() int { return 2*x.set.Tolerance.Machines + 1 }
+
+// found names the members of a system that starts for the first time, where the seeds are too few to be all of them. One
+// alone decides, the first of the seeds; the others learn it from each other.
+func (x *Exchange) found() {
+	if !x.founder || len(x.members) > 0 {
+		return
+	}
+	members := []string{x.set.IP}
+	for ip, p := range x.peers {
+		if p.counted {
+			members = append(members, ip)
+		}
+	}
+	slices.Sort(members)
+	seeds := x.set.SeedIPs()
+	slices.SortStableFunc(members, func(a, b string) int { // the seeds are surely meant
+		return cmp.Compare(btoi(!slices.Contains(seeds, a)), btoi(!slices.Contains(seeds, b)))
+	})
+	if len(members) < x.wanted() {
+		return
+	}
+	x.invited(members[:x.wanted()])
+	for _, p := range x.peers {
+		hello := x.hello()
+		hello.Members = x.members
+		p.link.Send(&trunk.Frame{Hello: hello})
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // join starts this planner's part in the agreement.
 func (x *Exchange) join(state *archive.State) error {
 	for _, ip := range x.members {
@@ -182,7 +225,7 @@
 	if !slices.Contains(x.members, x.set.IP) {
 		return nil
 	}
-	x.member = agreement.New(x.set.IP, x.members, agreement.Timing{Beat: beatEvery, Patience: patience}, x.life,
+	x.member = agreement.New(x.set.IP, x.members, agreement.Timing{Beat: beatEvery, Patience: patience, Lost: x.set.Tolerance.Machines}, x.life,
 		state.Hard, state.Snapshot, state.Entries, x.now())
 	at := slices.Index(x.members, x.set.IP)
 	order := append(slices.Clone(x.members[at:]), x.members[:at]...)
@@ -196,10 +239,11 @@
 		return
 	}
 	x.members = slices.Clone(members)
-	hard := agreement.Hard{Blank: slices.Contains(members, x.set.IP)}
+	slices.Sort(x.members)
+	hard := agreement.Hard{Blank: slices.Contains(members, x.set.IP) && !x.fresh}
 	yes := hard.Blank
 	if !yes {
-		x.ledger.Restored() // it is asked by nobody
+		x.ledger.Restored() // it never granted anything, or is asked by nobody
 	}
 	x.put(&archive.Batch{Members: x.members, Hard: &hard, LedgerBlank: &yes}, nil)
 	if err := x.join(&archive.State{Hard: hard}); err != nil {
@@ -248,6 +292,7 @@
 		}
 	}
 	x.ledger.Expire(now)
+	x.found()
 	x.askCopies(now)
 	x.pulse(now)
 	x.overdue(now)
--- a/internal/exchange/keys.go
+++ b/internal/exchange/keys.go
@@ -199,7 +199,7 @@
 	p.link.Send(&trunk.Frame{Copied: &trunk.Copied{Records: part, Last: true, Blank: x.ledger.Blank()}})
 }
 
-// copied takes a part of another ledger. Once all of them are here and durable, this ledger grants again.
+// copied takes a part of another ledger. Once enough of them are here and durable, this ledger grants again.
 func (x *Exchange) copied(p *peer, c *trunk.Copied) {
 	if !x.ledger.Blank() || x.member == nil {
 		return
@@ -210,21 +210,17 @@
 	if !c.Last {
 		return
 	}
-	x.copies[p.ip], x.copyAll[p.ip] = true, c.Blank
-	blankEverywhere := true
-	for _, ip := range x.members {
-		if ip == x.set.IP {
-			continue
-		}
-		if !x.copies[ip] {
-			return
+	x.copies[p.ip] = c.Blank
+	sound := 0
+	for _, blank := range x.copies {
+		if !blank {
+			sound++
 		}
-		blankEverywhere = blankEverywhere && x.copyAll[ip]
 	}
-	for _, ip := range x.members {
-		if ip != x.set.IP && x.copyAll[ip] && !blankEverywhere {
-			return // it will have more to tell once it is restored itself
-		}
+	// Enough are all that can have kept their disks when as many as are borne lost theirs: any claim that stands is held
+	// by one of them. Where all are blank, no claim ever stood.
+	if sound < len(x.members)-x.set.Tolerance.Machines && (sound > 0 || len(x.copies) < len(x.members)-1) {
+		return
 	}
 	no := false
 	x.put(&archive.Batch{LedgerBlank: &no}, func(ok bool) {
@@ -242,7 +238,7 @@
 	}
 	x.nextCopy = now + time.Second
 	for ip, p := range x.peers {
-		if slices.Contains(x.members, ip) && (!x.copies[ip] || x.copyAll[ip]) {
+		if blank, copied := x.copies[ip]; slices.Contains(x.members, ip) && (!copied || blank) {
 			p.link.Send(&trunk.Frame{Copy: true})
 		}
 	}
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -15,6 +15,8 @@
 	node     string
 	ip       string
 	zone     string
+	counted  bool
+	fleet    int // edges whose home it is
 	edge     bool
 	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
 	attached bool
@@ -87,7 +89,7 @@
 
 // hello is only what never changes: it is sent from outside the owner, too.
 func (x *Exchange) hello() *trunk.Hello {
-	return &trunk.Hello{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Life: x.life}
+	return &trunk.Hello{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Life: x.life, Counted: x.set.Counted}
 }
 
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
@@ -107,6 +109,7 @@
 			old.link.Close()
 		}
 		x.peers[p.ip] = p
+		p.counted = h.Counted
 		if before, met := x.lives[p.ip]; met && before != h.Life && x.office != nil {
 			for _, o := range x.office.Forget(p.ip) {
 				x.ruled(o)
@@ -173,7 +176,7 @@
 		x.invited(f.Hello.Members)
 	}
 	if f.Pulse != nil {
-		p.attached = f.Pulse.Attached
+		p.attached, p.fleet = f.Pulse.Attached, f.Pulse.Edges
 		if f.Pulse.Full {
 			p.hears, p.usual = f.Pulse.Exchanges, f.Pulse.Usual
 		}
@@ -265,7 +268,10 @@
 
 // makePulse says how this planner sees the system.
 func (x *Exchange) makePulse(full bool) *trunk.Pulse {
-	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.version(), Edges: len(x.edges), Full: full}
+	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
+	for _, other := range x.peers {
+		p.Fleet += other.fleet
+	}
 	if !full {
 		return p
 	}
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -235,11 +235,11 @@
 		s := t.services[name]
 		part := rules.Part{Channel: 1, Usual: make([]float64, len(t.zones)), Demands: []float64{0}}
 		for _, p := range t.x.peers {
+			part.Joined += float64(p.fleet)
 			for _, u := range p.usual {
 				if u.Service == name {
 					part.Usual[t.zone(u.Zone)] += u.Rate
 					part.Demands[0] += u.Rate
-					part.Joined++
 				}
 			}
 		}
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -39,10 +39,11 @@
 	Zone    string   `cbor:"3,keyasint"`
 	Edge    bool     `cbor:"4,keyasint,omitempty"`
 	Life    uint64   `cbor:"5,keyasint"`
-	Version uint64   `cbor:"6,keyasint,omitempty"` // of the configuration held
-	Members []string `cbor:"7,keyasint,omitempty"` // of the agreement, as an exchange knows them
-	Look    bool     `cbor:"8,keyasint,omitempty"` // only to see how an exchange is
-	Blank   bool     `cbor:"9,keyasint,omitempty"` // the disk came back empty: answers that others still hold are wanted
+	Version uint64   `cbor:"6,keyasint,omitempty"`  // of the configuration held
+	Members []string `cbor:"7,keyasint,omitempty"`  // of the agreement, as an exchange knows them
+	Look    bool     `cbor:"8,keyasint,omitempty"`  // only to see how an exchange is
+	Blank   bool     `cbor:"9,keyasint,omitempty"`  // the disk came back empty: answers that others still hold are wanted
+	Counted bool     `cbor:"10,keyasint,omitempty"` // an exchange that the platform counts, and that may be a member
 }
 
 // Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Every few pulses are
@@ -50,7 +51,8 @@
 type Pulse struct {
 	Attached  bool     `cbor:"1,keyasint,omitempty"`
 	Version   uint64   `cbor:"2,keyasint,omitempty"`
-	Edges     int      `cbor:"3,keyasint,omitempty"`
+	Edges     int      `cbor:"3,keyasint,omitempty"` // whose home the sender is
+	Fleet     int      `cbor:"7,keyasint,omitempty"` // edges of all exchanges
 	Full      bool     `cbor:"6,keyasint,omitempty"`
 	Exchanges []string `cbor:"4,keyasint,omitempty"`
 	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
