Let exchanges that are no seeds dial, and keep one of two links

Seen: on the grown sites the two exchanges that no seed knows waited to be dialled, so there never were five members and no configuration. Changed: the higher address dials too, a little later; of two links between the same lives both ends keep the one that the lower address made.

--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -16,6 +16,8 @@
 	ip       string
 	zone     string
 	counted  bool
+	byLower  bool // of two exchanges, the one with the lower address dialled
+	life     uint64
 	fleet    int // edges whose home it is
 	edge     bool
 	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
@@ -52,7 +54,7 @@
 				link.Close()
 				return
 			}
-			p = &peer{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge}
+			p = &peer{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < x.set.IP}
 			x.do(func() { x.joined(p, f.Hello) })
 		}
 		x.do(func() { x.frame(p, f) })
@@ -62,10 +64,22 @@
 	}
 }
 
-// dial keeps a link to another exchange. Of two exchanges, the one with the lower address dials.
+// dial keeps a link to another exchange. Of two exchanges the one with the lower address dials first; the other follows
+// a little later if nobody came, since the first may not know it.
 func (x *Exchange) dial(ip string) {
-	conn, err := net.DialTimeout("tcp", x.set.Inner(ip), dialLimit)
-	if err == nil {
+	if x.set.IP > ip {
+		time.Sleep(2 * redialEvery)
+	}
+	for ; ; time.Sleep(redialEvery) {
+		linked := make(chan bool, 1)
+		x.do(func() { linked <- x.peers[ip] != nil })
+		if <-linked {
+			continue
+		}
+		conn, err := net.DialTimeout("tcp", x.set.Inner(ip), dialLimit)
+		if err != nil {
+			continue
+		}
 		link := trunk.NewLink(conn)
 		link.Send(&trunk.Frame{Hello: x.hello()})
 		var p *peer
@@ -75,7 +89,7 @@
 					link.Close()
 					return
 				}
-				p = &peer{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone}
+				p = &peer{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone, byLower: x.set.IP < ip}
 				x.do(func() { x.joined(p, f.Hello) })
 			}
 			x.do(func() { x.frame(p, f) })
@@ -84,7 +98,6 @@
 			x.do(func() { x.left(p) })
 		}
 	}
-	time.AfterFunc(redialEvery, func() { x.dial(ip) })
 }
 
 // hello is only what never changes: it is sent from outside the owner, too.
@@ -105,7 +118,12 @@
 		}
 		x.edges[p.ip] = p
 	} else {
+		p.life = h.Life
 		if old := x.peers[p.ip]; old != nil {
+			if old.life == p.life && old.byLower && !p.byLower {
+				p.link.Close() // both dialled: both ends keep the same of the two
+				return
+			}
 			old.link.Close()
 		}
 		x.peers[p.ip] = p
@@ -158,9 +176,7 @@
 		return
 	}
 	x.known[ip] = true
-	if x.set.IP < ip {
-		go x.dial(ip)
-	}
+	go x.dial(ip)
 }
 
 // frame takes what a peer sends.
@@ -289,9 +305,7 @@
 	}
 	if x.nextPulse == 0 {
 		for ip := range x.known {
-			if x.set.IP < ip {
-				go x.dial(ip)
-			}
+			go x.dial(ip)
 		}
 	}
 	x.nextPulse = now + trunk.PulseEvery
