--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -49,7 +49,8 @@
 	meters map[string]*meter.Meter
 	asked  map[string]*trunk.Asked
 
-	noted struct { // under mu
+	doubted map[string]time.Duration // services whose connections are not reused for what must not run twice, until when
+	noted   struct {                 // under mu
 		second int64
 		lines  map[string]int
 	}
@@ -75,6 +76,7 @@
 	for _, ip := range set.SeedIPs() {
 		c.home.known[ip] = true
 	}
+	c.doubted = map[string]time.Duration{}
 	c.noted.lines = map[string]int{}
 	c.claims.open = map[ticket.Token]*claim{}
 	c.conns.idle = map[net.Conn]time.Time{}
--- a/internal/crossbar/crossbar_test.go
+++ b/internal/crossbar/crossbar_test.go
@@ -365,6 +365,29 @@
 	})
 }
 
+// A surplus answer may come in the place of the next: once a service was seen to spoil connections, what must not run
+// twice goes on a new one, while lookups go on as before.
+func TestUnsafeRequestsAvoidSpoiltConnections(t *testing.T) {
+	in(t, func(h *hall) {
+		spoil := true
+		h.serve("i-1", func(r *http.Request) string {
+			if r.URL.Path == "/s/spoilt" && spoil {
+				spoil = false
+				return other(r)
+			}
+			return good(r)
+		})
+		h.ask("GET", "/s/x", "")
+		h.ask("GET", "/s/spoilt", "")
+		h.ask("GET", "/s/x", "")
+		before := h.dials
+		h.ask("GET", "/s/x", "")
+		h.g.Expect(h.dials).To(Equal(before))
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(200))
+		h.g.Expect(h.dials).To(Equal(before + 1))
+	})
+}
+
 // While all servers are full, those who can still be in time go before those who can't, whoever came first.
 func TestFreshRequestsGoFirst(t *testing.T) {
 	in(t, func(h *hall) {
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -22,14 +22,15 @@
 )
 
 const (
-	waitShare  = 0.2 // of the aim that a request may wait here for room
-	claimShare = 0.5 // of the time left that a claim may take
-	claimMost  = 1200 * time.Millisecond
-	wayBack    = 5 * time.Millisecond // kept of the deadline for the answer's way
-	leastTime  = 10 * time.Millisecond
-	notedMost  = 5       // lines of log a second for each kind of error
-	staleRank  = 1000    // below every priority
-	bufferMost = 4 << 20 // bytes of an answer that are held before any are passed on
+	waitShare   = 0.2 // of the aim that a request may wait here for room
+	claimShare  = 0.5 // of the time left that a claim may take
+	claimMost   = 1200 * time.Millisecond
+	wayBack     = 5 * time.Millisecond // kept of the deadline for the answer's way
+	leastTime   = 10 * time.Millisecond
+	distrustFor = 5 * time.Second
+	notedMost   = 5       // lines of log a second for each kind of error
+	staleRank   = 1000    // below every priority
+	bufferMost  = 4 << 20 // bytes of an answer that are held before any are passed on
 )
 
 // ending says how a try at a server went.
@@ -296,7 +297,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.r.Context()), left)
 	defer cancel()
 	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
-	k, err := c.connect(dialCtx, l, false)
+	k, err := c.connect(dialCtx, l, t.route.Kind != dialplan.Safe && c.distrusts(l.service))
 	dialDone()
 	if err != nil {
 		l.done(c.now(), 0, false, false)
@@ -319,6 +320,8 @@
 		kind := tone.PerhapsRun
 		if ctx.Err() != nil {
 			kind = tone.TimedOut
+		} else if k.used {
+			c.distrust(l.service)
 		}
 		return outcome{ending: perhaps, err: kind.Wrap(err, "server %s", l.id)}
 	}
@@ -327,6 +330,7 @@
 	switch {
 	case out.ending == perhaps:
 		k.conn.Close()
+		c.distrust(l.service)
 	case resp.Close:
 		k.conn.Close()
 		l.tell(resp.Header, now)
@@ -338,6 +342,21 @@
 	return out
 }
 
+// distrust notes that a service's connections can't be reused safely for now: servers drop them, or send on them what
+// belongs to no request. What must not run twice then goes on new ones, where nothing is left over; a new connection
+// costs little beside an operation whose outcome nobody knows.
+func (c *Crossbar) distrust(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doubted[service] = c.now() + distrustFor
+}
+
+func (c *Crossbar) distrusts(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now() < c.doubted[service]
+}
+
 // request makes what is sent to the server.
 func (c *Crossbar) request(ctx context.Context, t *task, l *line) *http.Request {
 	header := endToEnd(t.r.Header)
--- a/internal/crossbar/lines.go
+++ b/internal/crossbar/lines.go
@@ -282,13 +282,21 @@
 			}
 		}
 	}
+	var oldest *trunkConn
 	l.mu.Lock()
 	k.since = now
 	keep := !l.dead && k.conn.Err() == nil
 	if keep {
 		l.idle = append(l.idle, k)
+		if len(l.idle) > l.capacity+1 { // more than ever run at once: new ones were made for distrust
+			oldest = l.idle[0]
+			l.idle = l.idle[1:]
+		}
 	}
 	l.mu.Unlock()
+	if oldest != nil {
+		oldest.conn.Close()
+	}
 	if !keep {
 		k.conn.Close()
 	}
