Keep servers on the exchanges' disks, so that a start after a loss of all finds them

Excluded: garbled answers (ended twelve seconds before), reused connections (all were new).

Cause: exchanges and edges started without any server; beats brought them back one by one over 1.5 s, and the first of them got all the traffic until their queues were full.

Changed: what beats say is kept on disk, with the lines that nobody waits for, and is in force from the start until the next beat or its absence.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -15,6 +15,7 @@
 	bolterrors "go.etcd.io/bbolt/errors"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/directory"
 	"mulleinwood/internal/ticket"
 )
 
@@ -22,9 +23,10 @@
 const Format = 1
 
 var (
-	metaBucket   = []byte("meta")
-	logBucket    = []byte("log")
-	ledgerBucket = []byte("ledger") // a bucket for each span of time, dropped whole
+	metaBucket    = []byte("meta")
+	logBucket     = []byte("log")
+	serversBucket = []byte("servers")
+	ledgerBucket  = []byte("ledger") // a bucket for each span of time, dropped whole
 
 	formatKey  = []byte("format")
 	hardKey    = []byte("hard")
@@ -41,6 +43,7 @@
 	Snapshot    agreement.Snapshot
 	Entries     []agreement.Entry
 	Records     []ticket.Record // in the order they were written
+	Servers     []directory.Entry
 	LedgerBlank bool
 }
 
@@ -52,6 +55,7 @@
 	Truncate    uint64
 	Entries     []agreement.Entry
 	Records     []ticket.Record
+	Servers     []directory.Entry // those that are gone are removed
 	LedgerBlank *bool
 }
 
@@ -139,6 +143,16 @@
 		}); err != nil {
 			return err
 		}
+		if err := tx.Bucket(serversBucket).ForEach(func(_, v []byte) error {
+			var e directory.Entry
+			if err := cbor.Unmarshal(v, &e); err != nil {
+				return fmt.Errorf("servers: %w", err)
+			}
+			s.Servers = append(s.Servers, e)
+			return nil
+		}); err != nil {
+			return err
+		}
 		ledger := tx.Bucket(ledgerBucket)
 		return ledger.ForEachBucket(func(name []byte) error {
 			a.gens = append(a.gens, binary.BigEndian.Uint64(name))
@@ -157,7 +171,7 @@
 		return s, err
 	}
 	return s, a.db.Update(func(tx *bolt.Tx) error {
-		for _, name := range [][]byte{metaBucket, logBucket, ledgerBucket} {
+		for _, name := range [][]byte{metaBucket, logBucket, ledgerBucket, serversBucket} {
 			if _, err := tx.CreateBucket(name); err != nil {
 				return err
 			}
@@ -187,6 +201,9 @@
 			if err := a.claims(tx, b, &spans); err != nil {
 				return err
 			}
+			if err := b.servers(tx); err != nil {
+				return err
+			}
 		}
 		return nil
 	})
@@ -237,6 +254,21 @@
 	return nil
 }
 
+// servers writes what is known of servers.
+func (b *Batch) servers(tx *bolt.Tx) error {
+	bucket := tx.Bucket(serversBucket)
+	for _, e := range b.Servers {
+		if e.State == directory.Gone {
+			if err := bucket.Delete([]byte(e.ID)); err != nil {
+				return err
+			}
+		} else if err := put(bucket, []byte(e.ID), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // claims writes a batch's lines of the ledger, and drops spans whose claims are all out of their window.
 func (a *Archive) claims(tx *bolt.Tx, b *Batch, s *spans) error {
 	if b.LedgerBlank != nil {
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -12,6 +12,7 @@
 
 	"mulleinwood/internal/agreement"
 	"mulleinwood/internal/archive"
+	"mulleinwood/internal/directory"
 	"mulleinwood/internal/ticket"
 )
 
@@ -66,6 +67,19 @@
 		Expect(s.Records).To(HaveLen(3))
 		Expect(a.Close()).To(Succeed())
 	})
+	It("keeps servers until they are gone", func() {
+		dir := GinkgoT().TempDir()
+		a, _ := open(dir)
+		one, two := directory.Entry{ID: "i-1", Service: "tags", Address: "x:1", Seq: 3}, directory.Entry{ID: "i-2", Service: "tags", Address: "x:2", Seq: 4}
+		Expect(a.Commit([]*archive.Batch{{Servers: []directory.Entry{one, two}}})).To(Succeed())
+		one.State = directory.Draining
+		two.State = directory.Gone
+		Expect(a.Commit([]*archive.Batch{{Servers: []directory.Entry{one, two}}})).To(Succeed())
+		Expect(a.Close()).To(Succeed())
+		a, s := open(dir)
+		Expect(s.Servers).To(Equal([]directory.Entry{one}))
+		Expect(a.Close()).To(Succeed())
+	})
 	It("puts a file aside that is none, and starts new", func() {
 		dir := GinkgoT().TempDir()
 		Expect(os.WriteFile(filepath.Join(dir, "exchange.db"), []byte("this is no database, whatever it says"), 0o600)).To(Succeed())
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -169,6 +169,12 @@
 	for _, r := range state.Records {
 		x.ledger.Load(r, x.now())
 	}
+	for _, e := range state.Servers { // as they were: their next beats confirm them, or their silence takes them out
+		e.Warmup, e.Owner = 0, x.set.IP
+		if now, news := x.dir.Take(e, x.now()); news {
+			x.tables.changed([]directory.Entry{now})
+		}
+	}
 	x.blank = blank
 	x.fresh = state.New && x.set.FirstStart
 	if len(x.members) > 0 {
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -251,6 +251,7 @@
 		id = x.nextRcpt
 	}
 	if len(news) > 0 {
+		x.store.server(news, x.now())
 		f := &trunk.Frame{Entries: news, Receipt: id}
 		for _, e := range x.edges {
 			if e != from {
--- a/internal/exchange/store.go
+++ b/internal/exchange/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulleinwood/internal/archive"
+	"mulleinwood/internal/directory"
 	"mulleinwood/internal/ticket"
 )
 
@@ -12,6 +13,7 @@
 	pending []*archive.Batch // of the agreement, in order
 	after   []func(bool)
 	records []ticket.Record
+	servers []directory.Entry
 	claimed []func(bool)
 	lazy    time.Duration // since when lines wait that nobody waits for; 0: none do
 	busy    bool
@@ -42,9 +44,18 @@
 	}
 }
 
+// server keeps what is known of servers, for a start after all have lost power: beats alone would bring them back one by
+// one, and the first of them would get all the traffic.
+func (s *store) server(entries []directory.Entry, now time.Duration) {
+	s.servers = append(s.servers, entries...)
+	if s.lazy == 0 && len(entries) > 0 {
+		s.lazy = now
+	}
+}
+
 // due tells whether anything has to go to the disk now.
 func (s *store) due(now time.Duration) bool {
-	return len(s.pending) > 0 || len(s.claimed) > 0 || len(s.records) > 0 && now-s.lazy >= lazyMost
+	return len(s.pending) > 0 || len(s.claimed) > 0 || len(s.records)+len(s.servers) > 0 && now-s.lazy >= lazyMost
 }
 
 func (x *Exchange) put(b *archive.Batch, done func(bool)) {
@@ -70,9 +81,10 @@
 	}
 	pending, after, records, claimed := s.pending, s.after, s.records, s.claimed
 	s.pending, s.after, s.records, s.claimed, s.busy, s.lazy = nil, nil, nil, nil, true, 0
-	batches := pending
-	if len(records) > 0 {
-		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records})
+	batches, servers := pending, s.servers
+	s.servers = nil
+	if len(records)+len(servers) > 0 {
+		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records, Servers: servers})
 	}
 	began := x.now()
 	go func() {
@@ -88,6 +100,7 @@
 				}
 				s.failing, s.again = true, x.now()+storeAgain
 				s.pending, s.after = append(pending, s.pending...), append(after, s.after...)
+				s.servers = append(servers, s.servers...)
 			} else {
 				if s.failing {
 					_ = x.logger.Log("event", "disk takes writes again")
