--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -260,7 +260,7 @@
 	var err error
 	if c.Whole != nil {
 		next, err = dialplan.Parse(c.Whole)
-	} else if c.Base != x.state.version() {
+	} else if x.state.config == nil || c.Base != x.state.version() {
 		return false
 	} else {
 		next, err = x.state.config.Patch(c.Change)
