Live through SIGHUP, and take a disk without members for an empty one

And an exchange that was killed right after it came back with an empty disk found its own new file and took it for a sound one.

The history of configurations has tests of its own.

--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/meter"
+	"mulleinwood/internal/night"
 	"mulleinwood/internal/tally"
 	"mulleinwood/internal/ticket"
 	"mulleinwood/internal/trunk"
@@ -90,6 +92,7 @@
 // Run serves until ctx ends, and then until what it has taken is answered.
 func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
 	c := New(set, logger)
+	reloads := night.Reloads()
 	front, err := net.Listen("tcp", set.Listen.Front)
 	if err != nil {
 		return err
@@ -113,12 +116,29 @@
 	}
 	_ = logger.Log("event", "crossbar starts", "node", set.Node, "zone", set.Zone)
 	go c.home.run(c)
+	go func() {
+		for range reloads {
+			c.reload()
+		}
+	}()
 	c.work(ctx)
 	c.leave(front)
 	_ = logger.Log("event", "crossbar ends", "node", set.Node)
 	return nil
 }
 
+// reload takes the settings file's seeds over: the only part of it that a running edge has use for. A file that is wrong
+// changes nothing.
+func (c *Crossbar) reload() {
+	set, err := boot.Load()
+	if err != nil {
+		_ = c.logger.Log("event", "settings not taken over", "cause", err)
+		return
+	}
+	c.home.learn(set.SeedIPs())
+	_ = c.logger.Log("event", "settings read again", "seeds", strings.Join(set.Seeds, " "))
+}
+
 // now is the steady time since the process began.
 func (c *Crossbar) now() time.Duration { return time.Since(c.began) }
 
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -27,10 +27,11 @@
 const guestQuiet = 3 * time.Second // without a claim, after which the edge leaves that other exchange
 
 const (
-	homeDial  = 400 * time.Millisecond
-	lookAgain = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
-	lookPause = 50 * time.Millisecond
-	lookMore  = 60 * time.Millisecond // for further answers after the first
+	homeDial    = 400 * time.Millisecond
+	lookAgain   = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
+	lookPause   = 50 * time.Millisecond
+	looksInVain = 20                    // before the settings file is read again
+	lookMore    = 60 * time.Millisecond // for further answers after the first
 )
 
 // found is an exchange that answered.
@@ -42,11 +43,23 @@
 
 // run keeps a home, for as long as the process lives.
 func (h *home) run(c *Crossbar) {
-	for {
-		if best, ok := h.look(c); ok {
+	for failed := 0; ; time.Sleep(lookPause) {
+		best, ok := h.look(c)
+		if ok {
+			failed = 0
 			h.stay(c, best)
+		} else if failed++; failed%looksInVain == 0 { // the file may have changed without a signal
+			c.reload()
 		}
-		time.Sleep(lookPause)
+	}
+}
+
+// learn adds exchanges that may be asked.
+func (h *home) learn(ips []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, ip := range ips {
+		h.known[ip] = true
 	}
 }
 
@@ -141,11 +154,7 @@
 	_ = link.Read(func(f *trunk.Frame) { // its end is logged below
 		if p := f.Pulse; p != nil {
 			c.edges.Store(int32(p.Fleet))
-			h.mu.Lock()
-			for _, ip := range p.Exchanges {
-				h.known[ip] = true
-			}
-			h.mu.Unlock()
+			h.learn(p.Exchanges)
 			link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
 			now := c.now()
 			if !p.Attached {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"mulleinwood/internal/archive"
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/night"
 	"mulleinwood/internal/tally"
 	"mulleinwood/internal/ticket"
 	"mulleinwood/internal/trunk"
@@ -99,6 +100,7 @@
 		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, receipts: map[uint64]*receipt{},
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
+	reloads := night.Reloads()
 	x.dir = directory.New(tombstones)
 	x.tally = tally.New(tally.Exchange)
 	x.tables = newTables(x)
@@ -125,11 +127,30 @@
 	defer server.Close()
 	go x.accept(listener)
 	_ = logger.Log("event", "exchange starts", "node", set.Node, "zone", set.Zone, "members", strings.Join(x.members, " "), "blank", x.blank)
+	go func() {
+		for range reloads {
+			x.do(x.reload)
+		}
+	}()
 	x.loop(ctx)
 	_ = logger.Log("event", "exchange ends", "node", set.Node)
 	return nil
 }
 
+// reload takes the settings file's seeds over: the only part of it that a running exchange has use for. A file that is
+// wrong changes nothing.
+func (x *Exchange) reload() {
+	set, err := boot.Load()
+	if err != nil {
+		_ = x.logger.Log("event", "settings not taken over", "cause", err)
+		return
+	}
+	for _, ip := range set.SeedIPs() {
+		x.meet(ip)
+	}
+	_ = x.logger.Log("event", "settings read again", "seeds", strings.Join(set.Seeds, " "))
+}
+
 // now is the steady time since the process began: jumps of the time of day don't show in it.
 func (x *Exchange) now() time.Duration { return time.Since(x.began) }
 
@@ -155,7 +176,9 @@
 	}
 	delete(x.known, x.set.IP)
 	x.members = state.Members
-	blank := state.New && !x.set.FirstStart
+	// A disk without members never held a vote or a claim, or lost them: the file alone may be there since a start that was
+	// cut short right after the loss.
+	blank := len(state.Members) == 0 && !x.set.FirstStart
 	seeds := x.set.SeedIPs()
 	slices.Sort(seeds)
 	x.founder = len(x.members) == 0 && x.set.FirstStart && x.set.Counted && len(seeds) > 0 && seeds[0] == x.set.IP
@@ -176,7 +199,7 @@
 		}
 	}
 	x.blank = blank
-	x.fresh = state.New && x.set.FirstStart
+	x.fresh = len(state.Members) == 0 && x.set.FirstStart
 	if len(x.members) > 0 {
 		return x.join(state)
 	}
--- /dev/null
+++ b/internal/exchange/history_test.go
@@ -0,0 +1,96 @@
+package exchange
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/tone"
+)
+
+func TestExchange(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "exchange")
+}
+
+func body(version int, services string) []byte {
+	return fmt.Appendf(nil, `{"version":"r%d","services":[%s],"limits":{},"plants":[]}`, version, services)
+}
+
+func patch(version int, name string) []byte {
+	return fmt.Appendf(nil, `{"version":"r%d","upsert":{"services":[{"name":%q}]},"remove":{}}`, version, name)
+}
+
+// feeder numbers entries as the agreement does.
+type feeder struct {
+	h     *history
+	index uint64
+}
+
+func (f *feeder) apply(c change) (bool, error) {
+	data, err := cbor.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	f.index++
+	applied, err := f.h.apply(agreement.Entry{Term: 1, Index: f.index, Data: data})
+	return applied != nil, err
+}
+
+var _ = Describe("the history", func() {
+	var f *feeder
+	BeforeEach(func() {
+		f = &feeder{h: newHistory()}
+		_, err := f.apply(change{Base: 0, Body: body(3, `{"name":"a"}`)})
+		Expect(err).NotTo(HaveOccurred())
+	})
+	It("lets one of two changes on the same version win", func() {
+		_, err := f.apply(change{Base: 3, Patch: true, Body: patch(5, "b")})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.apply(change{Base: 3, Patch: true, Body: patch(6, "c")})
+		Expect(tone.For(err).Status).To(Equal(412))
+		Expect(f.h.version()).To(Equal(uint64(5)))
+	})
+	It("answers the same call again as taken, also after others, and changes nothing by it", func() {
+		first := change{Base: 3, Patch: true, Body: patch(5, "b")}
+		f.apply(first)
+		f.apply(change{Base: 5, Patch: true, Body: patch(9, "c")})
+		applied, err := f.apply(first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(applied).To(BeFalse())
+		Expect(f.h.version()).To(Equal(uint64(9)))
+	})
+	It("takes no version that isn't above the current one, and nothing that can't be read", func() {
+		for _, c := range []change{
+			{Base: 3, Body: body(3, `{"name":"b"}`)}, {Base: 3, Body: body(2, `{"name":"b"}`)},
+			{Base: 3, Patch: true, Body: patch(3, "b")}, {Base: 3, Patch: true, Body: patch(7, "b")[:20]},
+		} {
+			applied, err := f.apply(c)
+			Expect(applied).To(BeFalse())
+			Expect(tone.For(err).Status).To(Equal(400), "%s", c.Body)
+		}
+		Expect(f.h.version()).To(Equal(uint64(3)))
+	})
+	It("comes to the same from a snapshot and the changes after it", func() {
+		f.apply(change{Base: 3, Patch: true, Body: patch(5, "b")})
+		saved, err := f.h.save()
+		Expect(err).NotTo(HaveOccurred())
+		other := &feeder{h: newHistory(), index: f.index}
+		Expect(other.h.restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
+		for _, c := range []change{{Base: 5, Patch: true, Body: patch(8, "c")}, {Base: 3, Patch: true, Body: patch(5, "b")}, {Base: 5, Patch: true, Body: patch(9, "d")}} {
+			one, errOne := f.apply(c)
+			two, errTwo := other.apply(c)
+			Expect(two).To(Equal(one))
+			Expect(errTwo == nil).To(Equal(errOne == nil))
+		}
+		a, err := json.Marshal(f.h.config)
+		Expect(err).NotTo(HaveOccurred())
+		b, err := json.Marshal(other.h.config)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b).To(MatchJSON(a))
+		Expect(other.h.taken).To(Equal(f.h.taken))
+	})
+})
--- a/internal/exchange/registrar.go
+++ b/internal/exchange/registrar.go
@@ -108,7 +108,11 @@
 		if x.acked == nil {
 			x.acked = map[string]directory.State{}
 		}
-		x.acked[e.ID] = max(x.acked[e.ID], changed.State)
+		if changed.State == directory.Gone {
+			delete(x.acked, e.ID) // it calls no more
+		} else {
+			x.acked[e.ID] = changed.State
+		}
 		done <- answer
 	})
 }
--- a/internal/testdesk/desk.go
+++ b/internal/testdesk/desk.go
@@ -250,6 +250,29 @@
 	return nil
 }
 
+// Reload tells all programs that their settings files have changed, and makes sure that they live on.
+func (d *Desk) Reload() error {
+	for _, p := range d.procs {
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+	}
+	for range 5 {
+		if status, text, err := d.Ask(1, "GET", "/tags/9", ""); err != nil || status != http.StatusOK {
+			return fmt.Errorf("after a reload: %d %s %v", status, text, err)
+		}
+	}
+	for _, p := range d.procs {
+		select {
+		case err := <-p.done:
+			return fmt.Errorf("%s ended on a reload: %v", p.name, err)
+		default:
+		}
+	}
+	fmt.Fprintln(d.Out, "a reload interrupts nothing")
+	return nil
+}
+
 // Status reads an exchange's view.
 func (d *Desk) Status() (map[string]any, error) {
 	resp, err := http.Get("http://" + d.seeds[0] + "/status")
