Test the fleet's budget in every window, an edge that is told to end, and a key at three edges

Ten meters with bursts, restarts and joins stay under the budget in every window over 60 seeds; a purse that a restart refills is seen to break it. An edge on a fake clock finishes what it runs, says that connections close, isn't ready, and ends when nothing comes.

--- a/internal/crossbar/crossbar_test.go
+++ b/internal/crossbar/crossbar_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -476,3 +477,63 @@
 		}
 	}
 }
+
+// SIGTERM in the middle of an answer: the answer is finished, new requests are served with the word that the connection
+// closes, readiness is gone at once, and the end comes when nothing comes any more.
+func TestLeavingBreaksNothingOff(t *testing.T) {
+	in(t, func(h *hall) {
+		running := make(chan struct{})
+		h.serve("i-1", func(r *http.Request) string {
+			if r.URL.Path == "/s/slow" {
+				<-running
+			}
+			return good(r)
+		})
+		front, err := net.Listen("tcp", "127.0.0.1:0")
+		h.g.Expect(err).NotTo(HaveOccurred())
+		var all sync.WaitGroup
+		var slow *httptest.ResponseRecorder
+		all.Go(func() { slow = h.send("GET", "/s/slow", "", "X-Deadline-Ms", "2000") })
+		synctest.Wait()
+		left := false
+		all.Go(func() { h.leave(front); left = true })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		ready := httptest.NewRecorder()
+		h.ready(ready, httptest.NewRequest("GET", "/readiness", nil))
+		h.g.Expect(ready.Code).To(Equal(503))
+		w := h.ask("GET", "/s/new", "")
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(w.Header().Get("Connection")).To(Equal("close"))
+		h.g.Expect(left).To(BeFalse())
+		close(running)
+		all.Wait()
+		h.g.Expect(slow.Code).To(Equal(200))
+		h.g.Expect(left).To(BeTrue())
+		h.g.Expect(h.now()).To(BeNumerically("<", 5*time.Second))
+	})
+}
+
+// The same key at three edges at once, and a claimer that dies: whoever is told Taken runs nothing.
+func TestOneOfManyEdgesRunsAKey(t *testing.T) {
+	in(t, func(h *hall) {
+		taken := map[ticket.Key]ticket.Token{}
+		h.rule = func(r ticket.Record) (ticket.Ruling, *ticket.Answer) {
+			if first, ok := taken[r.Key]; ok && first != r.Token {
+				return ticket.Taken, nil
+			}
+			taken[r.Key] = r.Token
+			return ticket.Stands, nil
+		}
+		h.serve("i-1", good)
+		var all sync.WaitGroup
+		codes := make([]int, 3)
+		for i := range codes {
+			all.Go(func() { codes[i] = h.send("POST", "/k/x", "x", "X-Operation-Key", "k").Code })
+		}
+		all.Wait()
+		slices.Sort(codes)
+		h.g.Expect(codes).To(Equal([]int{200, 409, 409}))
+		h.g.Expect(h.got).To(HaveLen(1))
+	})
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,78 @@
+package meter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/meter"
+)
+
+func TestMeter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "meter")
+}
+
+var _ = Describe("the meters of a fleet", func() {
+	const ratio, slack, steps, window = 0.2, 60.0, 6000, 1000 // a step is a hundredth of a second
+
+	// play lets edges spend whatever they may, with bursts, quiet times, restarts and edges that join, and gives the
+	// largest excess over the budget in any window.
+	play := func(seed uint64, refill bool) (worst float64) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		edges := make([]*meter.Meter, 10)
+		for i := range edges {
+			edges[i] = meter.New(ratio, slack, len(edges))
+		}
+		requests, spent := make([]float64, steps), make([]float64, steps)
+		rate := 5
+		for now := range steps {
+			if rng.IntN(300) == 0 {
+				rate = rng.IntN(12)
+			}
+			if rng.IntN(10) == 0 { // a restart; or one joins in its place
+				i := rng.IntN(len(edges))
+				edges[i] = meter.New(ratio, slack, len(edges))
+				for n := 0; refill && n < 100; n++ {
+					edges[i].Request()
+				}
+			}
+			for range rate {
+				e := edges[min(rng.IntN(len(edges)), rng.IntN(len(edges)))]
+				e.Request()
+				requests[now]++
+				for rng.IntN(3) > 0 && e.Spend() {
+					spent[now]++
+				}
+			}
+		}
+		sumR, sumS := 0.0, 0.0
+		for now := range steps {
+			sumR, sumS = sumR+requests[now], sumS+spent[now]
+			if now >= window {
+				sumR, sumS = sumR-requests[now-window], sumS-spent[now-window]
+			}
+			worst = max(worst, sumS-ratio*sumR-slack)
+		}
+		return worst
+	}
+	It("spend less than the budget in every window, through bursts, restarts and joins", func() {
+		for seed := range uint64(60) {
+			Expect(play(seed, false)).To(BeNumerically("<=", 0), "seed %d", seed)
+		}
+	})
+	It("are seen to break it when a restart fills the purse", func() {
+		broken := 0
+		for seed := range uint64(60) {
+			if play(seed, true) > 0 {
+				broken++
+			}
+		}
+		Expect(broken).To(BeNumerically(">", 0), "the planted fault was not seen")
+	})
+	It("start empty", func() {
+		Expect(meter.New(ratio, slack, 10).Spend()).To(BeFalse())
+	})
+})
