--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -27,12 +27,12 @@
 			edges[i] = meter.New(ratio, slack, len(edges))
 		}
 		requests, spent := make([]float64, steps), make([]float64, steps)
-		rate := 5
+		rate := 1
 		for now := range steps {
 			if rng.IntN(300) == 0 {
-				rate = rng.IntN(12)
+				rate = rng.IntN(2)
 			}
-			if rng.IntN(10) == 0 { // a restart; or one joins in its place
+			if rng.IntN(5) == 0 { // a restart; or one joins in its place
 				i := rng.IntN(len(edges))
 				edges[i] = meter.New(ratio, slack, len(edges))
 				for n := 0; refill && n < 100; n++ {
