--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,108 @@
+// Command rehearse plays the gateway's core and edges in simulated time, to find what breaks a rule before the day does.
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"mulleinwood/internal/night"
+	"mulleinwood/internal/rehearse"
+	"mulleinwood/internal/tone"
+)
+
+func main() {
+	sizes := []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Usage: "the day, or the first of them"},
+		&cli.IntFlag{Name: "members", Value: 3, Usage: "exchanges with a vote"},
+		&cli.IntFlag{Name: "lost", Value: 1, Usage: "disks that may be lost at once"},
+		&cli.StringFlag{Name: "fault", Usage: "a planted fault, to see that it is seen"},
+	}
+	night.Main(&cli.Command{
+		Name:  "rehearse",
+		Usage: "the gateway's deciders in simulated time, from one seed",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "play one day and tell what happened", Flags: sizes, Action: run},
+			{Name: "hunt", Usage: "play many days, and shrink the first that breaks a rule; code 1 if any does",
+				Flags: append([]cli.Flag{&cli.IntFlag{Name: "days", Value: 1000}}, sizes...), Action: hunt},
+		},
+	})
+}
+
+func day(cmd *cli.Command, seed uint64) (rehearse.Day, error) {
+	members, lost := cmd.Int("members"), cmd.Int("lost")
+	if lost < 1 || members < 2*lost+1 {
+		return rehearse.Day{}, tone.Settings.New("to bear %d lost disks takes %d members at least", lost, 2*lost+1)
+	}
+	d := rehearse.NewDay(seed, members, lost)
+	d.Fault = cmd.String("fault")
+	return d, nil
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	d, err := day(cmd, cmd.Uint64("seed"))
+	if err != nil {
+		return err
+	}
+	for _, t := range d.Troubles {
+		fmt.Println(t)
+	}
+	r := rehearse.Play(d)
+	fmt.Printf("%d changes acknowledged, %d operations run, %d repeats\n", r.Changes, r.Runs, r.Repeats)
+	if r.Broken != "" {
+		return fmt.Errorf("%s", r.Broken)
+	}
+	return nil
+}
+
+func hunt(ctx context.Context, cmd *cli.Command) error {
+	if _, err := day(cmd, 0); err != nil {
+		return err
+	}
+	var next, changes, runs, repeats atomic.Int64
+	var mu sync.Mutex
+	var bad *rehearse.Day
+	var all sync.WaitGroup
+	began := time.Now()
+	for range runtime.NumCPU() {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				n := next.Add(1) - 1
+				if n >= int64(cmd.Int("days")) {
+					return
+				}
+				d, err := day(cmd, cmd.Uint64("seed")+uint64(n))
+				if err != nil {
+					return // checked above
+				}
+				r := rehearse.Play(d)
+				changes.Add(int64(r.Changes))
+				runs.Add(int64(r.Runs))
+				repeats.Add(int64(r.Repeats))
+				if r.Broken != "" {
+					mu.Lock()
+					if bad == nil || d.Seed < bad.Seed {
+						bad = &d
+					}
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("%d days in %s: %d changes acknowledged, %d operations run, %d repeats\n", min(next.Load(), int64(cmd.Int("days"))),
+		time.Since(began).Round(time.Millisecond), changes.Load(), runs.Load(), repeats.Load())
+	if bad == nil {
+		return nil
+	}
+	short := rehearse.Shrink(*bad)
+	for _, t := range short.Troubles {
+		fmt.Println(t)
+	}
+	return fmt.Errorf("seed %d: %s (%d of its %d troubles are needed)", bad.Seed, rehearse.Play(short).Broken, len(short.Troubles), len(bad.Troubles))
+}
