--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -88,7 +88,7 @@
 		Expect(filepath.Join(dir, "exchange.db.spoilt")).To(BeAnExistingFile())
 		Expect(a.Close()).To(Succeed())
 	})
-	It("never takes spoilt bytes for state: it gives the last whole write, starts new or says why not", func() {
+	It("gives the last whole write or the one before when a head is torn", func() {
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
 		for n := range uint64(20) {
