Hold no more of bodies than memory allows, and keep to the configuration's limits

Need: bodies were read whole with nothing that bounds their sum, so a handful of 64 MB ended an edge; answers over 4 MB were given up with 502; headers had 64 kB and 10 s whatever the configuration said; a body that dribbles and an answer that nobody reads held a connection for good; a request with Expect hung at servers that don't answer it; HEAD lost the server's length; whole URIs found no route.

Change: 256 KiB of a body are held, all together a quarter of the memory, the rest goes straight on; a rest that breaks off breaks the client's connection. Other limits get a server of their own for new connections. Connections of clients are counted, the longest idle makes room. Bodies have the time their request has, then 408.

--- a/cmd/crossbar/main.go
+++ b/cmd/crossbar/main.go
@@ -22,6 +22,7 @@
 			if err != nil {
 				return err
 			}
+			set.KeepMemory()
 			return crossbar.Run(ctx, set, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
 		},
 	})
--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -23,6 +23,7 @@
 			if err != nil {
 				return err
 			}
+			set.KeepMemory()
 			return exchange.Run(ctx, set, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
 		},
 	})
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -120,6 +121,15 @@
 	return strings.ReplaceAll(strings.TrimSpace(strings.ReplaceAll(err.Error(), "#Settings.", "")), "\n", " ")
 }
 
+// memoryShare is the part of the machine's memory that the collector keeps the process below: the rest is for what it
+// doesn't see, stacks and bytes that wait in the kernel.
+const memoryShare = 0.75
+
+// KeepMemory has the collector work harder before the process is ended for its memory.
+func (s *Settings) KeepMemory() {
+	debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
+}
+
 // Bound gives a bound of the rules, or what to assume where the file doesn't name it.
 func (s *Settings) Bound(name string, otherwise float64) float64 {
 	if x, ok := s.bounds[name]; ok {
--- /dev/null
+++ b/internal/crossbar/bodies_test.go
@@ -0,0 +1,259 @@
+package crossbar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/trunk"
+)
+
+// allow puts a configuration with these limits in force.
+func (h *hall) allow(version int, limits string) {
+	next := strings.Replace(strings.Replace(plan, `"r1"`, fmt.Sprintf(`"r%d"`, version), 1), `{"max_body_bytes":100}`, limits, 1)
+	h.g.Expect(h.configure(&trunk.Config{Version: uint64(version), Whole: []byte(next)})).To(BeTrue())
+}
+
+// street is a listener whose connections are pipes.
+type street struct{ in chan net.Conn }
+
+func (s street) Accept() (net.Conn, error) {
+	conn, ok := <-s.in
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+func (s street) Close() error   { return nil }
+func (s street) Addr() net.Addr { return &net.TCPAddr{} }
+
+// walkIn connects a client to the edge's door.
+func (h *hall) walkIn(s street) net.Conn {
+	near, far := net.Pipe()
+	s.in <- far
+	synctest.Wait()
+	return near
+}
+
+func (h *hall) opened(play func(street)) {
+	s := street{in: make(chan net.Conn)}
+	ended := make(chan struct{})
+	go func() { _ = h.door.open(s); close(ended) }()
+	synctest.Wait()
+	play(s)
+	close(s.in)
+	<-ended
+	close(h.door.lobby.closed)
+	h.conns.sweep(0, 0)
+}
+
+func TestLongBodiesAreSentOnceAndWhole(t *testing.T) {
+	in(t, func(h *hall) {
+		h.allow(2, `{"max_body_bytes":1000000}`)
+		h.serve("i-1", cut)
+		h.serve("i-2", cut)
+		for range 4 { // fills the purse
+			h.asks("tags")
+		}
+		long := strings.Repeat("0123456789", 50_000)
+		h.g.Expect(h.ask("POST", "/s/x", long).Code).To(Equal(502))
+		h.g.Expect(len(h.bodies)).To(Equal(1), "what was read of a long body can't be sent again, though the route is safe")
+		h.g.Expect(h.bodies[0] == long).To(BeTrue())
+		h.g.Expect(h.ask("POST", "/s/x", "short").Code).To(Equal(502))
+		h.g.Expect(len(h.bodies)).To(Equal(3), "a short one can")
+		h.g.Expect(h.ask("POST", "/s/x", strings.Repeat("x", 1_000_001)).Code).To(Equal(413))
+	})
+}
+
+func TestBodiesTogetherStayWithinTheAccount(t *testing.T) {
+	in(t, func(h *hall) {
+		h.allow(2, `{"max_body_bytes":1000000}`)
+		h.serve("i-1", good)
+		whole := h.held.left.Load()
+		h.held.left.Store(10_000)
+		long := strings.Repeat("x", 100_000)
+		h.g.Expect(h.ask("POST", "/u/x", long).Code).To(Equal(200))
+		h.g.Expect(h.bodies).To(Equal([]string{long}), "what isn't held is passed on")
+		h.g.Expect(h.held.left.Load()).To(BeEquivalentTo(10_000), "all is given back")
+		h.held.left.Store(whole)
+	})
+	g := NewWithT(t)
+	for _, left := range []int64{0, 1, 5_000, 1 << 20} {
+		for _, size := range []int{0, 1, heldFree, heldFree + 1, bodyFirst, 100_000, bodyHeld, bodyHeld + 1} {
+			for _, told := range []int64{-1, int64(size)} {
+				a := &account{}
+				a.left.Store(left)
+				text := strings.Repeat("x", size)
+				src := iotest.DataErrReader(strings.NewReader(text))
+				body, whole, booked, err := a.hold(src, told, bodyHeld)
+				g.Expect(err).NotTo(HaveOccurred())
+				more, _ := io.ReadAll(src)
+				g.Expect(string(body)+string(more) == text).To(BeTrue(), "left %d, size %d", left, size)
+				g.Expect(whole).To(Equal(len(more) == 0 && size <= bodyHeld && (whole || size > 0)), "left %d, size %d, told %d", left, size, told)
+				g.Expect(a.left.Load()).To(And(BeNumerically(">=", 0), Equal(left-booked)))
+				g.Expect(int64(len(body))).To(BeNumerically("<=", heldFree+booked))
+			}
+		}
+	}
+}
+
+// A long answer goes on as it comes; one that breaks off in its middle must not look whole, nor be counted as good.
+func TestLongAnswers(t *testing.T) {
+	long := strings.Repeat("0123456789", 60_000)
+	chunked := func(r *http.Request, end string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%s",
+			r.Header.Get("X-Attempt-Id"), len(long), long, end)
+	}
+	told := func(r *http.Request) string { return reply(r, "200 OK", "X-Server-Seal: s\r\n", long) }
+	for name, c := range map[string]struct {
+		answer func(*http.Request) string
+		whole  bool
+	}{
+		"a length":                 {told, true},
+		"chunks":                   {func(r *http.Request) string { return chunked(r, "0\r\n\r\n") }, true},
+		"a length, breaking off":   {func(r *http.Request) string { return told(r)[:400_000] + "<close>" }, false},
+		"chunks, without the last": {func(r *http.Request) string { return chunked(r, "") + "<close>" }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(h *hall) {
+				h.allow(2, `{}`)
+				h.serve("i-1", c.answer)
+				h.opened(func(s street) {
+					conn := h.walkIn(s)
+					defer conn.Close()
+					go func() { _, _ = io.WriteString(conn, "GET /s/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\n\r\n") }()
+					resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					h.g.Expect(err).NotTo(HaveOccurred())
+					body, err := io.ReadAll(resp.Body)
+					if c.whole {
+						h.g.Expect(err).NotTo(HaveOccurred())
+						h.g.Expect(string(body) == long).To(BeTrue())
+					} else {
+						h.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+					}
+					synctest.Wait()
+					h.g.Expect(h.lines["i-1"].out).To(Equal(0), "its place is given back")
+				})
+			})
+		})
+	}
+}
+
+func TestAnswerWithoutBody(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", func(r *http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nContent-Length: 77\r\n\r\n", r.Header.Get("X-Attempt-Id"))
+		})
+		w := h.ask("HEAD", "/s/x", "")
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(w.Header().Get("Content-Length")).To(Equal("77"), "a HEAD tells the length that a GET would have")
+	})
+}
+
+// What a client asks of the next hop is answered by the next hop: a server that was sent Expect and doesn't answer it
+// would wait for a body that never comes.
+func TestExpectStaysHere(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.g.Expect(h.ask("POST", "/s/x", "body", "Expect", "100-continue").Code).To(Equal(200))
+		h.g.Expect(h.got[0].Header).NotTo(HaveKey("Expect"))
+		h.g.Expect(h.bodies[0]).To(Equal("body"))
+	})
+}
+
+func TestWholeURIsFindTheirRoute(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		r := httptest.NewRequest("GET", "http://a.example/s/x?y=1", nil)
+		r.RequestURI = "http://a.example/s/x?y=1"
+		r.Header.Set("X-Attempt-Id", "t")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(h.got[0].RequestURI).To(Equal("/s/x?y=1"))
+	})
+}
+
+// Clients that are slow, silent or too large, each under the limits of the configuration, and none at another's cost.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	const limits = `{"max_header_bytes":8000,"max_body_bytes":1000,"header_wait_s":3,"idle_s":15}`
+	const head = "GET /s/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\n"
+	gone := func(h *hall, conn net.Conn) time.Duration {
+		began := time.Now()
+		_, _ = io.Copy(io.Discard, conn)
+		return time.Since(began).Round(100 * time.Millisecond)
+	}
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.opened(func(s street) {
+			before := h.walkIn(s)
+			h.allow(2, limits)
+			synctest.Wait()
+			go func() { _, _ = io.WriteString(before, head+"X-Pad: "+strings.Repeat("x", 20_000)+"\r\n\r\n") }()
+			resp, err := http.ReadResponse(bufio.NewReader(before), nil)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(resp.StatusCode).To(Equal(200), "who was in before stays under the former limits")
+
+			late := h.walkIn(s)
+			_, _ = io.WriteString(late, "GET /s/x HT")
+			h.g.Expect(gone(h, late)).To(Equal(3*time.Second), "a header has header_wait_s from its first byte")
+
+			silent := h.walkIn(s)
+			h.g.Expect(gone(h, silent)).To(Equal(15*time.Second), "a connection without any may stay for idle_s")
+
+			large := h.walkIn(s)
+			go func() { _, _ = io.WriteString(large, head+"X-Pad: "+strings.Repeat("x", 20_000)+"\r\n\r\n") }()
+			resp, err = http.ReadResponse(bufio.NewReader(large), nil)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(resp.StatusCode).To(Equal(431))
+
+			slow := h.walkIn(s)
+			_, _ = io.WriteString(slow, "POST /s/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 700\r\nContent-Length: 9\r\n\r\nhalf")
+			began := time.Now()
+			resp, err = http.ReadResponse(bufio.NewReader(slow), nil)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(resp.StatusCode).To(Equal(408), "a body that doesn't come while the client waits was never run")
+			h.g.Expect(time.Since(began).Round(10 * time.Millisecond)).To(Equal(700 * time.Millisecond))
+
+			for _, c := range []net.Conn{before, large, slow} {
+				c.Close()
+			}
+		})
+	})
+}
+
+func TestTheLongestIdleMakesRoom(t *testing.T) {
+	in(t, func(h *hall) {
+		h.conns.most = 2
+		h.serve("i-1", hang)
+		h.opened(func(s street) {
+			first := h.walkIn(s)
+			time.Sleep(time.Second)
+			busy := h.walkIn(s)
+			_, _ = io.WriteString(busy, "GET /s/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 1900\r\n\r\n")
+			synctest.Wait()
+			third := h.walkIn(s)
+			_, err := first.Read(make([]byte, 1))
+			h.g.Expect(err).To(MatchError(io.EOF), "the first was idle for longest")
+			fourth := h.walkIn(s)
+			_, err = third.Read(make([]byte, 1))
+			h.g.Expect(err).To(MatchError(io.EOF), "one that works is not broken off")
+			resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(resp.StatusCode).To(Equal(504))
+			for _, c := range []net.Conn{busy, fourth} {
+				c.Close()
+			}
+		})
+	})
+}
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -60,6 +60,8 @@
 	home     home
 	claims   claims
 	conns    conns
+	door     door
+	held     account
 	dialer   *http.Transport
 	waiting  queue
 	leaving  atomic.Bool
@@ -81,7 +83,9 @@
 	c.doubted = map[string]time.Duration{}
 	c.noted.lines = map[string]int{}
 	c.claims.open = map[ticket.Token]*claim{}
-	c.conns.idle = map[net.Conn]time.Time{}
+	c.conns.all, c.conns.most = map[net.Conn]*use{}, max(16, int(clientShare*float64(set.Limits.FileHandles-keptHandles)))
+	c.door = door{handler: c, conns: &c.conns}
+	c.held.left.Store(int64(heldShare * set.Limits.MemoryMB * (1 << 20)))
 	c.waiting.waiters = map[string][]*waiter{}
 	c.dialer = &http.Transport{DisableCompression: true, Proxy: nil, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
 		MaxResponseHeaderBytes: 64 << 10,
@@ -101,15 +105,10 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: c, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Hour, ConnState: c.conns.state,
-		MaxHeaderBytes: 64 << 10, ErrorLog: nil}
-	probe := &http.Server{Handler: http.HandlerFunc(c.ready), IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}
-	for _, s := range []struct {
-		server *http.Server
-		on     net.Listener
-	}{{server, front}, {probe, readiness}} {
+	probe := &http.Server{Handler: http.HandlerFunc(c.ready), IdleTimeout: time.Minute, ReadHeaderTimeout: headerWait}
+	for _, serve := range []func() error{func() error { return c.door.open(front) }, func() error { return probe.Serve(readiness) }} {
 		go func() {
-			if err := s.server.Serve(s.on); !errors.Is(err, http.ErrServerClosed) && !c.leaving.Load() {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) && !c.leaving.Load() {
 				_ = logger.Log("event", "listener ends", "cause", err)
 			}
 		}()
@@ -201,41 +200,14 @@
 	}
 }
 
-// conns knows which clients' connections are idle, to close those that stay so for longer than the configuration says.
-type conns struct {
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-}
-
-func (k *conns) state(conn net.Conn, s http.ConnState) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if s == http.StateIdle {
-		k.idle[conn] = time.Now()
-	} else {
-		delete(k.idle, conn)
-	}
-}
-
-func (k *conns) sweep(after time.Duration) {
-	k.mu.Lock()
-	var old []net.Conn
-	for conn, since := range k.idle {
-		if time.Since(since) > after {
-			old = append(old, conn)
-			delete(k.idle, conn)
-		}
-	}
-	k.mu.Unlock()
-	for _, conn := range old {
-		conn.Close()
-	}
-}
-
 // sweep closes what has been idle for too long, on both sides.
 func (c *Crossbar) sweep() {
 	if tree := c.tree.Load(); tree != nil && tree.Config.Limits.Idle > 0 {
-		c.conns.sweep(time.Duration((tree.Config.Limits.Idle + 0.5) * float64(time.Second)))
+		idle, longest := time.Duration((tree.Config.Limits.Idle+0.5)*float64(time.Second)), 0.0
+		for _, r := range tree.Config.Routes {
+			longest = max(longest, r.Deadline)
+		}
+		c.conns.sweep(idle, idle+time.Duration(longest*float64(time.Second))+activeBeyond)
 	}
 	c.mu.Lock()
 	lines := make([]*line, 0, len(c.lines))
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -28,9 +27,8 @@
 	wayBack     = 5 * time.Millisecond // kept of the deadline for the answer's way
 	leastTime   = 10 * time.Millisecond
 	distrustFor = 5 * time.Second
-	notedMost   = 5       // lines of log a second for each kind of error
-	staleRank   = 1000    // below every priority
-	bufferMost  = 4 << 20 // bytes of an answer that are held before any are passed on
+	notedMost   = 5    // lines of log a second for each kind of error
+	staleRank   = 1000 // below every priority
 )
 
 // ending says how a try at a server went.
@@ -54,6 +52,9 @@
 	status int
 	header http.Header
 	body   []byte
+	rest   io.Reader // of an answer that isn't held whole; end has to be called then
+	length int64     // of the whole answer, where rest is set; -1: not told
+	end    func(whole bool)
 	err    error
 }
 
@@ -72,12 +73,18 @@
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") { // a whole URI, which servers have to take, too
+		path = r.URL.EscapedPath()
+	}
 	route := tree.Find(r.Host, path)
 	if route == nil {
 		c.refuse(w, r, tone.NoRoute.New("no route for %s%s", r.Host, path))
 		return
 	}
 	t, err := c.take(w, r, tree, route, now)
+	if t != nil {
+		defer func() { c.held.give(t.booked) }()
+	}
 	if err != nil {
 		c.refuse(w, r, err)
 		return
@@ -94,7 +101,10 @@
 type task struct {
 	r       *http.Request
 	id      string
-	body    []byte
+	body    []byte // or its beginning, if there is a rest
+	length  int64  // of the whole body; -1: it comes in chunks
+	rest    *rest
+	booked  int64 // of the account of what is held
 	route   *dialplan.Route
 	service string
 	until   time.Duration
@@ -124,21 +134,9 @@
 		t.stale = route.Deadline-ms/1000 > route.Setpoint
 	}
 	if r.Body != nil && r.ContentLength != 0 {
-		limit := tree.Config.Limits.BodyBytes
-		if limit <= 0 {
-			limit = 64 << 20
-		}
-		if r.ContentLength > limit {
-			return nil, tone.TooLarge.New("body of %d bytes", r.ContentLength)
-		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-		if err != nil {
-			if large := new(http.MaxBytesError); errors.As(err, &large) {
-				return nil, tone.TooLarge.New("body of more than %d bytes", limit)
-			}
-			return nil, tone.Malformed.Wrap(err, "body")
+		if err := c.takeBody(w, t, tree.Config.Limits.BodyBytes); err != nil {
+			return t, err
 		}
-		t.body = body
 	}
 	t.service = choose(route)
 	return t, nil
@@ -184,6 +182,9 @@
 	out := c.run(t)
 	switch out.ending {
 	case ran:
+		if out.rest != nil {
+			break // too long to be kept: repeats are told that the operation is at work until its window is over
+		}
 		a := &ticket.Answer{Status: out.status, Headers: map[string]string{}, Body: out.body}
 		for _, name := range []string{"X-Server-Seal", "Content-Type"} {
 			if v := out.header.Get(name); v != "" {
@@ -233,6 +234,9 @@
 		safe := t.route.Kind == dialplan.Safe
 		again := next.ending == notSent || next.ending == notRun || next.ending == perhaps && safe ||
 			next.ending == ran && safe && next.status >= 500
+		if t.rest != nil && t.rest.touched.Load() || next.rest != nil { // what was read of either body is not held
+			again = false
+		}
 		if !again || t.sent >= t.route.Tries || len(t.tried) > 6 || c.now() > t.until-leastTime {
 			return out
 		}
@@ -270,7 +274,9 @@
 	}
 }
 
-var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+// hop are the headers that concern one connection. Expect is among them: what it asks for was granted here, and a server
+// that doesn't answer it would never be sent the body.
+var hop = map[string]bool{"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true}
 
 // endToEnd copies the headers that concern more than one connection.
@@ -295,9 +301,13 @@
 	began := c.now()
 	left := t.until - began - wayBack
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.r.Context()), left)
-	defer cancel()
+	defer func() {
+		if out.rest == nil {
+			cancel()
+		}
+	}()
 	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
-	k, err := c.connect(dialCtx, l, t.route.Kind != dialplan.Safe && c.distrusts(l.service))
+	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != dialplan.Safe && c.distrusts(l.service))
 	dialDone()
 	if err != nil {
 		l.done(c.now(), 0, false, false)
@@ -316,29 +326,44 @@
 	resp, err := k.conn.RoundTrip(req)
 	if err != nil {
 		k.conn.Close()
-		l.done(c.now(), 0, true, false)
 		kind := tone.PerhapsRun
 		if ctx.Err() != nil {
 			kind = tone.TimedOut
+		} else if t.rest != nil && t.rest.failed.Load() != nil { // the client broke off, or was too slow: not the server's doing
+			l.done(c.now(), 0, true, true)
+			return outcome{ending: perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
 		} else if k.used {
 			c.distrust(l.service)
 		}
+		l.done(c.now(), 0, true, false)
 		return outcome{ending: perhaps, err: kind.Wrap(err, "server %s", l.id)}
 	}
 	out = c.read(t, l, resp)
 	now := c.now()
-	switch {
-	case out.ending == perhaps:
-		k.conn.Close()
+	answered := out.ending == ran && out.status < 500
+	if out.ending == perhaps {
 		c.distrust(l.service)
-	case resp.Close:
-		k.conn.Close()
+	} else {
 		l.tell(resp.Header, now)
-	default:
-		l.tell(resp.Header, now)
-		l.free(k, now, resp.Header)
 	}
-	l.done(now, now-sent, true, out.ending == ran && out.status < 500)
+	end := func(whole bool) {
+		if !whole || resp.Close || t.rest != nil { // after a long body it isn't known whether all of it was taken
+			k.conn.Close()
+		} else {
+			l.free(k, c.now(), resp.Header)
+		}
+		l.done(c.now(), now-sent, true, answered)
+	}
+	if out.rest == nil {
+		end(out.ending != perhaps)
+		return out
+	}
+	out.end = func(whole bool) {
+		resp.Body.Close()
+		end(whole)
+		cancel()
+		c.waiting.wake(t.service)
+	}
 	return out
 }
 
@@ -373,42 +398,60 @@
 		u.Scheme, u.Host = "http", l.address
 	}
 	req := (&http.Request{Method: t.r.Method, URL: u, Host: t.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
-	if t.body != nil || t.r.ContentLength > 0 {
+	switch {
+	case t.rest != nil:
+		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(t.body), t.rest))
+		req.ContentLength = t.length
+	case len(t.body) > 0:
 		req.Body = io.NopCloser(bytes.NewReader(t.body))
-		req.ContentLength = int64(len(t.body))
-		if len(t.body) == 0 {
-			req.Body = http.NoBody
-		}
+		req.ContentLength = t.length
+	case t.r.Body != nil && t.r.ContentLength != 0:
+		req.Body = http.NoBody
 	}
 	return req
 }
 
-// read takes a server's answer whole. It is this try's only if it carries its id, and whole only if its end was told.
-func (c *Crossbar) read(t *task, l *line, resp *http.Response) outcome {
-	defer resp.Body.Close()
+// read takes a server's answer: whole if it is short, else its beginning. It is this try's only if it carries its id,
+// and has to tell its end.
+func (c *Crossbar) read(t *task, l *line, resp *http.Response) (out outcome) {
+	defer func() {
+		if out.rest == nil {
+			resp.Body.Close()
+		}
+	}()
 	bad := func(why string, args ...any) outcome {
 		return outcome{ending: perhaps, err: tone.PerhapsRun.New(why, args...)}
 	}
 	if got := resp.Header.Get("X-Attempt-Id"); got != t.id {
 		return bad("server %s answered another try: %q", l.id, got)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferMost+1))
-	if err != nil {
-		return bad("answer of server %s breaks off: %s", l.id, err)
+	bare := t.r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare {
+		return bad("answer of server %s has no end of its own", l.id)
 	}
-	if len(body) > bufferMost {
-		return bad("answer of server %s is over %d bytes", l.id, bufferMost)
+	most := int64(answerHeld)
+	if t.route.Kind == dialplan.Keyed {
+		most = answerKept
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return bad("answer of server %s has no end of its own", l.id)
+	body, whole, booked, err := c.held.hold(resp.Body, resp.ContentLength, most)
+	t.booked += booked
+	if err != nil {
+		return bad("answer of server %s breaks off: %s", l.id, err)
 	}
 	if resp.Header.Get("X-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		if !whole {
+			return bad("server %s turns it away at length", l.id)
+		}
 		return outcome{ending: notRun, status: resp.StatusCode, header: resp.Header, body: body, err: tone.NotRun.New("server %s turned it away with %d", l.id, resp.StatusCode)}
 	}
 	if resp.StatusCode/100 == 2 && resp.Header.Get("X-Server-Seal") == "" {
 		return bad("success of server %s without a seal", l.id)
 	}
-	return outcome{ending: ran, status: resp.StatusCode, header: resp.Header, body: body}
+	out = outcome{ending: ran, status: resp.StatusCode, header: resp.Header, body: body}
+	if !whole {
+		out.rest, out.length = resp.Body, resp.ContentLength
+	}
+	return out
 }
 
 // answer passes on what a server said, or says why nobody did.
@@ -431,10 +474,29 @@
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // none is guessed
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(out.body))}
+	switch {
+	case t.r.Method == http.MethodHead: // the length that the server told stands
+	case out.rest == nil:
+		h["Content-Length"] = []string{strconv.Itoa(len(out.body))}
+	case out.length >= 0:
+		h["Content-Length"] = []string{strconv.FormatInt(out.length, 10)}
+	}
 	c.tally.Requests.WithLabelValues(string(t.route.Kind), strconv.Itoa(out.status)).Inc()
 	w.WriteHeader(out.status)
-	_, _ = w.Write(out.body) // a client that is gone has given up
+	_, gone := w.Write(out.body) // a client that is gone has given up
+	if out.rest == nil {
+		return
+	}
+	var broken error
+	if gone == nil {
+		broken, gone = stream(w, out.rest)
+	}
+	out.end(broken == nil && gone == nil)
+	if broken != nil { // what was cut short must not look whole
+		c.tally.GivenUp.WithLabelValues(tone.Kind(tone.PerhapsRun.New("broken off"))).Inc()
+		c.note(tone.PerhapsRun.Wrap(broken, "answer breaks off"), t.r)
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // refuse answers an error as the table of kinds says.
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -349,6 +349,7 @@
 		return f.Whole != nil
 	}
 	c.tree.Store(dialplan.NewTree(next))
+	c.door.limit(next.Limits)
 	_ = c.logger.Log("event", "configuration", "version", next.Version, "routes", len(next.Routes))
 	return true
 }
--- a/internal/tone/tone.go
+++ b/internal/tone/tone.go
@@ -15,6 +15,7 @@
 	NoRoute     = space.NewType("no_route")     // no route matches host and path
 	Malformed   = space.NewType("malformed")    // the request can't be read or lacks what its route needs
 	TooLarge    = space.NewType("too_large")    // over the configuration's limits
+	SlowBody    = space.NewType("slow_body")    // the body did not come in time; nothing was sent
 	AtWork      = space.NewType("at_work")      // the key's operation is being run
 	NotReady    = space.NewType("not_ready")    // no configuration held yet
 	NoServer    = space.NewType("no_server")    // no server to send to; nothing was sent
@@ -41,6 +42,7 @@
 	NoRoute:     {http.StatusNotFound, 0},
 	Malformed:   {http.StatusBadRequest, 0},
 	TooLarge:    {http.StatusRequestEntityTooLarge, 0},
+	SlowBody:    {http.StatusRequestTimeout, 0.2},
 	AtWork:      {http.StatusConflict, 0},
 	NotReady:    {http.StatusServiceUnavailable, 0.2},
 	NoServer:    {http.StatusServiceUnavailable, 0.2},
