Believe a disk only as far as its sums go, and bound what answers take on it

Need: bbolt sums its two heads only, so a bit that flips in another page went unseen, or ended the process at each start where nobody can recover; answers of keyed operations had no bound in an exchange's memory or on its disk.

Change: every value carries a sum over its key and itself; the file is read through before it is opened for writing, and one that can't be believed is put aside as spoilt and counts as an empty disk, also where first_start is true. What only can't be read now ends the start with one line. Answers take a quarter of memory and of the disk at most, the oldest go first; a claim whose answer is gone has run all the same and can't be withdrawn.

Measured: 200 cut files and flipped bits give all or nothing back.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -4,15 +4,11 @@
 
 import (
 	"encoding/binary"
-	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
 	"mulleinwood/internal/agreement"
 	"mulleinwood/internal/directory"
@@ -20,7 +16,7 @@
 )
 
 // Format of the file. Another one is not read.
-const Format = 1
+const Format = 2
 
 var (
 	metaBucket    = []byte("meta")
@@ -38,6 +34,7 @@
 // State is what the disk held.
 type State struct {
 	New         bool     // nothing was there
+	Spoilt      error    // what was there could not be believed, and was put aside: this disk has told what it doesn't know
 	Members     []string // of the agreement
 	Hard        agreement.Hard
 	Snapshot    agreement.Snapshot
@@ -61,125 +58,37 @@
 
 // Archive is an open file.
 type Archive struct {
-	db   *bolt.DB
-	span time.Duration
+	db      *bolt.DB
+	span    time.Duration
+	answers int64 // bytes that answers may take
 	spans
 }
 
 // spans are the buckets of the ledger: each holds the claims of one span of time and is dropped whole.
 type spans struct {
-	gens []uint64 // oldest first
-	from time.Time
-	seq  uint64
+	gens  []uint64 // oldest first
+	bytes []int64  // of the answers in each
+	from  time.Time
+	seq   uint64
 }
 
-// spansKept, of a sixth of the window each: the oldest is out of its window however full the newest is.
-const spansKept = 8
+func (s *spans) clone() spans {
+	return spans{gens: slices.Clone(s.gens), bytes: slices.Clone(s.bytes), from: s.from, seq: s.seq}
+}
 
-// Open reads the file under dir, or makes it. Claims are kept for the window, in spans of a sixth of it.
-func Open(dir string, window time.Duration) (*Archive, *State, error) {
-	path := filepath.Join(dir, "exchange.db")
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType, InitialMmapSize: 64 << 20})
-	if err != nil && isSpoilt(err) {
-		// A file that can't be read is worth as much as an empty disk: it is put aside, and the planner starts blank.
-		if err := os.Rename(path, path+".spoilt"); err != nil {
-			return nil, nil, fmt.Errorf("put %s aside: %w", path, err)
-		}
-		db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType, InitialMmapSize: 64 << 20})
+func (s *spans) answers() (sum int64) {
+	for _, n := range s.bytes {
+		sum += n
 	}
-	if err != nil {
-		return nil, nil, fmt.Errorf("open %s: %w", path, err)
-	}
-	a := &Archive{db: db, span: window / 6, spans: spans{from: time.Now()}}
-	s, err := a.load()
-	if err != nil {
-		db.Close()
-		return nil, nil, fmt.Errorf("read %s: %w", path, err)
-	}
-	return a, s, nil
+	return sum
 }
 
-func isSpoilt(err error) bool {
-	return err == bolterrors.ErrInvalid || err == bolterrors.ErrChecksum || err == bolterrors.ErrVersionMismatch
-}
+// spansKept, of a sixth of the window each: the oldest is out of its window however full the newest is.
+const spansKept = 8
 
 // Close closes the file.
 func (a *Archive) Close() error { return a.db.Close() }
 
-func (a *Archive) load() (*State, error) {
-	s := &State{}
-	err := a.db.View(func(tx *bolt.Tx) error {
-		meta := tx.Bucket(metaBucket)
-		if meta == nil {
-			s.New = true
-			return nil
-		}
-		if f := meta.Get(formatKey); len(f) != 1 || f[0] != Format {
-			return fmt.Errorf("format %v is not %d", f, Format)
-		}
-		if b := meta.Get(hardKey); b != nil {
-			if err := cbor.Unmarshal(b, &s.Hard); err != nil {
-				return fmt.Errorf("votes: %w", err)
-			}
-		}
-		if b := meta.Get(snapKey); b != nil {
-			if err := cbor.Unmarshal(b, &s.Snapshot); err != nil {
-				return fmt.Errorf("snapshot: %w", err)
-			}
-		}
-		if b := meta.Get(membersKey); b != nil {
-			if err := cbor.Unmarshal(b, &s.Members); err != nil {
-				return fmt.Errorf("members: %w", err)
-			}
-		}
-		s.LedgerBlank = len(meta.Get(blankKey)) > 0
-		if err := tx.Bucket(logBucket).ForEach(func(_, v []byte) error {
-			var e agreement.Entry
-			if err := cbor.Unmarshal(v, &e); err != nil {
-				return fmt.Errorf("log: %w", err)
-			}
-			s.Entries = append(s.Entries, e)
-			return nil
-		}); err != nil {
-			return err
-		}
-		if err := tx.Bucket(serversBucket).ForEach(func(_, v []byte) error {
-			var e directory.Entry
-			if err := cbor.Unmarshal(v, &e); err != nil {
-				return fmt.Errorf("servers: %w", err)
-			}
-			s.Servers = append(s.Servers, e)
-			return nil
-		}); err != nil {
-			return err
-		}
-		ledger := tx.Bucket(ledgerBucket)
-		return ledger.ForEachBucket(func(name []byte) error {
-			a.gens = append(a.gens, binary.BigEndian.Uint64(name))
-			return ledger.Bucket(name).ForEach(func(k, v []byte) error {
-				var r ticket.Record
-				if err := cbor.Unmarshal(v, &r); err != nil {
-					return fmt.Errorf("ledger: %w", err)
-				}
-				s.Records = append(s.Records, r)
-				a.seq = max(a.seq, binary.BigEndian.Uint64(k))
-				return nil
-			})
-		})
-	})
-	if err != nil || !s.New {
-		return s, err
-	}
-	return s, a.db.Update(func(tx *bolt.Tx) error {
-		for _, name := range [][]byte{metaBucket, logBucket, ledgerBucket, serversBucket} {
-			if _, err := tx.CreateBucket(name); err != nil {
-				return err
-			}
-		}
-		return tx.Bucket(metaBucket).Put(formatKey, []byte{Format})
-	})
-}
-
 func key(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
 func put(b *bolt.Bucket, k []byte, v any) error {
@@ -187,12 +96,12 @@
 	if err != nil {
 		return err
 	}
-	return b.Put(k, body)
+	return b.Put(k, seal(k, body))
 }
 
 // Commit makes batches durable, in order, or nothing of them.
 func (a *Archive) Commit(batches []*Batch) error {
-	spans := spans{gens: slices.Clone(a.gens), from: a.from, seq: a.seq}
+	spans := a.clone()
 	err := a.db.Update(func(tx *bolt.Tx) error {
 		for _, b := range batches {
 			if err := b.agree(tx); err != nil {
@@ -276,7 +185,7 @@
 		if *b.LedgerBlank {
 			flag = []byte{1}
 		}
-		if err := tx.Bucket(metaBucket).Put(blankKey, flag); err != nil {
+		if err := tx.Bucket(metaBucket).Put(blankKey, seal(blankKey, flag)); err != nil {
 			return err
 		}
 	}
@@ -292,17 +201,23 @@
 		if _, err := ledger.CreateBucketIfNotExists(key(gen)); err != nil {
 			return err
 		}
-		s.gens, s.from = append(s.gens, gen), time.Now()
+		s.gens, s.bytes, s.from = append(s.gens, gen), append(s.bytes, 0), time.Now()
 		for len(s.gens) > spansKept {
 			if err := ledger.DeleteBucket(key(s.gens[0])); err != nil {
 				return err
 			}
-			s.gens = s.gens[1:]
+			s.gens, s.bytes = s.gens[1:], s.bytes[1:]
 		}
 	}
 	span := ledger.Bucket(key(s.gens[len(s.gens)-1]))
 	span.FillPercent = 1
 	for _, r := range b.Records {
+		if r.Answer != nil { // the disk's growth is bounded: repeats of an operation whose answer isn't here are told to wait
+			if s.answers()+int64(len(r.Answer.Body)) > a.answers {
+				continue
+			}
+			s.bytes[len(s.bytes)-1] += int64(len(r.Answer.Body))
+		}
 		s.seq++
 		if err := put(span, key(s.seq), r); err != nil {
 			return err
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -1,6 +1,8 @@
 package archive_test
 
 import (
+	"bytes"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -9,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	bolt "go.etcd.io/bbolt"
 
 	"mulleinwood/internal/agreement"
 	"mulleinwood/internal/archive"
@@ -24,7 +27,7 @@
 const window = time.Minute
 
 func open(dir string) (*archive.Archive, *archive.State) {
-	a, s, err := archive.Open(dir, window)
+	a, s, err := archive.Open(dir, window, 64<<20)
 	Expect(err).NotTo(HaveOccurred())
 	return a, s
 }
@@ -106,11 +109,102 @@
 				text[i] ^= byte(1 + rng.IntN(255))
 			}
 			Expect(os.WriteFile(filepath.Join(cut, "exchange.db"), text, 0o600)).To(Succeed())
-			b, s, err := archive.Open(cut, window)
+			b, s, err := archive.Open(cut, window, 64<<20)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(s.Hard.Term).To(BeElementOf(uint64(19), uint64(20)))
 			Expect(len(s.Records)).To(BeElementOf(19, 20))
 			Expect(b.Close()).To(Succeed())
 		}
 	})
+	It("believes nothing of a file that was cut or in which a bit flipped, or all of it", func() {
+		dir := GinkgoT().TempDir()
+		a, _ := open(dir)
+		for n := range uint64(60) {
+			Expect(a.Commit([]*archive.Batch{{Members: []string{"a", "b", "c"}, Hard: &agreement.Hard{Term: n + 1},
+				Entries: []agreement.Entry{{Term: n + 1, Index: n + 1, Data: []byte("change")}}, Servers: []directory.Entry{{ID: fmt.Sprint("i-", n%9), Service: "tags", Address: "x:1", Seq: n}},
+				Records: []ticket.Record{record(n), {Key: ticket.Key{byte(n)}, Token: ticket.Token{Life: 1, N: n}, Answer: &ticket.Answer{Status: 200, Body: make([]byte, 300)}}}}})).To(Succeed())
+		}
+		Expect(a.Close()).To(Succeed())
+		whole, err := os.ReadFile(filepath.Join(dir, "exchange.db"))
+		Expect(err).NotTo(HaveOccurred())
+		used := len(bytes.TrimRight(whole, "\x00")) // the file is made longer than what is in it
+		a, good := open(dir)
+		Expect(a.Close()).To(Succeed())
+		Expect(good.Records).To(HaveLen(120))
+		rng := rand.New(rand.NewPCG(2, 2))
+		spoilt, same := 0, 0
+		for round := range 200 {
+			text := append([]byte{}, whole...)
+			what := ""
+			if round%10 == 0 {
+				text = text[:rng.IntN(used)]
+				what = fmt.Sprintf("cut to %d bytes", len(text))
+			} else {
+				at := 2*4096 + rng.IntN(used-2*4096) // a head that isn't whole is a torn write, which another test plays
+				text[at] ^= 1 << rng.IntN(8)
+				what = fmt.Sprintf("byte %d", at)
+			}
+			touched := GinkgoT().TempDir()
+			Expect(os.WriteFile(filepath.Join(touched, "exchange.db"), text, 0o600)).To(Succeed())
+			b, s, err := archive.Open(touched, window, 64<<20)
+			Expect(err).NotTo(HaveOccurred(), what)
+			if s.Spoilt != nil || s.New {
+				spoilt++
+				Expect(s.New).To(BeTrue(), what)
+				Expect(s.Members).To(BeEmpty(), what)
+			} else {
+				same++
+				Expect(s).To(Equal(good), what)
+			}
+			Expect(b.Commit([]*archive.Batch{{Records: []ticket.Record{record(1)}}})).To(Succeed(), what)
+			Expect(b.Close()).To(Succeed())
+		}
+		Expect(spoilt).To(BeNumerically(">", 30))
+		Expect(same).To(BeNumerically(">", 30), "free pages are spoilt, too, and don't matter")
+	})
+	It("is put aside when its opening ends the process again and again", func() {
+		dir := GinkgoT().TempDir()
+		a, _ := open(dir)
+		Expect(a.Commit([]*archive.Batch{{Members: []string{"a"}, Hard: &agreement.Hard{Term: 7}}})).To(Succeed())
+		Expect(a.Close()).To(Succeed())
+		tries := filepath.Join(dir, "exchange.db.opening")
+		Expect(os.WriteFile(tries, []byte("...."), 0o600)).To(Succeed())
+		a, s := open(dir)
+		Expect(s.Hard.Term).To(BeEquivalentTo(7), "four may be chance")
+		Expect(tries).NotTo(BeAnExistingFile())
+		Expect(a.Close()).To(Succeed())
+		Expect(os.WriteFile(tries, []byte("....."), 0o600)).To(Succeed())
+		a, s = open(dir)
+		Expect(s.New).To(BeTrue())
+		Expect(s.Spoilt).To(MatchError(ContainSubstring("5 starts in a row")))
+		Expect(a.Close()).To(Succeed())
+	})
+	It("leaves a file of another format alone", func() {
+		dir := GinkgoT().TempDir()
+		db, err := bolt.Open(filepath.Join(dir, "exchange.db"), 0o600, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(db.Update(func(tx *bolt.Tx) error {
+			meta, err := tx.CreateBucket([]byte("meta"))
+			Expect(err).NotTo(HaveOccurred())
+			return meta.Put([]byte("format"), []byte{1})
+		})).To(Succeed())
+		Expect(db.Close()).To(Succeed())
+		_, _, err = archive.Open(dir, window, 64<<20)
+		Expect(err).To(MatchError(ContainSubstring("another format: 1, not 2")))
+		Expect(filepath.Join(dir, "exchange.db.spoilt")).NotTo(BeAnExistingFile())
+	})
+	It("bounds what answers take", func() {
+		dir := GinkgoT().TempDir()
+		a, _, err := archive.Open(dir, window, 1000)
+		Expect(err).NotTo(HaveOccurred())
+		for n := range uint64(9) {
+			r := record(n)
+			r.Answer = &ticket.Answer{Status: 200, Body: make([]byte, 300)}
+			Expect(a.Commit([]*archive.Batch{{Records: []ticket.Record{record(n), r}}})).To(Succeed())
+		}
+		Expect(a.Close()).To(Succeed())
+		a, s := open(dir)
+		Expect(s.Records).To(HaveLen(9+3), "all claims, and as many answers as there is room for")
+		Expect(a.Close()).To(Succeed())
+	})
 })
--- /dev/null
+++ b/internal/archive/open.go
@@ -0,0 +1,272 @@
+package archive
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/xxh3"
+	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/ticket"
+)
+
+const (
+	fileName  = "exchange.db"
+	startMmap = 64 << 20
+	sealSize  = 8
+	startsBad = 5 // starts in a row that end while the file is opened, after which it is not opened again
+)
+
+// seal adds a sum over a key and its value: a bit that flips in a page, or a value that turns up under another key, is
+// seen when it is read.
+func seal(key, body []byte) []byte {
+	return binary.BigEndian.AppendUint64(body, sum(key, body))
+}
+
+func sum(key, body []byte) uint64 { return xxh3.HashSeed(body, xxh3.Hash(key)) }
+
+var errSum = errors.New("a value and its sum differ")
+
+// unseal gives the value under a key, if it is what was put there.
+func unseal(key, sealed []byte) ([]byte, error) {
+	n := len(sealed) - sealSize
+	if n < 0 || binary.BigEndian.Uint64(sealed[n:]) != sum(key, sealed[:n]) {
+		return nil, fmt.Errorf("%w: %q", errSum, key)
+	}
+	return sealed[:n], nil
+}
+
+func get(key, sealed []byte, into any) error {
+	body, err := unseal(key, sealed)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, into)
+}
+
+// errFormat is a file that another version of the program wrote: it is left alone.
+var errFormat = errors.New("the file has another format")
+
+// Open reads the file under dir, or makes it. Claims are kept for the window, in spans of a sixth of it; their answers
+// take so many bytes at most.
+//
+// A file that can't be believed is worth as much as an empty disk, and no more: it is put aside, and State.Spoilt says
+// why. It is read through once before it is opened for writing, since a torn or spoilt page makes bbolt panic, some of it
+// where nobody can recover.
+func Open(dir string, window time.Duration, answers int64) (*Archive, *State, error) {
+	path := filepath.Join(dir, fileName)
+	tries := path + ".opening"
+	spoilt := crashLoop(tries)
+	if spoilt == nil {
+		spoilt = believe(path)
+	}
+	if errno := syscall.Errno(0); errors.Is(spoilt, errFormat) || errors.As(spoilt, &errno) || errors.Is(spoilt, bolterrors.ErrTimeout) {
+		return nil, nil, fmt.Errorf("read %s: %w", path, spoilt) // what can't be read now may be sound
+	}
+	var db *bolt.DB
+	var err error
+	if spoilt == nil {
+		db, spoilt, err = openDB(path)
+	}
+	if spoilt != nil {
+		if err := os.Rename(path, path+".spoilt"); err != nil {
+			return nil, nil, fmt.Errorf("put %s aside: %w", path, err)
+		}
+		db, _, err = openDB(path) // a new one
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("open %s: %w", path, err)
+	}
+	a := &Archive{db: db, span: window / 6, answers: answers, spans: spans{from: time.Now()}}
+	s, err := a.load()
+	if err != nil {
+		db.Close()
+		return nil, nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	s.Spoilt = spoilt
+	_ = os.Remove(tries) // one that stays is counted from the next time on
+	return a, s, nil
+}
+
+// openDB opens a file for writing. bbolt looks for free pages then, and panics where pages contradict each other.
+func openDB(path string) (db *bolt.DB, spoilt, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			spoilt = fmt.Errorf("pages contradict each other: %v", r)
+		}
+	}()
+	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType, InitialMmapSize: startMmap})
+	return db, nil, err
+}
+
+// crashLoop counts starts that ended while the file was opened. What is spoilt in a way that reading doesn't show may end
+// the process each time; it guards against a machine that never comes back for it.
+func crashLoop(tries string) error {
+	text, _ := os.ReadFile(tries) // none: the last start went well
+	if len(text) >= startsBad {
+		_ = os.Remove(tries)
+		return fmt.Errorf("%d starts in a row ended while it was opened", len(text))
+	}
+	if err := os.WriteFile(tries, append(text, '.'), 0o600); err != nil {
+		return nil // a full disk: the file itself may still be sound
+	}
+	return nil
+}
+
+// believe reads a file through, without changing it, and says why it can't be believed.
+func believe(path string) (err error) {
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) || err == nil && info.Size() == 0 {
+		return nil
+	}
+	was := debug.SetPanicOnFault(true) // a page beyond the end of a file that was cut short
+	defer debug.SetPanicOnFault(was)
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("a page can't be read: %v", r)
+		}
+	}()
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, ReadOnly: true, InitialMmapSize: startMmap})
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	_, err = (&Archive{db: db}).load()
+	return err
+}
+
+// load reads all that the file holds, and makes what a new one lacks.
+func (a *Archive) load() (*State, error) {
+	s := &State{}
+	err := a.db.View(func(tx *bolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if meta == nil {
+			s.New = true
+			return nil
+		}
+		if err := s.readMeta(meta); err != nil {
+			return err
+		}
+		if err := s.readLog(tx.Bucket(logBucket)); err != nil {
+			return err
+		}
+		if err := each(tx.Bucket(serversBucket), func(k, v []byte) error {
+			var e directory.Entry
+			if err := get(k, v, &e); err != nil {
+				return fmt.Errorf("servers: %w", err)
+			}
+			s.Servers = append(s.Servers, e)
+			return nil
+		}); err != nil {
+			return err
+		}
+		return a.readLedger(tx.Bucket(ledgerBucket), s)
+	})
+	if err != nil || !s.New || a.db.IsReadOnly() {
+		return s, err
+	}
+	return s, a.db.Update(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{metaBucket, logBucket, ledgerBucket, serversBucket} {
+			if _, err := tx.CreateBucket(name); err != nil {
+				return err
+			}
+		}
+		return tx.Bucket(metaBucket).Put(formatKey, seal(formatKey, []byte{Format}))
+	})
+}
+
+var errBucket = errors.New("a bucket is missing")
+
+func each(b *bolt.Bucket, do func(k, v []byte) error) error {
+	if b == nil {
+		return errBucket
+	}
+	return b.ForEach(do)
+}
+
+func (s *State) readMeta(meta *bolt.Bucket) error {
+	sealed := meta.Get(formatKey)
+	if len(sealed) == 1 { // the first format had no sums
+		return fmt.Errorf("%w: %d, not %d", errFormat, sealed[0], Format)
+	}
+	f, err := unseal(formatKey, sealed)
+	if err != nil {
+		return fmt.Errorf("format: %w", err)
+	}
+	if len(f) != 1 || f[0] != Format {
+		return fmt.Errorf("%w: %v, not %d", errFormat, f, Format)
+	}
+	for _, one := range []struct {
+		key  []byte
+		into any
+	}{{hardKey, &s.Hard}, {snapKey, &s.Snapshot}, {membersKey, &s.Members}} {
+		if b := meta.Get(one.key); b != nil {
+			if err := get(one.key, b, one.into); err != nil {
+				return fmt.Errorf("%s: %w", one.key, err)
+			}
+		}
+	}
+	if len(s.Members) > 0 && meta.Get(hardKey) == nil {
+		return errors.New("there are members and no votes")
+	}
+	if b := meta.Get(blankKey); b != nil {
+		flag, err := unseal(blankKey, b)
+		if err != nil {
+			return fmt.Errorf("%s: %w", blankKey, err)
+		}
+		s.LedgerBlank = len(flag) > 0
+	}
+	return nil
+}
+
+func (s *State) readLog(log *bolt.Bucket) error {
+	next := s.Snapshot.Index + 1
+	return each(log, func(k, v []byte) error {
+		var e agreement.Entry
+		if err := get(k, v, &e); err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		if e.Index != next {
+			return fmt.Errorf("log: entry %d where %d belongs", e.Index, next)
+		}
+		next++
+		s.Entries = append(s.Entries, e)
+		return nil
+	})
+}
+
+func (a *Archive) readLedger(ledger *bolt.Bucket, s *State) error {
+	if ledger == nil {
+		return errBucket
+	}
+	return ledger.ForEachBucket(func(name []byte) error {
+		a.gens, a.bytes = append(a.gens, binary.BigEndian.Uint64(name)), append(a.bytes, 0)
+		return ledger.Bucket(name).ForEach(func(k, v []byte) error {
+			var r ticket.Record
+			if err := get(k, v, &r); err != nil {
+				return fmt.Errorf("ledger: %w", err)
+			}
+			n := binary.BigEndian.Uint64(k)
+			if a.seq != 0 && n != a.seq+1 {
+				return fmt.Errorf("ledger: line %d after line %d", n, a.seq)
+			}
+			a.seq = n
+			if r.Answer != nil {
+				a.bytes[len(a.bytes)-1] += int64(len(r.Answer.Body))
+			}
+			s.Records = append(s.Records, r)
+			return nil
+		})
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,6 +50,8 @@
 	compactAfter = 64 // entries of the log
 	historyKept  = 256
 	fullEvery    = 4 // pulses, of which one is full
+	memoryShare  = 0.25
+	diskShare    = 0.25 // what is freed in the file is used again only once no older head needs it
 )
 
 // Exchange is one control planner.
@@ -166,11 +168,15 @@
 		return err
 	}
 	window := x.set.Seconds("key_window_s", 60) + keySlack
-	a, state, err := archive.Open(dir, window)
+	answers := x.answersMost()
+	a, state, err := archive.Open(dir, window, answers)
 	if err != nil {
 		return err
 	}
 	x.archive = a
+	if state.Spoilt != nil {
+		_ = x.logger.Log("event", "disk spoilt", "put aside", "exchange.db.spoilt", "cause", state.Spoilt)
+	}
 	for _, ip := range x.set.SeedIPs() {
 		x.known[ip] = true
 	}
@@ -178,17 +184,19 @@
 	x.members = state.Members
 	// A disk without members never held a vote or a claim, or lost them: the file alone may be there since a start that was
 	// cut short right after the loss.
-	blank := len(state.Members) == 0 && !x.set.FirstStart
+	first := x.set.FirstStart && state.Spoilt == nil
+	blank := len(state.Members) == 0 && !first
 	seeds := x.set.SeedIPs()
 	slices.Sort(seeds)
-	x.founder = len(x.members) == 0 && x.set.FirstStart && x.set.Counted && len(seeds) > 0 && seeds[0] == x.set.IP
-	if len(x.members) == 0 && x.set.FirstStart && slices.Contains(seeds, x.set.IP) && len(seeds) >= x.wanted() {
+	x.founder = len(x.members) == 0 && first && x.set.Counted && len(seeds) > 0 && seeds[0] == x.set.IP
+	if len(x.members) == 0 && first && slices.Contains(seeds, x.set.IP) && len(seeds) >= x.wanted() {
 		x.members = seeds
 		if err := a.Commit([]*archive.Batch{{Members: x.members, Hard: &state.Hard}}); err != nil {
 			return err
 		}
 	}
 	x.ledger = ticket.NewLedger(window, blank || state.LedgerBlank)
+	x.ledger.Bound(answers)
 	for _, r := range state.Records {
 		x.ledger.Load(r, x.now())
 	}
@@ -199,13 +207,22 @@
 		}
 	}
 	x.blank = blank
-	x.fresh = len(state.Members) == 0 && x.set.FirstStart
+	x.fresh = len(state.Members) == 0 && first
 	if len(x.members) > 0 {
 		return x.join(state)
 	}
 	return nil
 }
 
+// answersMost is how many bytes the answers of keyed operations may take, in memory and on disk.
+func (x *Exchange) answersMost() int64 {
+	most := memoryShare * x.set.Limits.MemoryMB
+	if disk := x.set.Limits.DiskMB; disk > 0 {
+		most = min(most, diskShare*disk)
+	}
+	return int64(most * (1 << 20))
+}
+
 // wanted is how many members the agreement needs, so that more than half remain when as many as are borne are lost.
 func (x *Exchange) wanted() int { return 2*x.set.Tolerance.Machines + 1 }
 
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -67,12 +67,22 @@
 	ages   []aged
 	voided map[Token]time.Duration // withdrawn before the claim came: it may still be on its way
 	blank  bool
+
+	answered []answered // oldest first
+	bytes    int64      // of answers' bodies
+	most     int64      // that they may take; 0: any
+}
+
+type answered struct {
+	key   Key
+	token Token
 }
 
 type claim struct {
 	Record
 	born    time.Duration
 	durable bool
+	ran     bool // an answer came, whether or not it is still held
 }
 
 type aged struct {
@@ -85,21 +95,60 @@
 	return &Ledger{window: window, claims: map[Key]*claim{}, voided: map[Token]time.Duration{}, blank: blank}
 }
 
+// Bound sets how many bytes the bodies of answers may take. The oldest go first: a repeat comes soon or never, and one
+// that comes late is told that the operation is at work.
+func (l *Ledger) Bound(bytes int64) { l.most = bytes }
+
+// keep holds an answer of a claim.
+func (l *Ledger) keep(c *claim, a *Answer) {
+	if c.ran || a == nil {
+		return
+	}
+	c.Answer, c.ran = a, true
+	l.bytes += int64(len(a.Body))
+	l.answered = append(l.answered, answered{c.Key, c.Token})
+	n := 0
+	for ; l.most > 0 && l.bytes > l.most; n++ {
+		if old := l.claims[l.answered[n].key]; old != nil && old.Token == l.answered[n].token {
+			l.forget(old)
+		}
+	}
+	l.answered = l.answered[n:]
+}
+
+func (l *Ledger) forget(c *claim) {
+	if c.Answer != nil {
+		l.bytes -= int64(len(c.Answer.Body))
+		c.Answer = nil
+	}
+}
+
+// drop takes a claim out.
+func (l *Ledger) drop(c *claim) {
+	l.forget(c)
+	delete(l.claims, c.Key)
+	n := 0
+	for ; n < len(l.answered); n++ {
+		if c := l.claims[l.answered[n].key]; c != nil && c.Token == l.answered[n].token && c.Answer != nil {
+			break
+		}
+	}
+	l.answered = l.answered[n:]
+}
+
 // Load takes over a line that the disk held. Its age is not known: it counts from now.
 func (l *Ledger) Load(r Record, now time.Duration) {
 	c := l.claims[r.Key]
 	switch {
 	case r.Void:
 		if c != nil && c.Token == r.Token {
-			delete(l.claims, r.Key)
+			l.drop(c)
 		}
 	case c == nil || c.Token != r.Token:
 		l.add(r, now).durable = true
 	default:
 		c.Copied, c.Contested = c.Copied || r.Copied, c.Contested || r.Contested
-		if r.Answer != nil {
-			c.Answer = r.Answer
-		}
+		l.keep(c, r.Answer)
 	}
 }
 
@@ -118,8 +167,14 @@
 }
 
 func (l *Ledger) add(r Record, now time.Duration) *claim {
+	a := r.Answer
+	r.Answer = nil
 	c := &claim{Record: r, born: now}
+	if old := l.claims[r.Key]; old != nil {
+		l.forget(old)
+	}
 	l.claims[r.Key] = c
+	l.keep(c, a)
 	l.ages = append(l.ages, aged{r.Key, now})
 	return c
 }
@@ -164,15 +219,15 @@
 // Failed tells that a claim could not be stored. One that was durable before stays.
 func (l *Ledger) Failed(key Key, token Token) {
 	if c := l.claims[key]; c != nil && c.Token == token && !c.durable {
-		delete(l.claims, key)
+		l.drop(c)
 	}
 }
 
 // Void withdraws a claim under which nothing was run, or ever will be.
 func (l *Ledger) Void(key Key, token Token, now time.Duration) (r Record, store bool) {
 	l.voided[token] = now
-	if c := l.claims[key]; c != nil && c.Token == token && c.Answer == nil && !c.Contested {
-		delete(l.claims, key)
+	if c := l.claims[key]; c != nil && c.Token == token && !c.ran && !c.Contested {
+		l.drop(c)
 		return Record{Key: key, Token: token, Void: true}, true
 	}
 	return Record{}, false
@@ -182,7 +237,7 @@
 func (l *Ledger) Done(r Record, now time.Duration) {
 	if c := l.claims[r.Key]; c != nil {
 		if c.Token == r.Token {
-			c.Answer = r.Answer
+			l.keep(c, r.Answer)
 		}
 		return
 	}
@@ -209,7 +264,7 @@
 	n := 0
 	for ; n < len(l.ages) && now-l.ages[n].born > l.window; n++ {
 		if c := l.claims[l.ages[n].key]; c != nil && now-c.born > l.window {
-			delete(l.claims, l.ages[n].key)
+			l.drop(c)
 		}
 	}
 	if n > 0 {
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -65,6 +65,28 @@
 		l.Failed(key, token(1))
 		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Granted))
 	})
+	It("holds answers within its bound, the newest, and gives up none of the claims", func() {
+		l := ticket.NewLedger(window, false)
+		l.Bound(1000)
+		name := func(n uint64) ticket.Key { return ticket.KeyOf("t", fmt.Sprint(n)) }
+		for n := range uint64(30) {
+			now := time.Duration(n) * 3 * time.Second
+			l.Expire(now)
+			put(l, ticket.Record{Key: name(n), Token: token(n)}, now)
+			l.Done(ticket.Record{Key: name(n), Token: token(n), Answer: &ticket.Answer{Status: 200, Body: make([]byte, 100+n)}}, now)
+			l.Void(name(n), token(n), now)
+			held, bytes := 0, uint64(0)
+			for m := range n + 1 {
+				if a := l.Answer(name(m), token(m)); a != nil {
+					held, bytes = held+1, bytes+uint64(len(a.Body))
+					Expect(m).To(BeNumerically(">", int(n)-10))
+				}
+			}
+			Expect(bytes).To(BeNumerically("<=", 1000))
+			Expect(held).To(BeNumerically(">=", min(int(n)+1, 7)))
+			Expect(put(l, ticket.Record{Key: name(n - min(n, 15)), Token: token(99)}, now)).To(Equal(ticket.Held), "one whose answer is gone has run all the same")
+		}
+	})
 	It("keeps a claim for its window, and no longer", func() {
 		l := ticket.NewLedger(window, false)
 		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
