Compare cells of servers by their sums, and send what differs

Need: an exchange that had lost its link to another marks that one's servers silent and tells a third, which never hears that they beat on: news is told once, and only a new link sends all. Edges never forgot lives that are gone.

Change: the directory keeps its lives in cells, one a zone, each with a sum; full pulses carry the sum of all, and ends that differ twice in a row compare cell by cell.

--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -210,6 +210,7 @@
 		c.conns.sweep(idle, idle+time.Duration(longest*float64(time.Second))+activeBeyond)
 	}
 	c.mu.Lock()
+	c.dir.Forget(c.now())
 	lines := make([]*line, 0, len(c.lines))
 	for _, l := range c.lines {
 		lines = append(lines, l)
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -150,6 +150,7 @@
 	c.claims.again(c)
 	_ = c.logger.Log("event", "home", "exchange", at.ip, "zone", at.zone, "attached", at.attached)
 	var looked time.Duration
+	var cells trunk.Comparing
 	detached := time.Duration(0)
 	_ = link.Read(func(f *trunk.Frame) { // its end is logged below
 		if p := f.Pulse; p != nil {
@@ -157,6 +158,13 @@
 			h.learn(p.Exchanges)
 			link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
 			now := c.now()
+			if p.Full {
+				c.mu.Lock()
+				if cells.Due(p.Sum, c.dir.Sum(), now) {
+					link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: c.dir.Sums()}})
+				}
+				c.mu.Unlock()
+			}
 			if !p.Attached {
 				if detached == 0 {
 					detached = now
@@ -308,6 +316,14 @@
 	if len(f.Entries) > 0 {
 		c.heard(f.Entries)
 	}
+	if f.Cells != nil {
+		c.mu.Lock()
+		answer := f.Cells.Compare(c.dir, c.now())
+		c.mu.Unlock()
+		if answer != nil {
+			link.Send(answer)
+		}
+	}
 	if f.Hello != nil && f.Hello.Blank {
 		c.claims.restore(link)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,12 +1,19 @@
 // Package directory is the register of servers: what their beats say, merged so that the order in which planners hear
 // of it doesn't matter. A life (an id) only ever goes from ready to draining to gone; a late beat, a late planner or an
 // old snapshot can't undo that. It does no I/O and has no clock.
+//
+// Lives are kept in cells, one a zone. A cell has a sum over what others have to know of its lives, so that two planners
+// can tell at the cost of a few bytes whether they hold the same, and which cells to compare where they don't.
 package directory
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // State of a server's life. It only grows.
@@ -54,18 +61,21 @@
 // Directory holds all lives that are known, tombstones included.
 type Directory struct {
 	entries map[string]*held
-	hold    time.Duration // how long a life that is gone is remembered
+	cells   map[string]uint64 // sums by zone, without lives that are gone: those are forgotten at different times
+	hold    time.Duration     // how long a life that is gone is remembered
 }
 
 type held struct {
 	Entry
 	heard time.Duration // when a beat last came here, or the entry last changed
 	warm  time.Duration // when it will be warm
+	sum   uint64        // as counted in its cell
+	cell  string
 }
 
 // New makes an empty directory that remembers lives that are gone for a time.
 func New(hold time.Duration) *Directory {
-	return &Directory{entries: map[string]*held{}, hold: hold}
+	return &Directory{entries: map[string]*held{}, cells: map[string]uint64{}, hold: hold}
 }
 
 // Take merges an account heard at now and tells whether anything changed that others have to know.
@@ -77,6 +87,7 @@
 		}
 		h = &held{Entry: e, heard: now, warm: now + time.Duration(e.Warmup*float64(time.Second))}
 		d.entries[e.ID] = h
+		d.count(h)
 		return h.Entry, true
 	}
 	merged := Merge(h.Entry, e)
@@ -89,9 +100,40 @@
 		}
 	}
 	h.Entry = merged
+	if news {
+		d.count(h)
+	}
 	return h.Entry, news
 }
 
+// count brings the sum of a life's cell up to date.
+func (d *Directory) count(h *held) {
+	d.cells[h.cell] ^= h.sum
+	h.cell, h.sum = h.Zone, 0
+	if h.State != Gone {
+		h.sum = xxh3.HashString(fmt.Sprint(h.ID, "\x00", h.Service, "\x00", h.Address, "\x00", h.Owner, "\x00", h.State, h.Silent, h.Capacity))
+	}
+	d.cells[h.cell] ^= h.sum
+}
+
+// Sum is that of all cells.
+func (d *Directory) Sum() (all uint64) {
+	for zone, sum := range d.cells {
+		if sum != 0 {
+			all ^= xxh3.HashStringSeed(zone, sum)
+		}
+	}
+	return all
+}
+
+// Sums are those of the cells, by zone.
+func (d *Directory) Sums() map[string]uint64 { return maps.Clone(d.cells) }
+
+// In gives the lives of some cells.
+func (d *Directory) In(zones map[string]bool, now time.Duration) []Entry {
+	return slices.DeleteFunc(d.All(now), func(e Entry) bool { return !zones[e.Zone] })
+}
+
 // Get finds a life.
 func (d *Directory) Get(id string) (Entry, bool) {
 	if h := d.entries[id]; h != nil {
@@ -103,18 +145,18 @@
 // Silence marks the lives whose beats stopped: those of this owner, and of owners that are lost. It also forgets lives
 // that are long gone. It returns what others have to know.
 func (d *Directory) Silence(owner string, lost func(owner string) bool, after, now time.Duration) (changed []Entry) {
-	for id, h := range d.entries {
+	d.Forget(now)
+	for _, h := range d.entries {
 		if h.State == Gone {
-			if now-h.heard > d.hold {
-				delete(d.entries, id)
-			}
 			continue
 		}
 		if !h.Silent && now-h.heard > after && (h.Owner == owner || lost(h.Owner)) {
 			h.Silent, h.heard = true, now
+			d.count(h)
 			changed = append(changed, h.Entry)
 		} else if h.Silent && now-h.heard > d.hold {
 			h.State, h.heard = Gone, now
+			d.count(h)
 			changed = append(changed, h.Entry)
 		}
 	}
@@ -122,6 +164,15 @@
 	return changed
 }
 
+// Forget drops lives that are long gone.
+func (d *Directory) Forget(now time.Duration) {
+	for id, h := range d.entries {
+		if h.State == Gone && now-h.heard > d.hold {
+			delete(d.entries, id)
+		}
+	}
+}
+
 // All gives every life that is known, in order, with the warm-up that is left now.
 func (d *Directory) All(now time.Duration) []Entry {
 	all := make([]Entry, 0, len(d.entries))
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -90,4 +91,43 @@
 			}
 		}
 	})
+	It("has the same sums as another that holds the same, and others in the cells that differ", func() {
+		rng := rand.New(rand.NewPCG(4, 4))
+		zones := []string{"a", "b", "c"}
+		for range 300 {
+			one, two := directory.New(time.Minute), directory.New(time.Minute)
+			var all []directory.Entry
+			for i := range 12 {
+				e := entry(uint64(1+rng.IntN(3)), directory.State(rng.IntN(3)))
+				e.ID, e.Zone, e.Silent = fmt.Sprint(i%6), zones[i%3], rng.IntN(3) == 0
+				all = append(all, e)
+			}
+			for _, e := range all {
+				one.Take(e, 0)
+			}
+			rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			for _, e := range all {
+				two.Take(e, 0)
+			}
+			Expect(one.Sum()).To(Equal(two.Sum()))
+			extra := entry(9, directory.Ready)
+			extra.ID, extra.Zone = "new", zones[rng.IntN(3)]
+			two.Take(extra, 0)
+			Expect(one.Sum()).NotTo(Equal(two.Sum()))
+			for _, z := range zones {
+				Expect(one.Sums()[z] == two.Sums()[z]).To(Equal(z != extra.Zone))
+			}
+			extra.State = directory.Gone
+			two.Take(extra, 0)
+			Expect(one.Sum()).To(Equal(two.Sum()), "what is gone doesn't count: it is forgotten at different times")
+		}
+	})
+	It("forgets what is long gone", func() {
+		d := directory.New(time.Minute)
+		d.Take(entry(5, directory.Gone), 0)
+		d.Forget(time.Minute)
+		Expect(d.All(0)).To(HaveLen(1))
+		d.Forget(time.Minute + 1)
+		Expect(d.All(0)).To(BeEmpty())
+	})
 })
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -23,6 +23,7 @@
 	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
 	attached bool
 	hears    []string // exchanges that it has links to
+	cells    trunk.Comparing
 	usual    []trunk.Zoned
 }
 
@@ -195,6 +196,10 @@
 		p.attached, p.fleet = f.Pulse.Attached, f.Pulse.Edges
 		if f.Pulse.Full {
 			p.hears, p.usual = f.Pulse.Exchanges, f.Pulse.Usual
+			if p.cells.Due(f.Pulse.Sum, x.dir.Sum(), x.now()) {
+				_ = x.logger.Log("event", "cells compared", "with", p.node)
+				p.link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: x.dir.Sums()}})
+			}
 		}
 		for _, ip := range f.Pulse.Exchanges {
 			x.meet(ip)
@@ -208,6 +213,11 @@
 	if len(f.Entries) > 0 {
 		x.heardEntries(p, f.Entries, f.Receipt)
 	}
+	if f.Cells != nil {
+		if answer := f.Cells.Compare(x.dir, x.now()); answer != nil {
+			p.link.Send(answer)
+		}
+	}
 	if f.Received != 0 {
 		if r := x.receipts[f.Received]; r != nil {
 			delete(r.need, p)
@@ -296,6 +306,7 @@
 		p.Exchanges = append(p.Exchanges, ip)
 	}
 	slices.Sort(p.Exchanges)
+	p.Sum = x.dir.Sum()
 	return p
 }
 
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -30,6 +30,14 @@
 	Copy     bool                `cbor:"18,keyasint,omitempty"` // the whole ledger is wanted
 	Copied   *Copied             `cbor:"19,keyasint,omitempty"`
 	NeedAll  bool                `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
+	Cells    *Cells              `cbor:"21,keyasint,omitempty"`
+}
+
+// Cells compares what two processes hold of servers, cell by cell. The answer comes with the lives of the cells that
+// differ in Entries.
+type Cells struct {
+	Sums   map[string]uint64 `cbor:"1,keyasint,omitempty"` // by zone
+	Answer bool              `cbor:"2,keyasint,omitempty"`
 }
 
 // Hello opens a connection, both ways.
@@ -56,6 +64,7 @@
 	Full      bool     `cbor:"6,keyasint,omitempty"`
 	Exchanges []string `cbor:"4,keyasint,omitempty"`
 	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
+	Sum       uint64   `cbor:"8,keyasint,omitempty"` // of the servers that the sender knows, in full pulses
 }
 
 // Zoned is a zone's traffic of one service.
