Make the edge's picks, the way of a request and the registrar's notices pure packages

Need: what an edge picks, what the ending of a try allows, and when a leaving server is acknowledged were woven into sockets and locks, so the rehearsal could not play them.

Change: internal/finder picks lines, internal/cord holds the table of endings and what may follow, internal/notice says who is told what of servers and when a call is acknowledged; crossbar and exchange are their hosts. Decisions are the same.

--- a/internal/crossbar/bodies_test.go
+++ b/internal/crossbar/bodies_test.go
@@ -142,7 +142,7 @@
 						h.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 					}
 					synctest.Wait()
-					h.g.Expect(h.lines["i-1"].out).To(Equal(0), "its place is given back")
+					h.g.Expect(h.lines.Line("i-1").Out()).To(Equal(0), "its place is given back")
 				})
 			})
 		})
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -18,6 +18,7 @@
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/finder"
 	"mulleinwood/internal/meter"
 	"mulleinwood/internal/night"
 	"mulleinwood/internal/tally"
@@ -42,12 +43,10 @@
 	life   uint64
 
 	tree  atomic.Pointer[dialplan.Tree]
-	view  atomic.Pointer[view]
 	edges atomic.Int32 // in the whole fleet, as the home exchange last told
 
 	mu     sync.Mutex
 	dir    *directory.Directory
-	lines  map[string]*line // by server id
 	meters map[string]*meter.Meter
 	asked  map[string]*trunk.Asked
 
@@ -56,6 +55,7 @@
 		second int64
 		lines  map[string]int
 	}
+	lines    lines
 	tally    *tally.Tally
 	home     home
 	claims   claims
@@ -71,11 +71,11 @@
 
 // New makes an edge that holds nothing yet.
 func New(set *boot.Settings, logger log.Logger) *Crossbar {
-	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, lines: map[string]*line{},
+	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1,
 		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
 	c.dir = directory.New(tombstones)
 	c.tally = tally.New(tally.Crossbar)
-	c.view.Store(&view{})
+	c.lines.Finder = finder.New(set.Zone, rand.Float64)
 	c.home.known, c.home.zones, c.home.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
 	for _, ip := range set.SeedIPs() {
 		c.home.known[ip] = true
@@ -151,13 +151,19 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if c.leaving.Load() || c.tree.Load() == nil || len(c.view.Load().services) == 0 {
+	if c.leaving.Load() || c.tree.Load() == nil || !c.knowsServers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (c *Crossbar) knowsServers() bool {
+	c.lines.mu.Lock()
+	defer c.lines.mu.Unlock()
+	return c.lines.Len() > 0
+}
+
 // work does what is due by the clock.
 func (c *Crossbar) work(ctx context.Context) {
 	tick := time.NewTicker(reportEvery)
@@ -211,26 +217,26 @@
 	}
 	c.mu.Lock()
 	c.dir.Forget(c.now())
-	lines := make([]*line, 0, len(c.lines))
-	for _, l := range c.lines {
-		lines = append(lines, l)
-	}
 	c.mu.Unlock()
+	c.lines.mu.Lock()
+	lines := c.lines.All()
+	c.lines.mu.Unlock()
 	for _, l := range lines {
-		l.sweep(c.now())
+		l.Host.(*line).sweep(c.now())
 	}
 }
 
 // report tells the home exchange what was met since the last report.
 func (c *Crossbar) report() {
 	r := &trunk.Report{Period: reportEvery.Seconds()}
-	c.mu.Lock()
-	for id, l := range c.lines {
-		if m := l.met(); m.Tries > 0 {
-			m.Server = id
-			r.Met = append(r.Met, m)
+	c.lines.mu.Lock()
+	for _, l := range c.lines.All() {
+		if m := c.lines.Met(l); m.Tries > 0 {
+			r.Met = append(r.Met, trunk.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
 		}
 	}
+	c.lines.mu.Unlock()
+	c.mu.Lock()
 	for _, a := range c.asked {
 		r.Asked = append(r.Asked, *a)
 	}
--- a/internal/crossbar/crossbar_test.go
+++ b/internal/crossbar/crossbar_test.go
@@ -71,8 +71,8 @@
 		defer func() {
 			link.Close()
 			h.exchange.Close()
-			for _, l := range h.lines {
-				l.end()
+			for _, l := range h.lines.All() {
+				l.Host.(*line).end()
 			}
 			synctest.Wait()
 		}()
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"mulleinwood/internal/cord"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/meter"
 	"mulleinwood/internal/ticket"
@@ -31,24 +32,9 @@
 	staleRank   = 1000 // below every priority
 )
 
-// ending says how a try at a server went.
-type ending uint8
-
-// The endings. Only the first two allow a try elsewhere for what must not run twice.
-const (
-	notSent ending = iota // no byte left for the server
-	notRun                // the server says that it did not run
-	ran                   // a whole answer of this try came
-	perhaps               // anything else
-)
-
-func (e ending) String() string {
-	return [...]string{"not_sent", "not_run", "ran", "perhaps"}[min(e, perhaps)]
-}
-
 // outcome is how a try ended, and the answer if there is one.
 type outcome struct {
-	ending ending
+	ending cord.Ending
 	status int
 	header http.Header
 	body   []byte
@@ -111,7 +97,7 @@
 	aim     time.Duration
 	began   time.Duration
 	tried   []*line
-	sent    int  // tries that reached a server
+	way     cord.Cord
 	stale   bool // the client has waited for longer than the aim: what is fresh is worth more
 }
 
@@ -176,12 +162,12 @@
 		for name, value := range ruling.Answer.Headers {
 			header.Set(name, value)
 		}
-		c.answer(w, t, outcome{ending: ran, status: ruling.Answer.Status, header: header, body: ruling.Answer.Body})
+		c.answer(w, t, outcome{ending: cord.Ran, status: ruling.Answer.Status, header: header, body: ruling.Answer.Body})
 		return
 	}
 	out := c.run(t)
 	switch out.ending {
-	case ran:
+	case cord.Ran:
 		if out.rest != nil {
 			break // too long to be kept: repeats are told that the operation is at work until its window is over
 		}
@@ -192,7 +178,7 @@
 			}
 		}
 		c.finish(key, token, a)
-	case notSent, notRun:
+	case cord.NotSent, cord.NotRun:
 		c.withdraw(key, token)
 	}
 	c.answer(w, t, out)
@@ -201,57 +187,47 @@
 // run sends a request to servers until one answers, or no further try is allowed.
 func (c *Crossbar) run(t *task) (out outcome) {
 	m := c.asks(t.service)
-	out = outcome{ending: notSent, err: tone.NoServer.New("no server of %s", t.service)}
-	spent := false
-	for attempt := 0; ; {
-		left := t.until - c.now() - wayBack
-		if left < leastTime {
-			if t.sent == 0 {
-				return outcome{ending: notSent, err: tone.Busy.New("no time left")}
+	out = outcome{ending: cord.NotSent, err: tone.NoServer.New("no server of %s", t.service)}
+	way := &t.way
+	way.Safe, way.Most = t.route.Kind == dialplan.Safe, t.route.Tries
+	for {
+		if t.until-c.now()-wayBack < leastTime {
+			if way.Sent == 0 {
+				return outcome{ending: cord.NotSent, err: tone.Busy.New("no time left")}
 			}
 			return out
 		}
-		l := c.seize(t, attempt > 0)
+		l := c.seize(t, way.Sent > 0)
 		if l == nil {
-			if t.sent == 0 && out.ending == notSent {
+			if way.Sent == 0 && out.ending == cord.NotSent {
 				out.err = tone.Busy.New("no room at %s", t.service)
 			}
-			if spent {
+			if way.Paid {
 				c.back(m)
 			}
 			return out
 		}
 		t.tried = append(t.tried, l)
-		next := c.try(t, l)
-		c.tally.Tries.WithLabelValues(next.ending.String()).Inc()
+		out = c.try(t, l)
+		c.tally.Tries.WithLabelValues(out.ending.String()).Inc()
 		c.waiting.wake(t.service)
-		out = next
-		if next.ending != notSent {
-			t.sent++
-			attempt++
-			spent = false
-		}
-		safe := t.route.Kind == dialplan.Safe
-		again := next.ending == notSent || next.ending == notRun || next.ending == perhaps && safe ||
-			next.ending == ran && safe && next.status >= 500
-		if t.rest != nil && t.rest.touched.Load() || next.rest != nil { // what was read of either body is not held
-			again = false
-		}
-		if !again || t.sent >= t.route.Tries || len(t.tried) > 6 || c.now() > t.until-leastTime {
+		held := out.rest == nil && (t.rest == nil || !t.rest.touched.Load())
+		next := way.Ended(out.ending, out.status, held)
+		if next == cord.Stop || c.now() > t.until-leastTime {
 			return out
 		}
-		if t.sent > 0 && !spent { // the next server may be the second that this request reaches
+		if next == cord.Pay {
 			if !c.spend(m) {
 				return out
 			}
-			spent = true
+			way.Paid = true
 		}
 	}
 }
 
 // seize finds a server with room, waiting a little for one.
 func (c *Crossbar) seize(t *task, further bool) *line {
-	if l := c.pick(t.service, t.tried); l != nil || further || len(c.view.Load().services[t.service]) == 0 {
+	if l := c.pick(t.service, t.tried); l != nil || further || !c.serves(t.service) {
 		return l // without any server there is nothing to wait for
 	}
 	limit, rank := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4), t.route.Priority
@@ -307,19 +283,19 @@
 		}
 	}()
 	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
-	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != dialplan.Safe && c.distrusts(l.service))
+	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != dialplan.Safe && c.distrusts(l.Service))
 	dialDone()
 	if err != nil {
-		l.done(c.now(), 0, false, false)
-		return outcome{ending: notSent, err: tone.NoServer.Wrap(err, "dial")}
+		c.done(l, 0, false, false)
+		return outcome{ending: cord.NotSent, err: tone.NoServer.Wrap(err, "dial")}
 	}
 	l.mu.Lock()
 	dead := l.dead
 	l.mu.Unlock()
 	if dead { // it began to leave while we dialled
 		k.conn.Close()
-		l.done(c.now(), 0, false, false)
-		return outcome{ending: notSent, err: tone.NoServer.New("server left")}
+		c.done(l, 0, false, false)
+		return outcome{ending: cord.NotSent, err: tone.NoServer.New("server left")}
 	}
 	req := c.request(ctx, t, l)
 	sent := c.now()
@@ -330,21 +306,21 @@
 		if ctx.Err() != nil {
 			kind = tone.TimedOut
 		} else if t.rest != nil && t.rest.failed.Load() != nil { // the client broke off, or was too slow: not the server's doing
-			l.done(c.now(), 0, true, true)
-			return outcome{ending: perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
+			c.done(l, 0, true, true)
+			return outcome{ending: cord.Perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
 		} else if k.used {
-			c.distrust(l.service)
+			c.distrust(l.Service)
 		}
-		l.done(c.now(), 0, true, false)
-		return outcome{ending: perhaps, err: kind.Wrap(err, "server %s", l.id)}
+		c.done(l, 0, true, false)
+		return outcome{ending: cord.Perhaps, err: kind.Wrap(err, "server %s", l.ID)}
 	}
 	out = c.read(t, l, resp)
 	now := c.now()
-	answered := out.ending == ran && out.status < 500
-	if out.ending == perhaps {
-		c.distrust(l.service)
+	answered := out.ending == cord.Ran && out.status < 500
+	if out.ending == cord.Perhaps {
+		c.distrust(l.Service)
 	} else {
-		l.tell(resp.Header, now)
+		c.tell(l, resp.Header)
 	}
 	end := func(whole bool) {
 		if !whole || resp.Close || t.rest != nil { // after a long body it isn't known whether all of it was taken
@@ -352,10 +328,10 @@
 		} else {
 			l.free(k, c.now(), resp.Header)
 		}
-		l.done(c.now(), now-sent, true, answered)
+		c.done(l, now-sent, true, answered)
 	}
 	if out.rest == nil {
-		end(out.ending != perhaps)
+		end(out.ending != cord.Perhaps)
 		return out
 	}
 	out.end = func(whole bool) {
@@ -387,7 +363,7 @@
 	header := endToEnd(t.r.Header)
 	left := max(1, (t.until - c.now() - wayBack).Milliseconds())
 	header["X-Deadline-Ms"] = []string{strconv.FormatInt(left, 10)}
-	header["X-Expected-Instance"] = []string{l.id}
+	header["X-Expected-Instance"] = []string{l.ID}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // so that none is added
 	}
@@ -419,35 +395,44 @@
 			resp.Body.Close()
 		}
 	}()
-	bad := func(why string, args ...any) outcome {
-		return outcome{ending: perhaps, err: tone.PerhapsRun.New(why, args...)}
-	}
-	if got := resp.Header.Get("X-Attempt-Id"); got != t.id {
-		return bad("server %s answered another try: %q", l.id, got)
-	}
 	bare := t.r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare {
-		return bad("answer of server %s has no end of its own", l.id)
-	}
 	most := int64(answerHeld)
 	if t.route.Kind == dialplan.Keyed {
 		most = answerKept
 	}
-	body, whole, booked, err := c.held.hold(resp.Body, resp.ContentLength, most)
-	t.booked += booked
-	if err != nil {
-		return bad("answer of server %s breaks off: %s", l.id, err)
-	}
-	if resp.Header.Get("X-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest {
-		if !whole {
-			return bad("server %s turns it away at length", l.id)
+	a := cord.Answer{Came: true, Ours: resp.Header.Get("X-Attempt-Id") == t.id, Ends: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bare,
+		NotRun: resp.Header.Get("X-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest,
+		Good:   resp.StatusCode/100 == 2, Sealed: resp.Header.Get("X-Server-Seal") != ""}
+	var body []byte
+	var whole bool
+	var err error
+	if a.Ours && a.Ends {
+		var booked int64
+		body, whole, booked, err = c.held.hold(resp.Body, resp.ContentLength, most)
+		t.booked += booked
+		a.Whole = err == nil && (whole || !a.NotRun) // what turns a request away is short
+	}
+	switch a.Ending() {
+	case cord.Perhaps:
+		why := "answer of server " + l.ID
+		switch {
+		case !a.Ours:
+			why += " belongs to another try: " + strconv.Quote(resp.Header.Get("X-Attempt-Id"))
+		case !a.Ends:
+			why += " has no end of its own"
+		case err != nil:
+			why += " breaks off: " + err.Error()
+		case !a.Whole:
+			why += " turns it away at length"
+		default:
+			why += " is a success without a seal"
 		}
-		return outcome{ending: notRun, status: resp.StatusCode, header: resp.Header, body: body, err: tone.NotRun.New("server %s turned it away with %d", l.id, resp.StatusCode)}
-	}
-	if resp.StatusCode/100 == 2 && resp.Header.Get("X-Server-Seal") == "" {
-		return bad("success of server %s without a seal", l.id)
+		return outcome{ending: cord.Perhaps, err: tone.PerhapsRun.New("%s", why)}
+	case cord.NotRun:
+		return outcome{ending: cord.NotRun, status: resp.StatusCode, header: resp.Header, body: body,
+			err: tone.NotRun.New("server %s turned it away with %d", l.ID, resp.StatusCode)}
 	}
-	out = outcome{ending: ran, status: resp.StatusCode, header: resp.Header, body: body}
+	out = outcome{ending: cord.Ran, status: resp.StatusCode, header: resp.Header, body: body}
 	if !whole {
 		out.rest, out.length = resp.Body, resp.ContentLength
 	}
@@ -456,10 +441,10 @@
 
 // answer passes on what a server said, or says why nobody did.
 func (c *Crossbar) answer(w http.ResponseWriter, t *task, out outcome) {
-	if out.ending != ran {
+	if out.ending != cord.Ran {
 		err := out.err
-		if out.ending == notSent || out.ending == notRun {
-			if t.sent > 0 && out.ending == notSent && !errorx.IsOfType(err, tone.NotRun) {
+		if out.ending == cord.NotSent || out.ending == cord.NotRun {
+			if t.way.Sent > 0 && out.ending == cord.NotSent && !errorx.IsOfType(err, tone.NotRun) {
 				err = tone.NotRun.Wrap(err, "turned away before")
 			}
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/night"
+	"mulleinwood/internal/notice"
 	"mulleinwood/internal/tally"
 	"mulleinwood/internal/ticket"
 	"mulleinwood/internal/trunk"
@@ -40,8 +41,6 @@
 	claimHurry   = 20 * time.Millisecond
 	claimLimit   = 900 * time.Millisecond
 	fetchLimit   = 300 * time.Millisecond
-	receiptNear  = 300 * time.Millisecond // for edges to say that they hold an entry
-	receiptFar   = 600 * time.Millisecond // and for other exchanges, theirs included
 	redialEvery  = 300 * time.Millisecond
 	dialLimit    = 400 * time.Millisecond
 	storeAgain   = 100 * time.Millisecond
@@ -78,8 +77,9 @@
 	peers               map[string]*peer // exchanges by IP
 	edges               map[string]*peer // by IP
 	guests              map[*peer]bool
-	receipts            map[uint64]*receipt
-	nextRcpt            uint64
+	board               *notice.Board
+	calls               map[uint64]func() // of servers, to be acknowledged
+	nextCall            uint64
 	fetches             map[ticket.Token]*fetch
 	tables              *tables
 	known               map[string]bool   // IPs of exchanges
@@ -87,8 +87,7 @@
 	fresh               bool              // the whole system starts for the first time
 	lives               map[string]uint64 // of exchanges, when last met
 	claimers            map[ticket.Token]*peer
-	acked               map[string]directory.State // of servers that are leaving, what was acknowledged here
-	goneSince           map[string]time.Duration   // exchanges out of reach
+	goneSince           map[string]time.Duration // exchanges out of reach
 	nextPulse, nextCopy time.Duration
 	pulses              int
 	draining            bool   // told to end
@@ -99,11 +98,12 @@
 func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
 	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
 		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{},
-		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, receipts: map[uint64]*receipt{},
+		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, calls: map[uint64]func(){},
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
 	reloads := night.Reloads()
 	x.dir = directory.New(tombstones)
+	x.board = notice.New(x.dir)
 	x.tally = tally.New(tally.Exchange)
 	x.tables = newTables(x)
 	if err := x.open(); err != nil {
@@ -342,13 +342,14 @@
 	x.askCopies(now)
 	x.pulse(now)
 	x.overdue(now)
+	x.board.Tick(now)
 	x.tables.tick(now)
 	changed := x.dir.Silence(x.set.IP, x.lost, time.Duration(silentBeats*x.set.BeatPeriod*float64(time.Second)), now)
 	if len(changed) > 0 {
 		for _, e := range changed {
 			_ = x.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.State == directory.Gone)
 		}
-		x.spread(changed, nil, 0, nil)
+		x.board.Changed(changed, now)
 	}
 }
 
@@ -385,6 +386,7 @@
 		x.answerReads()
 		x.sayRole()
 	}
+	x.tell()
 	x.store.run(x)
 }
 
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -3,9 +3,9 @@
 import (
 	"net"
 	"slices"
+	"strings"
 	"time"
 
-	"mulleinwood/internal/directory"
 	"mulleinwood/internal/trunk"
 )
 
@@ -22,16 +22,27 @@
 	edge     bool
 	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
 	attached bool
-	hears    []string // exchanges that it has links to
 	cells    trunk.Comparing
 	usual    []trunk.Zoned
 }
 
-// receipt waits until others hold what was spread.
-type receipt struct {
-	need  map[*peer]bool
-	until time.Duration
-	done  func()
+// name is how the notice board knows a peer.
+func (p *peer) name() string {
+	if p.edge {
+		return "edge " + p.ip
+	}
+	return exchangeName(p.ip)
+}
+
+func exchangeName(ip string) string { return "exchange " + ip }
+
+// named finds the peer that the board means.
+func (x *Exchange) named(name string) *peer {
+	kind, ip, _ := strings.Cut(name, " ")
+	if kind == "edge" {
+		return x.edges[ip]
+	}
+	return x.peers[ip]
 }
 
 // accept takes links in.
@@ -138,6 +149,7 @@
 		delete(x.goneSince, p.ip)
 		x.meet(p.ip)
 	}
+	x.board.Join(p.name(), p.edge)
 	_ = x.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
 	answer := x.hello()
 	answer.Blank = x.ledger.Blank()
@@ -164,10 +176,7 @@
 		delete(x.peers, p.ip)
 		x.goneAt(p.ip)
 	}
-	for _, r := range x.receipts {
-		delete(r.need, p)
-	}
-	x.finishReceipts()
+	x.board.Left(p.name())
 	_ = x.logger.Log("event", "link down", "node", p.node, "ip", p.ip, "edge", p.edge)
 }
 
@@ -195,7 +204,12 @@
 	if f.Pulse != nil {
 		p.attached, p.fleet = f.Pulse.Attached, f.Pulse.Edges
 		if f.Pulse.Full {
-			p.hears, p.usual = f.Pulse.Exchanges, f.Pulse.Usual
+			hears := make([]string, 0, len(f.Pulse.Exchanges))
+			for _, ip := range f.Pulse.Exchanges {
+				hears = append(hears, exchangeName(ip))
+			}
+			x.board.Hears(p.name(), hears)
+			p.usual = f.Pulse.Usual
 			if p.cells.Due(f.Pulse.Sum, x.dir.Sum(), x.now()) {
 				_ = x.logger.Log("event", "cells compared", "with", p.node)
 				p.link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: x.dir.Sums()}})
@@ -211,7 +225,7 @@
 		}
 	}
 	if len(f.Entries) > 0 {
-		x.heardEntries(p, f.Entries, f.Receipt)
+		x.board.Heard(p.name(), f.Entries, f.Receipt, x.now())
 	}
 	if f.Cells != nil {
 		if answer := f.Cells.Compare(x.dir, x.now()); answer != nil {
@@ -219,10 +233,7 @@
 		}
 	}
 	if f.Received != 0 {
-		if r := x.receipts[f.Received]; r != nil {
-			delete(r.need, p)
-			x.finishReceipts()
-		}
+		x.board.Received(p.name(), f.Received)
 	}
 	if f.Config != nil && !x.observed(f.Config) {
 		p.link.Send(&trunk.Frame{NeedAll: true})
@@ -236,59 +247,22 @@
 	x.keyFrame(p, f)
 }
 
-// heardEntries takes what another process knows of servers, and passes on what was news.
-func (x *Exchange) heardEntries(p *peer, entries []directory.Entry, want uint64) {
-	var news []directory.Entry
-	for _, e := range entries {
-		if changed, isNews := x.dir.Take(e, x.now()); isNews {
-			news = append(news, changed)
+// tell does what the notice board wants told.
+func (x *Exchange) tell() {
+	out := x.board.Take()
+	if len(out.News) > 0 {
+		x.store.server(out.News, x.now())
+		x.tables.changed(out.News)
+	}
+	for _, s := range out.Sends {
+		if p := x.named(s.To); p != nil {
+			p.link.Send(&trunk.Frame{Entries: s.Entries, Receipt: s.Receipt, Received: s.Received})
 		}
 	}
-	var done func()
-	if want != 0 {
-		done = func() { p.link.Send(&trunk.Frame{Received: want}) }
-	}
-	x.spread(news, p, receiptNear, done)
-}
-
-// spread tells edges and other exchanges of news; done hears when those that have to know hold it. What another
-// exchange told goes on to exchanges that it has no link to itself.
-func (x *Exchange) spread(news []directory.Entry, from *peer, limit time.Duration, done func()) {
-	need := map[*peer]bool{}
-	id := uint64(0)
-	if done != nil {
-		x.nextRcpt++
-		id = x.nextRcpt
-	}
-	if len(news) > 0 {
-		x.store.server(news, x.now())
-		f := &trunk.Frame{Entries: news, Receipt: id}
-		for _, e := range x.edges {
-			if e != from {
-				e.link.Send(f)
-				need[e] = true
-			}
-		}
-		for ip, p := range x.peers {
-			if from == nil || from.edge || from != p && !slices.Contains(from.hears, ip) {
-				p.link.Send(f)
-				need[p] = true
-			}
-		}
-		x.tables.changed(news)
-	}
-	if done == nil {
-		return
-	}
-	x.receipts[id] = &receipt{need: need, until: x.now() + limit, done: done}
-	x.finishReceipts()
-}
-
-func (x *Exchange) finishReceipts() {
-	for id, r := range x.receipts {
-		if len(r.need) == 0 {
-			delete(x.receipts, id)
-			r.done()
+	for _, call := range out.Done {
+		if done := x.calls[call]; done != nil {
+			delete(x.calls, call)
+			done()
 		}
 	}
 }
--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -320,7 +320,7 @@
 	})
 }
 
-// overdue answers calls that waited for too long, and drops receipts and fetches that nobody answers.
+// overdue answers calls that waited for too long, and drops fetches that nobody answers.
 func (x *Exchange) overdue(now time.Duration) {
 	for index, w := range x.waiters {
 		if now > w.until || !x.leads() {
@@ -334,12 +334,6 @@
 			f.do(nil)
 		}
 	}
-	for id, r := range x.receipts {
-		if now > r.until {
-			delete(x.receipts, id)
-			r.done()
-		}
-	}
 }
 
 // pastVersions tells which versions were taken, newest first.
--- a/internal/exchange/registrar.go
+++ b/internal/exchange/registrar.go
@@ -75,46 +75,18 @@
 }
 
 func (x *Exchange) registerNow(e directory.Entry, done chan registered) {
-	old, known := x.dir.Get(e.ID)
-	if e.State == directory.Gone && known {
-		e.Seq = old.Seq
-	}
-	leaving := e.State > directory.Ready
-	if leaving && len(x.members) > 0 && !x.attached() {
+	if e.State > directory.Ready && len(x.members) > 0 && !x.attached() {
 		// Cut off from the others, this planner can't let them know; another can.
 		done <- registered{err: tone.NoLeader.New("cut off from the other planners")}
 		return
 	}
-	changed, news := x.dir.Take(e, x.now())
-	if !known || changed.State != old.State {
+	x.nextCall++
+	answer := registered{target: x.beatTarget(e.Zone)}
+	x.calls[x.nextCall] = func() { done <- answer }
+	if changed, first := x.board.Call(e, x.nextCall, x.now()); first {
 		_ = x.logger.Log("event", "server", "server", changed.ID, "service", changed.Service, "zone", changed.Zone,
 			"address", changed.Address, "state", changed.State, "seq", changed.Seq)
 	}
-	answer := registered{target: x.beatTarget(e.Zone)}
-	list := []directory.Entry{}
-	if news || leaving {
-		list = append(list, changed)
-	}
-	if !leaving {
-		x.spread(list, nil, 0, nil)
-		done <- answer
-		return
-	}
-	if known && old.State >= changed.State && !news && x.acked[e.ID] >= changed.State {
-		done <- answer // said before, and known
-		return
-	}
-	x.spread(list, nil, receiptFar, func() {
-		if x.acked == nil {
-			x.acked = map[string]directory.State{}
-		}
-		if changed.State == directory.Gone {
-			delete(x.acked, e.ID) // it calls no more
-		} else {
-			x.acked[e.ID] = changed.State
-		}
-		done <- answer
-	})
 }
 
 // beatTarget is the exchange of the server's zone, so that beats don't cross zones.
