Let links between the gateway's processes prove who they are, and fuzz requests and beats

Need: whoever reached the inner ports could vote. Heads of requests and bodies of beats, which come from outside, had no fuzz targets.

Change: inner TLS on both ends, from a folder of papers read again on SIGHUP; off unless told. A beat's warm-up and slots are bounded. FuzzRequest holds what a server is sent against what the client sent, FuzzBeat what is known afterwards.

--- a/cmd/crossbar/main.go
+++ b/cmd/crossbar/main.go
@@ -11,19 +11,27 @@
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/crossbar"
 	"mulleinwood/internal/night"
+	"mulleinwood/internal/tone"
+	"mulleinwood/internal/trunk"
 )
 
 func main() {
 	night.Main(&cli.Command{
 		Name:  "crossbar",
 		Usage: "edge of the gateway",
-		Action: func(ctx context.Context, _ *cli.Command) error {
+		Flags: []cli.Flag{&cli.StringFlag{Name: "inner-tls", Sources: cli.EnvVars("MULLEINWOOD_INNER_TLS"),
+			Usage: "folder with certificate.pem, key.pem and authorities.pem for links between the gateway's processes; none: links are plain"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
 			set, err := boot.Load()
 			if err != nil {
 				return err
 			}
 			set.KeepMemory()
-			return crossbar.Run(ctx, set, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
+			security, err := trunk.NewSecurity(cmd.String("inner-tls"), set.IP)
+			if err != nil {
+				return tone.Settings.Wrap(err, "--inner-tls")
+			}
+			return crossbar.Run(ctx, set, security, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
 		},
 	})
 }
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -37,10 +37,11 @@
 
 // Crossbar is one edge.
 type Crossbar struct {
-	set    *boot.Settings
-	logger log.Logger
-	began  time.Time
-	life   uint64
+	set      *boot.Settings
+	security *trunk.Security
+	logger   log.Logger
+	began    time.Time
+	life     uint64
 
 	tree  atomic.Pointer[dialplan.Tree]
 	edges atomic.Int32 // in the whole fleet, as the home exchange last told
@@ -94,8 +95,9 @@
 }
 
 // Run serves until ctx ends, and then until what it has taken is answered.
-func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
+func Run(ctx context.Context, set *boot.Settings, security *trunk.Security, logger log.Logger) error {
 	c := New(set, logger)
+	c.security = security
 	reloads := night.Reloads()
 	front, err := net.Listen("tcp", set.Listen.Front)
 	if err != nil {
@@ -129,6 +131,9 @@
 // reload takes the settings file's seeds over: the only part of it that a running edge has use for. A file that is wrong
 // changes nothing.
 func (c *Crossbar) reload() {
+	if err := c.security.Reload(); err != nil {
+		_ = c.logger.Log("event", "inner TLS not taken over", "cause", err)
+	}
 	set, err := boot.Load()
 	if err != nil {
 		_ = c.logger.Log("event", "settings not taken over", "cause", err)
--- /dev/null
+++ b/internal/crossbar/fuzz_test.go
@@ -0,0 +1,93 @@
+package crossbar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"mulleinwood/internal/boot"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/trunk"
+)
+
+// FuzzRequest has a client send any bytes. What reaches the server is what net/http read of them, on a route, and no more:
+// one request, its method, path and body unchanged, under the name of the server that was picked.
+func FuzzRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET /s/x?y=1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 900\r\n\r\n",
+		"POST /u/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nContent-Length: 4\r\n\r\nbody",
+		"POST /u/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"GET http://a.example/s/x HTTP/1.1\r\nHost: b.example\r\nX-Attempt-Id: t\r\nConnection: X-Pad, close\r\nX-Pad: 1\r\n\r\n",
+		"GET /s/../u/%2e%2e HTTP/1.1\r\nHost: A.example:80\r\nX-Attempt-Id: t\r\nX-Expected-Instance: i-9\r\nExpect: 100-continue\r\n\r\n",
+		"HEAD //s/x HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: t\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	set, err := boot.Parse("test", []byte(settings))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+		if err != nil {
+			return
+		}
+		body, bodyErr := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		c := New(set, log.NewNopLogger())
+		var got []*http.Request
+		var bodies []string
+		done := make(chan struct{})
+		served := make(chan struct{}, 8)
+		c.dialer.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer func() { far.Close(); served <- struct{}{} }()
+				in := bufio.NewReader(far)
+				q, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				b, _ := io.ReadAll(q.Body)
+				got, bodies = append(got, q), append(bodies, string(b))
+				_, _ = io.WriteString(far, reply(q, "200 OK", "X-Server-Seal: s\r\nConnection: close\r\n", ""))
+			}()
+			return near, nil
+		}
+		c.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})
+		c.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
+		go func() {
+			defer close(done)
+			c.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+		<-done
+		if r.Body != nil && len(got) == 0 {
+			return
+		}
+		<-served
+		if len(got) != 1 {
+			t.Fatalf("%d requests for one", len(got))
+		}
+		q := got[0]
+		if q.Method != r.Method || q.Header.Get("X-Expected-Instance") != "i-1" || q.Header.Get("X-Attempt-Id") != r.Header.Get("X-Attempt-Id") {
+			t.Errorf("sent on as %s %v", q.Method, q.Header)
+		}
+		if want := r.URL.RequestURI(); q.RequestURI != r.RequestURI && q.RequestURI != want {
+			t.Errorf("path %q became %q", r.RequestURI, q.RequestURI)
+		}
+		if bodyErr == nil && bodies[0] != string(body) {
+			t.Errorf("body %q became %q", body, bodies[0])
+		}
+		if path, _, _ := strings.Cut(q.RequestURI, "?"); !strings.HasPrefix(path, "/s/") && !strings.HasPrefix(path, "/u/") {
+			t.Errorf("%q is on no route that needs no key", q.RequestURI)
+		}
+	})
+}
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -111,7 +111,7 @@
 
 // glance asks one exchange how it is.
 func (c *Crossbar) glance(ip string) (f *found) {
-	conn, err := net.DialTimeout("tcp", c.set.Inner(ip), homeDial)
+	conn, err := c.security.Dial(c.set.Inner(ip), homeDial)
 	if err != nil {
 		return nil
 	}
@@ -128,7 +128,7 @@
 
 // stay is at home until the link ends, or the exchange is cut off from the core, or one of the own zone is back.
 func (h *home) stay(c *Crossbar, at found) {
-	conn, err := net.DialTimeout("tcp", c.set.Inner(at.ip), homeDial)
+	conn, err := c.security.Dial(c.set.Inner(at.ip), homeDial)
 	if err != nil {
 		return
 	}
@@ -261,7 +261,7 @@
 	conns := make(chan net.Conn, len(ips))
 	for _, ip := range ips {
 		go func() {
-			conn, err := net.DialTimeout("tcp", c.set.Inner(ip), homeDial)
+			conn, err := c.security.Dial(c.set.Inner(ip), homeDial)
 			if err != nil {
 				conn = nil
 			}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,11 +55,12 @@
 
 // Exchange is one control planner.
 type Exchange struct {
-	set    *boot.Settings
-	logger log.Logger
-	began  time.Time
-	life   uint64
-	inbox  chan func()
+	set      *boot.Settings
+	security *trunk.Security
+	logger   log.Logger
+	began    time.Time
+	life     uint64
+	inbox    chan func()
 
 	tally               *tally.Tally
 	archive             *archive.Archive
@@ -95,8 +96,8 @@
 }
 
 // Run serves until ctx ends.
-func Run(ctx context.Context, set *boot.Settings, logger log.Logger) error {
-	x := &Exchange{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
+func Run(ctx context.Context, set *boot.Settings, security *trunk.Security, logger log.Logger) error {
+	x := &Exchange{set: set, security: security, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
 		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{},
 		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, calls: map[uint64]func(){},
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
@@ -142,6 +143,9 @@
 // reload takes the settings file's seeds over: the only part of it that a running exchange has use for. A file that is
 // wrong changes nothing.
 func (x *Exchange) reload() {
+	if err := x.security.Reload(); err != nil {
+		_ = x.logger.Log("event", "inner TLS not taken over", "cause", err)
+	}
 	set, err := boot.Load()
 	if err != nil {
 		_ = x.logger.Log("event", "settings not taken over", "cause", err)
--- /dev/null
+++ b/internal/exchange/fuzz_test.go
@@ -0,0 +1,67 @@
+package exchange
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"mulleinwood/internal/boot"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/notice"
+	"mulleinwood/internal/tally"
+)
+
+// FuzzBeat has a server's call hold any bytes. It is refused, or what is known of that server afterwards makes sense.
+func FuzzBeat(f *testing.F) {
+	for _, seed := range []string{
+		`{"service":"huvo11a","address":"10.128.0.9:8080","zone":"a","version":"v1","capacity":4,"state":"ready","warmup_left_s":0,"call_seq":4}`,
+		`{"service":"huvo11a","address":"x","capacity":-1,"state":"ready"}`,
+		`{"service":"huvo11a","address":"x","capacity":4,"state":"gone","call_seq":18446744073709551615}`,
+		`{"service":"a","address":"b","state":"ready","warmup_left_s":-1e300}`,
+		`[]`, ``, `{`,
+	} {
+		f.Add([]byte(seed))
+	}
+	set, err := boot.Parse("test", []byte("node: \"x\"\nip: \"10.0.0.1\"\nzone: \"a\"\nseeds: [\"10.0.0.1:1\"]\ninner_port_range: [7000, 7001]\n"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*peer{}, edges: map[string]*peer{}}
+		x.state, x.tally = newHistory(), tally.New(tally.Exchange)
+		x.dir = directory.New(tombstones)
+		x.board, x.tables = notice.New(x.dir), newTables(x)
+		w := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			x.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/instances/i-1", strings.NewReader(string(body))))
+		}()
+		for waiting := true; waiting; {
+			select {
+			case turn := <-x.inbox:
+				turn()
+				x.tell()
+			case <-done:
+				waiting = false
+			}
+		}
+		e, known := x.dir.Get("i-1")
+		switch {
+		case w.Code == http.StatusOK && !known:
+			t.Error("acknowledged and not known")
+		case w.Code != http.StatusOK && known:
+			t.Errorf("refused with %d and known", w.Code)
+		case w.Code != http.StatusOK && w.Code/100 != 4:
+			t.Errorf("answered %d", w.Code)
+		case known && (e.Service == "" || e.Address == "" || e.Capacity < 1 || e.State > directory.Draining || e.Warmup < 0 || e.Warmup > warmupMost):
+			t.Errorf("taken as %+v", e)
+		}
+		if w.Code == http.StatusOK {
+			x.tables.tick(tableLook)
+		}
+	})
+}
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -58,6 +58,11 @@
 
 // serve runs one link: the first frame says who is there.
 func (x *Exchange) serve(conn net.Conn) {
+	conn, err := x.security.Accept(conn)
+	if err != nil {
+		_ = x.logger.Log("event", "stranger", "cause", err)
+		return
+	}
 	link := trunk.NewLink(conn)
 	var p *peer
 	_ = link.Read(func(f *trunk.Frame) { // how a link ends doesn't matter: it is made anew
@@ -66,6 +71,11 @@
 				link.Close()
 				return
 			}
+			if err := x.security.Believe(conn, f.Hello); err != nil {
+				_ = x.logger.Log("event", "stranger", "cause", err)
+				link.Close()
+				return
+			}
 			p = &peer{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < x.set.IP}
 			x.do(func() { x.joined(p, f.Hello) })
 		}
@@ -88,7 +98,7 @@
 		if <-linked {
 			continue
 		}
-		conn, err := net.DialTimeout("tcp", x.set.Inner(ip), dialLimit)
+		conn, err := x.security.Dial(x.set.Inner(ip), dialLimit)
 		if err != nil {
 			continue
 		}
--- a/internal/exchange/registrar.go
+++ b/internal/exchange/registrar.go
@@ -21,7 +21,11 @@
 	Seq      uint64  `json:"call_seq"`
 }
 
-const beatMost = 64 << 10
+const (
+	beatMost   = 64 << 10
+	warmupMost = 3600.0  // seconds; a longer one is a mistake
+	slotsMost  = 1 << 20 // of a server
+)
 
 // beat takes a server's call. That a server is leaving is acknowledged once those who could send to it know.
 func (x *Exchange) beat(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +44,7 @@
 		return
 	}
 	e := directory.Entry{ID: r.PathValue("id"), Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
-		Capacity: max(1, b.Capacity), Warmup: b.Warmup, Seq: b.Seq, Owner: x.set.IP}
+		Capacity: min(max(1, b.Capacity), slotsMost), Warmup: min(max(0, b.Warmup), warmupMost), Seq: b.Seq, Owner: x.set.IP}
 	if b.State == "draining" {
 		e.State = directory.Draining
 	}
--- /dev/null
+++ b/internal/trunk/secure_test.go
@@ -0,0 +1,170 @@
+package trunk_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/trunk"
+)
+
+// authority signs certificates for a test.
+type authority struct {
+	g    *WithT
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+var serial int64
+
+func newAuthority(g *WithT) *authority {
+	a := &authority{g: g}
+	a.key = a.newKey()
+	serial++
+	from := &x509.Certificate{SerialNumber: big.NewInt(serial), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, from, from, &a.key.PublicKey, a.key)
+	g.Expect(err).NotTo(HaveOccurred())
+	a.cert, err = x509.ParseCertificate(der)
+	g.Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+func (a *authority) newKey() *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a.g.Expect(err).NotTo(HaveOccurred())
+	return key
+}
+
+// issue writes a folder for a process at an address, which believes these authorities.
+func (a *authority) issue(dir, ip string, believed ...*authority) {
+	key := a.newKey()
+	serial++
+	cert := &x509.Certificate{SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.ParseIP(ip)}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
+	a.g.Expect(err).NotTo(HaveOccurred())
+	secret, err := x509.MarshalECPrivateKey(key)
+	a.g.Expect(err).NotTo(HaveOccurred())
+	write := func(name string, blocks ...*pem.Block) {
+		var text []byte
+		for _, b := range blocks {
+			text = append(text, pem.EncodeToMemory(b)...)
+		}
+		a.g.Expect(os.WriteFile(filepath.Join(dir, name), text, 0o600)).To(Succeed())
+	}
+	write("certificate.pem", &pem.Block{Type: "CERTIFICATE", Bytes: der})
+	write("key.pem", &pem.Block{Type: "EC PRIVATE KEY", Bytes: secret})
+	var all []*pem.Block
+	for _, b := range believed {
+		all = append(all, &pem.Block{Type: "CERTIFICATE", Bytes: b.cert.Raw})
+	}
+	write("authorities.pem", all...)
+}
+
+// meet has one process dial another, and tells how that ended at both ends.
+func meet(g *WithT, at, from *trunk.Security) (dialled, accepted error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	taken := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			if conn, err = at.Accept(conn); err == nil {
+				_, err = conn.Write([]byte("x"))
+				conn.Close()
+			}
+		}
+		taken <- err
+	}()
+	conn, dialled := from.Dial(l.Addr().String(), time.Second)
+	if dialled == nil {
+		_, dialled = conn.Read(make([]byte, 1)) // a refusal of the other end shows here
+		conn.Close()
+	}
+	return dialled, <-taken
+}
+
+func TestLinksProveWhoTheyAre(t *testing.T) {
+	g := NewWithT(t)
+	ours, theirs := newAuthority(g), newAuthority(g)
+	folder := func(a *authority, ip string, believed ...*authority) (*trunk.Security, string) {
+		dir := t.TempDir()
+		a.issue(dir, ip, believed...)
+		s, err := trunk.NewSecurity(dir, "127.0.0.1")
+		g.Expect(err).NotTo(HaveOccurred())
+		return s, dir
+	}
+	good, dir := folder(ours, "127.0.0.1", ours)
+	other, _ := folder(ours, "127.0.0.1", ours)
+	dialled, accepted := meet(g, good, other)
+	g.Expect(dialled).NotTo(HaveOccurred())
+	g.Expect(accepted).NotTo(HaveOccurred())
+
+	for name, stranger := range map[string]*trunk.Security{
+		"a plain link": nil,
+		"another authority's": func() *trunk.Security {
+			s, _ := folder(theirs, "127.0.0.1", ours)
+			return s
+		}(),
+		"a certificate for another address": func() *trunk.Security {
+			s, _ := folder(ours, "10.0.0.9", ours)
+			return s
+		}(),
+	} {
+		dialled, accepted = meet(g, good, stranger)
+		g.Expect(accepted).To(HaveOccurred(), name)
+		g.Expect(dialled).To(HaveOccurred(), name)
+		dialled, _ = meet(g, stranger, other)
+		g.Expect(stranger == nil || dialled != nil).To(BeTrue(), name)
+	}
+
+	// Rotation: first everybody believes both authorities, then certificates change one by one, then the old one goes.
+	ours.issue(dir, "127.0.0.1", ours, theirs)
+	g.Expect(good.Reload()).To(Succeed())
+	moved, _ := folder(theirs, "127.0.0.1", ours, theirs)
+	for _, pair := range [][2]*trunk.Security{{good, moved}, {moved, good}, {good, other}} {
+		dialled, accepted = meet(g, pair[0], pair[1])
+		g.Expect(dialled).NotTo(HaveOccurred())
+		g.Expect(accepted).NotTo(HaveOccurred())
+	}
+	theirs.issue(dir, "127.0.0.1", theirs)
+	g.Expect(good.Reload()).To(Succeed())
+	_, accepted = meet(g, good, other)
+	g.Expect(accepted).To(HaveOccurred(), "the old authority is no longer believed")
+	_, accepted = meet(g, good, moved)
+	g.Expect(accepted).NotTo(HaveOccurred())
+
+	// What can't be used changes nothing.
+	g.Expect(os.WriteFile(filepath.Join(dir, "key.pem"), []byte("spoilt"), 0o600)).To(Succeed())
+	g.Expect(good.Reload()).NotTo(Succeed())
+	_, accepted = meet(g, good, moved)
+	g.Expect(accepted).NotTo(HaveOccurred())
+	_, err := trunk.NewSecurity(t.TempDir(), "127.0.0.1")
+	g.Expect(err).To(MatchError(ContainSubstring("certificate.pem")))
+}
+
+func TestAddressIsProvedNotSaid(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Expect((&trunk.Security{}).Believe(conn, &trunk.Hello{IP: "127.0.0.1"})).To(Succeed())
+	g.Expect((&trunk.Security{}).Believe(conn, &trunk.Hello{IP: "10.0.0.9"})).NotTo(Succeed())
+	var none *trunk.Security
+	g.Expect(none.Believe(conn, &trunk.Hello{IP: "10.0.0.9"})).To(Succeed())
+}
