--- a/cmd/rehearse/sweep.go
+++ b/cmd/rehearse/sweep.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,8 +38,9 @@
 		Name:  "sweep",
 		Usage: "play service days with values of a setting, the same seeds at each: a table of figures, and a page with plots",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "vary", Value: "rate", Usage: "rate (requests a second and edge), servers, edges, every (ticks between changes)"},
-			&cli.StringFlag{Name: "values", Value: "10,20,40,60,80", Usage: "the first is what the others are compared with"},
+			&cli.StringFlag{Name: "vary", Value: "rate", Usage: "rate (requests a second and edge), servers, edges, every (ticks between changes), policy"},
+			&cli.StringFlag{Name: "values", Value: "10,20,40,60,80", Usage: "the first is what the others are compared with; of policy: " + strings.Join(rehearse.Policies[1:], ", ") + ", or dealt"},
+			&cli.FloatFlag{Name: "rate", Usage: "requests a second and edge, where something else is varied"},
 			&cli.IntFlag{Name: "seeds", Value: 30},
 			&cli.Uint64Flag{Name: "seed", Usage: "the first"},
 			&cli.IntFlag{Name: "members", Value: 3},
@@ -51,7 +53,9 @@
 
 // point is what one value of the setting showed.
 type point struct {
+	label  string
 	value  float64
+	sum    rehearse.Result
 	served []float64 // shares, by seed
 	late   []float64
 	hist   *hdrhistogram.Histogram // microseconds
@@ -59,17 +63,26 @@
 }
 
 func sweeping(_ context.Context, cmd *cli.Command) error {
-	set := settings[cmd.String("vary")]
-	if set == nil {
-		return tone.Settings.New("--vary %q: rate, servers, edges and every can be varied", cmd.String("vary"))
+	vary := cmd.String("vary")
+	set := settings[vary]
+	if set == nil && vary != "policy" {
+		return tone.Settings.New("--vary %q: rate, servers, edges, every and policy can be varied", vary)
 	}
 	var points []*point
-	for _, text := range strings.Split(cmd.String("values"), ",") {
-		x, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-		if err != nil || x <= 0 {
-			return tone.Settings.New("--values: %q is no number above 0", text)
+	for i, text := range strings.Split(cmd.String("values"), ",") {
+		p := &point{label: strings.TrimSpace(text), value: float64(i), hist: hdrhistogram.New(1, 60_000_000, 3)}
+		if vary == "policy" {
+			if !slices.Contains(rehearse.Policies, strings.TrimPrefix(p.label, "dealt")) {
+				return tone.Settings.New("--values: %q is no policy", p.label)
+			}
+		} else {
+			x, err := strconv.ParseFloat(p.label, 64)
+			if err != nil || x <= 0 {
+				return tone.Settings.New("--values: %q is no number above 0", text)
+			}
+			p.value = x
 		}
-		points = append(points, &point{value: x, hist: hdrhistogram.New(1, 60_000_000, 3)})
+		points = append(points, p)
 	}
 	seeds := cmd.Int("seeds")
 	for _, p := range points {
@@ -82,7 +95,14 @@
 				defer func() { <-free }()
 				d := rehearse.NewServiceDay(cmd.Uint64("seed")+uint64(i), cmd.Int("members"), cmd.Int("lost"))
 				d.Latency = true
-				set(&d, p.value)
+				if rate := cmd.Float("rate"); rate > 0 {
+					d.Rate = rate
+				}
+				if set != nil {
+					set(&d, p.value)
+				} else {
+					d.Policy = strings.TrimPrefix(p.label, "dealt")
+				}
 				results[i] = rehearse.Play(d)
 			})
 		}
@@ -93,12 +113,13 @@
 				p.broken = append(p.broken, fmt.Sprintf("seed %d: %s", cmd.Uint64("seed")+uint64(i), r.Broken))
 			}
 		}
-		fmt.Fprintf(os.Stderr, "%s %g: %d days\n", cmd.String("vary"), p.value, seeds)
+		fmt.Fprintf(os.Stderr, "%s %s: %d days\n", vary, p.label, seeds)
 	}
-	return report(cmd.String("out"), cmd.String("vary"), points)
+	return report(cmd.String("out"), vary, points)
 }
 
 func (p *point) take(r rehearse.Result) {
+	p.sum.Add(r)
 	n := float64(max(1, r.Requests))
 	p.served, p.late = append(p.served, float64(r.Served)/n), append(p.late, float64(r.Late)/n)
 	for _, t := range r.Took {
@@ -134,14 +155,15 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	rows := [][]string{{vary, "served", "served ±", "against first", "against first ±", "late", "p50 ms", "p99 ms", "p99.9 ms", "broken"}}
+	rows := [][]string{{vary, "served", "served ±", "against first", "against first ±", "late", "p50 ms", "p99 ms", "p99.9 ms", "waiting beside idle", "broken"}}
 	f := func(x float64) string { return strconv.FormatFloat(x, 'f', 4, 64) }
 	ms := func(p *point, q float64) float64 { return float64(p.hist.ValueAtQuantile(q)) / 1000 }
 	for _, p := range points {
 		served, half := interval(p.served)
 		more, moreHalf := against(p.served, points[0].served)
 		late, _ := interval(p.late)
-		rows = append(rows, []string{f(p.value), f(served), f(half), f(more), f(moreHalf), f(late), f(ms(p, 50)), f(ms(p, 99)), f(ms(p, 99.9)), strconv.Itoa(len(p.broken))})
+		beside := p.sum.Beside / max(1, p.sum.Work+p.sum.Beside)
+		rows = append(rows, []string{p.label, f(served), f(half), f(more), f(moreHalf), f(late), f(ms(p, 50)), f(ms(p, 99)), f(ms(p, 99.9)), f(beside), strconv.Itoa(len(p.broken))})
 	}
 	out, err := os.Create(filepath.Join(dir, "figures.csv"))
 	if err != nil {
@@ -168,7 +190,7 @@
 	page.WriteString(`</table><img src="served.png" alt="share served"><img src="p99.png" alt="99th percentile of answer times, ms">`)
 	for _, p := range points {
 		for _, b := range p.broken {
-			fmt.Fprintf(&page, "<p>%s %g, %s", vary, p.value, b)
+			fmt.Fprintf(&page, "<p>%s %s, %s", vary, p.label, b)
 		}
 	}
 	if err := os.WriteFile(filepath.Join(dir, "report.html"), []byte(page.String()), 0o644); err != nil {
@@ -179,7 +201,7 @@
 	}
 	for _, p := range points {
 		if len(p.broken) > 0 {
-			return fmt.Errorf("%s %g, %s", vary, p.value, p.broken[0])
+			return fmt.Errorf("%s %s, %s", vary, p.label, p.broken[0])
 		}
 	}
 	return nil
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -231,12 +231,18 @@
 		if b.load < a.load {
 			a = b
 		}
-		a.l.out++
+		f.Book(a.l)
 		return a.l
 	}
 	return nil
 }
 
+// Book takes a place on a line, for one who chose it otherwise.
+func (f *Finder) Book(l *Line) { l.out++ }
+
+// Lines are those to a service, by id. They stay the finder's.
+func (f *Finder) Lines(service string) []*Line { return f.services[service] }
+
 func (f *Finder) draw(sum float64) candidate {
 	at := f.chance() * sum
 	for _, c := range f.fit {
--- a/internal/rehearse/requests.go
+++ b/internal/rehearse/requests.go
@@ -100,7 +100,7 @@
 		w.finish(q, cord.NotSent, 0)
 		return
 	}
-	l := w.day.pick(e, q, w.now)
+	l := w.pick(e, q)
 	if l == nil {
 		if q.way.Sent > 0 || w.now-q.began >= waitFor || !e.finder.Serves(q.service) {
 			if q.way.Paid {
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -10,8 +10,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"mulleinwood/internal/finder"
 )
 
 // Trouble is one thing that goes wrong.
@@ -66,7 +64,8 @@
 	Length   time.Duration
 	Troubles []Trouble
 	Fault    string // planted, to see that the auditor sees
-	Latency  bool   // times of answers are wanted
+	Latency  bool   // times of answers, and of waiting beside idle servers, are wanted
+	Policy   string // by which edges pick, to compare with; empty: as they do
 }
 
 // drainBound is the rule's: how long after its acknowledgement a server that leaves may still be sent to. The rehearsal
@@ -126,11 +125,6 @@
 	return d
 }
 
-// pick lets an edge's finder choose.
-func (d Day) pick(e *edge, q *request, now time.Duration) *finder.Line {
-	return e.finder.Pick(q.service, func(l *finder.Line) bool { return slices.Contains(q.tried, l) }, now)
-}
-
 // Shrink drops troubles that a bad day doesn't need to stay bad, one after the other, with so many days played at most.
 func Shrink(d Day, days int) Day {
 	for again := true; again; {
--- a/internal/rehearse/wires.go
+++ b/internal/rehearse/wires.go
@@ -237,6 +237,9 @@
 				return
 			}
 			e := w.edges[-1-other]
+			if w.day.Policy == "" {
+				e.finder.Deal(w.roster(e.zone()), uint32(e.n))
+			}
 			if e.attached = attached; !attached && w.now > e.look {
 				e.look = w.now + 2*lookAfter
 				if to := w.bestHome(e); to != nowhere && to != e.home && w.nodes[to].member.Attached(w.now) {
@@ -250,6 +253,19 @@
 	}
 }
 
+// zone is where an edge stands.
+func (e *edge) zone() int { return e.n % e.zones }
+
+// roster is the edges of a zone, as the exchanges that are in touch know them.
+func (w *world) roster(zone int) (all []uint32) {
+	for _, e := range w.edges {
+		if e.zone() == zone && e.home != nowhere {
+			all = append(all, uint32(e.n))
+		}
+	}
+	return all
+}
+
 // compare carries one step of comparing cells.
 func (w *world) compare(k *wire, from, to int, cells *trunk.Cells) {
 	w.wired(k, from, func() {
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -31,7 +31,9 @@
 	Further  int // arrivals at servers beyond the first of a request
 	Steps    int // events that deciders were fed
 
-	Took []time.Duration // of those served, if the day asks for it
+	Took   []time.Duration // of those served, if the day asks for it
+	Work   float64         // seconds that requests ran
+	Beside float64         // and waited at a server while another of the service had a free slot
 }
 
 // Add sums up.
@@ -40,6 +42,7 @@
 	r.Requests, r.Served, r.Late = r.Requests+o.Requests, r.Served+o.Served, r.Late+o.Late
 	r.Refused, r.Unknown, r.Drains = r.Refused+o.Refused, r.Unknown+o.Unknown, r.Drains+o.Drains
 	r.Further, r.Steps = r.Further+o.Further, r.Steps+o.Steps
+	r.Work, r.Beside = r.Work+o.Work, r.Beside+o.Beside
 }
 
 func (r *Result) took(d time.Duration) {
@@ -171,6 +174,8 @@
 	finder      *finder.Finder
 	meters      map[string]*meter.Meter
 	met         map[string]bool
+	zones       int
+	turn        map[string]int // of a policy that goes round
 }
 
 type claim struct {
@@ -210,7 +215,7 @@
 		w.start(n)
 	}
 	for i := range d.Edges {
-		w.edges = append(w.edges, &edge{n: i, home: i % d.Members})
+		w.edges = append(w.edges, &edge{n: i, home: i % d.Members, zones: d.Members, turn: map[string]int{}})
 		w.restart(w.edges[i])
 	}
 	w.strung()
@@ -251,6 +256,9 @@
 			}
 		}
 		w.audit()
+		if d.Latency {
+			w.weighIdle()
+		}
 	}
 	w.auditBudget()
 	for _, extra := range w.extra {
