--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -40,7 +40,6 @@
 	body   []byte
 	rest   io.Reader // of an answer that isn't held whole; end has to be called then
 	length int64     // of the whole answer, where rest is set; -1: not told
-	booked int64     // of the account of what is held
 	end    func(whole bool)
 	err    error
 }
@@ -81,7 +80,6 @@
 		return
 	}
 	out := c.run(t)
-	defer func() { c.held.give(out.booked) }()
 	c.answer(w, t, out)
 }
 
@@ -168,7 +166,6 @@
 		return
 	}
 	out := c.run(t)
-	defer func() { c.held.give(out.booked) }()
 	switch out.ending {
 	case cord.Ran:
 		if out.rest != nil {
@@ -211,8 +208,8 @@
 			return out
 		}
 		t.tried = append(t.tried, l)
-		c.held.give(out.booked)
-		out = c.attempt(t, l, m)
+		out = c.try(t, l)
+		c.tally.Tries.WithLabelValues(out.ending.String()).Inc()
 		c.waiting.wake(t.service)
 		held := out.rest == nil && (t.rest == nil || !t.rest.touched.Load())
 		next := way.Ended(out.ending, out.status, held)
@@ -281,7 +278,6 @@
 	left := t.until - began - wayBack
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.r.Context()), left)
 	defer func() {
-		c.tally.Tries.WithLabelValues(out.ending.String()).Inc()
 		if out.rest == nil {
 			cancel()
 		}
@@ -409,11 +405,11 @@
 		Good:   resp.StatusCode/100 == 2, Sealed: resp.Header.Get("X-Server-Seal") != ""}
 	var body []byte
 	var whole bool
-	var booked int64
 	var err error
-	defer func() { out.booked = booked }()
 	if a.Ours && a.Ends {
+		var booked int64
 		body, whole, booked, err = c.held.hold(resp.Body, resp.ContentLength, most)
+		t.booked += booked
 		a.Whole = err == nil && (whole || !a.NotRun) // what turns a request away is short
 	}
 	switch a.Ending() {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -21,7 +21,6 @@
 	GivenUp  *prometheus.CounterVec // by error kind
 	Tries    *prometheus.CounterVec // by ending
 	Claims   *prometheus.CounterVec // by ruling
-	Seconds  prometheus.Counter     // servers asked beside one that says nothing
 	Syncs    prometheus.Histogram   // seconds
 }
 
@@ -42,12 +41,8 @@
 		Syncs: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "mulleinwood", Name: "sync_seconds", Help: "Time that a write to disk took.",
 			ConstLabels: labels, Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .25, 1, 4}}),
 	}
-	t.Seconds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mulleinwood", Name: "second_servers_total",
-		Help: "Servers asked beside one that says nothing.", ConstLabels: labels})
 	if role == Exchange {
 		r.MustRegister(t.Syncs)
-	} else {
-		r.MustRegister(t.Seconds)
 	}
 	return t
 }
