--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -32,7 +32,8 @@
 		Commands: []*cli.Command{
 			{Name: "config", Usage: "the configuration", Commands: []*cli.Command{
 				{Name: "get", Usage: "print the newest configuration", Action: configGet},
-				{Name: "check", Usage: "say what is wrong with a configuration file", ArgsUsage: "FILE", Action: configCheck},
+				{Name: "check", Usage: "say what is wrong with a configuration file, in one line with its place", ArgsUsage: "FILE", Action: configCheck,
+					Flags: []cli.Flag{&cli.BoolFlag{Name: "change", Usage: "the file holds changes of items, as for patch"}}},
 				{Name: "diff", Usage: "what a file would change", ArgsUsage: "FILE", Action: configDiff},
 				{Name: "put", Usage: "replace the configuration by a file, on top of the version that is in force", ArgsUsage: "FILE", Action: configPut},
 				{Name: "patch", Usage: "change named items by a file, on top of the version that is in force", ArgsUsage: "FILE", Action: configPut},
@@ -112,6 +113,14 @@
 	if err != nil {
 		return err
 	}
+	change := cmd.Bool("change")
+	if err := operator.Check(cmd.Args().First(), text, change); err != nil {
+		return err
+	}
+	if change {
+		fmt.Println("valid by itself: the exchanges judge it against what is in force")
+		return nil
+	}
 	config, err := dialplan.Parse(text)
 	if err != nil {
 		return err
