Take limits over that come before the door opens

Cause: a configuration that arrived before the front listener was served left its limits unused until others came; seen on reading the change once more. A test shows it without the mend.

Change: the door keeps the limits it was told, and opens under them.

--- a/internal/crossbar/bodies_test.go
+++ b/internal/crossbar/bodies_test.go
@@ -232,6 +232,19 @@
 	})
 }
 
+func TestLimitsThatComeBeforeTheDoorOpensCount(t *testing.T) {
+	in(t, func(h *hall) {
+		h.allow(2, `{"header_wait_s":2}`)
+		h.opened(func(s street) {
+			late := h.walkIn(s)
+			_, _ = io.WriteString(late, "GET")
+			began := time.Now()
+			_, _ = io.Copy(io.Discard, late)
+			h.g.Expect(time.Since(began).Round(100 * time.Millisecond)).To(Equal(2 * time.Second))
+		})
+	})
+}
+
 func TestTheLongestIdleMakesRoom(t *testing.T) {
 	in(t, func(h *hall) {
 		h.conns.most = 2
--- a/internal/crossbar/door.go
+++ b/internal/crossbar/door.go
@@ -56,7 +56,7 @@
 
 // open takes connections in until the listener is closed.
 func (d *door) open(front net.Listener) error {
-	d.change(dialplan.Limits{}, front.Addr())
+	d.change(front.Addr())
 	for {
 		conn, err := front.Accept()
 		if err != nil {
@@ -79,21 +79,26 @@
 	}
 }
 
-// limit takes over the limits of a configuration.
+// limit takes over the limits of a configuration, which may come before the door opens.
 func (d *door) limit(limits dialplan.Limits) {
 	d.mu.Lock()
-	same, at := d.limits.HeaderBytes == limits.HeaderBytes && d.limits.HeaderWait == limits.HeaderWait && d.limits.Idle == limits.Idle, d.lobby
+	same := d.limits.HeaderBytes == limits.HeaderBytes && d.limits.HeaderWait == limits.HeaderWait && d.limits.Idle == limits.Idle
+	at := d.lobby
+	d.limits = limits
 	d.mu.Unlock()
 	if at != nil && !same {
-		d.change(limits, at.addr)
+		d.change(at.addr)
 	}
 }
 
-func (d *door) change(limits dialplan.Limits, addr net.Addr) {
+// change has new connections served under the limits as they are now.
+func (d *door) change(addr net.Addr) {
+	d.mu.Lock()
+	limits, old := d.limits, d.lobby
 	next := &lobby{in: make(chan net.Conn), closed: make(chan struct{}), addr: addr, header: headerWait, idle: idleBefore}
-	bytes := headerBytes
+	most := headerBytes
 	if limits.HeaderBytes > 0 {
-		bytes = limits.HeaderBytes
+		most = limits.HeaderBytes
 	}
 	if limits.HeaderWait > 0 {
 		next.header = time.Duration(limits.HeaderWait * float64(time.Second))
@@ -101,12 +106,10 @@
 	if limits.Idle > 0 {
 		next.idle = time.Duration(limits.Idle * float64(time.Second))
 	}
-	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: next.header, IdleTimeout: time.Hour, MaxHeaderBytes: bytes, ConnState: d.conns.state}
-	go func() { _ = server.Serve(next) }() // ends when other limits come
-	d.mu.Lock()
-	old := d.lobby
-	d.lobby, d.limits = next, limits
+	d.lobby = next
 	d.mu.Unlock()
+	server := &http.Server{Handler: d.handler, ReadHeaderTimeout: next.header, IdleTimeout: time.Hour, MaxHeaderBytes: most, ConnState: d.conns.state}
+	go func() { _ = server.Serve(next) }() // ends when other limits come
 	if old != nil {
 		go func() { // whoever was being handed over still finds it open
 			time.Sleep(time.Second)
