--- /dev/null
+++ b/internal/archive/growth_test.go
@@ -0,0 +1,64 @@
+package archive_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/archive"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/ticket"
+)
+
+// Two simulated hours of claims with answers, changes with snapshots, and servers that come and go: the file is as large
+// after them as after the first windows, and a start reads no more than what is in its window.
+func TestTheFileStopsGrowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		a, _, err := archive.Open(dir, window, 64<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		size := func() int64 {
+			info, err := os.Stat(filepath.Join(dir, "exchange.db"))
+			g.Expect(err).NotTo(HaveOccurred())
+			return info.Size()
+		}
+		var n, index uint64
+		early := int64(0)
+		for second := 0; second < 7200; second += 5 {
+			b := &archive.Batch{}
+			for range 100 {
+				n++
+				r := ticket.Record{Key: ticket.KeyOf("t", fmt.Sprint(n)), Token: ticket.Token{Life: 1, N: n}, Answer: &ticket.Answer{Status: 200, Body: make([]byte, 1000)}}
+				b.Records = append(b.Records, r)
+			}
+			index++
+			b.Entries = []agreement.Entry{{Term: 1, Index: index, Data: make([]byte, 2000)}}
+			if index%64 == 0 {
+				b.Entries, b.Snapshot = nil, &agreement.Snapshot{Term: 1, Index: index, Data: make([]byte, 50_000)}
+			}
+			b.Servers = []directory.Entry{{ID: fmt.Sprint("i-", index), Address: "x:1"}, {ID: fmt.Sprint("i-", index-min(index, 20)), State: directory.Gone}}
+			g.Expect(a.Commit([]*archive.Batch{b})).To(Succeed())
+			if second == 600 {
+				early = size()
+			}
+			time.Sleep(5 * time.Second)
+		}
+		g.Expect(size()).To(BeNumerically("<=", early+16<<20), "bbolt makes a file longer by 16 MB at a time")
+		g.Expect(a.Close()).To(Succeed())
+		a, s, err := archive.Open(dir, window, 64<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Spoilt).NotTo(HaveOccurred())
+		g.Expect(len(s.Records)).To(BeNumerically("<=", 100*24), "eight spans, each of which ends with the first write after ten seconds")
+		g.Expect(len(s.Records)).To(BeNumerically(">=", 100*12))
+		g.Expect(len(s.Entries)).To(BeNumerically("<", 64))
+		g.Expect(len(s.Servers)).To(BeNumerically("<=", 21))
+		g.Expect(a.Close()).To(Succeed())
+	})
+}
--- /dev/null
+++ b/internal/crossbar/log_test.go
@@ -0,0 +1,42 @@
+package crossbar
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	. "github.com/onsi/gomega"
+)
+
+// After a bad day an operator asks which requests were given up, why, and at which server. A line each tells it, until
+// there are too many of a kind; the counters go on.
+func TestLogTellsWhatWasGivenUpAndWhy(t *testing.T) {
+	in(t, func(h *hall) {
+		var text bytes.Buffer
+		h.logger = log.NewLogfmtLogger(&text)
+		lines := func() []string {
+			all := strings.Split(strings.TrimSpace(text.String()), "\n")
+			text.Reset()
+			return all
+		}
+		h.serve("i-1", cut)
+		h.ask("GET", "/u/x", "")
+		h.g.Expect(lines()).To(ConsistOf(And(ContainSubstring(`event="given up"`), ContainSubstring("kind=mulleinwood.perhaps_run"),
+			ContainSubstring("try=try-1"), ContainSubstring("host=a.example"), ContainSubstring("i-1 breaks off"))))
+		h.ask("GET", "/none/x", "")
+		h.g.Expect(lines()).To(ConsistOf(And(ContainSubstring("no_route"), ContainSubstring("/none/x"))))
+		time.Sleep(time.Second)
+		for range 40 {
+			h.ask("GET", "/none/x", "")
+		}
+		h.g.Expect(lines()).To(HaveLen(notedMost), "a flood of refusals costs no more than that")
+		w := httptest.NewRecorder()
+		h.ready(w, httptest.NewRequest("GET", "/metrics", nil))
+		h.g.Expect(w.Body.String()).To(ContainSubstring(fmt.Sprintf(`mulleinwood_given_up_total{error="mulleinwood.no_route",role="crossbar"} %d`, 41)))
+	})
+}
