--- /dev/null
+++ b/internal/booking/book.go
@@ -0,0 +1,211 @@
+// Package booking keeps room that is booked ahead for a tenant's busy hours. The Book is the lasting part, agreed by the
+// core like a configuration; a Dealer deals a booking's room to the edges, by leases; a Gate at each edge lets requests in
+// and lends what is idle. All are values fed with events; time is handed in, and the core says what time it is.
+package booking
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"mulleinwood/internal/tone"
+)
+
+// Booking is room for one tenant at one service. Times are seconds on the core's clock.
+type Booking struct {
+	ID      string  `cbor:"1,keyasint" json:"id"`
+	Tenant  string  `cbor:"2,keyasint" json:"tenant"` // host
+	Service string  `cbor:"3,keyasint" json:"service"`
+	Zone    string  `cbor:"4,keyasint,omitempty" json:"zone,omitempty"` // of the servers; none: any
+	Start   float64 `cbor:"5,keyasint" json:"start"`
+	End     float64 `cbor:"6,keyasint" json:"end"`
+	Ramp    float64 `cbor:"7,keyasint,omitempty" json:"ramp_s,omitempty"` // before Start and after End, in which room grows and shrinks
+	Slots   float64 `cbor:"8,keyasint" json:"slots"`                      // requests in work
+	Rank    int     `cbor:"9,keyasint,omitempty" json:"rank,omitempty"`   // 0 is kept longest
+	Owner   string  `cbor:"10,keyasint" json:"owner"`
+	Reason  string  `cbor:"11,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Wants is how much room a booking holds at a time.
+func (b *Booking) Wants(at float64) float64 {
+	switch {
+	case at >= b.Start && at < b.End:
+		return b.Slots
+	case at < b.Start && at > b.Start-b.Ramp:
+		return b.Slots * (at - b.Start + b.Ramp) / b.Ramp
+	case at >= b.End && at < b.End+b.Ramp:
+		return b.Slots * (b.End + b.Ramp - at) / b.Ramp
+	}
+	return 0
+}
+
+func (b *Booking) check() error {
+	switch {
+	case b.ID == "" || b.Tenant == "" || b.Service == "" || b.Owner == "":
+		return tone.Invalid.New("a booking needs an id, a tenant, a service and an owner")
+	case !(b.End > b.Start) || math.IsInf(b.End, 0) || !(b.Ramp >= 0) || math.IsInf(b.Ramp, 0):
+		return tone.Invalid.New("booking %s: its end is not after its start, or its ramp is no time", b.ID)
+	case !(b.Slots > 0) || math.IsInf(b.Slots, 0):
+		return tone.Invalid.New("booking %s: slots is not above 0", b.ID)
+	}
+	return nil
+}
+
+// Op is one change of the book, as the core's history holds it. The same Call again changes nothing.
+type Op struct {
+	Call   string   `cbor:"1,keyasint"`
+	Base   uint64   `cbor:"2,keyasint"` // version of the book that it was read at
+	Put    *Booking `cbor:"3,keyasint,omitempty"`
+	Cancel string   `cbor:"4,keyasint,omitempty"`
+	Now    float64  `cbor:"5,keyasint"` // as the leader said
+}
+
+// How a booking went out of the book.
+const (
+	Cancelled = "cancelled"
+	Expired   = "expired"
+)
+
+// Past is a booking that is over.
+type Past struct {
+	Booking
+	How string `cbor:"20,keyasint" json:"how"`
+}
+
+const (
+	callsKept = 256
+	pastKept  = 1024
+)
+
+// Book holds all bookings. Every planner that applies the same changes holds the same.
+type Book struct {
+	Version uint64             `cbor:"1,keyasint"`
+	All     map[string]Booking `cbor:"2,keyasint"`
+	Gone    []Past             `cbor:"3,keyasint,omitempty"`
+	Calls   []string           `cbor:"4,keyasint,omitempty"` // taken, oldest first
+}
+
+// NewBook makes an empty book.
+func NewBook() *Book { return &Book{All: map[string]Booking{}} }
+
+// Apply takes a change: one that was taken before again, none built on another version, none that is wrong.
+func (k *Book) Apply(op Op) error {
+	if slices.Contains(k.Calls, op.Call) {
+		return nil
+	}
+	if op.Base != k.Version {
+		return tone.Stale.New("built on %d, current is %d", op.Base, k.Version)
+	}
+	switch {
+	case op.Put != nil:
+		if err := op.Put.check(); err != nil {
+			return err
+		}
+		if op.Put.End <= op.Now {
+			return tone.Invalid.New("booking %s is over", op.Put.ID)
+		}
+	case op.Cancel != "":
+		if _, known := k.All[op.Cancel]; !known {
+			return tone.Invalid.New("there is no booking %s", op.Cancel)
+		}
+	default:
+		return tone.Invalid.New("nothing to change")
+	}
+	k.expire(op.Now)
+	if op.Put != nil {
+		k.All[op.Put.ID] = *op.Put
+	} else if b, known := k.All[op.Cancel]; known {
+		k.gone(b, Cancelled)
+	}
+	k.Version++
+	k.Calls = append(k.Calls, op.Call)
+	k.Calls = k.Calls[max(0, len(k.Calls)-callsKept):]
+	return nil
+}
+
+func (k *Book) expire(now float64) {
+	for _, b := range k.list(func(b *Booking) bool { return b.End+b.Ramp <= now }) {
+		k.gone(b, Expired)
+	}
+}
+
+func (k *Book) gone(b Booking, how string) {
+	delete(k.All, b.ID)
+	k.Gone = append(k.Gone, Past{b, how})
+	k.Gone = k.Gone[max(0, len(k.Gone)-pastKept):]
+}
+
+// list gives bookings by rank, then by start, then by id: the order in which they are kept when room is short.
+func (k *Book) list(of func(*Booking) bool) (all []Booking) {
+	for _, b := range k.All {
+		if of(&b) {
+			all = append(all, b)
+		}
+	}
+	slices.SortFunc(all, func(a, b Booking) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID))
+	})
+	return all
+}
+
+// Carry is what a service's servers have shown they carry at once, by zone.
+type Carry map[string]float64
+
+// Least is what stays of it for a booking when the worst zone, or the worst part of that size, is lost.
+func (c Carry) Least(zone string) float64 {
+	if zone != "" {
+		return c[zone]
+	}
+	sum, most := 0.0, 0.0
+	for _, x := range c {
+		sum, most = sum+x, max(most, x)
+	}
+	if len(c) < 2 {
+		return sum
+	}
+	return sum - most
+}
+
+// Could is the most that a booking could hold from its start to its end, ramps included, beside those that are there; one
+// of the same id counts as replaced.
+func (k *Book) Could(x Booking, carry Carry) float64 {
+	others := k.list(func(b *Booking) bool { return b.ID != x.ID && b.Service == x.Service && b.Zone == x.Zone })
+	times := []float64{x.Start - x.Ramp, x.Start, x.End, x.End + x.Ramp}
+	for _, b := range others {
+		times = append(times, b.Start-b.Ramp, b.Start, b.End, b.End+b.Ramp)
+	}
+	least := math.Inf(1)
+	for _, at := range times { // between these all lines are straight
+		for _, t := range []float64{at, math.Nextafter(at, math.Inf(-1)), math.Nextafter(at, math.Inf(1))} {
+			share := x.Wants(t) / x.Slots
+			if share <= 0 {
+				continue
+			}
+			taken := 0.0
+			for _, b := range others {
+				taken += b.Wants(t)
+			}
+			least = min(least, (carry.Least(x.Zone)-taken)/share)
+		}
+	}
+	return max(0, least)
+}
+
+// Endangered are the bookings that can't be kept at a time, and how much each of them lacks: who gives way is decided by
+// rank.
+func (k *Book) Endangered(service string, carry Carry, at float64) map[string]float64 {
+	short := map[string]float64{}
+	left := map[string]float64{}
+	for _, b := range k.list(func(b *Booking) bool { return b.Service == service && b.Wants(at) > 0 }) {
+		if _, met := left[b.Zone]; !met {
+			left[b.Zone] = carry.Least(b.Zone)
+		}
+		wants := b.Wants(at)
+		kept := max(0, min(wants, left[b.Zone]))
+		left[b.Zone] -= kept
+		if kept < wants {
+			short[b.ID] = wants - kept
+		}
+	}
+	return short
+}
