--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -30,6 +30,8 @@
 	Wipe     = "wipe"      // it loses its disk with it
 	PowerAll = "power_all" // all exchanges end; writes that were not done are lost
 	Cut      = "cut"       // an exchange is cut off from the other exchanges
+	CutOut   = "cut_out"   // it hears the other exchanges, and they don't hear it
+	CutIn    = "cut_in"    // they hear it, and it doesn't hear them
 	SlowDisk = "slow_disk" // its writes take 25 times as long
 	FullDisk = "full_disk" // its writes fail
 	KillEdge = "kill_edge" // an edge forgets all
@@ -85,7 +87,7 @@
 		case n < 6:
 			t.Kind = PowerAll
 		case n < 8:
-			t.Kind = Cut
+			t.Kind = []string{Cut, CutOut, CutIn}[rng.IntN(3)]
 		case n < 10:
 			t.Kind = SlowDisk
 		case n < 11:
