Hold booked room in the programs: in the history, dealt by the leader, kept at each edge by a gate

The leader judges it against the servers that take requests, without the worst zone, on the very version that the entry is built on; while it can prove that it leads it says which rooms are held and deals them. Edges say four times a second what they want, let requests in by a gate for each service with rooms, put booked ones first in the queue and keep a further try for them. Without bookings an edge looks at one flag for each request and the core at one number each tick. Commands: operator bookings list, show, check, add, change, cancel, plan FILE (CUE-checked, all or nothing), watch with a plot. Reads of the book are proven like those of the configuration.

--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -39,6 +39,7 @@
 				{Name: "patch", Usage: "change named items by a file, on top of the version that is in force", ArgsUsage: "FILE", Action: configPut},
 				{Name: "history", Usage: "the versions that were taken, newest first", Action: configHistory},
 			}},
+			bookings(),
 			{Name: "servers", Usage: "the servers, their states and weights", Action: servers},
 			{Name: "planners", Usage: "exchanges and edges, and how they are", Action: planners},
 			{Name: "keys", Usage: "how many keyed operations each ledger holds", Action: keys},
--- a/cmd/operator/try.go
+++ b/cmd/operator/try.go
@@ -42,6 +42,9 @@
 			if err == nil {
 				err = desk.Reload()
 			}
+			if err == nil {
+				err = desk.Book()
+			}
 			if err == nil && cmd.Bool("stay") {
 				fmt.Println("fronts at 127.0.61.11:18641 and 127.0.61.12:18641, control at 127.0.61.1:18649; end with ctrl-c")
 				<-ctx.Done()
--- a/internal/booking/book.go
+++ b/internal/booking/book.go
@@ -68,11 +68,11 @@
 
 // Op is one change of the book, as the core's history holds it. The same Call again changes nothing.
 type Op struct {
-	Call   string   `cbor:"1,keyasint"`
-	Base   uint64   `cbor:"2,keyasint"` // version of the book that it was read at
-	Put    *Booking `cbor:"3,keyasint,omitempty"`
-	Cancel string   `cbor:"4,keyasint,omitempty"`
-	Now    float64  `cbor:"5,keyasint"` // as the leader said
+	Call   string    `cbor:"1,keyasint"`
+	Base   uint64    `cbor:"2,keyasint"`           // version of the book that it was read at
+	Puts   []Booking `cbor:"3,keyasint,omitempty"` // all of them or none
+	Cancel string    `cbor:"4,keyasint,omitempty"`
+	Now    float64   `cbor:"5,keyasint"` // as the leader said
 }
 
 // How a booking went out of the book.
@@ -105,22 +105,28 @@
 // NewBook makes an empty book.
 func NewBook() *Book { return &Book{All: map[string]Booking{}} }
 
-// Apply takes a change: one that was taken before again, none built on another version, none that is wrong.
-func (k *Book) Apply(op Op) error {
-	if slices.Contains(k.Calls, op.Call) {
-		return nil
-	}
+// Knows tells whether a call was taken lately.
+func (k *Book) Knows(call string) bool { return slices.Contains(k.Calls, call) }
+
+// Judge says what is wrong with a change: one that is built on another version, or that asks for what can't be.
+func (k *Book) Judge(op Op) error {
 	if op.Base != k.Version {
 		return tone.Stale.New("built on %d, current is %d", op.Base, k.Version)
 	}
-	switch {
-	case op.Put != nil:
-		if err := op.Put.check(); err != nil {
+	added := 0
+	for _, b := range op.Puts {
+		if err := b.check(); err != nil {
 			return err
 		}
-		if op.Put.End <= op.Now {
-			return tone.Invalid.New("booking %s is over", op.Put.ID)
+		if b.End <= op.Now {
+			return tone.Invalid.New("booking %s is over", b.ID)
+		}
+		if _, known := k.All[b.ID]; !known {
+			added++
 		}
+	}
+	switch {
+	case len(op.Puts) > 0:
 	case op.Cancel != "":
 		if _, known := k.All[op.Cancel]; !known {
 			return tone.Invalid.New("there is no booking %s", op.Cancel)
@@ -128,13 +134,25 @@
 	default:
 		return tone.Invalid.New("nothing to change")
 	}
+	if added > 0 && len(k.All)+added > allMost {
+		return tone.Invalid.New("there are %d bookings already, %d are allowed", len(k.All), allMost)
+	}
+	return nil
+}
+
+// Apply takes a change, once: the same call again is taken already.
+func (k *Book) Apply(op Op) error {
+	if k.Knows(op.Call) {
+		return nil
+	}
+	if err := k.Judge(op); err != nil {
+		return err
+	}
 	k.expire(op.Now)
-	if _, known := k.All[idOf(op)]; !known && len(k.All) >= allMost {
-		return tone.Invalid.New("there are %d bookings already", allMost)
+	for _, b := range op.Puts {
+		k.All[b.ID] = b
 	}
-	if op.Put != nil {
-		k.All[op.Put.ID] = *op.Put
-	} else if b, known := k.All[op.Cancel]; known {
+	if b, known := k.All[op.Cancel]; known {
 		k.gone(b, Cancelled)
 	}
 	k.Version++
@@ -143,13 +161,6 @@
 	return nil
 }
 
-func idOf(op Op) string {
-	if op.Put != nil {
-		return op.Put.ID
-	}
-	return op.Cancel
-}
-
 func (k *Book) expire(now float64) {
 	for _, b := range k.list(func(b *Booking) bool { return b.End+b.Ramp <= now }) {
 		k.gone(b, Expired)
@@ -215,6 +226,22 @@
 	return max(0, least)
 }
 
+// Short finds the first of some bookings that could not be kept beside those before it and all that is there, and how much
+// could be of it; without any, it tells that of the last. Of services that carry doesn't name nothing can be kept.
+func (k *Book) Short(puts []Booking, carry map[string]Carry) (short bool, id string, could float64) {
+	after := Book{All: maps.Clone(k.All)}
+	for _, b := range puts { // first what goes: a booking may make room for another
+		delete(after.All, b.ID)
+	}
+	for _, b := range puts {
+		if could = after.Could(b, carry[b.Service]); could < b.Slots {
+			return true, b.ID, could
+		}
+		after.All[b.ID] = b
+	}
+	return false, "", could
+}
+
 // Endangered are the bookings that can't be kept at a time, and how much each of them lacks: who gives way is decided by
 // rank.
 func (k *Book) Endangered(service string, carry Carry, at float64) map[string]float64 {
--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -18,7 +18,7 @@
 }
 
 func put(b booking.Booking, base uint64, now float64) booking.Op {
-	return booking.Op{Call: fmt.Sprint(b.ID, base), Base: base, Put: &b, Now: now}
+	return booking.Op{Call: fmt.Sprint(b.ID, base), Base: base, Puts: []booking.Booking{b}, Now: now}
 }
 
 func TestBook(t *testing.T) {
@@ -44,6 +44,11 @@
 func TestWhatCouldBeKept(t *testing.T) {
 	g := NewWithT(t)
 	carry := booking.Carry{"x": 10, "y": 12, "z": 8}
+	both := []booking.Booking{room("a", 100, 200, 12), room("b", 150, 250, 12)}
+	isShort, id, could := booking.NewBook().Short(both, map[string]booking.Carry{"ledger": carry})
+	g.Expect(isShort).To(BeTrue(), "each fits alone")
+	g.Expect(id).To(Equal("b"))
+	g.Expect(could).To(BeNumerically("~", 6, 1e-6))
 	g.Expect(carry.Least()).To(Equal(18.0), "whatever zone is lost")
 	k := booking.NewBook()
 	g.Expect(k.Apply(put(room("a", 100, 200, 12), 0, 0))).To(Succeed())
@@ -235,7 +240,7 @@
 		case now == 2*time.Second:
 			load = 20
 			gate := booking.NewGate()
-			gate.Part("b", part, full)
+			gate.Part("b", part, 20, full)
 			for range load {
 				_, ok := gate.Admit("b")
 				g.Expect(ok).To(BeTrue(), "the booking isn't used up")
@@ -293,9 +298,8 @@
 	c.Heard("c", 8200, 10*time.Second)
 	g.Expect(c.Now(10 * time.Second)).To(Equal(1001.0))
 	g.Expect(c.Now(15 * time.Second)).To(Equal(1006.0))
-	c.Forget("b")
-	c.Forget("c")
-	g.Expect(c.Now(15 * time.Second)).To(Equal(1005.0))
+	c.Heard("d", 1005, 15*time.Second)
+	g.Expect(c.Now(15*time.Second)).To(Equal(1005.5), "between the two in the middle")
 }
 
 // Rooms open ahead of their time, in whole slots, and never hold more than there is; what gives way is decided by rank.
@@ -324,7 +328,7 @@
 		for seed := range uint64(25) {
 			rng := rand.New(rand.NewPCG(seed, 9))
 			gate := booking.NewGate() // room for 40, of which 20 are booked
-			gate.Part("b", 20, true)
+			gate.Part("b", 20, 20, true)
 			gate.Others(20, true)
 			type running struct {
 				under string
--- a/internal/booking/clock.go
+++ b/internal/booking/clock.go
@@ -19,9 +19,6 @@
 	c.offsets[from] = wall - now.Seconds()
 }
 
-// Forget drops a planner that is out of reach for good.
-func (c *Clock) Forget(from string) { delete(c.offsets, from) }
-
 // Now is the core's time, in seconds.
 func (c *Clock) Now(now time.Duration) float64 {
 	if len(c.offsets) == 0 {
--- a/internal/booking/gate.go
+++ b/internal/booking/gate.go
@@ -20,30 +20,34 @@
 }
 
 type share struct {
-	part, out int
-	full      bool
+	part, whole, out int
+	full             bool
 }
 
+func (s *share) has() bool { return s != nil && (s.out < s.part || !s.full && s.out < s.whole) }
+
 const workFirst = 1.0 // seconds, until some requests were seen
 
 // NewGate makes a gate that holds nobody.
 func NewGate() *Gate { return &Gate{booked: map[string]*share{}, work: workFirst} }
 
-// Part sets a booking's part here, and whether more of the booking is wanted than there is.
-func (g *Gate) Part(id string, part int, full bool) {
+// Part sets a booking's part here, the whole of it, and whether more of it is wanted than there is.
+func (g *Gate) Part(id string, part, whole int, full bool) {
 	s := g.booked[id]
 	if s == nil {
 		s = &share{}
 		g.booked[id] = s
 	}
-	s.part, s.full = max(0, part), full
+	s.part, s.whole, s.full = max(0, part), whole, full
 }
 
-// End ends a booking. What runs under it runs on.
-func (g *Gate) End(id string) {
-	if s := g.booked[id]; s != nil {
-		if s.part = 0; s.out == 0 {
-			delete(g.booked, id)
+// Keep ends all bookings but those that are to be kept. What runs under them runs on.
+func (g *Gate) Keep(those func(id string) bool) {
+	for id, s := range g.booked {
+		if !those(id) {
+			if s.part, s.whole = 0, 0; s.out == 0 {
+				delete(g.booked, id)
+			}
 		}
 	}
 }
@@ -75,11 +79,14 @@
 	return int(float64(idle) * g.lendable())
 }
 
+// Has tells whether a booking has room here.
+func (g *Gate) Has(id string) bool { return g.booked[id].has() }
+
 // Admit takes a request in, if there is room for it: under a booking up to its part, and beyond while the booking isn't
 // used up elsewhere, since its parts follow the traffic only a moment later; else as everybody. It tells under what the
 // request was taken, to be handed to Done.
 func (g *Gate) Admit(id string) (under string, ok bool) {
-	if s := g.booked[id]; id != "" && s != nil && (s.out < s.part || !s.full) {
+	if s := g.booked[id]; id != "" && s.has() {
 		s.out++
 		return id, true
 	}
@@ -100,7 +107,7 @@
 		g.others--
 		return
 	}
-	if s.out--; s.out == 0 && s.part == 0 {
+	if s.out--; s.out == 0 && s.whole == 0 {
 		delete(g.booked, under)
 	}
 }
--- a/internal/crossbar/crossbar.go
+++ b/internal/crossbar/crossbar.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-kit/log"
 
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/directory"
@@ -60,6 +61,7 @@
 	tally    *tally.Tally
 	home     home
 	claims   claims
+	rooms    rooms
 	conns    conns
 	door     door
 	held     account
@@ -83,6 +85,8 @@
 	}
 	c.doubted = map[string]time.Duration{}
 	c.noted.lines = map[string]int{}
+	c.rooms.held.Life, c.rooms.gates, c.rooms.wants = c.life, map[string]*booking.Gate{}, map[string]int{}
+	c.rooms.kick = make(chan struct{}, 1)
 	c.claims.open = map[ticket.Token]*claim{}
 	c.conns.all, c.conns.most = map[net.Conn]*use{}, max(16, int(clientShare*float64(set.Limits.FileHandles-keptHandles)))
 	c.door = door{handler: c, conns: &c.conns}
@@ -117,6 +121,7 @@
 	}
 	_ = logger.Log("event", "crossbar starts", "node", set.Node, "zone", set.Zone)
 	go c.home.run(c)
+	go c.rooms.run(ctx, c)
 	go func() {
 		for range reloads {
 			c.reload()
--- a/internal/crossbar/forward.go
+++ b/internal/crossbar/forward.go
@@ -98,6 +98,7 @@
 	began   time.Duration
 	tried   []*line
 	way     cord.Cord
+	pass    *pass
 	stale   bool // the client has waited for longer than the aim: what is fresh is worth more
 }
 
@@ -188,6 +189,8 @@
 func (c *Crossbar) run(t *task) (out outcome) {
 	m := c.asks(t.service)
 	out = outcome{ending: cord.NotSent, err: tone.NoServer.New("no server of %s", t.service)}
+	t.pass = c.rooms.enter(c, t)
+	defer c.rooms.leave(c, t.pass, t.service)
 	way := &t.way
 	way.Safe, way.Most = t.route.Kind == dialplan.Safe, t.route.Tries
 	for {
@@ -217,7 +220,7 @@
 			return out
 		}
 		if next == cord.Pay {
-			if !c.spend(m) {
+			if !c.spend(m, t.pass) {
 				return out
 			}
 			way.Paid = true
@@ -227,13 +230,16 @@
 
 // seize finds a server with room, waiting a little for one.
 func (c *Crossbar) seize(t *task, further bool) *line {
-	if l := c.pick(t.service, t.tried); l != nil || further || !c.serves(t.service) {
+	if l := c.place(t); l != nil || further || !c.serves(t.service) {
 		return l // without any server there is nothing to wait for
 	}
 	limit, rank := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4), t.route.Priority
 	if t.stale { // it comes after all that can still be in time, and has nothing to lose by waiting
 		limit, rank = (t.until-c.now())/3, rank+staleRank
 	}
+	if c.rooms.first(t.pass) {
+		rank -= bookedRank
+	}
 	w := c.waiting.wait(t.service, rank, c.now())
 	defer c.waiting.leave(t.service, w)
 	timer := time.NewTimer(limit)
@@ -241,15 +247,27 @@
 	for {
 		select {
 		case <-w.wake:
-			if l := c.pick(t.service, t.tried); l != nil {
+			if l := c.place(t); l != nil {
 				return l
 			}
 		case <-timer.C:
-			return c.pick(t.service, t.tried)
+			return c.place(t)
 		}
 	}
 }
 
+// place picks a server, if the request may have room at its service.
+func (c *Crossbar) place(t *task) *line {
+	if !c.rooms.admit(t.pass, c.now()) {
+		return nil
+	}
+	l := c.pick(t.service, t.tried)
+	if l == nil && t.way.Sent == 0 {
+		c.rooms.back(t.pass)
+	}
+	return l
+}
+
 // hop are the headers that concern one connection. Expect is among them: what it asks for was granted here, and a server
 // that doesn't answer it would never be sent the body.
 var hop = map[string]bool{"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -540,10 +558,11 @@
 	return m
 }
 
-func (c *Crossbar) spend(m *meter.Meter) bool {
+// spend takes a further try out of the purse. While room is booked at the service, one try is kept for those who booked.
+func (c *Crossbar) spend(m *meter.Meter, p *pass) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return m.Spend()
+	return m.Spend(p != nil && p.under == "")
 }
 
 func (c *Crossbar) back(m *meter.Meter) {
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -347,6 +347,12 @@
 	for _, r := range f.Rulings {
 		c.claims.ruled(r)
 	}
+	if f.Rooms != nil {
+		c.rooms.take(c, f.Rooms)
+	}
+	for _, l := range f.Leases {
+		c.rooms.lease(c, l.Lease)
+	}
 }
 
 // configure takes a configuration over, unless it is older than the one in force: within a life nothing goes back.
--- /dev/null
+++ b/internal/crossbar/rooms_test.go
@@ -0,0 +1,120 @@
+package crossbar
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/booking"
+	"mulleinwood/internal/trunk"
+)
+
+// flood is many requests of a tenant at once, each of which a server works on for a while.
+func (h *hall) flood(n int, host string) (done func() map[int]int) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	got := map[int]int{}
+	for i := range n {
+		all.Go(func() {
+			r := httptest.NewRequest("GET", "http://"+host+"/s/x", strings.NewReader(""))
+			r.RequestURI = "/s/x"
+			r.Header.Set("X-Attempt-Id", fmt.Sprint(host, i))
+			r.Header.Set("X-Deadline-Ms", "2000")
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			mu.Lock()
+			got[w.Code]++
+			mu.Unlock()
+		})
+	}
+	synctest.Wait()
+	return func() map[int]int { all.Wait(); return got }
+}
+
+// works answers after a span.
+func works(h *hall, span time.Duration) func(*http.Request) string {
+	return func(r *http.Request) string {
+		time.Sleep(span)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("X-Attempt-Id"))
+	}
+}
+
+const twoTenants = `{"version":"r2","services":[{"name":"tags"}],"limits":{},"plants":[{"plant":"a.example","channels":[` +
+	`{"name":"s","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]},{"plant":"b.example","channels":[` +
+	`{"name":"t","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]}]}`
+
+// hold gives the edge rooms and its parts of them.
+func (h *hall) hold(rooms []booking.Room, parts map[string]int, full map[string]bool) {
+	h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3, List: rooms})
+	h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 1, For: 10 * time.Second, Parts: parts, Full: full})
+}
+
+func TestOthersDoNotTakeBookedRoom(t *testing.T) {
+	in(t, func(h *hall) {
+		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		for i := range 4 { // eight slots
+			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
+		}
+		rooms := []booking.Room{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: booking.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(rooms, map[string]int{"flyer": 6, booking.Rest("tags"): 2}, nil)
+		others := h.flood(30, "b.example")
+		time.Sleep(20 * time.Millisecond)
+		booked := h.flood(4, "a.example")
+		h.g.Expect(booked()).To(Equal(map[int]int{200: 4}), "while others come at many times what fits")
+		got := others()
+		h.g.Expect(got[200]).To(BeNumerically("<=", 6), "their own, what is lent, and what came free in a fifth of the aim")
+		h.g.Expect(got[503]).To(Equal(30 - got[200]))
+		h.g.Expect(h.rooms.gates["tags"].Idle()).To(BeTrue(), "all room is given back")
+
+		// The booking ends: nobody is held any more.
+		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3})
+		h.g.Expect(h.rooms.on.Load()).To(BeFalse())
+		h.g.Expect(h.flood(8, "b.example")()).To(Equal(map[int]int{200: 8}))
+	})
+}
+
+// Its part is small here, but the booking isn't used up elsewhere: no booked request is sent away while a server has room.
+// Once it is used up, what exceeds it competes like everyone else.
+func TestAnEdgeWithASmallPartSendsNobodyAway(t *testing.T) {
+	in(t, func(h *hall) {
+		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		for i := range 4 {
+			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
+		}
+		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 6}, {ID: booking.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(rooms, map[string]int{"flyer": 1, booking.Rest("tags"): 0}, nil)
+		h.g.Expect(h.flood(6, "a.example")()).To(Equal(map[int]int{200: 6}))
+		h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
+			Parts: map[string]int{"flyer": 1, booking.Rest("tags"): 2}, Full: map[string]bool{"flyer": true}})
+		h.g.Expect(h.flood(8, "a.example")()[200]).To(Equal(3), "one booked, two as everybody")
+	})
+}
+
+// A lease that is over, after a cut: others are held to an even share, what is booked goes on, and a lease of a former
+// leader that was on its way says nothing any more.
+func TestAnEdgeWithoutALease(t *testing.T) {
+	in(t, func(h *hall) {
+		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		for i := range 4 {
+			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
+		}
+		h.edges.Store(2)
+		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: booking.Rest("tags"), Service: "tags", Slots: 4}}
+		h.hold(rooms, map[string]int{"flyer": 4, booking.Rest("tags"): 4}, nil)
+		time.Sleep(11 * time.Second)
+		h.rooms.say(h.Crossbar)
+		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 4, List: rooms})
+		h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 9, For: 10 * time.Second, Parts: map[string]int{booking.Rest("tags"): 8}})
+		others := h.flood(10, "b.example")
+		booked := h.flood(4, "a.example")
+		h.g.Expect(booked()).To(Equal(map[int]int{200: 4}))
+		h.g.Expect(others()[200]).To(Equal(2))
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,7 @@
 
 	"mulleinwood/internal/agreement"
 	"mulleinwood/internal/archive"
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/night"
@@ -83,6 +84,7 @@
 	nextCall            uint64
 	fetches             map[ticket.Token]*fetch
 	tables              *tables
+	rooms               rooms
 	known               map[string]bool   // IPs of exchanges
 	founder             bool              // names the members, once there are enough
 	fresh               bool              // the whole system starts for the first time
@@ -107,6 +109,7 @@
 	x.board = notice.New(x.dir)
 	x.tally = tally.New(tally.Exchange)
 	x.tables = newTables(x)
+	x.rooms.clock = booking.NewClock()
 	if err := x.open(); err != nil {
 		return err
 	}
@@ -348,6 +351,7 @@
 	x.overdue(now)
 	x.board.Tick(now)
 	x.tables.tick(now)
+	x.dealRooms(now)
 	changed := x.dir.Silence(x.set.IP, x.lost, time.Duration(silentBeats*x.set.BeatPeriod*float64(time.Second)), now)
 	if len(changed) > 0 {
 		for _, e := range changed {
--- a/internal/exchange/history.go
+++ b/internal/exchange/history.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/tone"
 )
@@ -16,6 +17,8 @@
 	Base  uint64 `cbor:"1,keyasint"`
 	Patch bool   `cbor:"2,keyasint,omitempty"`
 	Body  []byte `cbor:"3,keyasint"`
+
+	Book *booking.Op `cbor:"4,keyasint,omitempty"` // instead: a change of the book
 }
 
 // digest tells calls apart: the same call again has the same.
@@ -40,12 +43,13 @@
 // history is what the entries of the agreement lead to.
 type history struct {
 	config *dialplan.Config // nil before the first
+	book   *booking.Book
 	taken  []taken
 	index  uint64
 	since  int // entries since the last snapshot
 }
 
-func newHistory() *history { return &history{} }
+func newHistory() *history { return &history{book: booking.NewBook()} }
 
 func (h *history) version() uint64 {
 	if h.config == nil {
@@ -65,6 +69,9 @@
 	if err := cbor.Unmarshal(e.Data, &c); err != nil {
 		return nil, tone.Invalid.Wrap(err, "entry %d", e.Index)
 	}
+	if c.Book != nil {
+		return nil, h.book.Apply(*c.Book)
+	}
 	digest := c.digest()
 	for _, t := range h.taken {
 		if t.Digest == digest {
@@ -102,11 +109,16 @@
 type savedHistory struct {
 	Config []byte  `cbor:"1,keyasint,omitempty"`
 	Taken  []taken `cbor:"2,keyasint,omitempty"`
+
+	Book *booking.Book `cbor:"3,keyasint,omitempty"`
 }
 
 // save is the snapshot of a history.
 func (h *history) save() ([]byte, error) {
 	s := savedHistory{Taken: h.taken}
+	if h.book.Version > 0 {
+		s.Book = h.book
+	}
 	if h.config != nil {
 		var err error
 		if s.Config, err = json.Marshal(h.config); err != nil {
@@ -122,7 +134,10 @@
 	if err := cbor.Unmarshal(s.Data, &saved); err != nil {
 		return err
 	}
-	next := history{taken: saved.Taken, index: s.Index}
+	next := history{taken: saved.Taken, index: s.Index, book: booking.NewBook()}
+	if saved.Book != nil {
+		next.book = saved.Book
+	}
 	if saved.Config != nil {
 		config, err := dialplan.Parse(saved.Config)
 		if err != nil {
--- a/internal/exchange/history_test.go
+++ b/internal/exchange/history_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/tone"
 )
 
@@ -74,6 +75,26 @@
 		}
 		Expect(f.h.version()).To(Equal(uint64(3)))
 	})
+	It("takes bookings beside configurations, once, and keeps them in the snapshot", func() {
+		one := booking.Booking{ID: "flyer", Tenant: "a.example", Service: "a", Start: 100, End: 200, Slots: 3, Owner: "hall"}
+		add := change{Book: &booking.Op{Call: "c1", Base: 0, Puts: []booking.Booking{one}, Now: 50}}
+		for range 2 {
+			applied, err := f.apply(add)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(applied).To(BeFalse(), "the configuration is as it was")
+		}
+		_, err := f.apply(change{Book: &booking.Op{Call: "c2", Base: 0, Cancel: "flyer", Now: 60}})
+		Expect(tone.For(err).Status).To(Equal(412), "two on one version: one wins")
+		saved, err := f.h.save()
+		Expect(err).NotTo(HaveOccurred())
+		other := newHistory()
+		Expect(other.restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
+		Expect(other.book).To(Equal(f.h.book))
+		Expect(other.version()).To(Equal(uint64(3)))
+		_, err = f.apply(change{Book: &booking.Op{Call: "c3", Base: 1, Cancel: "flyer", Now: 150}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.h.book.Gone[0].How).To(Equal(booking.Cancelled))
+	})
 	It("comes to the same from a snapshot and the changes after it", func() {
 		f.apply(change{Base: 3, Patch: true, Body: patch(5, "b")})
 		saved, err := f.h.save()
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -161,6 +161,7 @@
 		delete(x.goneSince, p.ip)
 		x.meet(p.ip)
 	}
+	x.tellRooms(p)
 	x.board.Join(p.name(), p.edge)
 	_ = x.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
 	answer := x.hello()
@@ -222,6 +223,9 @@
 			}
 			x.board.Hears(p.name(), hears)
 			p.usual, p.crew = f.Pulse.Usual, f.Pulse.Crew
+			if f.Pulse.Clock > 0 && !p.edge {
+				x.rooms.clock.Heard(p.ip, f.Pulse.Clock, x.now())
+			}
 			if p.cells.Due(f.Pulse.Sum, x.dir.Sum(), x.now()) {
 				_ = x.logger.Log("event", "cells compared", "with", p.node)
 				p.link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: x.dir.Sums()}})
@@ -256,6 +260,7 @@
 	if f.Report != nil {
 		x.tables.report(p, f.Report)
 	}
+	x.roomFrame(p, f)
 	x.keyFrame(p, f)
 }
 
@@ -325,7 +330,8 @@
 	}
 	f = &trunk.Frame{Pulse: x.makePulse(full)}
 	if full {
-		f.Pulse.Usual, f.Pulse.Crew = x.tables.mine(), map[string][]uint32{}
+		f.Pulse.Usual, f.Pulse.Crew, f.Pulse.Clock = x.tables.mine(), map[string][]uint32{}, wall()
+		x.rooms.clock.Heard(x.set.IP, f.Pulse.Clock, now)
 		for _, e := range x.edges {
 			f.Pulse.Crew[e.zone] = append(f.Pulse.Crew[e.zone], trunk.Badge(e.node))
 		}
--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -33,6 +33,7 @@
 type read struct {
 	round  uint64
 	until  time.Duration
+	body   func() ([]byte, error)
 	answer func(body []byte, err error)
 }
 
@@ -43,8 +44,12 @@
 	mux.HandleFunc("DELETE /instances/{id}", x.leave)
 	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, false) })
 	mux.HandleFunc("PATCH /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, true) })
-	mux.HandleFunc("GET /config", x.readBack)
+	mux.HandleFunc("GET /config", func(w http.ResponseWriter, r *http.Request) { x.readWith(w, r, x.newest) })
 	mux.HandleFunc("GET /config/history", x.pastVersions)
+	mux.HandleFunc("GET /bookings", func(w http.ResponseWriter, r *http.Request) { x.readWith(w, r, x.bookings) })
+	mux.HandleFunc("PUT /bookings", x.bookingCall)
+	mux.HandleFunc("PUT /bookings/{id}", x.bookingCall)
+	mux.HandleFunc("DELETE /bookings/{id}", x.bookingCall)
 	mux.HandleFunc("GET /status", x.status)
 	mux.Handle("GET /metrics", x.tally.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
@@ -79,7 +84,7 @@
 		refuse(w, tone.NoLeader.New("nobody leads now"))
 		return
 	}
-	w.Header().Set("Location", "http://"+x.controlOf(leader)+r.URL.Path)
+	w.Header().Set("Location", "http://"+x.controlOf(leader)+r.URL.RequestURI())
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
@@ -185,7 +190,7 @@
 
 // apply takes what the agreement committed.
 func (x *Exchange) apply(out agreement.Output) {
-	before := x.state.version()
+	before, booked := x.state.version(), x.state.book.Version
 	var last *change
 	steps := 0
 	if out.Install != nil {
@@ -209,6 +214,9 @@
 			w.answer(x.state.version(), err)
 		}
 	}
+	if v := x.state.book.Version; v != booked {
+		_ = x.logger.Log("event", "bookings", "version", v, "held", len(x.state.book.All))
+	}
 	if x.state.version() != before {
 		f := &trunk.Config{Version: x.state.version()}
 		if steps == 1 && last.Patch {
@@ -274,8 +282,16 @@
 	return true
 }
 
-// readBack answers with the newest configuration, once it is sure that this planner still leads.
-func (x *Exchange) readBack(w http.ResponseWriter, r *http.Request) {
+// newest is the configuration.
+func (x *Exchange) newest() ([]byte, error) {
+	if x.state.config == nil {
+		return []byte(`{}`), nil
+	}
+	return json.Marshal(x.state.config)
+}
+
+// readWith answers with what holds now, once it is sure that this planner still leads.
+func (x *Exchange) readWith(w http.ResponseWriter, r *http.Request, render func() ([]byte, error)) {
 	done := make(chan answered, 1)
 	x.do(func() {
 		if !x.leads() {
@@ -283,7 +299,7 @@
 			return
 		}
 		round := x.member.Confirm(x.now())
-		x.reads = append(x.reads, read{round, x.now() + callLimit, func(body []byte, err error) { done <- answered{body: body, err: err} }})
+		x.reads = append(x.reads, read{round, x.now() + callLimit, render, func(body []byte, err error) { done <- answered{body: body, err: err} }})
 	})
 	select {
 	case a := <-done:
@@ -305,12 +321,7 @@
 	x.reads = slices.DeleteFunc(x.reads, func(r read) bool {
 		switch {
 		case x.leads() && x.member.Confirmed(r.round):
-			if x.state.config == nil {
-				r.answer([]byte(`{}`), nil)
-			} else {
-				body, err := json.Marshal(x.state.config)
-				r.answer(body, err)
-			}
+			r.answer(r.body())
 		case !x.leads() || x.now() > r.until:
 			r.answer(nil, tone.NoLeader.New("it could not be confirmed that this planner leads"))
 		default:
@@ -369,6 +380,7 @@
 			v.Servers = append(v.Servers, operator.Server{ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Address,
 				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: x.tables.weight(e.ID)})
 		}
+		v.Endangered = x.endangered()
 		if x.member != nil {
 			v.Term, v.Commit, v.Last, v.Blank = x.member.Term(), x.member.Commit(), x.member.Last(), x.member.Blank()
 		}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -33,9 +33,9 @@
 // Request counts a request that was taken.
 func (m *Meter) Request() { m.purse = min(m.most, m.purse+m.earn) }
 
-// Spend takes one further try out of the purse.
-func (m *Meter) Spend() bool {
-	if m.purse < 1 {
+// Spend takes one further try out of the purse; if keep is set, only where another one is left in a purse that holds two.
+func (m *Meter) Spend(keep bool) bool {
+	if m.purse < 1 || keep && m.most >= 2 && m.purse < 2 {
 		return false
 	}
 	m.purse--
--- /dev/null
+++ b/internal/operator/bookings.go
@@ -0,0 +1,32 @@
+package operator
+
+import "mulleinwood/internal/booking"
+
+// Bookings is the book as an exchange tells it. Times are seconds of the core's time of day.
+type Bookings struct {
+	Version  string             `json:"version"`
+	Now      float64            `json:"now"`
+	Bookings []booking.Booking  `json:"bookings"`
+	Past     []booking.Past     `json:"past"`
+	Lacks    map[string]float64 `json:"lacks"` // slots that bookings of now lack, by id
+	Use      []Use              `json:"use"`
+}
+
+// Use is a room that is held now and how much of it is wanted, in work or waiting.
+type Use struct {
+	booking.Room
+	Wanted int `json:"wanted"`
+}
+
+// Booked answers a change: the book's new version, and the slots that could be kept.
+type Booked struct {
+	Version string  `json:"version"`
+	Could   float64 `json:"could,omitempty"`
+	Kept    bool    `json:"kept"`
+	ID      string  `json:"id,omitempty"` // of the booking that could not be kept
+}
+
+// Days is a list of bookings that are taken together or not at all.
+type Days struct {
+	Bookings []booking.Booking `json:"bookings"`
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -153,6 +153,7 @@
 	Exchanges   []string `json:"exchanges"`
 	Control     []string `json:"control"`
 	Servers     []Server `json:"servers"`
+	Endangered  []string `json:"endangered,omitempty"` // bookings that can't be kept, as the leader sees it
 }
 
 // Server is a server as an exchange sees it.
@@ -192,6 +193,9 @@
 		}
 		say(!v.Attached, "is cut off from the core")
 		say(v.Commit < newest, fmt.Sprintf("lags: it is at change %d of %d", v.Commit, newest))
+		for _, b := range v.Endangered {
+			faults = append(faults, b)
+		}
 		say(v.Blank || v.LedgerBlank, "has an empty disk that is not restored yet")
 		say(v.DiskRefuses, "has a disk that refuses writes")
 		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
--- a/internal/rehearse/requests.go
+++ b/internal/rehearse/requests.go
@@ -171,7 +171,7 @@
 		}
 		w.finish(q, ending, status)
 	case cord.Pay:
-		if w.day.Fault != "tries cost nothing" && !e.meter(q.service, len(w.edges)).Spend() {
+		if w.day.Fault != "tries cost nothing" && !e.meter(q.service, len(w.edges)).Spend(false) {
 			w.finish(q, ending, status)
 			return
 		}
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/xxh3"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/ticket"
 )
@@ -33,6 +34,27 @@
 	Copied   *Copied             `cbor:"19,keyasint,omitempty"`
 	NeedAll  bool                `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
 	Cells    *Cells              `cbor:"21,keyasint,omitempty"`
+	Rooms    *Rooms              `cbor:"22,keyasint,omitempty"`
+	Words    []Worded            `cbor:"23,keyasint,omitempty"` // edge to its exchange, and on to the dealer
+	Leases   []Leased            `cbor:"24,keyasint,omitempty"` // and back
+}
+
+// Rooms are all that are held, as the leader of a term says.
+type Rooms struct {
+	Term uint64         `cbor:"1,keyasint"`
+	List []booking.Room `cbor:"2,keyasint,omitempty"`
+}
+
+// Worded is an edge's word on its rooms.
+type Worded struct {
+	Edge string       `cbor:"1,keyasint"` // IP
+	Word booking.Word `cbor:"2,keyasint"`
+}
+
+// Leased is an edge's parts of the rooms.
+type Leased struct {
+	Edge  string        `cbor:"1,keyasint"`
+	Lease booking.Lease `cbor:"2,keyasint"`
 }
 
 // Cells compares what two processes hold of servers, cell by cell. The answer comes with the lives of the cells that
@@ -70,6 +92,7 @@
 
 	Crew   map[string][]uint32 `cbor:"9,keyasint,omitempty"`  // to exchanges: the sender's edges, by zone
 	Roster []uint32            `cbor:"10,keyasint,omitempty"` // to an edge: all of its zone, once it has changed
+	Clock  float64             `cbor:"11,keyasint,omitempty"` // to exchanges: the sender's time of day, in seconds
 }
 
 // Badge is the short name of an edge in rosters.
