Play racing operators in the rehearsal, on the real daybook

Two configurations or bookings on one version, calls that are repeated after an answer that was lost, and refusals were tested by examples only.

Change: what the entries of the agreement lead to is a pure package, internal/daybook, moved out of internal/exchange as it was. In the rehearsal two operators put changes on what they read, anywhere, follow to the leader, lose one answer in ten and repeat the call unchanged; some changes are invalid.

--- /dev/null
+++ b/internal/daybook/daybook.go
@@ -0,0 +1,160 @@
+// Package daybook is what the entries of the agreement lead to: the configuration, the calls that brought it there, and the
+// book of bookings. It is a value fed with entries; every planner that applies the same comes to the same.
+package daybook
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/tone"
+)
+
+// Change is a call of an operator, as the agreement's history holds it.
+type Change struct {
+	Base  uint64 `cbor:"1,keyasint"`
+	Patch bool   `cbor:"2,keyasint,omitempty"`
+	Body  []byte `cbor:"3,keyasint"`
+
+	Book *booking.Op `cbor:"4,keyasint,omitempty"` // instead: a change of the book
+}
+
+// digest tells calls apart: the same call again has the same.
+func (c Change) digest() [32]byte {
+	h := sha256.New()
+	b, _ := cbor.Marshal(c.Base)
+	h.Write(b)
+	if c.Patch {
+		h.Write([]byte{1})
+	}
+	h.Write(c.Body)
+	return [32]byte(h.Sum(nil))
+}
+
+// Taken is a configuration that was taken, and the call that brought it.
+type Taken struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Digest  [32]byte
+}
+
+const takenKept = 256
+
+// Daybook is the state after some entries. Its fields are to be read.
+type Daybook struct {
+	Config *dialplan.Config // nil before the first
+	Book   *booking.Book
+	Taken  []Taken // oldest first
+	Index  uint64  // of the last entry
+	Since  int     // entries since the last snapshot
+}
+
+// New makes an empty one.
+func New() *Daybook { return &Daybook{Book: booking.NewBook()} }
+
+// Version is that of the configuration; 0: there is none yet.
+func (h *Daybook) Version() uint64 {
+	if h.Config == nil {
+		return 0
+	}
+	return uint64(h.Config.Version)
+}
+
+// Knows tells whether a call was taken lately.
+func (h *Daybook) Knows(c Change) bool {
+	digest := c.digest()
+	return slices.ContainsFunc(h.Taken, func(t Taken) bool { return t.Digest == digest })
+}
+
+// Apply takes an entry. Every planner comes to the same outcome, so that a refused change is refused everywhere.
+func (h *Daybook) Apply(e agreement.Entry) (applied *Change, err error) {
+	h.Index = e.Index
+	h.Since++
+	if len(e.Data) == 0 {
+		return nil, nil
+	}
+	var c Change
+	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		return nil, tone.Invalid.Wrap(err, "entry %d", e.Index)
+	}
+	if c.Book != nil {
+		return nil, h.Book.Apply(*c.Book)
+	}
+	if h.Knows(c) {
+		return nil, nil // the same call again, after an answer that was lost
+	}
+	if c.Base != h.Version() {
+		return nil, tone.Stale.New("built on %s, current is %s", dialplan.Version(c.Base), dialplan.Version(h.Version()))
+	}
+	next, err := h.Check(c)
+	if err != nil {
+		return nil, err
+	}
+	h.Config = next
+	h.Taken = append(h.Taken, Taken{Version: uint64(next.Version), Digest: c.digest()})
+	h.Taken = h.Taken[max(0, len(h.Taken)-takenKept):]
+	return &c, nil
+}
+
+// Check gives the configuration that a change would lead to.
+func (h *Daybook) Check(c Change) (*dialplan.Config, error) {
+	if c.Patch {
+		if h.Config == nil {
+			return nil, tone.Stale.New("there is no configuration to change")
+		}
+		return h.Config.Patch(c.Body)
+	}
+	next, err := dialplan.Parse(c.Body)
+	if err == nil && uint64(next.Version) <= h.Version() {
+		err = tone.Invalid.New("version %s is not above %s", next.Version, dialplan.Version(h.Version()))
+	}
+	return next, err
+}
+
+type savedHistory struct {
+	Config []byte  `cbor:"1,keyasint,omitempty"`
+	Taken  []Taken `cbor:"2,keyasint,omitempty"`
+
+	Book *booking.Book `cbor:"3,keyasint,omitempty"`
+}
+
+// Save is the snapshot of a history.
+func (h *Daybook) Save() ([]byte, error) {
+	s := savedHistory{Taken: h.Taken}
+	if h.Book.Version > 0 {
+		s.Book = h.Book
+	}
+	if h.Config != nil {
+		var err error
+		if s.Config, err = json.Marshal(h.Config); err != nil {
+			return nil, err
+		}
+	}
+	return cbor.Marshal(s)
+}
+
+// Restore takes a snapshot over.
+func (h *Daybook) Restore(s agreement.Snapshot) error {
+	var saved savedHistory
+	if err := cbor.Unmarshal(s.Data, &saved); err != nil {
+		return err
+	}
+	next := Daybook{Taken: saved.Taken, Index: s.Index, Book: booking.NewBook()}
+	if saved.Book != nil {
+		next.Book = saved.Book
+	}
+	if saved.Config != nil {
+		config, err := dialplan.Parse(saved.Config)
+		if err != nil {
+			return err
+		}
+		next.Config = config
+	}
+	*h = next
+	return nil
+}
--- a/internal/exchange/history_test.go
+++ b/internal/daybook/daybook_test.go
@@ -1,4 +1,4 @@
-package exchange
+package daybook
 
 import (
 	"encoding/json"
@@ -14,9 +14,9 @@
 	"mulleinwood/internal/tone"
 )
 
-func TestExchange(t *testing.T) {
+func TestDaybook(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "exchange")
+	RunSpecs(t, "daybook")
 }
 
 func body(version int, services string) []byte {
@@ -29,43 +29,43 @@
 
 // feeder numbers entries as the agreement does.
 type feeder struct {
-	h     *history
+	h     *Daybook
 	index uint64
 }
 
-func (f *feeder) apply(c change) (bool, error) {
+func (f *feeder) apply(c Change) (bool, error) {
 	data, err := cbor.Marshal(c)
 	Expect(err).NotTo(HaveOccurred())
 	f.index++
-	applied, err := f.h.apply(agreement.Entry{Term: 1, Index: f.index, Data: data})
+	applied, err := f.h.Apply(agreement.Entry{Term: 1, Index: f.index, Data: data})
 	return applied != nil, err
 }
 
-var _ = Describe("the history", func() {
+var _ = Describe("the daybook", func() {
 	var f *feeder
 	BeforeEach(func() {
-		f = &feeder{h: newHistory()}
-		_, err := f.apply(change{Base: 0, Body: body(3, `{"name":"a"}`)})
+		f = &feeder{h: New()}
+		_, err := f.apply(Change{Base: 0, Body: body(3, `{"name":"a"}`)})
 		Expect(err).NotTo(HaveOccurred())
 	})
 	It("lets one of two changes on the same version win", func() {
-		_, err := f.apply(change{Base: 3, Patch: true, Body: patch(5, "b")})
+		_, err := f.apply(Change{Base: 3, Patch: true, Body: patch(5, "b")})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = f.apply(change{Base: 3, Patch: true, Body: patch(6, "c")})
+		_, err = f.apply(Change{Base: 3, Patch: true, Body: patch(6, "c")})
 		Expect(tone.For(err).Status).To(Equal(412))
-		Expect(f.h.version()).To(Equal(uint64(5)))
+		Expect(f.h.Version()).To(Equal(uint64(5)))
 	})
 	It("answers the same call again as taken, also after others, and changes nothing by it", func() {
-		first := change{Base: 3, Patch: true, Body: patch(5, "b")}
+		first := Change{Base: 3, Patch: true, Body: patch(5, "b")}
 		f.apply(first)
-		f.apply(change{Base: 5, Patch: true, Body: patch(9, "c")})
+		f.apply(Change{Base: 5, Patch: true, Body: patch(9, "c")})
 		applied, err := f.apply(first)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(applied).To(BeFalse())
-		Expect(f.h.version()).To(Equal(uint64(9)))
+		Expect(f.h.Version()).To(Equal(uint64(9)))
 	})
 	It("takes no version that isn't above the current one, and nothing that can't be read", func() {
-		for _, c := range []change{
+		for _, c := range []Change{
 			{Base: 3, Body: body(3, `{"name":"b"}`)}, {Base: 3, Body: body(2, `{"name":"b"}`)},
 			{Base: 3, Patch: true, Body: patch(3, "b")}, {Base: 3, Patch: true, Body: patch(7, "b")[:20]},
 		} {
@@ -73,45 +73,45 @@
 			Expect(applied).To(BeFalse())
 			Expect(tone.For(err).Status).To(Equal(400), "%s", c.Body)
 		}
-		Expect(f.h.version()).To(Equal(uint64(3)))
+		Expect(f.h.Version()).To(Equal(uint64(3)))
 	})
 	It("takes bookings beside configurations, once, and keeps them in the snapshot", func() {
 		one := booking.Booking{ID: "flyer", Tenant: "a.example", Service: "a", Start: 100, End: 200, Slots: 3, Owner: "hall"}
-		add := change{Book: &booking.Op{Call: "c1", Base: 0, Puts: []booking.Booking{one}, Now: 50}}
+		add := Change{Book: &booking.Op{Call: "c1", Base: 0, Puts: []booking.Booking{one}, Now: 50}}
 		for range 2 {
 			applied, err := f.apply(add)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(applied).To(BeFalse(), "the configuration is as it was")
 		}
-		_, err := f.apply(change{Book: &booking.Op{Call: "c2", Base: 0, Cancel: "flyer", Now: 60}})
+		_, err := f.apply(Change{Book: &booking.Op{Call: "c2", Base: 0, Cancel: "flyer", Now: 60}})
 		Expect(tone.For(err).Status).To(Equal(412), "two on one version: one wins")
-		saved, err := f.h.save()
+		saved, err := f.h.Save()
 		Expect(err).NotTo(HaveOccurred())
-		other := newHistory()
-		Expect(other.restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
-		Expect(other.book).To(Equal(f.h.book))
-		Expect(other.version()).To(Equal(uint64(3)))
-		_, err = f.apply(change{Book: &booking.Op{Call: "c3", Base: 1, Cancel: "flyer", Now: 150}})
+		other := New()
+		Expect(other.Restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
+		Expect(other.Book).To(Equal(f.h.Book))
+		Expect(other.Version()).To(Equal(uint64(3)))
+		_, err = f.apply(Change{Book: &booking.Op{Call: "c3", Base: 1, Cancel: "flyer", Now: 150}})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(f.h.book.Gone[0].How).To(Equal(booking.Cancelled))
+		Expect(f.h.Book.Gone[0].How).To(Equal(booking.Cancelled))
 	})
 	It("comes to the same from a snapshot and the changes after it", func() {
-		f.apply(change{Base: 3, Patch: true, Body: patch(5, "b")})
-		saved, err := f.h.save()
+		f.apply(Change{Base: 3, Patch: true, Body: patch(5, "b")})
+		saved, err := f.h.Save()
 		Expect(err).NotTo(HaveOccurred())
-		other := &feeder{h: newHistory(), index: f.index}
-		Expect(other.h.restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
-		for _, c := range []change{{Base: 5, Patch: true, Body: patch(8, "c")}, {Base: 3, Patch: true, Body: patch(5, "b")}, {Base: 5, Patch: true, Body: patch(9, "d")}} {
+		other := &feeder{h: New(), index: f.index}
+		Expect(other.h.Restore(agreement.Snapshot{Index: f.index, Data: saved})).To(Succeed())
+		for _, c := range []Change{{Base: 5, Patch: true, Body: patch(8, "c")}, {Base: 3, Patch: true, Body: patch(5, "b")}, {Base: 5, Patch: true, Body: patch(9, "d")}} {
 			one, errOne := f.apply(c)
 			two, errTwo := other.apply(c)
 			Expect(two).To(Equal(one))
 			Expect(errTwo == nil).To(Equal(errOne == nil))
 		}
-		a, err := json.Marshal(f.h.config)
+		a, err := json.Marshal(f.h.Config)
 		Expect(err).NotTo(HaveOccurred())
-		b, err := json.Marshal(other.h.config)
+		b, err := json.Marshal(other.h.Config)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(b).To(MatchJSON(a))
-		Expect(other.h.taken).To(Equal(f.h.taken))
+		Expect(other.h.Taken).To(Equal(f.h.Taken))
 	})
 })
--- a/internal/exchange/bookings.go
+++ b/internal/exchange/bookings.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulleinwood/internal/booking"
+	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/operator"
@@ -65,7 +66,7 @@
 // does nothing.
 func (x *Exchange) dealRooms(now time.Duration) {
 	r := &x.rooms
-	if now < r.next || !x.leads() || x.state.book.Version == 0 {
+	if now < r.next || !x.leads() || x.state.Book.Version == 0 {
 		return
 	}
 	r.next = now + dealEvery
@@ -79,7 +80,7 @@
 	if r.proven == 0 || now-r.proven > booking.Confirmed {
 		return
 	}
-	list := x.state.book.Rooms(x.carry(), r.clock.Now(now))
+	list := x.state.Book.Rooms(x.carry(), r.clock.Now(now))
 	changed := r.told == nil || r.told.Term != r.dealer.Term() || !slices.Equal(r.told.List, list)
 	if changed || len(list) > 0 && now >= r.again {
 		r.again = now + roomsAgain
@@ -174,13 +175,13 @@
 // bookings is the book, as operators read it.
 func (x *Exchange) bookings() ([]byte, error) {
 	now := x.now()
-	b := operator.Bookings{Version: bookVersion(x.state.book.Version), Now: x.rooms.clock.Now(now), Past: x.state.book.Gone, Lacks: map[string]float64{}, Use: []operator.Use{}}
-	for _, one := range x.state.book.All {
+	b := operator.Bookings{Version: bookVersion(x.state.Book.Version), Now: x.rooms.clock.Now(now), Past: x.state.Book.Gone, Lacks: map[string]float64{}, Use: []operator.Use{}}
+	for _, one := range x.state.Book.All {
 		b.Bookings = append(b.Bookings, one)
 	}
 	slices.SortFunc(b.Bookings, func(a, b booking.Booking) int { return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID)) })
 	for service, carry := range x.carryBooked() {
-		for id, lacks := range x.state.book.Endangered(service, carry, b.Now) {
+		for id, lacks := range x.state.Book.Endangered(service, carry, b.Now) {
 			b.Lacks[id] = lacks
 		}
 	}
@@ -196,7 +197,7 @@
 // carryBooked is carry for all services of the book: one without any server carries nothing.
 func (x *Exchange) carryBooked() map[string]booking.Carry {
 	all := x.carry()
-	for _, b := range x.state.book.All {
+	for _, b := range x.state.Book.All {
 		if all[b.Service] == nil {
 			all[b.Service] = booking.Carry{}
 		}
@@ -206,11 +207,11 @@
 
 // endangered are the bookings that can't be kept now, a line each, as the leader sees it.
 func (x *Exchange) endangered() (lines []string) {
-	if !x.leads() || len(x.state.book.All) == 0 {
+	if !x.leads() || len(x.state.Book.All) == 0 {
 		return nil
 	}
 	for service, carry := range x.carryBooked() {
-		for id, lacks := range x.state.book.Endangered(service, carry, x.rooms.clock.Now(x.now())) {
+		for id, lacks := range x.state.Book.Endangered(service, carry, x.rooms.clock.Now(x.now())) {
 			lines = append(lines, fmt.Sprintf("booking %s lacks %.1f slots of %s", id, lacks, service))
 		}
 	}
@@ -299,7 +300,7 @@
 		}
 		return
 	}
-	book := x.state.book
+	book := x.state.Book
 	if op.Now = x.rooms.clock.Now(x.now()); op.Now == 0 {
 		op.Now = wall() // before the first pulse
 	}
@@ -326,14 +327,14 @@
 		done <- booked{err: tone.Overbooked.New("booking %s can't be kept, %.1f slots could", out.id, out.could)}
 		return
 	}
-	data, err := cbor.Marshal(change{Book: &op})
+	data, err := cbor.Marshal(daybook.Change{Book: &op})
 	if err != nil {
 		done <- booked{err: tone.Malformed.Wrap(err, "booking")}
 		return
 	}
 	index, term, _ := x.member.Propose(data, x.now())
 	x.waiters[index] = waiter{term: term, until: x.now() + callLimit, answer: func(_ uint64, err error) {
-		out.version, out.err = x.state.book.Version, err
+		out.version, out.err = x.state.Book.Version, err
 		done <- out
 	}}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"mulleinwood/internal/archive"
 	"mulleinwood/internal/booking"
 	"mulleinwood/internal/boot"
+	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/night"
 	"mulleinwood/internal/notice"
@@ -48,8 +49,7 @@
 	lazyMost     = 100 * time.Millisecond // that a line waits for the disk when nobody waits for the line
 	callLimit    = 1500 * time.Millisecond
 	compactAfter = 64 // entries of the log
-	historyKept  = 256
-	fullEvery    = 4 // pulses, of which one is full
+	fullEvery    = 4  // pulses, of which one is full
 	memoryShare  = 0.25
 	diskShare    = 0.25 // what is freed in the file is used again only once no older head needs it
 )
@@ -69,7 +69,7 @@
 	members             []string
 	member              *agreement.Member // nil in an exchange that has no vote
 	blank               bool              // an empty disk, and the members aren't known yet
-	state               *history
+	state               *daybook.Daybook
 	waiters             map[uint64]waiter
 	reads               []read
 	dir                 *directory.Directory
@@ -100,7 +100,7 @@
 // Run serves until ctx ends.
 func Run(ctx context.Context, set *boot.Settings, security *trunk.Security, logger log.Logger) error {
 	x := &Exchange{set: set, security: security, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
-		waiters: map[uint64]waiter{}, state: newHistory(), copies: map[string]bool{},
+		waiters: map[uint64]waiter{}, state: daybook.New(), copies: map[string]bool{},
 		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, calls: map[uint64]func(){},
 		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"mulleinwood/internal/boot"
+	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/notice"
 	"mulleinwood/internal/tally"
@@ -31,7 +32,7 @@
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*peer{}, edges: map[string]*peer{}}
-		x.state, x.tally = newHistory(), tally.New(tally.Exchange)
+		x.state, x.tally = daybook.New(), tally.New(tally.Exchange)
 		x.dir = directory.New(tombstones)
 		x.board, x.tables = notice.New(x.dir), newTables(x)
 		w := httptest.NewRecorder()
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -168,7 +168,7 @@
 	answer.Blank = x.ledger.Blank()
 	answer.Members = x.members
 	f := &trunk.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
-	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.version() {
+	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.Version() {
 		f.Config = x.whole()
 	}
 	p.link.Send(f)
@@ -286,7 +286,7 @@
 
 // makePulse says how this planner sees the system.
 func (x *Exchange) makePulse(full bool) *trunk.Pulse {
-	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
+	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.Version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
 	for _, other := range x.peers {
 		p.Fleet += other.fleet
 	}
--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/dialplan"
 	"mulleinwood/internal/operator"
 	"mulleinwood/internal/tone"
@@ -141,7 +142,7 @@
 			return
 		}
 	}
-	c := change{Base: uint64(base), Patch: patch, Body: body}
+	c := daybook.Change{Base: uint64(base), Patch: patch, Body: body}
 	done := make(chan answered, 1)
 	x.do(func() { x.propose(c, done) })
 	select {
@@ -159,7 +160,7 @@
 }
 
 // propose puts a change into the history, if this planner leads.
-func (x *Exchange) propose(c change, done chan answered) {
+func (x *Exchange) propose(c daybook.Change, done chan answered) {
 	if !x.leads() {
 		if leader := x.leader(); leader != "" && leader != x.set.IP {
 			done <- answered{leader: leader}
@@ -169,10 +170,8 @@
 		return
 	}
 	// What is plainly wrong needs no entry: whether it is stale or invalid, it is refused either way.
-	digest := c.digest()
-	known := slices.ContainsFunc(x.state.taken, func(t taken) bool { return t.Digest == digest })
-	if !known && len(x.waiters) == 0 && c.Base == x.state.version() {
-		if _, err := x.state.check(c); err != nil {
+	if !x.state.Knows(c) && len(x.waiters) == 0 && c.Base == x.state.Version() {
+		if _, err := x.state.Check(c); err != nil {
 			done <- answered{err: err}
 			return
 		}
@@ -190,46 +189,46 @@
 
 // apply takes what the agreement committed.
 func (x *Exchange) apply(out agreement.Output) {
-	before, booked := x.state.version(), x.state.book.Version
-	var last *change
+	before, booked := x.state.Version(), x.state.Book.Version
+	var last *daybook.Change
 	steps := 0
 	if out.Install != nil {
-		if err := x.state.restore(*out.Install); err != nil {
+		if err := x.state.Restore(*out.Install); err != nil {
 			_ = x.logger.Log("event", "snapshot can't be read", "cause", err)
 			return
 		}
 		steps = 2
 	}
 	for _, e := range out.Committed {
-		c, err := x.state.apply(e)
+		c, err := x.state.Apply(e)
 		if c != nil {
 			last, steps = c, steps+1
-			_ = x.logger.Log("event", "configuration", "version", dialplan.Version(x.state.version()), "index", e.Index, "term", e.Term, "routes", len(x.state.config.Routes))
+			_ = x.logger.Log("event", "configuration", "version", dialplan.Version(x.state.Version()), "index", e.Index, "term", e.Term, "routes", len(x.state.Config.Routes))
 		}
 		if w, ok := x.waiters[e.Index]; ok {
 			delete(x.waiters, e.Index)
 			if w.term != e.Term {
 				err = tone.Unconfirmed.New("another change took its place")
 			}
-			w.answer(x.state.version(), err)
+			w.answer(x.state.Version(), err)
 		}
 	}
-	if v := x.state.book.Version; v != booked {
-		_ = x.logger.Log("event", "bookings", "version", v, "held", len(x.state.book.All))
+	if v := x.state.Book.Version; v != booked {
+		_ = x.logger.Log("event", "bookings", "version", v, "held", len(x.state.Book.All))
 	}
-	if x.state.version() != before {
-		f := &trunk.Config{Version: x.state.version()}
+	if x.state.Version() != before {
+		f := &trunk.Config{Version: x.state.Version()}
 		if steps == 1 && last.Patch {
 			f.Base, f.Change = before, last.Body
-		} else if whole, err := json.Marshal(x.state.config); err == nil {
+		} else if whole, err := json.Marshal(x.state.Config); err == nil {
 			f.Whole = whole
 		}
 		x.pushConfig(f)
 	}
-	if x.state.since > compactAfter {
-		if data, err := x.state.save(); err == nil {
-			x.member.Compact(x.state.index, data)
-			x.state.since = 0
+	if x.state.Since > compactAfter {
+		if data, err := x.state.Save(); err == nil {
+			x.member.Compact(x.state.Index, data)
+			x.state.Since = 0
 		}
 	}
 }
@@ -249,45 +248,45 @@
 
 // whole is the configuration for one who has none, or another.
 func (x *Exchange) whole() *trunk.Config {
-	if x.state.config == nil {
+	if x.state.Config == nil {
 		return nil
 	}
-	body, err := json.Marshal(x.state.config)
+	body, err := json.Marshal(x.state.Config)
 	if err != nil {
 		return nil
 	}
-	return &trunk.Config{Version: x.state.version(), Whole: body}
+	return &trunk.Config{Version: x.state.Version(), Whole: body}
 }
 
 // observed takes a configuration that an exchange without a vote was sent.
 func (x *Exchange) observed(c *trunk.Config) (whole bool) {
-	if x.member != nil || c.Version <= x.state.version() {
+	if x.member != nil || c.Version <= x.state.Version() {
 		return true
 	}
 	var next *dialplan.Config
 	var err error
 	if c.Whole != nil {
 		next, err = dialplan.Parse(c.Whole)
-	} else if x.state.config == nil || c.Base != x.state.version() {
+	} else if x.state.Config == nil || c.Base != x.state.Version() {
 		return false
 	} else {
-		next, err = x.state.config.Patch(c.Change)
+		next, err = x.state.Config.Patch(c.Change)
 	}
 	if err != nil {
 		_ = x.logger.Log("event", "configuration can't be read", "cause", err)
 		return false
 	}
-	x.state.config = next
+	x.state.Config = next
 	x.pushConfig(x.whole())
 	return true
 }
 
 // newest is the configuration.
 func (x *Exchange) newest() ([]byte, error) {
-	if x.state.config == nil {
+	if x.state.Config == nil {
 		return []byte(`{}`), nil
 	}
-	return json.Marshal(x.state.config)
+	return json.Marshal(x.state.Config)
 }
 
 // readWith answers with what holds now, once it is sure that this planner still leads.
@@ -353,7 +352,7 @@
 	done := make(chan []past, 1)
 	x.do(func() {
 		all := []past{}
-		for _, t := range slices.Backward(x.state.taken) {
+		for _, t := range slices.Backward(x.state.Taken) {
 			all = append(all, past{dialplan.Version(t.Version).String(), hex.EncodeToString(t.Digest[:8])})
 		}
 		done <- all
@@ -365,7 +364,7 @@
 func (x *Exchange) status(w http.ResponseWriter, _ *http.Request) {
 	done := make(chan operator.View, 1)
 	x.do(func() {
-		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: dialplan.Version(x.state.version()).String(),
+		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: dialplan.Version(x.state.Version()).String(),
 			Leader: x.leader(), Members: x.members, Keys: x.ledger.Len(), LedgerBlank: x.ledger.Blank(), DiskRefuses: x.store.failing, DiskMs: x.store.took()}
 		for _, e := range x.edges {
 			v.Edges = append(v.Edges, e.node)
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -63,7 +63,7 @@
 		return s
 	}
 	aim, deadline := 1000.0, 5000.0
-	if c := t.x.state.config; c != nil {
+	if c := t.x.state.Config; c != nil {
 		for _, r := range c.Routes {
 			for _, share := range r.Shares() {
 				if share.Service == service && r.Setpoint > 0 {
@@ -152,7 +152,7 @@
 // configured follows a new configuration: services that it doesn't know any more are forgotten.
 func (t *tables) configured() {
 	for name := range t.services {
-		if !slices.ContainsFunc(t.x.state.config.Services, func(s *dialplan.Service) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(t.x.state.Config.Services, func(s *dialplan.Service) bool { return s.Name == name }) {
 			delete(t.services, name)
 		}
 	}
--- /dev/null
+++ b/internal/rehearse/operators.go
@@ -0,0 +1,222 @@
+package rehearse
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/daybook"
+	"mulleinwood/internal/tone"
+)
+
+const (
+	writers    = 2 // operators who change the configuration at once
+	askAgain   = time.Second
+	pauseAgain = 200 * time.Millisecond
+	followMost = 2
+	answerLost = 10 // one answer in so many
+	callOver   = 1500 * time.Millisecond
+	namesMost  = 4 // that changes add or replace
+)
+
+// writer is an operator: it reads the version in force, from whoever says so, and puts a change on top of it. Without a
+// clear answer it makes the same call again, at any exchange.
+type writer struct {
+	n     int
+	call  *call
+	calls int
+}
+
+// call is one change that an operator asks for.
+type call struct {
+	data    []byte
+	change  daybook.Change
+	version uint64
+	at      int
+	again   time.Duration // when it is made once more
+	over    bool
+}
+
+// waiter is a call that waits for its entry.
+type waiter struct {
+	term   uint64
+	until  time.Duration
+	answer func(err error)
+}
+
+// force is a change that came into force, by the auditor's reading of the history alone.
+type force struct{ base, version uint64 }
+
+// write lets an operator act.
+func (w *world) write(o *writer) {
+	if c := o.call; c != nil {
+		if w.now >= c.again {
+			c.again = w.now + askAgain
+			c.at = (c.at + 1) % len(w.nodes)
+			w.put(o, c, c.at, followMost)
+		}
+		return
+	}
+	if w.rng.IntN(w.day.Every) != 0 {
+		return
+	}
+	from := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !w.running(from.n) {
+		return
+	}
+	base := from.state.Version()
+	o.calls++
+	c := &call{version: base + 1 + uint64(w.rng.IntN(4)), at: w.rng.IntN(len(w.nodes))}
+	item := fmt.Sprintf(`{"name":"s-%d","health_path":"/%d/%d"}`, w.rng.IntN(namesMost), o.n, o.calls)
+	switch {
+	case base == 0 || w.rng.IntN(4) == 0:
+		c.change = daybook.Change{Base: base, Body: fmt.Appendf(nil, `{"version":"r%d","services":[%s],"limits":{},"plants":[]}`, c.version, item)}
+	case w.rng.IntN(8) == 0: // one that can't be
+		c.version = base
+		fallthrough
+	default:
+		c.change = daybook.Change{Base: base, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"services":[%s]},"remove":{}}`, c.version, item)}
+	}
+	data, err := cbor.Marshal(c.change)
+	if err != nil {
+		panic(err) // plain numbers and bytes
+	}
+	c.data, c.again, o.call = data, w.now+askAgain, c
+	w.put(o, c, c.at, followMost)
+}
+
+// put brings a call to an exchange.
+func (w *world) put(o *writer, c *call, at, follow int) {
+	w.after(1+w.rng.IntN(5), func() {
+		n := w.nodes[at]
+		if !w.running(at) || c.over {
+			return
+		}
+		if n.member.Role() != agreement.Leader {
+			if leader := slices.Index(w.names, n.member.Leader()); leader >= 0 && leader != at && follow > 0 {
+				w.put(o, c, leader, follow-1)
+			} else {
+				c.again = min(c.again, w.now+pauseAgain)
+			}
+			return
+		}
+		life := n.life
+		answer := func(err error) {
+			w.after(1+w.rng.IntN(5), func() {
+				if n.life == life && w.rng.IntN(answerLost) > 0 {
+					w.answered(o, c, err)
+				}
+			})
+		}
+		if !n.state.Knows(c.change) && len(n.waiting) == 0 && c.change.Base == n.state.Version() {
+			if _, err := n.state.Check(c.change); err != nil {
+				answer(err)
+				return
+			}
+		}
+		index, term, _ := n.member.Propose(c.data, w.now)
+		n.waiting[index] = waiter{term, w.now + callOver, answer}
+		w.settle(n)
+	})
+}
+
+// answered is what an operator hears; only a clear answer ends a call.
+func (w *world) answered(o *writer, c *call, err error) {
+	if c.over {
+		return
+	}
+	status := 200
+	if err != nil {
+		status = tone.For(err).Status
+	}
+	if status >= 500 {
+		c.again = min(c.again, w.now+pauseAgain)
+		return
+	}
+	c.over, o.call = true, nil
+	if status != 200 {
+		w.turnedAway[string(c.data)] = true
+		if at, taken := w.forced[string(c.data)]; taken {
+			w.broken("CONFIG: a change to r%d is refused with %d and in force, on r%d", at.version, status, at.base)
+		}
+		return
+	}
+	w.result.Changes++
+	at, taken := w.forced[string(c.data)]
+	switch {
+	case !taken:
+		w.broken("CONFIG: a change on r%d is acknowledged and never came into force", c.change.Base)
+	case w.ackedOn[at.base] != "" && w.ackedOn[at.base] != string(c.data):
+		w.broken("CONFIG: two changes on r%d are both acknowledged", at.base)
+	}
+	w.ackedOn[at.base] = string(c.data)
+	w.ackTimes = append(w.ackTimes, ackedAt{at.version, w.now})
+}
+
+// entered takes a new entry of the history into the auditor's books. It judges by the numbers alone: a change counts if it
+// is built on the version in force, is above it and wasn't taken before.
+func (w *world) entered(e agreement.Entry) {
+	var c daybook.Change
+	if len(e.Data) > 0 && cbor.Unmarshal(e.Data, &c) == nil {
+		var version uint64
+		if _, err := fmt.Sscanf(string(c.Body), `{"version":"r%d"`, &version); err == nil && c.Base == w.inForce && version > w.inForce {
+			if _, again := w.forced[string(e.Data)]; !again {
+				w.forced[string(e.Data)] = force{c.Base, version}
+				w.inForce = version
+				if w.turnedAway[string(e.Data)] {
+					w.broken("CONFIG: a change to r%d was refused and comes into force", version)
+				}
+			}
+		}
+	}
+	w.forceAt = append(w.forceAt, w.inForce)
+}
+
+// applies feeds a node's daybook with an entry, and answers who waits for it.
+func (w *world) applies(n *node, e agreement.Entry) {
+	if w.day.Fault == "a base isn't looked at" && len(e.Data) > 0 {
+		var c daybook.Change
+		if cbor.Unmarshal(e.Data, &c) == nil && !n.state.Knows(c) {
+			c.Base = n.state.Version()
+			e.Data, _ = cbor.Marshal(c)
+		}
+	}
+	_, err := n.state.Apply(e)
+	if w.day.Fault == "calls are forgotten" {
+		n.state.Taken = nil
+	}
+	if want := w.forceAt[e.Index-1]; n.state.Version() != want {
+		w.broken("CONFIG: %s holds r%d after entry %d, the history leads to r%d", n.name, n.state.Version(), e.Index, want)
+	}
+	if wait, ok := n.waiting[e.Index]; ok {
+		delete(n.waiting, e.Index)
+		if wait.term != e.Term {
+			err = tone.Unconfirmed.New("another change took its place")
+		}
+		wait.answer(err)
+	}
+}
+
+// readBack holds what the leader holds when the day is over against what was acknowledged.
+func (w *world) readBack() {
+	for _, n := range w.nodes {
+		if n.member.Role() == agreement.Leader && n.member.Attached(w.now) && len(w.ackTimes) > 0 {
+			if newest := w.ackTimes[len(w.ackTimes)-1]; n.state.Version() < newest.version && w.now-newest.at > contact {
+				w.broken("LOST: r%d is read back, r%d was acknowledged", n.state.Version(), newest.version)
+			}
+		}
+	}
+}
+
+// overdue answers calls that waited for too long.
+func (w *world) overdue(n *node) {
+	for _, index := range sortedKeys(n.waiting) {
+		if wait := n.waiting[index]; w.now > wait.until || n.member.Role() != agreement.Leader {
+			delete(n.waiting, index)
+			wait.answer(tone.Unconfirmed.New("no agreement in time"))
+		}
+	}
+}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -82,6 +82,8 @@
 		Entry("a claim that one ledger decides", "one ledger is enough", "TWICE", rehearse.NewDay),
 		Entry("a member that votes with an empty disk", "votes with an empty disk", "CONFIG|LOST", rehearse.NewDay),
 		Entry("a snapshot without the log after it", "a snapshot drops the log after it", "FAULT", rehearse.NewDay),
+		Entry("a change whose base isn't looked at", "a base isn't looked at", "CONFIG", rehearse.NewDay),
+		Entry("a call that is not known again", "calls are forgotten", "CONFIG", rehearse.NewDay),
 		Entry("an edge that takes an older configuration", "an edge takes any version", "CONFIG", rehearse.NewServiceDay),
 		Entry("a drain that is acknowledged before it is told", "a drain is acknowledged before it is told", "DRAIN", rehearse.NewServiceDay),
 		Entry("a late beat that undoes a drain", "a late beat undoes a drain", "DRAIN", rehearse.NewServiceDay),
--- a/internal/rehearse/requests.go
+++ b/internal/rehearse/requests.go
@@ -245,8 +245,8 @@
 	}
 	for i := len(w.ackTimes) - 1; i >= 0; i-- {
 		if a := w.ackTimes[i]; w.now-a.at > apply {
-			if a.index > e.version {
-				w.broken("CONFIG: edge %d works by %d, %d was acknowledged %s ago", e.n, e.version, a.index, w.now-a.at)
+			if a.version > e.version {
+				w.broken("CONFIG: edge %d works by r%d, r%d was acknowledged %s ago", e.n, e.version, a.version, w.now-a.at)
 			}
 			return
 		}
--- a/internal/rehearse/wires.go
+++ b/internal/rehearse/wires.go
@@ -116,7 +116,7 @@
 		n := w.nodes[who]
 		n.board.Join(linkName(other), other < 0)
 		delete(n.gone, other)
-		all, version := n.dir.All(w.now), n.applied
+		all, version := n.dir.All(w.now), n.state.Version()
 		if other < 0 {
 			w.wired(k, who, func() {
 				w.edgeHears(w.edges[-1-other], all)
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/finder"
 	"mulleinwood/internal/meter"
@@ -71,12 +72,11 @@
 	mail     []letter
 	result   Result
 	history  []agreement.Entry
-	acked    map[uint64]string
+	writers  []*writer
 	ackTimes []ackedAt
 	runs     map[ticket.Key]int
 	tried    map[ticket.Key]bool
 	next     uint64
-	proposed int
 
 	wires     []*wire
 	byEnds    map[[2]int]*wire
@@ -96,11 +96,17 @@
 	asked   map[string][]time.Duration
 	extra   map[string][]time.Duration
 	worked  map[[2]int]uint64 // version by which an edge's life worked last
+
+	forced     map[string]force  // calls that came into force
+	forceAt    []uint64          // the version in force after each entry of the history
+	inForce    uint64            // after the last
+	ackedOn    map[uint64]string // by the version that it was built on, the call that was acknowledged
+	turnedAway map[string]bool   // calls that were refused
 }
 
 type ackedAt struct {
-	index uint64
-	at    time.Duration
+	version uint64
+	at      time.Duration
 }
 
 // letter is a message on its way. It is lost with the life of either end.
@@ -146,8 +152,8 @@
 	office  *ticket.Office
 	copies  map[int]bool
 	askedAt time.Duration
-	applied uint64
-	waiting map[uint64]uint64
+	state   *daybook.Daybook
+	waiting map[uint64]waiter
 	claims  map[ticket.Token]func(ticket.Ruling)
 
 	frozen   time.Duration
@@ -194,7 +200,7 @@
 
 // Play plays a day. A decider that meets what can't be ends the day, as it would end its process.
 func Play(d Day) (result Result) {
-	w := &world{day: d, rng: rand.New(rand.NewPCG(d.Seed, 13)), acked: map[uint64]string{}, runs: map[ticket.Key]int{}, tried: map[ticket.Key]bool{},
+	w := &world{day: d, rng: rand.New(rand.NewPCG(d.Seed, 13)), forced: map[string]force{}, ackedOn: map[uint64]string{}, turnedAway: map[string]bool{}, runs: map[ticket.Key]int{}, tried: map[ticket.Key]bool{},
 		at: map[string]*server{}, slowed: map[*server]time.Duration{}, seen: map[uint64]int{}, ranBy: map[uint64]int{}, refused: map[uint64]bool{},
 		reached: map[*try]bool{}, asked: map[string][]time.Duration{}, extra: map[string][]time.Duration{}, worked: map[[2]int]uint64{}}
 	defer func() {
@@ -219,6 +225,9 @@
 		w.edges = append(w.edges, &edge{n: i, home: i % d.Members, zones: d.Members, turn: map[string]int{}})
 		w.restart(w.edges[i])
 	}
+	for i := range writers {
+		w.writers = append(w.writers, &writer{n: i})
+	}
 	w.strung()
 	for i := range d.Services {
 		w.services = append(w.services, fmt.Sprint("service-", i))
@@ -256,12 +265,15 @@
 				w.arrivals(e)
 			}
 		}
-		w.audit()
+		for _, o := range w.writers {
+			w.write(o)
+		}
 		if d.Latency {
 			w.weighIdle()
 		}
 	}
 	w.auditBudget()
+	w.readBack()
 	for _, extra := range w.extra {
 		w.result.Further += len(extra)
 	}
@@ -384,7 +396,10 @@
 	}
 	order := append(slices.Clone(w.names[n.n:]), w.names[:n.n]...)
 	n.office = ticket.NewOffice(order, hurry, limit)
-	n.copies, n.waiting, n.applied = map[int]bool{}, map[uint64]uint64{}, n.disk.snap.Index
+	n.copies, n.waiting, n.state = map[int]bool{}, map[uint64]waiter{}, daybook.New()
+	if n.disk.snap.Index > 0 {
+		w.restores(n, n.disk.snap)
+	}
 	n.claims = map[ticket.Token]func(ticket.Ruling){}
 	if w.day.Fault == "one ledger is enough" {
 		n.office = ticket.NewOffice(w.names[n.n:n.n+1], hurry, limit)
@@ -483,12 +498,7 @@
 		}
 	}
 	n.member.Tick(w.now)
-	if n.member.Role() == agreement.Leader && w.rng.IntN(w.day.Every) == 0 {
-		w.proposed++
-		if index, term, ok := n.member.Propose(fmt.Appendf(nil, "change %d", w.proposed), w.now); ok {
-			n.waiting[index] = term
-		}
-	}
+	w.overdue(n)
 	w.settle(n)
 	asks, done := n.office.Tick(w.now)
 	inOrder(asks, done)
@@ -564,41 +574,44 @@
 		}, nil)
 	}
 	if out.Install != nil {
-		n.applied = out.Install.Index
+		w.restores(n, *out.Install)
 	}
+	before := n.state.Version()
 	for _, e := range out.Committed {
-		n.applied = e.Index
 		if int(e.Index) <= len(w.history) {
 			if have := w.history[e.Index-1]; have.Term != e.Term || string(have.Data) != string(e.Data) {
 				w.result.Broken = fmt.Sprintf("CONFIG: %s holds another change at %d", n.name, e.Index)
 			}
 		} else {
 			w.history = append(w.history, e)
+			w.entered(e)
 		}
-		if term, ok := n.waiting[e.Index]; ok && term == e.Term && len(e.Data) > 0 {
-			w.acked[e.Index] = string(e.Data)
-			w.ackTimes = append(w.ackTimes, ackedAt{e.Index, w.now})
-			w.result.Changes++
-		}
+		w.applies(n, e)
 	}
-	if len(out.Committed) > 0 || out.Install != nil {
-		version := n.applied
+	if version := n.state.Version(); version != before || out.Install != nil {
 		for _, k := range w.wires {
 			if k.up && k.a < 0 && k.b == n.n {
 				w.wired(k, n.n, func() { w.edgeTakes(w.edges[-1-k.a], version) })
 			}
 		}
 	}
-	if n.member.Role() == agreement.Leader && n.applied > n.disk.snap.Index+30 {
-		n.member.Compact(n.applied, []byte("state"))
+	if n.state.Since > snapAfter {
+		if data, err := n.state.Save(); err == nil {
+			n.member.Compact(n.state.Index, data)
+			n.state.Since = 0
+		}
 	}
 }
 
-// audit holds what was acknowledged against what is committed.
-func (w *world) audit() {
-	for at, data := range w.acked {
-		if string(w.history[at-1].Data) != data {
-			w.result.Broken = fmt.Sprintf("LOST: what was acknowledged at %d is gone", at)
-		}
+const snapAfter = 30 // entries
+
+// restores gives a node what a snapshot holds.
+func (w *world) restores(n *node, s agreement.Snapshot) {
+	if err := n.state.Restore(s); err != nil {
+		w.broken("FAULT: %s can't read a snapshot: %v", n.name, err)
+	} else if want := w.forceAt[s.Index-1]; n.state.Version() != want {
+		w.broken("LOST: a snapshot of entry %d holds r%d, not r%d", s.Index, n.state.Version(), want)
 	}
 }
+
+func sortedKeys[V any](m map[uint64]V) []uint64 { return slices.Sorted(maps.Keys(m)) }
