Give an edge that comes back its whole table, and make the tables a pure package

When an edge's link to its home ended, the planner forgot what the decision module had ordered for it; the module hadn't, and on the edge's return bound the table as it stood: nothing was sent. An edge that started anew had no weights until some changed; one that came back from another home kept that one's. A service that a configuration dropped and a later one had again was decided without any server. The tokens that edges answer held the service's place in a sorted list above sixteen bits of the module's own: another service shifted them, and after 65,536 orders they ran into each other, so that answers would have gone to the wrong table.

Change: internal/huntgroup is what internal/exchange/tables.go was, as a value fed with events. What was ordered stays known while an edge is away; a whole table says that it is whole, and lines that it lacks are out; servers are remembered for services that come back; tokens carry a number of the table that is never used again, above 32 bits.

--- a/internal/crossbar/lines.go
+++ b/internal/crossbar/lines.go
@@ -91,6 +91,9 @@
 func (c *Crossbar) weigh(w *trunk.Weights) {
 	c.lines.mu.Lock()
 	defer c.lines.mu.Unlock()
+	for _, service := range w.Whole {
+		c.lines.Unweigh(service)
+	}
 	for _, one := range w.Lines {
 		c.lines.Weigh(one.Server, one.Weight)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/huntgroup"
 	"mulleinwood/internal/night"
 	"mulleinwood/internal/notice"
 	"mulleinwood/internal/tally"
@@ -83,7 +85,7 @@
 	calls               map[uint64]func() // of servers, to be acknowledged
 	nextCall            uint64
 	fetches             map[ticket.Token]*fetch
-	tables              *tables
+	tables              *huntgroup.Groups
 	rooms               rooms
 	known               map[string]bool   // IPs of exchanges
 	founder             bool              // names the members, once there are enough
@@ -108,7 +110,9 @@
 	x.dir = directory.New(tombstones)
 	x.board = notice.New(x.dir)
 	x.tally = tally.New(tally.Exchange)
-	x.tables = newTables(x)
+	x.tables = huntgroup.New(set.Zone, slices.Collect(maps.Keys(set.Zones)), x.life, func() int { return len(x.members) }, func(service, note string) {
+		_ = logger.Log("event", "table", "service", service, "note", note)
+	})
 	x.rooms.clock = booking.NewClock()
 	if err := x.open(); err != nil {
 		return err
@@ -210,7 +214,7 @@
 	for _, e := range state.Servers { // as they were: their next beats confirm them, or their silence takes them out
 		e.Warmup, e.Owner = 0, x.set.IP
 		if now, news := x.dir.Take(e, x.now()); news {
-			x.tables.changed([]directory.Entry{now})
+			x.tables.Changed([]directory.Entry{now}, x.now())
 		}
 	}
 	x.blank = blank
@@ -350,7 +354,7 @@
 	x.pulse(now)
 	x.overdue(now)
 	x.board.Tick(now)
-	x.tables.tick(now)
+	x.pushWeights(now)
 	x.dealRooms(now)
 	changed := x.dir.Silence(x.set.IP, x.lost, time.Duration(silentBeats*x.set.BeatPeriod*float64(time.Second)), now)
 	if len(changed) > 0 {
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -5,12 +5,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"mulleinwood/internal/boot"
 	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/huntgroup"
 	"mulleinwood/internal/notice"
 	"mulleinwood/internal/tally"
 )
@@ -34,7 +36,7 @@
 		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*peer{}, edges: map[string]*peer{}}
 		x.state, x.tally = daybook.New(), tally.New(tally.Exchange)
 		x.dir = directory.New(tombstones)
-		x.board, x.tables = notice.New(x.dir), newTables(x)
+		x.board, x.tables = notice.New(x.dir), huntgroup.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
 		w := httptest.NewRecorder()
 		done := make(chan struct{})
 		go func() {
@@ -62,7 +64,7 @@
 			t.Errorf("taken as %+v", e)
 		}
 		if w.Code == http.StatusOK {
-			x.tables.tick(tableLook)
+			x.pushWeights(time.Second)
 		}
 	})
 }
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"mulleinwood/internal/huntgroup"
 	"mulleinwood/internal/trunk"
 )
 
@@ -173,7 +174,7 @@
 	}
 	p.link.Send(f)
 	if p.edge {
-		x.tables.join(p)
+		x.tables.Join(p.ip, p.zone)
 	}
 }
 
@@ -184,7 +185,7 @@
 	}
 	if p.edge && x.edges[p.ip] == p {
 		delete(x.edges, p.ip)
-		x.tables.leave(p)
+		x.tables.Leave(p.ip)
 	} else if !p.edge && x.peers[p.ip] == p {
 		delete(x.peers, p.ip)
 		x.goneAt(p.ip)
@@ -258,7 +259,10 @@
 		p.link.Send(&trunk.Frame{Config: x.whole()})
 	}
 	if f.Report != nil {
-		x.tables.report(p, f.Report)
+		x.tables.Report(p.ip, f.Report, func(server string) (string, bool) {
+			e, known := x.dir.Get(server)
+			return e.Service, known
+		})
 	}
 	x.roomFrame(p, f)
 	x.keyFrame(p, f)
@@ -269,7 +273,7 @@
 	out := x.board.Take()
 	if len(out.News) > 0 {
 		x.store.server(out.News, x.now())
-		x.tables.changed(out.News)
+		x.tables.Changed(out.News, x.now())
 	}
 	for _, s := range out.Sends {
 		if p := x.named(s.To); p != nil {
@@ -284,6 +288,21 @@
 	}
 }
 
+// pushWeights sends the edges what the tables order.
+func (x *Exchange) pushWeights(now time.Duration) {
+	orders := x.tables.Tick(now, func() (all []huntgroup.Others) {
+		for _, p := range x.peers {
+			all = append(all, huntgroup.Others{Edges: p.fleet, Usual: p.usual})
+		}
+		return all
+	})
+	for ip, w := range orders {
+		if e := x.edges[ip]; e != nil {
+			e.link.Send(&trunk.Frame{Weights: w})
+		}
+	}
+}
+
 // makePulse says how this planner sees the system.
 func (x *Exchange) makePulse(full bool) *trunk.Pulse {
 	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.Version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
@@ -330,7 +349,7 @@
 	}
 	f = &trunk.Frame{Pulse: x.makePulse(full)}
 	if full {
-		f.Pulse.Usual, f.Pulse.Crew, f.Pulse.Clock = x.tables.mine(), map[string][]uint32{}, wall()
+		f.Pulse.Usual, f.Pulse.Crew, f.Pulse.Clock = x.tables.Mine(), map[string][]uint32{}, wall()
 		x.rooms.clock.Heard(x.set.IP, f.Pulse.Clock, now)
 		for _, e := range x.edges {
 			f.Pulse.Crew[e.zone] = append(f.Pulse.Crew[e.zone], trunk.Badge(e.node))
--- a/internal/exchange/operator.go
+++ b/internal/exchange/operator.go
@@ -243,7 +243,7 @@
 			p.link.Send(&trunk.Frame{Config: f})
 		}
 	}
-	x.tables.configured()
+	x.tables.Configured(x.state.Config)
 }
 
 // whole is the configuration for one who has none, or another.
@@ -377,7 +377,7 @@
 		slices.Sort(v.Control)
 		for _, e := range x.dir.All(x.now()) {
 			v.Servers = append(v.Servers, operator.Server{ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Address,
-				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: x.tables.weight(e.ID)})
+				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: x.tables.Weight(e.ID)})
 		}
 		v.Endangered = x.endangered()
 		if x.member != nil {
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// Unweigh takes all lines of a service out of its table: the lines of another one follow.
+func (f *Finder) Unweigh(service string) {
+	for _, l := range f.services[service] {
+		if l.weighed {
+			l.weight = 0
+		}
+	}
+}
+
 // load is how full the server is thought to be.
 func (l *Line) load(now time.Duration) float64 {
 	others := l.others * math.Exp(-float64(now-l.toldAt)/float64(reportFades))
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -116,8 +116,9 @@
 
 // Weights are changed lines of an edge's tables.
 type Weights struct {
-	Marks []uint32 `cbor:"1,keyasint,omitempty"` // to be answered by Report.Applied
+	Marks []uint64 `cbor:"1,keyasint,omitempty"` // to be answered by Report.Applied
 	Lines []Weight `cbor:"3,keyasint,omitempty"`
+	Whole []string `cbor:"4,keyasint,omitempty"` // services of which Lines are the whole table
 }
 
 // Weight is a server's in the table of its service; 0 takes it out.
@@ -132,7 +133,7 @@
 	Period  float64  `cbor:"1,keyasint"` // seconds
 	Met     []Met    `cbor:"2,keyasint,omitempty"`
 	Asked   []Asked  `cbor:"3,keyasint,omitempty"`
-	Applied []uint32 `cbor:"4,keyasint,omitempty"` // tokens of weights
+	Applied []uint64 `cbor:"4,keyasint,omitempty"` // tokens of weights
 }
 
 // Met is what an edge met at one server.
