Play the decision tables in the rehearsal, and hold edges against what was ordered for them

Change: each exchange decides with the real huntgroup, edges report once a second and answer orders over the modelled links. The auditor holds an edge that is in touch against what its home ordered for it. The planted fault of an edge that takes older configurations now comes with homes that lag, since versions that operators climb by made the accident rare.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -50,6 +50,9 @@
 // Gone tells whether the line's server is leaving or gone: nothing new may be sent.
 func (l *Line) Gone() bool { return l.gone }
 
+// Weighed tells whether any table spoke of the line.
+func (l *Line) Weighed() bool { return l.weighed }
+
 // Out is how many requests are out on the line.
 func (l *Line) Out() int { return l.out }
 
--- a/internal/huntgroup/huntgroup.go
+++ b/internal/huntgroup/huntgroup.go
@@ -328,6 +328,14 @@
 	}
 }
 
+// Ordered is the table of a service as it was ordered for an edge. It stays the groups'.
+func (t *Groups) Ordered(edge, service string) map[string]float64 {
+	if s := t.services[service]; s != nil {
+		return s.weights[edge]
+	}
+	return nil
+}
+
 // Weight is what some edge was last sent for a server.
 func (t *Groups) Weight(server string) float64 {
 	for _, s := range t.services {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -85,6 +85,7 @@
 		Entry("a change whose base isn't looked at", "a base isn't looked at", "CONFIG", rehearse.NewDay),
 		Entry("a call that is not known again", "calls are forgotten", "CONFIG", rehearse.NewDay),
 		Entry("an edge that takes an older configuration", "an edge takes any version", "CONFIG", rehearse.NewServiceDay),
+		Entry("a whole table that is kept back from an edge that comes back", "a whole table is kept back", "TABLE", rehearse.NewServiceDay),
 		Entry("a drain that is acknowledged before it is told", "a drain is acknowledged before it is told", "DRAIN", rehearse.NewServiceDay),
 		Entry("a late beat that undoes a drain", "a late beat undoes a drain", "DRAIN", rehearse.NewServiceDay),
 		Entry("connections that belong to an address", "connections belong to an address", "ROUTE", rehearse.NewServiceDay),
--- a/internal/rehearse/requests.go
+++ b/internal/rehearse/requests.go
@@ -71,7 +71,9 @@
 	q.way = cord.Cord{Safe: q.safe, Most: triesMost}
 	w.result.Requests++
 	w.asked[q.service] = append(w.asked[q.service], w.now)
+	e.asked[q.service]++
 	w.auditVersion(e, q.calm)
+	w.auditTables(e)
 	m := e.meter(q.service, len(w.edges))
 	m.Request()
 	w.seek(q)
--- /dev/null
+++ b/internal/rehearse/tables.go
@@ -0,0 +1,113 @@
+package rehearse
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"mulleinwood/internal/finder"
+	"mulleinwood/internal/huntgroup"
+	"mulleinwood/internal/trunk"
+)
+
+const (
+	reportOf  = time.Second
+	tableWait = 3 * time.Second // in which an edge at its home has a table
+)
+
+// newGroups gives an exchange's life its tables, which hold nothing yet.
+func (w *world) newGroups(n *node) {
+	var zones []string
+	for i := range w.nodes {
+		zones = append(zones, fmt.Sprint("z", i))
+	}
+	n.groups = huntgroup.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
+	n.others = map[int]huntgroup.Others{}
+	if n.dir != nil {
+		n.groups.Changed(n.dir.All(w.now), w.now)
+	}
+}
+
+// weigh sends an exchange's edges what its tables order.
+func (w *world) weigh(n *node) {
+	orders := n.groups.Tick(w.now, func() (all []huntgroup.Others) {
+		for i := range w.nodes {
+			if o, heard := n.others[i]; heard {
+				all = append(all, o)
+			}
+		}
+		return all
+	})
+	for i, e := range w.edges {
+		name := linkName(-1 - i)
+		k, order := w.between(n.n, -1-i), orders[name]
+		if k == nil || order == nil || w.day.Fault == "a whole table is kept back" && len(order.Whole) > 0 {
+			continue
+		}
+		w.wired(k, n.n, func() {
+			for _, service := range order.Whole {
+				e.finder.Unweigh(service)
+			}
+			for _, l := range order.Lines {
+				e.finder.Weigh(l.Server, l.Weight)
+			}
+			if len(order.Marks) > 0 {
+				w.wired(k, -1-i, func() { n.groups.Report(name, &trunk.Report{Applied: order.Marks}, nil) })
+			}
+		})
+	}
+}
+
+// report has an edge say what it met, once a second.
+func (w *world) report(e *edge) {
+	if w.now < e.reports || e.frozen > w.now || e.home == nowhere {
+		return
+	}
+	e.reports = w.now + reportOf
+	k := w.between(e.home, -1-e.n)
+	if k == nil {
+		return
+	}
+	r := &trunk.Report{Period: reportOf.Seconds()}
+	for _, service := range w.services {
+		for _, l := range e.finder.Lines(service) {
+			if m := e.finder.Met(l); m.Tries > 0 {
+				r.Met = append(r.Met, trunk.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
+			}
+		}
+		if n := e.asked[service]; n > 0 {
+			r.Asked = append(r.Asked, trunk.Asked{Service: service, Requests: uint32(n)})
+		}
+	}
+	clear(e.asked)
+	n := w.nodes[e.home]
+	w.wired(k, -1-e.n, func() {
+		n.groups.Report(linkName(-1-e.n), r, func(server string) (string, bool) {
+			entry, known := n.dir.Get(server)
+			return entry.Service, known
+		})
+	})
+}
+
+// auditTables holds an edge that has been at its home, and in touch, for a while against what its home ordered for it: of
+// each service's lines it knows, a table has spoken.
+func (w *world) auditTables(e *edge) {
+	if !w.calm() || e.calm > w.now || e.home == nowhere || w.now < e.arrived+tableWait {
+		return
+	}
+	n := w.nodes[e.home]
+	for _, service := range w.services {
+		ordered := n.groups.Ordered(linkName(-1-e.n), service)
+		lines := e.finder.Lines(service)
+		meant := slices.ContainsFunc(lines, func(l *finder.Line) bool { return ordered[l.ID] > 0 })
+		if !meant || slices.ContainsFunc(lines, (*finder.Line).Weighed) {
+			delete(e.bare, service)
+			continue
+		}
+		if since, seen := e.bare[service]; !seen { // it may be on its way
+			e.bare[service] = w.now
+		} else if w.now-since > tableWait {
+			w.broken("TABLE: edge %d has been at exchange %d for %s and holds nothing of its table of %s", e.n, n.n, w.now-e.arrived, service)
+		}
+	}
+}
--- a/internal/rehearse/wires.go
+++ b/internal/rehearse/wires.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulleinwood/internal/directory"
+	"mulleinwood/internal/huntgroup"
 	"mulleinwood/internal/trunk"
 )
 
@@ -90,6 +91,10 @@
 		if who >= 0 && w.life(who) == k.lives[i] {
 			n := w.nodes[who]
 			n.board.Left(linkName(other))
+			delete(n.others, other)
+			if other < 0 {
+				n.groups.Leave(linkName(other))
+			}
 			n.gone[other] = w.now
 			w.flush(n)
 		}
@@ -117,7 +122,14 @@
 		n.board.Join(linkName(other), other < 0)
 		delete(n.gone, other)
 		all, version := n.dir.All(w.now), n.state.Version()
+		if w.day.Fault == "an edge takes any version" { // and its home lags behind at first
+			if version = 0; n.disk.snap.Index > 0 {
+				version = w.forceAt[n.disk.snap.Index-1]
+			}
+		}
 		if other < 0 {
+			n.groups.Join(linkName(other), fmt.Sprint("z", w.edges[-1-other].zone()))
+			w.edges[-1-other].arrived = w.now
 			w.wired(k, who, func() {
 				w.edgeHears(w.edges[-1-other], all)
 				w.edgeTakes(w.edges[-1-other], version)
@@ -163,6 +175,7 @@
 	out := n.board.Take()
 	if len(out.News) > 0 {
 		news := out.News
+		n.groups.Changed(news, w.now)
 		w.persist(n, func(d *disk) {
 			for _, e := range news {
 				d.servers[e.ID] = e
@@ -221,6 +234,10 @@
 			hears = append(hears, linkName(k.a+k.b-n.n))
 		}
 	}
+	mine := huntgroup.Others{Usual: n.groups.Mine()}
+	for _, k := range w.wires {
+		mine.Edges += btoi(k.up && k.a < 0 && k.b == n.n)
+	}
 	for _, k := range w.wires {
 		if !k.up || k.a != n.n && k.b != n.n {
 			continue
@@ -229,6 +246,7 @@
 		w.wired(k, n.n, func() {
 			if other >= 0 {
 				if o := w.nodes[other]; full {
+					o.others[n.n] = mine
 					o.board.Hears(linkName(n.n), hears)
 					if k.cells[btoi(other == k.b)].Due(sum, o.dir.Sum(), w.now) {
 						w.compare(k, other, n.n, &trunk.Cells{Sums: o.dir.Sums()})
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -11,6 +11,7 @@
 	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/finder"
+	"mulleinwood/internal/huntgroup"
 	"mulleinwood/internal/meter"
 	"mulleinwood/internal/notice"
 	"mulleinwood/internal/ticket"
@@ -157,6 +158,8 @@
 	claims  map[ticket.Token]func(ticket.Ruling)
 
 	frozen   time.Duration
+	groups   *huntgroup.Groups
+	others   map[int]huntgroup.Others // what other exchanges' edges bring, as last told
 	dir      *directory.Directory
 	board    *notice.Board
 	calls    map[uint64]func()
@@ -182,7 +185,11 @@
 	meters      map[string]*meter.Meter
 	met         map[string]bool
 	zones       int
-	turn        map[string]int // of a policy that goes round
+	turn        map[string]int           // of a policy that goes round
+	asked       map[string]int           // requests for a service since the last report
+	reports     time.Duration            // when the next one is due
+	arrived     time.Duration            // at its home
+	bare        map[string]time.Duration // services without a table, since when
 }
 
 type claim struct {
@@ -263,6 +270,7 @@
 			w.clients(e)
 			if len(w.services) > 0 {
 				w.arrivals(e)
+				w.report(e)
 			}
 		}
 		for _, o := range w.writers {
@@ -287,7 +295,8 @@
 func (w *world) restart(e *edge) {
 	e.life++
 	e.open, e.voids = map[ticket.Token]*claim{}, nil
-	e.dir = directory.New(90 * time.Second)
+	e.dir, e.asked, e.bare = directory.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
+	e.arrived = w.now // as a new life, which holds nothing
 	e.finder = finder.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
 	e.meters, e.met, e.version = map[string]*meter.Meter{}, map[string]bool{}, 0
 }
@@ -411,6 +420,7 @@
 		e.Owner = n.name
 		n.dir.Take(e, w.now)
 	}
+	w.newGroups(n)
 	for _, o := range w.nodes {
 		if o != n && o.office != nil { // the others hear of the new life before it asks them for anything
 			forgotten := o.office.Forget(n.name)
@@ -515,6 +525,7 @@
 		n.board.Changed(changed, w.now)
 	}
 	w.flush(n)
+	w.weigh(n)
 	if w.now >= n.pulsed {
 		n.pulsed = w.now + pulseOf
 		w.pulse(n)
