--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -109,7 +109,7 @@
 		whole, rest := 1+rng.IntN(40), rng.IntN(30)
 		rooms := []booking.Room{{ID: "b", Service: "s", Slots: whole}, {ID: booking.Rest("s"), Service: "s", Slots: rest}}
 		leaders := []*leader{{booking.NewDealer(1, 0), 1 << 60}}
-		leaders[0].Plan(rooms)
+		leaders[0].Plan(rooms, 0)
 		edges := make([]*edge, 2+rng.IntN(8))
 		for i := range edges {
 			edges[i] = &edge{held: booking.Held{Life: uint64(i + 1)}, offset: time.Duration(rng.IntN(7200)) * time.Second, load: rng.IntN(8)}
@@ -142,7 +142,7 @@
 				last := leaders[len(leaders)-1]
 				last.until = now + time.Duration(rng.Int64N(int64(booking.Confirmed)))
 				next := &leader{booking.NewDealer(last.Term()+1, now), 1 << 60}
-				next.Plan(rooms)
+				next.Plan(rooms, now)
 				leaders = append(leaders, next)
 			}
 			for i, e := range edges {
@@ -217,7 +217,7 @@
 func TestPartsFollowTheTraffic(t *testing.T) {
 	g := NewWithT(t)
 	d := booking.NewDealer(1, -time.Minute)
-	d.Plan([]booking.Room{{ID: "b", Service: "s", Slots: 20}})
+	d.Plan([]booking.Room{{ID: "b", Service: "s", Slots: 20}}, 0)
 	edges := make([]booking.Held, 10)
 	load := 2
 	for now := time.Duration(0); now <= 5*time.Second; now += 250 * time.Millisecond {
@@ -277,10 +277,10 @@
 		return parts
 	}
 	first := booking.NewDealer(1, -time.Minute)
-	first.Plan(rooms)
+	first.Plan(rooms, 0)
 	g.Expect(turn(first, 0, 4)).To(Equal([]int{5, 5, 5, 5}))
 	second := booking.NewDealer(2, time.Second)
-	second.Plan(rooms)
+	second.Plan(rooms, time.Second)
 	wants = []int{15, 0, 0, 0}
 	g.Expect(turn(second, time.Second, 3)).To(Equal([]int{5, 0, 0, 5}), "two give theirs up")
 	g.Expect(turn(second, 1250*time.Millisecond, 3)).To(Equal([]int{15, 0, 0, 5}), "and one has it; the fourth was not heard")
@@ -329,7 +329,7 @@
 			rng := rand.New(rand.NewPCG(seed, 9))
 			gate := booking.NewGate() // room for 40, of which 20 are booked
 			gate.Part("b", 20, 20, true)
-			gate.Others(20, true)
+			gate.Others(20, 20, true)
 			type running struct {
 				under string
 				ends  time.Duration
--- a/internal/booking/dealer.go
+++ b/internal/booking/dealer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	wordOld   = 2 * time.Second        // an edge that was not heard for that long gets nothing more
 	Confirmed = 500 * time.Millisecond // how old the proof may be by which a planner deals
 	unknown   = leaseFor + Confirmed   // how long leases that a former dealer gave may be out
+
+	clocksApart = 2 * time.Second // what the core's time may differ by from planner to planner
 )
 
 // Room is what edges are told of a booking: the room that it holds now. The room of all who have booked none at a service
@@ -66,6 +69,7 @@
 	rooms map[string]Room
 	edges map[string]*dealt
 	found map[string]int // by room, what edges brought along from a former dealer's leases
+	opens map[string]time.Duration
 	seq   uint64
 }
 
@@ -84,18 +88,28 @@
 
 // NewDealer makes a dealer for a term that begins now. Who makes one must have led under that term by then.
 func NewDealer(term uint64, now time.Duration) *Dealer {
-	return &Dealer{term: term, since: now, rooms: map[string]Room{}, edges: map[string]*dealt{}, found: map[string]int{}}
+	return &Dealer{term: term, since: now, rooms: map[string]Room{}, edges: map[string]*dealt{}, found: map[string]int{}, opens: map[string]time.Duration{}}
 }
 
 // Term is the one that the dealer deals under.
 func (d *Dealer) Term() uint64 { return d.term }
 
 // Plan sets the rooms as they are now: they grow at once, and shrink as edges answer or leases end.
-func (d *Dealer) Plan(rooms []Room) {
+func (d *Dealer) Plan(rooms []Room, now time.Duration) {
 	clear(d.rooms)
 	for _, r := range rooms {
 		d.rooms[r.ID] = r
+		if _, known := d.opens[r.ID]; !known {
+			d.opens[r.ID] = now
+		}
 	}
+	maps.DeleteFunc(d.opens, func(id string, _ time.Duration) bool { _, held := d.rooms[id]; return !held })
+}
+
+// inherited tells that a former dealer may have dealt a room: it opened before this one's term, or so near to its begin
+// that the planners' clocks may differ on which came first.
+func (d *Dealer) inherited(room string, now time.Duration) bool {
+	return now-d.since < unknown && d.opens[room]-d.since < clocksApart
 }
 
 const formerKept = 16
@@ -178,11 +192,16 @@
 	if zone := d.rooms[room].Zone; zone != "" {
 		names = slices.DeleteFunc(names, func(name string) bool { return d.edges[name].word.Zone != zone })
 	}
-	if now-d.since < unknown { // the rest may be held by edges that were not heard yet
-		whole = min(whole, d.found[room])
+	if d.inherited(room, now) { // the rest may be held by edges that were not heard yet
+		if whole = min(whole, d.found[room]); d.found[room] == 0 && strings.HasPrefix(room, restMark) {
+			return // nothing is said of it, and edges hold others to an even share
+		}
+	}
+	want := d.shares(room, max(0, whole), names)
+	free, wanted := whole, 0
+	for _, name := range names {
+		wanted += max(0, d.edges[name].word.Wants[room])
 	}
-	want, full := d.shares(room, max(0, whole), names)
-	free := whole
 	for _, e := range d.edges {
 		free -= e.may(room, now)
 	}
@@ -197,7 +216,7 @@
 			part, free = part+more, free-more
 		}
 		out[name].Parts[room] = part
-		if full {
+		if wanted > d.rooms[room].Slots {
 			out[name].Full[room] = true
 		}
 	}
@@ -205,15 +224,15 @@
 
 // shares are what the parts should be: to each what it wants if the whole suffices, and what is left evenly; else by the
 // largest remainder.
-func (d *Dealer) shares(room string, whole int, names []string) (out map[string]int, full bool) {
-	out = map[string]int{}
+func (d *Dealer) shares(room string, whole int, names []string) map[string]int {
+	out := map[string]int{}
 	sum := 0
 	wants := func(name string) int { return max(0, d.edges[name].word.Wants[room]) }
 	for _, n := range names {
 		sum += wants(n)
 	}
 	if len(names) == 0 {
-		return out, false
+		return out
 	}
 	if sum <= whole {
 		spare := whole - sum
@@ -223,7 +242,7 @@
 				out[n]++
 			}
 		}
-		return out, false
+		return out
 	}
 	rest := whole
 	for _, n := range names {
@@ -237,7 +256,7 @@
 	for _, n := range byRemainder[:rest] {
 		out[n]++
 	}
-	return out, true
+	return out
 }
 
 // Use is how much of each room is wanted now, by the edges that were heard lately.
--- a/internal/booking/gate.go
+++ b/internal/booking/gate.go
@@ -13,9 +13,8 @@
 // what is lent to them; a gate without any word on that holds nobody.
 type Gate struct {
 	booked map[string]*share
-	rest   int // part of all others here
-	bound  bool
-	others int     // that are in work
+	rest   share   // of all others here
+	bound  bool    // others are held to it
 	work   float64 // seconds that a request takes, in the mean
 }
 
@@ -52,8 +51,13 @@
 	}
 }
 
-// Others sets the part of all who have booked nothing here; bound false lets all of them in.
-func (g *Gate) Others(part int, bound bool) { g.rest, g.bound = max(0, part), bound }
+// Others holds all who have booked nothing to their part, and to the whole of it while no more than that is wanted.
+func (g *Gate) Others(part, whole int, full bool) {
+	g.rest.part, g.rest.whole, g.rest.full, g.bound = max(0, part), whole, full, true
+}
+
+// Free lets all in who have booked nothing.
+func (g *Gate) Free() { g.bound = false }
 
 // Idle tells that nothing runs under the gate.
 func (g *Gate) Idle() bool {
@@ -62,7 +66,7 @@
 			return false
 		}
 	}
-	return g.others == 0
+	return g.rest.out == 0
 }
 
 // lendable is the share of idle booked room that may be lent: what is given back by itself in time. A request in work ends
@@ -90,8 +94,8 @@
 		s.out++
 		return id, true
 	}
-	if !g.bound || g.others < g.rest+g.lent() {
-		g.others++
+	if !g.bound || g.rest.has() || g.rest.out < g.rest.part+g.lent() {
+		g.rest.out++
 		return "", true
 	}
 	return "", false
@@ -104,7 +108,7 @@
 	}
 	s := g.booked[under]
 	if under == "" || s == nil {
-		g.others--
+		g.rest.out--
 		return
 	}
 	if s.out--; s.out == 0 && s.whole == 0 {
--- a/internal/crossbar/rooms.go
+++ b/internal/crossbar/rooms.go
@@ -81,9 +81,9 @@
 		case room.ID != booking.Rest(room.Service):
 			gate.Part(room.ID, part, room.Slots, full)
 		case known:
-			gate.Others(part, true)
+			gate.Others(part, room.Slots, full)
 		default:
-			gate.Others((room.Slots+fleet-1)/fleet, true)
+			gate.Others((room.Slots+fleet-1)/fleet, room.Slots, true)
 		}
 	}
 	for service, gate := range r.gates {
@@ -91,7 +91,7 @@
 			return slices.ContainsFunc(r.told, func(room booking.Room) bool { return room.ID == id && room.Service == service })
 		})
 		if !services[service] {
-			if gate.Others(0, false); gate.Idle() {
+			if gate.Free(); gate.Idle() {
 				delete(r.gates, service)
 			}
 		}
--- a/internal/crossbar/rooms_test.go
+++ b/internal/crossbar/rooms_test.go
@@ -63,7 +63,7 @@
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
 		rooms := []booking.Room{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: booking.Rest("tags"), Service: "tags", Slots: 2}}
-		h.hold(rooms, map[string]int{"flyer": 6, booking.Rest("tags"): 2}, nil)
+		h.hold(rooms, map[string]int{"flyer": 6, booking.Rest("tags"): 2}, map[string]bool{booking.Rest("tags"): true})
 		others := h.flood(30, "b.example")
 		time.Sleep(20 * time.Millisecond)
 		booked := h.flood(4, "a.example")
@@ -92,7 +92,7 @@
 		h.hold(rooms, map[string]int{"flyer": 1, booking.Rest("tags"): 0}, nil)
 		h.g.Expect(h.flood(6, "a.example")()).To(Equal(map[int]int{200: 6}))
 		h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
-			Parts: map[string]int{"flyer": 1, booking.Rest("tags"): 2}, Full: map[string]bool{"flyer": true}})
+			Parts: map[string]int{"flyer": 1, booking.Rest("tags"): 2}, Full: map[string]bool{"flyer": true, booking.Rest("tags"): true}})
 		h.g.Expect(h.flood(8, "a.example")()[200]).To(Equal(3), "one booked, two as everybody")
 	})
 }
@@ -107,7 +107,7 @@
 		}
 		h.edges.Store(2)
 		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: booking.Rest("tags"), Service: "tags", Slots: 4}}
-		h.hold(rooms, map[string]int{"flyer": 4, booking.Rest("tags"): 4}, nil)
+		h.hold(rooms, map[string]int{"flyer": 4, booking.Rest("tags"): 4}, map[string]bool{booking.Rest("tags"): true})
 		time.Sleep(11 * time.Second)
 		h.rooms.say(h.Crossbar)
 		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 4, List: rooms})
--- a/internal/exchange/bookings.go
+++ b/internal/exchange/bookings.go
@@ -96,7 +96,7 @@
 	if len(list) == 0 {
 		return
 	}
-	r.dealer.Plan(list)
+	r.dealer.Plan(list, now)
 	byHome := map[string][]trunk.Leased{}
 	for edge, lease := range r.dealer.Deal(now) {
 		home := r.homes[edge]
--- /dev/null
+++ b/internal/rehearse/bookings.go
@@ -0,0 +1,392 @@
+package rehearse
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
+	"mulleinwood/internal/cord"
+	"mulleinwood/internal/daybook"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/finder"
+	"mulleinwood/internal/tone"
+)
+
+// Busy is a busy day that was known beforehand: one tenant's traffic at the first service, and that of all others, which
+// for a while come at many times their usual rate and repeat at once what is refused.
+type Busy struct {
+	Rate   float64 // requests a second and edge of the tenant, and of the others
+	Crowd  float64 // times the usual that others come at
+	Booked float64 // share of the service's slots that the tenant books; 0: nothing
+	OneIn  bool    // all of the tenant's clients come in at one edge
+}
+
+// Tenant is what one side of a busy day met, from when the crowd is there.
+type Tenant struct {
+	Asked, Served, Late, Refused int
+	Took                         []time.Duration
+}
+
+const (
+	bookedFrom = 10 * time.Second // its room opens five seconds before
+	crowdFrom  = 8 * time.Second
+	crowdTo    = 20 * time.Second
+	measured   = 9 * time.Second // from a second after the crowd came
+	againMost  = 3               // times that others repeat
+	dealOf     = 250 * time.Millisecond
+	aheadBy    = 2 * time.Hour // of the first exchange's clock
+)
+
+// NewBusyDay draws a busy day on which processes end, servers leave and crash, and edges are cut off now and then.
+func NewBusyDay(seed uint64, members, lost int, busy Busy) Day {
+	rng := rand.New(rand.NewPCG(seed, 14))
+	d := Day{Seed: seed, Members: members, Lost: lost, Edges: 4, Services: 2, Servers: 12, Rate: 2, Every: 300, Length: 22 * time.Second, Busy: busy, Latency: true}
+	kinds := []string{Kill, KillEdge, CutEdge, Drain, Drain, Crash, SlowDisk, Freeze, PowerAll}
+	for at := 2 * time.Second; at < d.Length-2*time.Second; at += time.Duration(1000+rng.IntN(3000)) * time.Millisecond {
+		d.Troubles = append(d.Troubles, Trouble{At: at, Kind: kinds[rng.IntN(len(kinds))], Node: rng.IntN(1000), For: time.Duration(200+rng.IntN(1200)) * time.Millisecond})
+	}
+	return d
+}
+
+// nodeRooms is an exchange's part of booked room.
+type nodeRooms struct {
+	clock  *booking.Clock
+	dealer *booking.Dealer
+	round  uint64
+	asked  time.Duration
+	proven time.Duration
+	next   time.Duration
+	told   []booking.Room
+	term   uint64
+	from   int
+}
+
+// edgeRooms is an edge's.
+type edgeRooms struct {
+	held  booking.Held
+	told  []booking.Room
+	gate  *booking.Gate
+	wants map[string]int
+	next  time.Duration
+}
+
+// pass is what a request holds of a gate.
+type pass struct {
+	gate        *booking.Gate
+	room, under string
+	at          time.Duration
+	in          bool
+}
+
+func (w *world) newRooms(n *node) { n.rooms = nodeRooms{clock: booking.NewClock(), from: n.n} }
+
+// wallOf is an exchange's time of day: the first's is hours off.
+func (w *world) wallOf(n *node) float64 {
+	wall := w.now
+	if n.n == 0 {
+		wall += aheadBy
+	}
+	return wall.Seconds() + 1e6
+}
+
+// book has an operator book the tenant's room, until it is acknowledged.
+func (w *world) book() {
+	busy := w.day.Busy
+	if busy.Booked == 0 || w.now < time.Second || w.bookAcked || w.now%(200*time.Millisecond) != 0 {
+		return
+	}
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !w.running(n.n) || n.member.Role() != agreement.Leader {
+		return
+	}
+	whole := 0.0
+	for _, s := range w.servers {
+		if s.service == w.services[0] && !s.ended {
+			whole += float64(s.capacity)
+		}
+	}
+	b := booking.Booking{ID: "busy", Tenant: "tenant", Service: w.services[0], Start: 1e6 + bookedFrom.Seconds(), End: 2e6, Slots: float64(int(whole * busy.Booked)), Owner: "hall"}
+	data, err := cbor.Marshal(daybook.Change{Book: &booking.Op{Call: "busy", Base: n.state.Book.Version, Puts: []booking.Booking{b}, Now: n.rooms.clock.Now(w.now)}})
+	if err != nil {
+		panic(err) // plain values
+	}
+	index, term, _ := n.member.Propose(data, w.now)
+	n.waiting[index] = waiter{term, w.now + callOver, func(err error) {
+		if err == nil {
+			w.bookAcked = true
+		} else if tone.For(err).Status < 500 {
+			w.broken("FAULT: a booking is refused: %v", err)
+		}
+	}}
+	w.settle(n)
+}
+
+// dealRooms is what an exchange does for booked room: as the program does.
+func (w *world) dealRooms(n *node) {
+	r := &n.rooms
+	if w.now < r.next || n.member.Role() != agreement.Leader || n.state.Book.Version == 0 {
+		return
+	}
+	r.next = w.now + dealOf
+	if r.dealer == nil || r.dealer.Term() != n.member.Term() {
+		r.dealer, r.round, r.proven = booking.NewDealer(n.member.Term(), w.now), 0, 0
+		if w.day.Fault == "a new dealer deals at once" {
+			r.dealer = booking.NewDealer(n.member.Term(), -time.Hour)
+		}
+	}
+	if r.round > 0 && n.member.Confirmed(r.round) {
+		r.proven = r.asked
+	}
+	r.round, r.asked = n.member.Confirm(w.now), w.now
+	w.settle(n)
+	if r.proven == 0 || w.now-r.proven > booking.Confirmed {
+		return
+	}
+	carry := map[string]booking.Carry{}
+	for _, e := range n.dir.All(w.now) {
+		if e.State == directory.Ready && !e.Silent {
+			if carry[e.Service] == nil {
+				carry[e.Service] = booking.Carry{}
+			}
+			carry[e.Service][e.Zone] += float64(e.Capacity)
+		}
+	}
+	r.told, r.term, r.from = n.state.Book.Rooms(carry, r.clock.Now(w.now)), n.member.Term(), n.n
+	told, term := r.told, r.term
+	for _, o := range w.nodes {
+		if k := w.between(n.n, o.n); o != n && k != nil {
+			w.wired(k, n.n, func() {
+				if term >= o.rooms.term {
+					o.rooms.told, o.rooms.term, o.rooms.from = told, term, n.n
+				}
+			})
+		}
+	}
+	if len(told) == 0 {
+		return
+	}
+	r.dealer.Plan(told, w.now)
+	leases := r.dealer.Deal(w.now)
+	for i := range w.edges {
+		lease, ok := leases[linkName(-1-i)]
+		if !ok {
+			continue
+		}
+		w.relay(n.n, w.edges[i].home, i, func(e *edge) { e.rooms.held.Take(lease) })
+	}
+}
+
+// relay brings something from an exchange to an edge, by the edge's home.
+func (w *world) relay(from, home, edge int, do func(*edge)) {
+	last := func() {
+		if k := w.between(home, -1-edge); k != nil {
+			w.wired(k, home, func() { do(w.edges[edge]) })
+		}
+	}
+	if from == home {
+		last()
+	} else if k := w.between(from, home); home != nowhere && k != nil {
+		w.wired(k, from, last)
+	}
+}
+
+// say has an edge take its home's word on rooms, and say what it wants.
+func (w *world) say(e *edge) {
+	r := &e.rooms
+	if w.day.Busy.Booked == 0 || w.now < r.next || e.frozen > w.now {
+		return
+	}
+	r.next = w.now + dealOf
+	if k := w.between(e.home, -1-e.n); e.home != nowhere && k != nil {
+		home := w.nodes[e.home]
+		if home.rooms.term > 0 {
+			r.told = home.rooms.told
+			r.held.Follow(home.rooms.term)
+		}
+		if len(r.told) > 0 {
+			wants := map[string]int{}
+			for room, n := range r.wants {
+				wants[room] = n
+			}
+			word := r.held.Word(wants, w.now)
+			w.wired(k, -1-e.n, func() {
+				hand := func() {
+					if d := w.nodes[home.rooms.from].rooms.dealer; d != nil {
+						d.Heard(linkName(-1-e.n), word, w.now)
+					}
+				}
+				if home.rooms.from == home.n {
+					hand()
+				} else if k := w.between(home.n, home.rooms.from); k != nil {
+					w.wired(k, home.n, hand)
+				}
+			})
+		}
+	}
+	r.gate.Keep(func(id string) bool {
+		return slices.ContainsFunc(r.told, func(o booking.Room) bool { return o.ID == id })
+	})
+	if len(r.told) == 0 {
+		r.gate.Free()
+	}
+	for _, room := range r.told {
+		part, full, known := r.held.Part(room.ID, w.now)
+		switch {
+		case room.ID != booking.Rest(room.Service):
+			r.gate.Part(room.ID, part, room.Slots, full)
+		case known:
+			r.gate.Others(part, room.Slots, full)
+		default:
+			r.gate.Others((room.Slots+len(w.edges)-1)/len(w.edges), room.Slots, true)
+		}
+	}
+}
+
+// auditRooms holds the parts of a room at all edges against the most that was dealt while their leases may last.
+func (w *world) auditRooms() {
+	if w.day.Busy.Booked == 0 || w.now%dealOf != 0 {
+		return
+	}
+	whole, sum := 0, 0
+	for _, n := range w.nodes {
+		if n.member.Role() == agreement.Leader && n.rooms.proven > 0 && w.now-n.rooms.proven <= booking.Confirmed {
+			for _, room := range n.rooms.told {
+				if room.ID == "busy" {
+					whole = room.Slots
+				}
+			}
+		}
+	}
+	w.wholes = append(w.wholes, whole)
+	const lasts = 44 // of these looks: a lease and the time that a proof is good for
+	most := slices.Max(w.wholes[max(0, len(w.wholes)-lasts):])
+	for _, e := range w.edges {
+		part, _, _ := e.rooms.held.Part("busy", w.now)
+		sum += part
+	}
+	if sum > most {
+		w.broken("ROOM: edges hold %d slots of a booking of %d", sum, most)
+	}
+}
+
+// crowd lets the tenant's and the others' clients ask at an edge.
+func (w *world) crowd(e *edge) {
+	busy := w.day.Busy
+	if busy.Rate == 0 || e.frozen > w.now {
+		return
+	}
+	tenant, others := busy.Rate, busy.Rate
+	if busy.OneIn {
+		tenant = 0
+		if e.n == 0 {
+			tenant = busy.Rate * float64(len(w.edges))
+		}
+	}
+	if w.now >= crowdFrom && w.now < crowdTo {
+		others *= max(1, busy.Crowd)
+	}
+	for i, rate := range []float64{tenant, others} {
+		for expected := rate * step.Seconds(); expected > 0; expected-- {
+			if w.rng.Float64() < expected {
+				w.ask1(e, i == 0, 0)
+			}
+		}
+	}
+}
+
+// ask1 is one request of a busy day's clients.
+func (w *world) ask1(e *edge, tenant bool, again int) {
+	w.next++
+	q := &request{id: w.next, safe: true, service: w.services[0], edge: e, life: e.life, began: w.now, calm: w.calm() && e.calm <= w.now, side: &w.result.Others, again: again}
+	if tenant {
+		q.side = &w.result.Tenant
+	}
+	q.counts = w.now >= measured && w.now < crowdTo
+	if q.counts {
+		q.side.Asked++
+	}
+	q.way = cord.Cord{Safe: true, Most: triesMost}
+	w.result.Requests++
+	w.asked[q.service] = append(w.asked[q.service], w.now)
+	e.asked[q.service]++
+	e.meter(q.service, len(w.edges)).Request()
+	if len(e.rooms.told) > 0 {
+		q.pass = &pass{gate: e.rooms.gate, room: booking.Rest(q.service)}
+		if tenant {
+			q.pass.room = "busy"
+		}
+		e.rooms.wants[q.pass.room]++
+	}
+	w.seek(q)
+}
+
+// place picks a server, if the request may have room.
+func (w *world) place(e *edge, q *request) (l *finder.Line) {
+	if p := q.pass; p != nil && !p.in {
+		if p.under, p.in = p.gate.Admit(p.room); !p.in {
+			return nil
+		}
+		p.at = w.now
+	}
+	if l = w.pick(e, q); l == nil && q.pass != nil && q.way.Sent == 0 {
+		q.pass.gate.Done(q.pass.under, 0)
+		q.pass.in = false
+	}
+	return l
+}
+
+// leaves ends a busy day's request.
+func (w *world) leaves(q *request, served, refused bool) {
+	if p := q.pass; p != nil {
+		if q.edge.rooms.wants[p.room]--; p.in {
+			p.gate.Done(p.under, max(1, w.now-p.at))
+		}
+	}
+	if q.side == nil {
+		return
+	}
+	if refused && q.side == &w.result.Others && q.again < againMost {
+		e := w.edges[w.rng.IntN(len(w.edges))]
+		w.after(1+w.rng.IntN(20), func() {
+			if e.frozen <= w.now {
+				w.ask1(e, false, q.again+1)
+			}
+		})
+	}
+	if !q.counts {
+		return
+	}
+	switch took := w.now - q.began; {
+	case served:
+		q.side.Served++
+		q.side.Took = append(q.side.Took, took)
+		if took > aim {
+			q.side.Late++
+		}
+	case refused:
+		q.side.Refused++
+	}
+}
+
+func (t *Tenant) add(o Tenant) {
+	t.Asked, t.Served, t.Late, t.Refused = t.Asked+o.Asked, t.Served+o.Served, t.Late+o.Late, t.Refused+o.Refused
+	t.Took = append(t.Took, o.Took...)
+}
+
+func (t Tenant) String() string {
+	took := slices.Clone(t.Took)
+	slices.Sort(took)
+	at := func(share float64) time.Duration {
+		if len(took) == 0 {
+			return 0
+		}
+		return took[min(len(took)-1, int(share*float64(len(took))))]
+	}
+	return fmt.Sprintf("%d asked, %.4f served, %.4f late, %.4f refused; p50 %s, p99 %s, p99.9 %s", t.Asked, float64(t.Served)/float64(max(1, t.Asked)),
+		float64(t.Late)/float64(max(1, t.Asked)), float64(t.Refused)/float64(max(1, t.Asked)), at(0.5), at(0.99), at(0.999))
+}
--- a/internal/rehearse/operators.go
+++ b/internal/rehearse/operators.go
@@ -184,7 +184,11 @@
 			e.Data, _ = cbor.Marshal(c)
 		}
 	}
+	had := len(n.state.Book.All)
 	_, err := n.state.Apply(e)
+	if len(n.state.Book.All) < had {
+		w.broken("LOST: a booking is gone from %s", n.name)
+	}
 	if w.day.Fault == "calls are forgotten" {
 		n.state.Taken = nil
 	}
@@ -203,6 +207,9 @@
 // readBack holds what the leader holds when the day is over against what was acknowledged.
 func (w *world) readBack() {
 	for _, n := range w.nodes {
+		if n.member.Role() == agreement.Leader && n.member.Attached(w.now) && w.bookAcked && len(n.state.Book.All) == 0 {
+			w.broken("LOST: a booking was acknowledged and %s, which leads, has none", n.name)
+		}
 		if n.member.Role() == agreement.Leader && n.member.Attached(w.now) && len(w.ackTimes) > 0 {
 			if newest := w.ackTimes[len(w.ackTimes)-1]; n.state.Version() < newest.version && w.now-newest.at > contact {
 				w.broken("LOST: r%d is read back, r%d was acknowledged", n.state.Version(), newest.version)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -31,6 +31,10 @@
 	return all
 }
 
+func busyDay(seed uint64, members, lost int) rehearse.Day {
+	return rehearse.NewBusyDay(seed, members, lost, rehearse.Busy{Rate: 20, Crowd: 10, Booked: 0.5})
+}
+
 var _ = Describe("days of a core and its edges", func() {
 	It("break no rule, and are days on which something happens", func() {
 		if raced {
@@ -55,6 +59,25 @@
 		Expect(all.Unknown).To(BeNumerically(">", 100))
 		Expect(all.Further).To(BeNumerically(">", 100))
 	})
+	It("keep a tenant's booked room while others come at ten times their usual", func() {
+		days := uint64(3)
+		if raced {
+			days = 1
+		}
+		play := func(busy rehearse.Busy) (all rehearse.Result) {
+			return playAll(func(seed uint64, members, lost int) rehearse.Day {
+				return rehearse.NewBusyDay(seed, members, lost, busy)
+			}, days)
+		}
+		share := func(t rehearse.Tenant) float64 { return float64(t.Served) / float64(t.Asked) }
+		crowd := rehearse.Busy{Rate: 20, Crowd: 10}
+		without := play(crowd)
+		crowd.Booked = 0.5
+		with := play(crowd)
+		Expect(share(without.Tenant)).To(BeNumerically("<", 0.3))
+		Expect(share(with.Tenant)).To(BeNumerically(">", 0.9))
+		Expect(with.Others.Served).To(BeNumerically(">", with.Tenant.Served), "what is left, and what is lent")
+	})
 	It("are the same again from the same seed", func() {
 		Expect(rehearse.Play(rehearse.NewDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewDay(7, 5, 2))))
 		Expect(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))))
@@ -85,6 +108,7 @@
 		Entry("a change whose base isn't looked at", "a base isn't looked at", "CONFIG", rehearse.NewDay),
 		Entry("a call that is not known again", "calls are forgotten", "CONFIG", rehearse.NewDay),
 		Entry("an edge that takes an older configuration", "an edge takes any version", "CONFIG", rehearse.NewServiceDay),
+		Entry("a new dealer that deals what a former one dealt", "a new dealer deals at once", "ROOM", busyDay),
 		Entry("a whole table that is kept back from an edge that comes back", "a whole table is kept back", "TABLE", rehearse.NewServiceDay),
 		Entry("a drain that is acknowledged before it is told", "a drain is acknowledged before it is told", "DRAIN", rehearse.NewServiceDay),
 		Entry("a late beat that undoes a drain", "a late beat undoes a drain", "DRAIN", rehearse.NewServiceDay),
--- a/internal/rehearse/requests.go
+++ b/internal/rehearse/requests.go
@@ -34,6 +34,11 @@
 	way     cord.Cord
 	tried   []*finder.Line
 	over    bool
+
+	pass   *pass // of busy days
+	side   *Tenant
+	counts bool
+	again  int
 }
 
 // edgeHears takes news of servers.
@@ -102,7 +107,7 @@
 		w.finish(q, cord.NotSent, 0)
 		return
 	}
-	l := w.pick(e, q)
+	l := w.place(e, q)
 	if l == nil {
 		if q.way.Sent > 0 || w.now-q.began >= waitFor || !e.finder.Serves(q.service) {
 			if q.way.Paid {
@@ -187,6 +192,7 @@
 // finish is what a client hears.
 func (w *world) finish(q *request, ending cord.Ending, status int) {
 	q.over = true
+	w.leaves(q, ending == cord.Ran && status < 500, ending == cord.NotSent || ending == cord.NotRun)
 	took := w.now - q.began
 	switch {
 	case ending == cord.Ran && status < 500:
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -67,6 +67,7 @@
 	Troubles []Trouble
 	Fault    string // planted, to see that the auditor sees
 	Latency  bool   // times of answers, and of waiting beside idle servers, are wanted
+	Busy     Busy
 	Policy   string // by which edges pick, to compare with; empty: as they do
 }
 
--- a/internal/rehearse/wires.go
+++ b/internal/rehearse/wires.go
@@ -234,6 +234,8 @@
 			hears = append(hears, linkName(k.a+k.b-n.n))
 		}
 	}
+	wall := w.wallOf(n)
+	n.rooms.clock.Heard(n.name, wall, w.now)
 	mine := huntgroup.Others{Usual: n.groups.Mine()}
 	for _, k := range w.wires {
 		mine.Edges += btoi(k.up && k.a < 0 && k.b == n.n)
@@ -247,6 +249,7 @@
 			if other >= 0 {
 				if o := w.nodes[other]; full {
 					o.others[n.n] = mine
+					o.rooms.clock.Heard(n.name, wall, w.now)
 					o.board.Hears(linkName(n.n), hears)
 					if k.cells[btoi(other == k.b)].Due(sum, o.dir.Sum(), w.now) {
 						w.compare(k, other, n.n, &trunk.Cells{Sums: o.dir.Sums()})
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/booking"
 	"mulleinwood/internal/daybook"
 	"mulleinwood/internal/directory"
 	"mulleinwood/internal/finder"
@@ -33,6 +34,8 @@
 	Further  int // arrivals at servers beyond the first of a request
 	Steps    int // events that deciders were fed
 
+	Tenant, Others Tenant // of busy days
+
 	Took   []time.Duration // of those served, if the day asks for it
 	Work   float64         // seconds that requests ran
 	Beside float64         // and waited at a server while another of the service had a free slot
@@ -44,6 +47,8 @@
 	r.Requests, r.Served, r.Late = r.Requests+o.Requests, r.Served+o.Served, r.Late+o.Late
 	r.Refused, r.Unknown, r.Drains = r.Refused+o.Refused, r.Unknown+o.Unknown, r.Drains+o.Drains
 	r.Further, r.Steps = r.Further+o.Further, r.Steps+o.Steps
+	r.Tenant.add(o.Tenant)
+	r.Others.add(o.Others)
 	r.Work, r.Beside = r.Work+o.Work, r.Beside+o.Beside
 }
 
@@ -98,6 +103,9 @@
 	extra   map[string][]time.Duration
 	worked  map[[2]int]uint64 // version by which an edge's life worked last
 
+	bookAcked bool
+	wholes    []int // of the booking, at each look
+
 	forced     map[string]force  // calls that came into force
 	forceAt    []uint64          // the version in force after each entry of the history
 	inForce    uint64            // after the last
@@ -158,6 +166,7 @@
 	claims  map[ticket.Token]func(ticket.Ruling)
 
 	frozen   time.Duration
+	rooms    nodeRooms
 	groups   *huntgroup.Groups
 	others   map[int]huntgroup.Others // what other exchanges' edges bring, as last told
 	dir      *directory.Directory
@@ -185,10 +194,11 @@
 	meters      map[string]*meter.Meter
 	met         map[string]bool
 	zones       int
-	turn        map[string]int           // of a policy that goes round
-	asked       map[string]int           // requests for a service since the last report
-	reports     time.Duration            // when the next one is due
-	arrived     time.Duration            // at its home
+	turn        map[string]int // of a policy that goes round
+	asked       map[string]int // requests for a service since the last report
+	reports     time.Duration  // when the next one is due
+	arrived     time.Duration  // at its home
+	rooms       edgeRooms
 	bare        map[string]time.Duration // services without a table, since when
 }
 
@@ -271,11 +281,15 @@
 			if len(w.services) > 0 {
 				w.arrivals(e)
 				w.report(e)
+				w.say(e)
+				w.crowd(e)
 			}
 		}
 		for _, o := range w.writers {
 			w.write(o)
 		}
+		w.book()
+		w.auditRooms()
 		if d.Latency {
 			w.weighIdle()
 		}
@@ -296,6 +310,7 @@
 	e.life++
 	e.open, e.voids = map[ticket.Token]*claim{}, nil
 	e.dir, e.asked, e.bare = directory.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
+	e.rooms = edgeRooms{held: booking.Held{Life: uint64(e.life)}, gate: booking.NewGate(), wants: map[string]int{}}
 	e.arrived = w.now // as a new life, which holds nothing
 	e.finder = finder.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
 	e.meters, e.met, e.version = map[string]*meter.Meter{}, map[string]bool{}, 0
@@ -421,6 +436,7 @@
 		n.dir.Take(e, w.now)
 	}
 	w.newGroups(n)
+	w.newRooms(n)
 	for _, o := range w.nodes {
 		if o != n && o.office != nil { // the others hear of the new life before it asks them for anything
 			forgotten := o.office.Forget(n.name)
@@ -526,6 +542,7 @@
 	}
 	w.flush(n)
 	w.weigh(n)
+	w.dealRooms(n)
 	if w.now >= n.pulsed {
 		n.pulsed = w.now + pulseOf
 		w.pulse(n)
