--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,6 +79,27 @@
 		Expect(share(with.Tenant)).To(BeNumerically(">", 0.9))
 		Expect(with.Others.Served).To(BeNumerically(">", with.Tenant.Served), "what is left, and what is lent")
 	})
+	DescribeTable("keep booked room through", func(troubles ...rehearse.Trouble) {
+		d := busyDay(3, 3, 1)
+		d.Troubles = troubles
+		r := rehearse.Play(d)
+		Expect(r.Broken).To(BeEmpty())
+		Expect(float64(r.Tenant.Served) / float64(r.Tenant.Asked)).To(BeNumerically(">", 0.85))
+		Expect(r.Runs).To(BeNumerically(">", 200), "keyed operations go on, each once")
+	},
+		Entry("nothing"),
+		Entry("the loss of the whole core a second before the start", rehearse.Trouble{At: 9 * time.Second, Kind: rehearse.PowerAll, For: 3 * time.Second}),
+		Entry("a leader that dies as it acknowledges", rehearse.Trouble{At: 1100 * time.Millisecond, Kind: rehearse.Kill, Node: 0, For: time.Second},
+			rehearse.Trouble{At: 1150 * time.Millisecond, Kind: rehearse.Kill, Node: 1, For: time.Second}, rehearse.Trouble{At: 1200 * time.Millisecond, Kind: rehearse.Kill, Node: 2, For: time.Second}),
+		Entry("a disk that is lost right after, and power on the others", rehearse.Trouble{At: 1300 * time.Millisecond, Kind: rehearse.Wipe, Node: 1, For: time.Second},
+			rehearse.Trouble{At: 1300 * time.Millisecond, Kind: rehearse.PowerAll, For: time.Second}),
+		Entry("half of the edges replaced in the middle", rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.KillEdge, Node: 0}, rehearse.Trouble{At: 13 * time.Second, Kind: rehearse.KillEdge, Node: 2}),
+		Entry("an edge that is cut off for long", rehearse.Trouble{At: 9 * time.Second, Kind: rehearse.CutEdge, Node: 1, For: 9 * time.Second}),
+		Entry("servers that crash in the middle", rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.Crash, Node: 0}, rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.Crash, Node: 2},
+			rehearse.Trouble{At: 12100 * time.Millisecond, Kind: rehearse.Crash, Node: 4}),
+		Entry("exchanges that stand still by turns", rehearse.Trouble{At: 10 * time.Second, Kind: rehearse.Freeze, Node: 0, For: 2 * time.Second},
+			rehearse.Trouble{At: 13 * time.Second, Kind: rehearse.Freeze, Node: 1, For: 2 * time.Second}, rehearse.Trouble{At: 16 * time.Second, Kind: rehearse.Freeze, Node: 2, For: 2 * time.Second}),
+	)
 	It("are the same again from the same seed", func() {
 		Expect(rehearse.Play(rehearse.NewDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewDay(7, 5, 2))))
 		Expect(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))))
