Withdraw a claim at the other exchange that it was put to, too

For the 0.8 s until an exchange that died is known by its silence, its edges put their claims to a second one after 60 ms, but say a withdrawal only to their home, and again each second: the client's next try meets the first one's grant and gets 409.

A test with a home that says nothing fails without it.

--- a/internal/crossbar/claims.go
+++ b/internal/crossbar/claims.go
@@ -86,7 +86,7 @@
 // claim may not hear of its end either, and whoever holds it would turn away the client's next try.
 func (c *Crossbar) withdraw(key ticket.Key, token ticket.Token) {
 	r := ticket.Record{Key: key, Token: token}
-	c.home.send(&trunk.Frame{Voids: []ticket.Record{r}})
+	c.home.sendBoth(&trunk.Frame{Voids: []ticket.Record{r}})
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
 	c.claims.voids = append(c.claims.voids, keptAnswer{c.now(), r})
@@ -103,7 +103,7 @@
 	}
 	k.mu.Unlock()
 	if len(f.Voids) > 0 {
-		c.home.send(f)
+		c.home.sendBoth(f)
 	}
 }
 
--- a/internal/crossbar/crossbar_test.go
+++ b/internal/crossbar/crossbar_test.go
@@ -353,6 +353,22 @@
 			h.g.Expect(h.got).To(BeEmpty())
 		})
 	})
+	t.Run("are withdrawn at the other exchange, too, that they were put to: home may have died", func(t *testing.T) {
+		in(t, func(h *hall) {
+			h.serve("i-1", good)
+			near, far := net.Pipe()
+			guest, other := trunk.NewLink(near), trunk.NewLink(far)
+			defer guest.Close()
+			var claims, voids int
+			go func() {
+				_ = other.Read(func(f *trunk.Frame) { claims, voids = claims+len(f.Claims), voids+len(f.Voids) })
+			}()
+			h.home.guest = guest
+			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(503))
+			h.g.Expect(claims).To(Equal(1))
+			h.g.Expect(voids).To(Equal(1))
+		})
+	})
 	t.Run("need a key", func(t *testing.T) {
 		in(t, func(h *hall) { h.g.Expect(h.ask("POST", "/k/x", "x").Code).To(Equal(400)) })
 	})
--- a/internal/crossbar/home.go
+++ b/internal/crossbar/home.go
@@ -221,6 +221,18 @@
 	return true
 }
 
+// sendBoth hands a frame to home and to the other exchange that claims went to, if there is one: home may have died without
+// a sign, and what is sent to it until its silence is heard is lost.
+func (h *home) sendBoth(f *trunk.Frame) {
+	h.send(f)
+	h.mu.Lock()
+	guest := h.guest
+	h.mu.Unlock()
+	if guest != nil {
+		guest.Send(f)
+	}
+}
+
 // reaches tells whether any exchange can be asked now.
 func (h *home) reaches() bool {
 	h.mu.Lock()
--- a/internal/exchange/links.go
+++ b/internal/exchange/links.go
@@ -207,6 +207,9 @@
 func (x *Exchange) frame(p *peer, f *trunk.Frame) {
 	if p.look {
 		x.claimed(p, f)
+		for _, r := range f.Voids {
+			x.void(r, x.members)
+		}
 		return
 	}
 	if p.edge && x.edges[p.ip] != p || !p.edge && x.peers[p.ip] != p {
