--- a/internal/crossbar/rooms_test.go
+++ b/internal/crossbar/rooms_test.go
@@ -80,6 +80,29 @@
 	})
 }
 
+// The booking is cancelled while others run in its room: they run on, nobody is held any more, and every slot is given back.
+func TestABookingEndsWhileItsRoomIsLent(t *testing.T) {
+	in(t, func(h *hall) {
+		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		for i := range 4 {
+			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
+		}
+		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 7}, {ID: booking.Rest("tags"), Service: "tags", Slots: 1}}
+		h.hold(rooms, map[string]int{"flyer": 7, booking.Rest("tags"): 1}, map[string]bool{booking.Rest("tags"): true})
+		lent := h.flood(3, "b.example")
+		booked := h.flood(1, "a.example")
+		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3})
+		h.g.Expect(h.rooms.gates).To(HaveLen(1), "requests still run under it")
+		more := h.flood(4, "b.example")
+		h.g.Expect(lent()).To(Equal(map[int]int{200: 3}))
+		h.g.Expect(booked()).To(Equal(map[int]int{200: 1}))
+		h.g.Expect(more()).To(Equal(map[int]int{200: 4}))
+		h.rooms.say(h.Crossbar)
+		h.g.Expect(h.rooms.gates).To(BeEmpty())
+		h.g.Expect(h.rooms.on.Load()).To(BeFalse())
+	})
+}
+
 // Its part is small here, but the booking isn't used up elsewhere: no booked request is sent away while a server has room.
 // Once it is used up, what exceeds it competes like everyone else.
 func TestAnEdgeWithASmallPartSendsNobodyAway(t *testing.T) {
