--- /dev/null
+++ b/internal/rehearse/growth_test.go
@@ -0,0 +1,230 @@
+package rehearse_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/daybook"
+	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/directory"
+	"mulleinwood/internal/finder"
+	"mulleinwood/internal/huntgroup"
+	"mulleinwood/internal/notice"
+	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/trunk"
+)
+
+// Growth by size: what one event costs as a system grows one, two, four and eight times from edges x servers x routes of a
+// small site. docs/system.md has the figures; go test -run '^$' -bench Growth ./internal/rehearse makes them.
+type fleet struct{ edges, servers, routes int }
+
+var sizes = []fleet{{10, 36, 15}, {20, 72, 30}, {40, 144, 60}, {80, 288, 120}}
+
+const (
+	halls    = 4
+	services = 4
+)
+
+func grow(b *testing.B, do func(b *testing.B, f fleet)) {
+	for _, f := range sizes {
+		b.Run(fmt.Sprintf("%dx%dx%d", f.edges, f.servers, f.routes), func(b *testing.B) { do(b, f) })
+	}
+}
+
+func entry(n int, seq uint64) directory.Entry {
+	return directory.Entry{ID: fmt.Sprint("i-", n), Service: fmt.Sprint("service-", n%services), Zone: fmt.Sprint("z", n/services%halls),
+		Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200), Version: "v1", Capacity: 2, Seq: seq, Owner: "a"}
+}
+
+func known(f fleet) *directory.Directory {
+	d := directory.New(time.Minute)
+	for n := range f.servers {
+		d.Take(entry(n, 1), 0)
+	}
+	return d
+}
+
+// size is how many bytes a frame takes.
+func size(b *testing.B, f *trunk.Frame) float64 {
+	text, err := cbor.Marshal(f)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(text))
+}
+
+func BenchmarkGrowthBeat(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		d := known(f)
+		board := notice.New(d)
+		for n := range f.edges / halls {
+			board.Join(fmt.Sprint("edge ", n), true)
+		}
+		seq, sends := uint64(1), 0
+		for b.Loop() {
+			seq++
+			board.Call(entry(int(seq)%f.servers, seq), seq, time.Duration(seq))
+			sends += len(board.Take().Sends)
+		}
+		b.ReportMetric(float64(sends)/float64(b.N), "sends/op")
+	})
+}
+
+func BenchmarkGrowthNewServer(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		board := notice.New(known(f))
+		for n := range f.edges / halls {
+			board.Join(fmt.Sprint("edge ", n), true)
+		}
+		n, sends, bytes := f.servers, 0, 0.0
+		for b.Loop() {
+			n++
+			board.Call(entry(n, 1), uint64(n), time.Duration(n))
+			for _, s := range board.Take().Sends {
+				sends++
+				if n == f.servers+1 {
+					bytes += size(b, &trunk.Frame{Entries: s.Entries, Receipt: s.Receipt})
+				}
+			}
+		}
+		b.ReportMetric(float64(sends)/float64(b.N), "sends/op")
+		b.ReportMetric(bytes, "wire-bytes")
+	})
+}
+
+func BenchmarkGrowthJoin(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		d := known(f)
+		whole := config(f)
+		var frame *trunk.Frame
+		for b.Loop() {
+			frame = &trunk.Frame{Hello: &trunk.Hello{Node: "x"}, Entries: d.All(0), Config: &trunk.Config{Version: 1, Whole: whole}}
+			if _, err := cbor.Marshal(frame); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(size(b, frame), "wire-bytes")
+	})
+}
+
+func BenchmarkGrowthTables(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		g := huntgroup.New("z0", []string{"z0", "z1", "z2", "z3"}, 1, func() int { return 3 }, func(string, string) {})
+		d := known(f)
+		g.Changed(d.All(0), 0)
+		for n := range f.edges / halls {
+			g.Join(fmt.Sprint("e", n), "z0")
+		}
+		rng := rand.New(rand.NewPCG(1, 1))
+		now := time.Duration(0)
+		for b.Loop() { // a second: every edge reports, and four looks
+			for n := range f.edges / halls {
+				r := &trunk.Report{Period: 1}
+				for s := range f.servers {
+					r.Met = append(r.Met, trunk.Met{Server: fmt.Sprint("i-", s), Tries: 4, Time: 0.4 + 0.2*rng.Float64()})
+				}
+				g.Report(fmt.Sprint("e", n), r, func(id string) (string, bool) { e, ok := d.Get(id); return e.Service, ok })
+			}
+			for range 4 {
+				for edge, w := range g.Tick(now, func() []huntgroup.Others { return nil }) {
+					g.Report(edge, &trunk.Report{Applied: w.Marks}, nil)
+				}
+				now += 250 * time.Millisecond
+			}
+		}
+	})
+}
+
+func config(f fleet) []byte {
+	type m = map[string]any
+	var list, channels []m
+	for n := range services {
+		list = append(list, m{"name": fmt.Sprint("service-", n), "health_path": "/health", "conn_limit": 110})
+	}
+	for n := range f.routes {
+		channels = append(channels, m{"name": fmt.Sprint("r-", n), "path_prefix": fmt.Sprintf("/p%d/", n), "kind": "safe", "deadline_s": 1, "setpoint_s": 0.4, "priority": 1, "service": fmt.Sprint("service-", n%services), "tries": 2})
+	}
+	text, err := json.Marshal(m{"version": "r1", "services": list, "limits": m{}, "plants": []m{{"plant": "a.example", "channels": channels}}})
+	if err != nil {
+		panic(err) // plain values
+	}
+	return text
+}
+
+func BenchmarkGrowthChange(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		book := daybook.New()
+		put := func(index uint64, c daybook.Change) {
+			data, err := cbor.Marshal(c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := book.Apply(agreement.Entry{Index: index, Term: 1, Data: data}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		put(1, daybook.Change{Body: config(f)})
+		at := uint64(1)
+		for b.Loop() { // one route changes: the daybook at a planner, and the tree at an edge
+			at++
+			put(at, daybook.Change{Base: at - 1, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"plants":[{"plant":"a.example","channels":[{"name":"r-1","path_prefix":"/p1/","kind":"safe","deadline_s":1,"service":"service-1","tries":2}]}]}}`, at)})
+			dialplan.NewTree(book.Config)
+		}
+	})
+}
+
+func BenchmarkGrowthPick(b *testing.B) {
+	grow(b, func(b *testing.B, f fleet) {
+		x := finder.New("z0", rand.New(rand.NewPCG(1, 1)).Float64)
+		for n := range f.servers {
+			e := entry(n, 1)
+			x.Add(&finder.Line{ID: e.ID, Service: e.Service, Zone: e.Zone, Capacity: e.Capacity})
+		}
+		roster := make([]uint32, f.edges/halls)
+		for i := range roster {
+			roster[i] = uint32(i)
+		}
+		x.Deal(roster, 0)
+		now := time.Duration(0)
+		for b.Loop() {
+			now += time.Millisecond
+			if l := x.Pick("service-0", func(*finder.Line) bool { return false }, now); l != nil {
+				x.Done(l, 0, true, true, now)
+			}
+		}
+	})
+}
+
+func BenchmarkGrowthClaim(b *testing.B) {
+	for _, held := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint(held, " keys held"), func(b *testing.B) {
+			office := ticket.NewOffice([]string{"a", "b", "c"}, time.Second, time.Second)
+			ledgers := map[string]*ticket.Ledger{"a": ticket.NewLedger(time.Minute, false), "b": ticket.NewLedger(time.Minute, false), "c": ticket.NewLedger(time.Minute, false)}
+			n := uint64(0)
+			claim := func() {
+				n++
+				r := ticket.Record{Key: ticket.KeyOf("t", fmt.Sprint(n)), Token: ticket.Token{Life: 1, N: n}}
+				for asks := office.Open(r, 0); len(asks) > 0; {
+					a := asks[0]
+					asks = asks[1:]
+					v, holder, _ := ledgers[a.To].Claim(a.Record, 0)
+					ledgers[a.To].Stored(a.Record.Key, a.Record.Token)
+					more, _ := office.Verdict(a.To, a.Record.Token, v, holder, 0)
+					asks = append(asks, more...)
+				}
+			}
+			for range held {
+				claim()
+			}
+			for b.Loop() {
+				claim()
+			}
+		})
+	}
+}
