Have a whole table replace the former one without shutting out what it doesn't name

On a large site a table names a part of a service's servers, and an edge that joined for the first time has always used the others of its zone beside them.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -169,12 +169,11 @@
 	}
 }
 
-// Unweigh takes all lines of a service out of its table: the lines of another one follow.
+// Unweigh forgets a service's table: the lines of another one follow. Those that it doesn't name are as on the first day,
+// since on a large site a table names a part of the servers.
 func (f *Finder) Unweigh(service string) {
 	for _, l := range f.services[service] {
-		if l.weighed {
-			l.weight = 0
-		}
+		l.weight, l.weighed = 1, false
 	}
 }
 
--- a/internal/trunk/frame.go
+++ b/internal/trunk/frame.go
@@ -118,7 +118,7 @@
 type Weights struct {
 	Marks []uint64 `cbor:"1,keyasint,omitempty"` // to be answered by Report.Applied
 	Lines []Weight `cbor:"3,keyasint,omitempty"`
-	Whole []string `cbor:"4,keyasint,omitempty"` // services of which Lines are the whole table
+	Whole []string `cbor:"4,keyasint,omitempty"` // services whose former table is over
 }
 
 // Weight is a server's in the table of its service; 0 takes it out.
