--- a/cmd/mulleinwood/bench.go
+++ b/cmd/mulleinwood/bench.go
@@ -8,7 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"mulleinwood/internal/bench"
+	"mulleinwood/internal/planner/bench"
 )
 
 type benchCmd struct {
--- a/cmd/mulleinwood/config.go
+++ b/cmd/mulleinwood/config.go
@@ -8,8 +8,8 @@
 	"runtime"
 	"text/tabwriter"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/program"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/program"
 )
 
 type configCmd struct {
--- a/cmd/mulleinwood/main.go
+++ b/cmd/mulleinwood/main.go
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/program"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/program"
 )
 
 // Codes the program ends with.
--- a/cmd/mulleinwood/serve.go
+++ b/cmd/mulleinwood/serve.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/program"
+	"mulleinwood/internal/planner/program"
 )
 
 // errLogged is a failure that the log has told of.
--- a/cmd/mulleinwood/tables.go
+++ b/cmd/mulleinwood/tables.go
@@ -15,7 +15,7 @@
 	"text/tabwriter"
 	"time"
 
-	"mulleinwood/internal/record"
+	"mulleinwood/internal/planner/record"
 	"mulleinwood/tables"
 )
 
--- a/cmd/mulleinwood/tables_test.go
+++ b/cmd/mulleinwood/tables_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/record"
+	"mulleinwood/internal/planner/record"
 	"mulleinwood/tables"
 )
 
--- a/cmd/operator/bookings.go
+++ b/cmd/operator/bookings.go
@@ -15,9 +15,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/booking"
+	"mulleinwood/internal/control/reservation"
 	"mulleinwood/internal/operator"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // bookings are the commands on booked room.
@@ -86,7 +86,7 @@
 	})
 }
 
-func stateOf(b *operator.Bookings, one booking.Booking) string {
+func stateOf(b *operator.Bookings, one reservation.Booking) string {
 	switch wants := one.Wants(b.Now); {
 	case b.Lacks[one.ID] > 0:
 		return fmt.Sprintf("in danger: lacks %.1f", b.Lacks[one.ID])
@@ -100,7 +100,7 @@
 
 func oneID(cmd *cli.Command) (string, error) {
 	if cmd.NArg() != 1 || cmd.Args().First() == "" {
-		return "", tone.Settings.New("%s takes one id", cmd.FullName())
+		return "", apierror.Settings.New("%s takes one id", cmd.FullName())
 	}
 	return cmd.Args().First(), nil
 }
@@ -138,7 +138,7 @@
 		return err
 	}
 	e := operator.Entry{ID: id}
-	at := slices.IndexFunc(b.Bookings, func(o booking.Booking) bool { return o.ID == id })
+	at := slices.IndexFunc(b.Bookings, func(o reservation.Booking) bool { return o.ID == id })
 	switch {
 	case cmd.Name == "change" && at < 0:
 		return fmt.Errorf("there is no booking %s to change", id)
--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -13,20 +13,20 @@
 
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/night"
+	"mulleinwood/internal/config"
 	"mulleinwood/internal/operator"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/lifecycle"
 )
 
 func main() {
-	night.Main(&cli.Command{
+	lifecycle.Main(&cli.Command{
 		Name:  "operator",
 		Usage: "operators' client of the gateway",
 		Description: "Codes: 0 done, 1 refused or failed, 2 wrong arguments or surroundings.\n" +
-			"Calls go to the exchanges of --at, one after the other, and follow them to the leader.",
+			"Calls go to the controllers of --at, one after the other, and follow them to the leader.",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "at", Usage: "control addresses of exchanges", Sources: cli.EnvVars("MULLEINWOOD_AT")},
+			&cli.StringSliceFlag{Name: "at", Usage: "control addresses of controllers", Sources: cli.EnvVars("MULLEINWOOD_AT")},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		},
 		Commands: []*cli.Command{
@@ -41,7 +41,7 @@
 			}},
 			bookings(),
 			{Name: "servers", Usage: "the servers, their states and weights", Action: servers},
-			{Name: "planners", Usage: "exchanges and edges, and how they are", Action: planners},
+			{Name: "planners", Usage: "controllers and edges, and how they are", Action: planners},
 			{Name: "keys", Usage: "how many keyed operations each ledger holds", Action: keys},
 			{Name: "status", Usage: "what needs looking at; code 1 if anything does", Action: status},
 			try(),
@@ -52,18 +52,18 @@
 func client(cmd *cli.Command) (*operator.Client, error) {
 	at := cmd.StringSlice("at")
 	if len(at) == 0 {
-		return nil, tone.Settings.New("--at or MULLEINWOOD_AT has to name an exchange")
+		return nil, apierror.Settings.New("--at or MULLEINWOOD_AT has to name a controller")
 	}
 	return operator.New(at, func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }), nil
 }
 
 func file(cmd *cli.Command) ([]byte, error) {
 	if cmd.NArg() != 1 {
-		return nil, tone.Settings.New("%s takes one file", cmd.FullName())
+		return nil, apierror.Settings.New("%s takes one file", cmd.FullName())
 	}
 	text, err := os.ReadFile(cmd.Args().First())
 	if err != nil {
-		return nil, tone.Settings.Wrap(err, "file")
+		return nil, apierror.Settings.Wrap(err, "file")
 	}
 	return text, nil
 }
@@ -74,7 +74,7 @@
 	return e.Encode(v)
 }
 
-func current(ctx context.Context, c *operator.Client) ([]byte, dialplan.Version, error) {
+func current(ctx context.Context, c *operator.Client) ([]byte, config.Version, error) {
 	text, err := c.Call(ctx, http.MethodGet, "/config", nil, nil)
 	if err != nil {
 		return nil, 0, err
@@ -85,7 +85,7 @@
 	if err := json.Unmarshal(text, &v); err != nil {
 		return nil, 0, fmt.Errorf("the answer can't be read: %w", err)
 	}
-	n, ok := dialplan.ParseVersion(v.Version)
+	n, ok := config.ParseVersion(v.Version)
 	if !ok {
 		return nil, 0, fmt.Errorf("the answer's version is %q", v.Version)
 	}
@@ -119,10 +119,10 @@
 		return err
 	}
 	if change {
-		fmt.Println("valid by itself: the exchanges judge it against what is in force")
+		fmt.Println("valid by itself: the controllers judge it against what is in force")
 		return nil
 	}
-	config, err := dialplan.Parse(text)
+	config, err := config.Parse(text)
 	if err != nil {
 		return err
 	}
@@ -212,7 +212,7 @@
 	return nil
 }
 
-// seen asks all exchanges; it fails if none answers.
+// seen asks all controllers; it fails if none answers.
 func seen(ctx context.Context, cmd *cli.Command) ([]operator.View, []string, error) {
 	c, err := client(cmd)
 	if err != nil {
@@ -220,7 +220,7 @@
 	}
 	views, silent := c.Each(ctx)
 	if len(views) == 0 {
-		return nil, silent, fmt.Errorf("no exchange answers: %v", silent)
+		return nil, silent, fmt.Errorf("no controller answers: %v", silent)
 	}
 	return views, silent, nil
 }
@@ -243,7 +243,7 @@
 			best = v
 		}
 	}
-	for _, v := range views { // each exchange knows the weights that its own edges hold
+	for _, v := range views { // each controller knows the weights that its own edges hold
 		for _, s := range v.Servers {
 			if i := slices.IndexFunc(best.Servers, func(o operator.Server) bool { return o.ID == s.ID }); i >= 0 {
 				best.Servers[i].Weight = max(best.Servers[i].Weight, s.Weight)
@@ -272,7 +272,7 @@
 	if cmd.Bool("json") {
 		return printJSON(map[string]any{"exchanges": views, "silent": silent})
 	}
-	return table("EXCHANGE\tZONE\tROLE\tTERM\tCHANGES\tVERSION\tDISK\tEDGES", func(w *tabwriter.Writer) {
+	return table("CONTROLLER\tZONE\tROLE\tTERM\tCHANGES\tVERSION\tDISK\tEDGES", func(w *tabwriter.Writer) {
 		for _, v := range views {
 			role := "follows " + v.Leader
 			if v.Leader == v.IP {
@@ -300,7 +300,7 @@
 	if cmd.Bool("json") {
 		return printJSON(counts)
 	}
-	return table("EXCHANGE\tKEYS IN THEIR WINDOW", func(w *tabwriter.Writer) {
+	return table("CONTROLLER\tKEYS IN THEIR WINDOW", func(w *tabwriter.Writer) {
 		for _, v := range views {
 			fmt.Fprintf(w, "%s\t%d\n", v.Node, v.Keys)
 		}
@@ -326,7 +326,7 @@
 		return fmt.Errorf("%d things need looking at", len(faults))
 	}
 	if !cmd.Bool("json") {
-		fmt.Printf("all well: %d exchanges, configuration %s\n", len(views), views[0].Version)
+		fmt.Printf("all well: %d controllers, configuration %s\n", len(views), views[0].Version)
 	}
 	return nil
 }
--- a/cmd/operator/try.go
+++ b/cmd/operator/try.go
@@ -8,10 +8,10 @@
 
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/testdesk"
+	"mulleinwood/internal/demo"
 )
 
-// try is a gateway on this machine: three exchanges, two crossbars, four stand-in servers, a request of each kind.
+// try is a gateway on this machine: three controllers, two edges, four stand-in servers, a request of each kind.
 func try() *cli.Command {
 	return &cli.Command{
 		Name:  "try",
@@ -34,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			desk := &testdesk.Desk{Dir: dir, Bin: bin, Out: os.Stdout, Tail: cmd.Bool("logs")}
+			desk := &demo.Desk{Dir: dir, Bin: bin, Out: os.Stdout, Tail: cmd.Bool("logs")}
 			err = desk.Start(ctx)
 			if err == nil {
 				err = desk.Try()
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"mulleinwood/internal/simhost"
+	"mulleinwood/internal/planner/simhost"
 )
 
 func main() {
--- a/cmd/rehearse/busy.go
+++ b/cmd/simulate/busy.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/rehearse"
+	"mulleinwood/internal/simulation"
 )
 
 // busy plays busy days that were known beforehand: a quiet morning, a crowd without a booking, and one with it.
@@ -35,24 +35,24 @@
 		name          string
 		crowd, booked float64
 	}{{"quiet morning", 1, 0}, {"crowd, nothing booked", crowd, 0}, {"crowd, room booked", crowd, booked}, {"quiet, room booked", 1, booked}} {
-		results := make([]rehearse.Result, cmd.Int("days"))
+		results := make([]simulation.Result, cmd.Int("days"))
 		var all sync.WaitGroup
 		free := make(chan struct{}, runtime.NumCPU())
 		for i := range results {
 			all.Go(func() {
 				free <- struct{}{}
 				defer func() { <-free }()
-				d := rehearse.NewBusyDay(cmd.Uint64("seed")+uint64(i), cmd.Int("members"), cmd.Int("lost"),
-					rehearse.Busy{Rate: rate, Crowd: one.crowd, Booked: one.booked, OneIn: cmd.Bool("one-edge")})
+				d := simulation.NewBusyDay(cmd.Uint64("seed")+uint64(i), cmd.Int("members"), cmd.Int("lost"),
+					simulation.Busy{Rate: rate, Crowd: one.crowd, Booked: one.booked, OneIn: cmd.Bool("one-edge")})
 				d.Fault = cmd.String("fault")
 				if cmd.Bool("calm") {
 					d.Troubles = nil
 				}
-				results[i] = rehearse.Play(d)
+				results[i] = simulation.Play(d)
 			})
 		}
 		all.Wait()
-		var sum rehearse.Result
+		var sum simulation.Result
 		for i, r := range results {
 			sum.Add(r)
 			if r.Broken != "" && bad == nil {
--- a/cmd/rehearse/main.go
+++ b/cmd/simulate/main.go
@@ -1,5 +1,5 @@
-// Command rehearse plays the gateway's core and edges in simulated time, to find what breaks a rule before the day does,
-// and to measure what a setting does.
+// Command simulate plays the gateway's controllers and edges in simulated time, to find what breaks a rule before the day
+// does, and to measure what a setting does.
 package main
 
 import (
@@ -12,21 +12,21 @@
 
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/night"
-	"mulleinwood/internal/rehearse"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/lifecycle"
+	"mulleinwood/internal/simulation"
 )
 
 func main() {
 	sizes := []cli.Flag{
 		&cli.Uint64Flag{Name: "seed", Usage: "the day, or the first of them"},
-		&cli.IntFlag{Name: "members", Value: 3, Usage: "exchanges with a vote"},
+		&cli.IntFlag{Name: "members", Value: 3, Usage: "controllers with a vote"},
 		&cli.IntFlag{Name: "lost", Value: 1, Usage: "disks that may be lost at once"},
 		&cli.BoolFlag{Name: "services", Usage: "days on which servers come, leave and fail, and the core's troubles are further apart"},
 		&cli.StringFlag{Name: "fault", Usage: "a planted fault, to see that it is seen"},
 	}
-	night.Main(&cli.Command{
-		Name:  "rehearse",
+	lifecycle.Main(&cli.Command{
+		Name:  "simulate",
 		Usage: "the gateway's deciders in simulated time, from one seed",
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "play one day and tell what happened", Flags: sizes, Action: run},
@@ -45,21 +45,21 @@
 	})
 }
 
-func day(cmd *cli.Command, seed uint64) (rehearse.Day, error) {
+func day(cmd *cli.Command, seed uint64) (simulation.Day, error) {
 	members, lost := cmd.Int("members"), cmd.Int("lost")
 	if lost < 1 || members < 2*lost+1 {
-		return rehearse.Day{}, tone.Settings.New("to bear %d lost disks takes %d members at least", lost, 2*lost+1)
+		return simulation.Day{}, apierror.Settings.New("to bear %d lost disks takes %d members at least", lost, 2*lost+1)
 	}
-	draw := rehearse.NewDay
+	draw := simulation.NewDay
 	if cmd.Bool("services") {
-		draw = rehearse.NewServiceDay
+		draw = simulation.NewServiceDay
 	}
 	d := draw(seed, members, lost)
 	d.Fault = cmd.String("fault")
 	return d, nil
 }
 
-func tell(r rehearse.Result) {
+func tell(r simulation.Result) {
 	fmt.Printf("%d changes acknowledged, %d operations run, %d repeats\n", r.Changes, r.Runs, r.Repeats)
 	if r.Requests > 0 {
 		fmt.Printf("%d requests: %d served (%d late), %d refused, %d broken off; %d further arrivals; %d servers left in order\n",
@@ -76,7 +76,7 @@
 	for _, t := range d.Troubles {
 		fmt.Println(t)
 	}
-	r := rehearse.Play(d)
+	r := simulation.Play(d)
 	tell(r)
 	if r.Broken != "" {
 		return fmt.Errorf("%s", r.Broken)
@@ -90,8 +90,8 @@
 	}
 	var next atomic.Int64
 	var mu sync.Mutex
-	var bad *rehearse.Day
-	var sum rehearse.Result
+	var bad *simulation.Day
+	var sum simulation.Result
 	var all sync.WaitGroup
 	began := time.Now()
 	for range runtime.NumCPU() {
@@ -105,7 +105,7 @@
 				if err != nil {
 					return // checked above
 				}
-				r := rehearse.Play(d)
+				r := simulation.Play(d)
 				mu.Lock()
 				sum.Add(r)
 				if r.Broken != "" && (bad == nil || d.Seed < bad.Seed) {
@@ -121,16 +121,16 @@
 	if bad == nil {
 		return nil
 	}
-	short := rehearse.Shrink(*bad, 500)
+	short := simulation.Shrink(*bad, 500)
 	for _, t := range short.Troubles {
 		fmt.Println(t)
 	}
-	return fmt.Errorf("seed %d: %s (%d of its %d troubles are needed)", bad.Seed, rehearse.Play(short).Broken, len(short.Troubles), len(bad.Troubles))
+	return fmt.Errorf("seed %d: %s (%d of its %d troubles are needed)", bad.Seed, simulation.Play(short).Broken, len(short.Troubles), len(bad.Troubles))
 }
 
 func explore(_ context.Context, cmd *cli.Command) error {
 	began := time.Now()
-	r := rehearse.Explore(rehearse.Bounds{States: cmd.Int("states"), Wipes: cmd.Int("wipes"), Powers: cmd.Int("powers"),
+	r := simulation.Explore(simulation.Bounds{States: cmd.Int("states"), Wipes: cmd.Int("wipes"), Powers: cmd.Int("powers"),
 		Withdrawals: cmd.Int("withdrawals"), Fault: cmd.String("fault")})
 	which := "all there are"
 	if r.Deeper {
--- a/cmd/rehearse/sweep.go
+++ b/cmd/simulate/sweep.go
@@ -20,16 +20,16 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"mulleinwood/internal/rehearse"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/simulation"
 )
 
 // settings that a sweep can vary, and what they do to a day.
-var settings = map[string]func(*rehearse.Day, float64){
-	"rate":    func(d *rehearse.Day, x float64) { d.Rate = x },
-	"servers": func(d *rehearse.Day, x float64) { d.Servers = int(x) },
-	"edges":   func(d *rehearse.Day, x float64) { d.Edges = int(x) },
-	"every":   func(d *rehearse.Day, x float64) { d.Every = max(1, int(x)) },
+var settings = map[string]func(*simulation.Day, float64){
+	"rate":    func(d *simulation.Day, x float64) { d.Rate = x },
+	"servers": func(d *simulation.Day, x float64) { d.Servers = int(x) },
+	"edges":   func(d *simulation.Day, x float64) { d.Edges = int(x) },
+	"every":   func(d *simulation.Day, x float64) { d.Every = max(1, int(x)) },
 }
 
 // sweep measures service days over values of a setting, the same seeds at each.
@@ -39,13 +39,13 @@
 		Usage: "play service days with values of a setting, the same seeds at each: a table of figures, and a page with plots",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "vary", Value: "rate", Usage: "rate (requests a second and edge), servers, edges, every (ticks between changes), policy"},
-			&cli.StringFlag{Name: "values", Value: "10,20,40,60,80", Usage: "the first is what the others are compared with; of policy: " + strings.Join(rehearse.Policies[1:], ", ") + ", or dealt"},
+			&cli.StringFlag{Name: "values", Value: "10,20,40,60,80", Usage: "the first is what the others are compared with; of policy: " + strings.Join(simulation.Policies[1:], ", ") + ", or dealt"},
 			&cli.FloatFlag{Name: "rate", Usage: "requests a second and edge, where something else is varied"},
 			&cli.IntFlag{Name: "seeds", Value: 30},
 			&cli.Uint64Flag{Name: "seed", Usage: "the first"},
 			&cli.IntFlag{Name: "members", Value: 3},
 			&cli.IntFlag{Name: "lost", Value: 1},
-			&cli.StringFlag{Name: "out", Value: "rehearsal", Usage: "folder for figures.csv, plots and report.html"},
+			&cli.StringFlag{Name: "out", Value: "simulation", Usage: "folder for figures.csv, plots and report.html"},
 		},
 		Action: sweeping,
 	}
@@ -55,7 +55,7 @@
 type point struct {
 	label  string
 	value  float64
-	sum    rehearse.Result
+	sum    simulation.Result
 	served []float64 // shares, by seed
 	late   []float64
 	hist   *hdrhistogram.Histogram // microseconds
@@ -66,19 +66,19 @@
 	vary := cmd.String("vary")
 	set := settings[vary]
 	if set == nil && vary != "policy" {
-		return tone.Settings.New("--vary %q: rate, servers, edges, every and policy can be varied", vary)
+		return apierror.Settings.New("--vary %q: rate, servers, edges, every and policy can be varied", vary)
 	}
 	var points []*point
 	for i, text := range strings.Split(cmd.String("values"), ",") {
 		p := &point{label: strings.TrimSpace(text), value: float64(i), hist: hdrhistogram.New(1, 60_000_000, 3)}
 		if vary == "policy" {
-			if !slices.Contains(rehearse.Policies, strings.TrimPrefix(p.label, "dealt")) {
-				return tone.Settings.New("--values: %q is no policy", p.label)
+			if !slices.Contains(simulation.Policies, strings.TrimPrefix(p.label, "dealt")) {
+				return apierror.Settings.New("--values: %q is no policy", p.label)
 			}
 		} else {
 			x, err := strconv.ParseFloat(p.label, 64)
 			if err != nil || x <= 0 {
-				return tone.Settings.New("--values: %q is no number above 0", text)
+				return apierror.Settings.New("--values: %q is no number above 0", text)
 			}
 			p.value = x
 		}
@@ -86,14 +86,14 @@
 	}
 	seeds := cmd.Int("seeds")
 	for _, p := range points {
-		results := make([]rehearse.Result, seeds)
+		results := make([]simulation.Result, seeds)
 		var all sync.WaitGroup
 		free := make(chan struct{}, runtime.NumCPU())
 		for i := range results {
 			all.Go(func() {
 				free <- struct{}{}
 				defer func() { <-free }()
-				d := rehearse.NewServiceDay(cmd.Uint64("seed")+uint64(i), cmd.Int("members"), cmd.Int("lost"))
+				d := simulation.NewServiceDay(cmd.Uint64("seed")+uint64(i), cmd.Int("members"), cmd.Int("lost"))
 				d.Latency = true
 				if rate := cmd.Float("rate"); rate > 0 {
 					d.Rate = rate
@@ -103,7 +103,7 @@
 				} else {
 					d.Policy = strings.TrimPrefix(p.label, "dealt")
 				}
-				results[i] = rehearse.Play(d)
+				results[i] = simulation.Play(d)
 			})
 		}
 		all.Wait()
@@ -118,7 +118,7 @@
 	return report(cmd.String("out"), vary, points)
 }
 
-func (p *point) take(r rehearse.Result) {
+func (p *point) take(r simulation.Result) {
 	p.sum.Add(r)
 	n := float64(max(1, r.Requests))
 	p.served, p.late = append(p.served, float64(r.Served)/n), append(p.late, float64(r.Late)/n)
@@ -182,7 +182,7 @@
 		}
 	}
 	var page strings.Builder
-	fmt.Fprintf(&page, "<!doctype html><title>Rehearsal: %s</title><h1>Service days by %s</h1><p>Simulated time; %d seeds at each value, the same ones; ± is half of the 95%% interval. Made %s.</p><table border=1>",
+	fmt.Fprintf(&page, "<!doctype html><title>Simulation: %s</title><h1>Service days by %s</h1><p>Simulated time; %d seeds at each value, the same ones; ± is half of the 95%% interval. Made %s.</p><table border=1>",
 		vary, vary, len(points[0].served), time.Now().Format(time.DateTime))
 	for _, row := range rows {
 		page.WriteString("<tr><td>" + strings.Join(row, "<td>"))
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -15,8 +15,8 @@
 	"sync"
 	"time"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
 )
 
 const (
--- a/internal/dialplan/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,6 @@
-// Package dialplan holds the configuration: its form on the wire, its checks, how changes apply to it, and the tree of
-// matchers that finds a request's route. Nothing here does I/O.
-package dialplan
+// Package config holds the gateway's configuration: its form on the wire, its checks, how changes apply to it, and the tree
+// of matchers that finds a request's route. Nothing here does I/O.
+package config
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Version is the number of a configuration, written r12 on the wire. 0 is none.
@@ -34,7 +34,7 @@
 	}
 	n, ok := ParseVersion(text)
 	if !ok || n == 0 {
-		return tone.Invalid.New("version %q is not r and a number", text)
+		return apierror.Invalid.New("version %q is not r and a number", text)
 	}
 	*v = n
 	return nil
@@ -134,11 +134,11 @@
 		return nil, err
 	}
 	if whole.Version == 0 {
-		return nil, tone.Invalid.New("version is missing")
+		return nil, apierror.Invalid.New("version is missing")
 	}
 	c := &Config{Version: whole.Version, other: map[string]json.RawMessage{}}
 	if err := json.Unmarshal(body, &c.other); err != nil {
-		return nil, tone.Invalid.New("%s", err)
+		return nil, apierror.Invalid.New("%s", err)
 	}
 	for _, known := range []string{"version", "services", "limits", "plants"} {
 		delete(c.other, known)
@@ -152,7 +152,7 @@
 // strict reads one JSON value and nothing after it.
 func strict(body []byte, into any) error {
 	if err := json.Unmarshal(body, into); err != nil {
-		return tone.Invalid.New("body can't be read: %s", err)
+		return apierror.Invalid.New("body can't be read: %s", err)
 	}
 	return nil
 }
@@ -172,7 +172,7 @@
 		return nil, err
 	}
 	if change.Version <= c.Version {
-		return nil, tone.Invalid.New("version %s is not above %s", change.Version, c.Version)
+		return nil, apierror.Invalid.New("version %s is not above %s", change.Version, c.Version)
 	}
 	next := *c
 	next.Version = change.Version
@@ -192,14 +192,14 @@
 func (c *Config) upsert(items wireItems) error {
 	if len(items.Limits) > 0 {
 		if err := json.Unmarshal(items.Limits, &c.Limits); err != nil {
-			return tone.Invalid.New("limits: %s", err)
+			return apierror.Invalid.New("limits: %s", err)
 		}
 		c.limits = items.Limits
 	}
 	for _, raw := range items.Services {
 		s := &Service{raw: raw}
 		if err := json.Unmarshal(raw, s); err != nil {
-			return tone.Invalid.New("service: %s", err)
+			return apierror.Invalid.New("service: %s", err)
 		}
 		if i := slices.IndexFunc(c.Services, func(o *Service) bool { return o.Name == s.Name }); i >= 0 {
 			c.Services[i] = s
@@ -218,7 +218,7 @@
 		for _, raw := range plant.Channels {
 			r := &Route{raw: raw, Plant: plant.Plant}
 			if err := json.Unmarshal(raw, r); err != nil {
-				return tone.Invalid.New("route: %s", err)
+				return apierror.Invalid.New("route: %s", err)
 			}
 			if i, ok := at[r.Name]; ok {
 				c.Routes[i] = r
@@ -236,7 +236,7 @@
 	known := map[string]bool{}
 	for _, s := range c.Services {
 		if s.Name == "" {
-			return tone.Invalid.New("a service has no name")
+			return apierror.Invalid.New("a service has no name")
 		}
 		known[s.Name] = true
 	}
@@ -244,28 +244,28 @@
 		sum := 0.0
 		for _, share := range r.Shares() {
 			if !known[share.Service] {
-				return tone.Invalid.New("route %s: service %q is not known", r.Name, share.Service)
+				return apierror.Invalid.New("route %s: service %q is not known", r.Name, share.Service)
 			}
 			if share.Gain < 0 {
-				return tone.Invalid.New("route %s: a weight is negative", r.Name)
+				return apierror.Invalid.New("route %s: a weight is negative", r.Name)
 			}
 			sum += share.Gain
 		}
 		switch {
 		case r.Name == "":
-			return tone.Invalid.New("a route of %s has no name", r.Plant)
+			return apierror.Invalid.New("a route of %s has no name", r.Plant)
 		case r.Plant == "":
-			return tone.Invalid.New("route %s has no host", r.Name)
+			return apierror.Invalid.New("route %s has no host", r.Name)
 		case sum <= 0:
-			return tone.Invalid.New("route %s: the weights sum to 0", r.Name)
+			return apierror.Invalid.New("route %s: the weights sum to 0", r.Name)
 		case r.Deadline <= 0:
-			return tone.Invalid.New("route %s: deadline_s is not above 0", r.Name)
+			return apierror.Invalid.New("route %s: deadline_s is not above 0", r.Name)
 		case r.Tries <= 0:
-			return tone.Invalid.New("route %s: tries is not above 0", r.Name)
+			return apierror.Invalid.New("route %s: tries is not above 0", r.Name)
 		case !strings.HasPrefix(r.Prefix, "/"):
-			return tone.Invalid.New("route %s: path_prefix %q does not start with a slash", r.Name, r.Prefix)
+			return apierror.Invalid.New("route %s: path_prefix %q does not start with a slash", r.Name, r.Prefix)
 		case r.Kind != Safe && r.Kind != Unsafe && r.Kind != Keyed:
-			return tone.Invalid.New("route %s: kind %q is not known", r.Name, r.Kind)
+			return apierror.Invalid.New("route %s: kind %q is not known", r.Name, r.Kind)
 		}
 	}
 	return nil
--- a/internal/dialplan/dialplan_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package dialplan_test
+package config_test
 
 import (
 	"encoding/json"
@@ -8,12 +8,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/config"
 )
 
 func TestDialplan(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "dialplan")
+	RunSpecs(t, "config")
 }
 
 const whole = `{"version":"r7","note":{"kept":true},"services":[{"name":"tags","health_path":"/health","conn_limit":110,"extra":1},{"name":"ledger"}],` +
@@ -21,8 +21,8 @@
 	`{"name":"r-1","path_prefix":"/a/","kind":"safe","deadline_s":1,"setpoint_s":0.4,"service":"tags","tries":2},` +
 	`{"name":"r-2","path_prefix":"/a/b/","kind":"keyed","deadline_s":1.2,"split":[{"service":"tags","gain":9},{"service":"ledger","gain":1}],"tries":2}]}]}`
 
-func parse(text string) *dialplan.Config {
-	c, err := dialplan.Parse([]byte(text))
+func parse(text string) *config.Config {
+	c, err := config.Parse([]byte(text))
 	Expect(err).NotTo(HaveOccurred())
 	return c
 }
@@ -35,7 +35,7 @@
 	})
 	DescribeTable("is refused when", func(old, new string) {
 		Expect(whole).To(ContainSubstring(old))
-		_, err := dialplan.Parse([]byte(strings.Replace(whole, old, new, 1)))
+		_, err := config.Parse([]byte(strings.Replace(whole, old, new, 1)))
 		Expect(err).To(HaveOccurred())
 	},
 		Entry("a route names an unknown service", `"service":"tags"`, `"service":"tabs"`),
@@ -54,10 +54,10 @@
 		c := parse(whole)
 		next, err := c.Patch([]byte(`{"version":"r9","upsert":{"plants":[{"plant":"b.example","channels":[{"name":"r-3","path_prefix":"/","kind":"safe","deadline_s":2,"service":"ledger","tries":1}]}]},"remove":{"routes":["r-1"]}}`))
 		Expect(err).NotTo(HaveOccurred())
-		t := dialplan.NewTree(next)
+		t := config.NewTree(next)
 		Expect(t.Find("a.example", "/a/x")).To(BeNil())
 		Expect(t.Find("b.example", "/any").Name).To(Equal("r-3"))
-		Expect(dialplan.NewTree(c).Find("a.example", "/a/x").Name).To(Equal("r-1"))
+		Expect(config.NewTree(c).Find("a.example", "/a/x").Name).To(Equal("r-1"))
 	})
 	DescribeTable("refuses a change that", func(change string) {
 		_, err := parse(whole).Patch([]byte(change))
@@ -71,7 +71,7 @@
 
 var _ = Describe("the tree of matchers", func() {
 	DescribeTable("finds the longest prefix", func(host, path, want string) {
-		r := dialplan.NewTree(parse(whole)).Find(host, path)
+		r := config.NewTree(parse(whole)).Find(host, path)
 		if want == "" {
 			Expect(r).To(BeNil())
 			return
@@ -92,7 +92,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		c, err := dialplan.Parse(body)
+		c, err := config.Parse(body)
 		if err != nil {
 			return
 		}
@@ -100,7 +100,7 @@
 		if err != nil {
 			t.Fatalf("taken, but can't be written: %v", err)
 		}
-		if _, err := dialplan.Parse(text); err != nil {
+		if _, err := config.Parse(text); err != nil {
 			t.Fatalf("written, but not taken again: %v", err)
 		}
 	})
--- a/internal/dialplan/tree.go
+++ b/internal/config/tree.go
@@ -1,4 +1,4 @@
-package dialplan
+package config
 
 import "strings"
 
--- a/internal/notice/notice.go
+++ b/internal/control/broadcast/broadcast.go
@@ -1,26 +1,26 @@
-// Package notice decides what an exchange tells whom of servers, and when a server's call is acknowledged. News goes to
-// all edges and exchanges that are linked; that a server leaves is acknowledged once all of them say that they hold it, or
-// after a time: who is out of reach for that long is not in touch. It is a value fed with events; what has to be sent and
-// answered gathers until Take.
-package notice
+// Package broadcast spreads news of servers: it decides what a controller tells whom, and when a server's call is
+// acknowledged. News goes to all edges and controllers that are linked; that a server leaves is acknowledged once all of
+// them say that they hold it, or after a time: who is out of reach for that long is not in touch. It is a value fed with
+// events; what has to be sent and answered gathers until Take.
+package broadcast
 
 import (
 	"slices"
 	"time"
 
-	"mulleinwood/internal/directory"
+	"mulleinwood/internal/control/registry"
 )
 
 // Waits for receipts.
 const (
-	near = 300 * time.Millisecond // for another exchange's edges to say that they hold an entry
-	far  = 600 * time.Millisecond // and for other exchanges, theirs included
+	near = 300 * time.Millisecond // for another controller's edges to say that they hold an entry
+	far  = 600 * time.Millisecond // and for other controllers, theirs included
 )
 
 // Send is what one link is sent.
 type Send struct {
 	To       string
-	Entries  []directory.Entry
+	Entries  []registry.Entry
 	Receipt  uint64 // to be sent back once the entries are in force
 	Received uint64
 }
@@ -28,23 +28,23 @@
 // Output is what has gathered.
 type Output struct {
 	Sends []Send
-	Done  []uint64          // calls that are acknowledged now
-	News  []directory.Entry // what changed here, for the tables and the disk
+	Done  []uint64         // calls that are acknowledged now
+	News  []registry.Entry // what changed here, for the tables and the disk
 }
 
-// Board is one exchange's part.
+// Board is one controller's part.
 type Board struct {
-	dir      *directory.Directory
+	dir      *registry.Directory
 	links    map[string]*link
 	receipts map[uint64]*receipt
 	next     uint64
-	acked    map[string]directory.State // of servers that are leaving, what was acknowledged here
+	acked    map[string]registry.State // of servers that are leaving, what was acknowledged here
 	out      Output
 }
 
 type link struct {
 	edge  bool
-	hears []string // exchanges that it has links to
+	hears []string // controllers that it has links to
 }
 
 // receipt waits until others hold what was spread.
@@ -54,9 +54,9 @@
 	done  func()
 }
 
-// New makes a board over a directory.
-func New(dir *directory.Directory) *Board {
-	return &Board{dir: dir, links: map[string]*link{}, receipts: map[uint64]*receipt{}, acked: map[string]directory.State{}}
+// New makes a board over a registry.
+func New(dir *registry.Directory) *Board {
+	return &Board{dir: dir, links: map[string]*link{}, receipts: map[uint64]*receipt{}, acked: map[string]registry.State{}}
 }
 
 // Take hands out what has gathered.
@@ -85,7 +85,7 @@
 	b.finish()
 }
 
-// Hears notes which exchanges another one is linked to.
+// Hears notes which controllers another one is linked to.
 func (b *Board) Hears(name string, exchanges []string) {
 	if l := b.links[name]; l != nil {
 		l.hears = exchanges
@@ -101,8 +101,8 @@
 }
 
 // Heard takes what another process knows of servers, and passes on what is news. Want is the receipt that it asks for.
-func (b *Board) Heard(from string, entries []directory.Entry, want uint64, now time.Duration) {
-	var news []directory.Entry
+func (b *Board) Heard(from string, entries []registry.Entry, want uint64, now time.Duration) {
+	var news []registry.Entry
 	for _, e := range entries {
 		if changed, isNews := b.dir.Take(e, now); isNews {
 			news = append(news, changed)
@@ -116,20 +116,20 @@
 }
 
 // Changed passes on what changed here by itself.
-func (b *Board) Changed(news []directory.Entry, now time.Duration) {
+func (b *Board) Changed(news []registry.Entry, now time.Duration) {
 	b.spread(news, "", near, now, nil)
 }
 
 // Call takes a server's own word: a beat, or that it leaves or is gone. Call is what Done will hold once it is
 // acknowledged.
-func (b *Board) Call(e directory.Entry, call uint64, now time.Duration) (changed directory.Entry, first bool) {
+func (b *Board) Call(e registry.Entry, call uint64, now time.Duration) (changed registry.Entry, first bool) {
 	old, known := b.dir.Get(e.ID)
-	if e.State == directory.Gone && known {
+	if e.State == registry.Gone && known {
 		e.Seq = old.Seq
 	}
 	changed, news := b.dir.Take(e, now)
-	leaving := e.State > directory.Ready
-	var list []directory.Entry
+	leaving := e.State > registry.Ready
+	var list []registry.Entry
 	if news || leaving {
 		list = append(list, changed)
 	}
@@ -141,7 +141,7 @@
 		b.out.Done = append(b.out.Done, call) // said before, and known
 	default:
 		b.spread(list, "", far, now, func() {
-			if changed.State == directory.Gone {
+			if changed.State == registry.Gone {
 				delete(b.acked, e.ID) // it calls no more
 			} else {
 				b.acked[e.ID] = changed.State
@@ -162,9 +162,9 @@
 	}
 }
 
-// spread tells edges and other exchanges of news; done hears when those that have to know hold it. What another exchange
-// told goes on to exchanges that it has no link to itself.
-func (b *Board) spread(news []directory.Entry, from string, limit, now time.Duration, done func()) {
+// spread tells edges and other controllers of news; done hears when those that have to know hold it. What another controller
+// told goes on to controllers that it has no link to itself.
+func (b *Board) spread(news []registry.Entry, from string, limit, now time.Duration, done func()) {
 	need, id := map[string]bool{}, uint64(0)
 	if done != nil {
 		b.next++
--- a/internal/agreement/agreement.go
+++ b/internal/control/consensus/consensus.go
@@ -1,4 +1,4 @@
-// Package agreement lets a few planners agree on one history of changes: terms, votes, and a log that is durable on
+// Package consensus lets a few controllers agree on one history of changes: terms, votes, and a log that is durable on
 // more than half of them before a change counts. It is a value fed with events: no I/O, no clock, no goroutine. The
 // caller stores what Output says, sends the messages, and tells when storing is done.
 //
@@ -6,7 +6,7 @@
 // terms of all members that can have kept theirs, and holds all that a leader of at least the highest had: a member that
 // forgot its votes and entries would otherwise help to elect one who lacks what was acknowledged. And before it stands
 // for election, a member asks whether it would be elected, so that one that was cut off doesn't depose a leader.
-package agreement
+package consensus
 
 import (
 	"math/rand/v2"
--- a/internal/agreement/world_test.go
+++ b/internal/control/consensus/world_test.go
@@ -1,4 +1,4 @@
-package agreement_test
+package consensus_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"mulleinwood/internal/agreement"
+	"mulleinwood/internal/control/consensus"
 )
 
 // world plays a whole agreement in simulated time from one seed: messages that are late, lost or cut off, disks that
@@ -19,7 +19,7 @@
 	nodes   map[string]*node
 	mail    []letter
 	cut     map[string]bool // names that reach nobody
-	history []agreement.Entry
+	history []consensus.Entry
 	acked   map[uint64]string // what a leader acknowledged, by place
 	next    int
 	wrong   string
@@ -29,23 +29,23 @@
 
 type letter struct {
 	at time.Duration
-	m  agreement.Message
+	m  consensus.Message
 }
 
 type disk struct {
-	hard agreement.Hard
-	snap agreement.Snapshot
-	log  []agreement.Entry
+	hard consensus.Hard
+	snap consensus.Snapshot
+	log  []consensus.Entry
 }
 
 type write struct {
 	at  time.Duration
-	out agreement.Output
+	out consensus.Output
 }
 
 type node struct {
 	name    string
-	m       *agreement.Member
+	m       *consensus.Member
 	disk    disk
 	queue   []write
 	applied uint64
@@ -55,7 +55,7 @@
 
 const step = 5 * time.Millisecond
 
-var timing = agreement.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond}
+var timing = consensus.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond}
 
 func newWorld(seed uint64, members, lost int, fault string) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), names: []string{"a", "b", "c", "d", "e"}[:members], lost: lost, nodes: map[string]*node{}, cut: map[string]bool{},
@@ -68,12 +68,12 @@
 }
 
 func (w *world) start(n *node) {
-	n.m = agreement.New(n.name, w.names, agreement.Timing{Beat: timing.Beat, Patience: timing.Patience, Lost: w.lost}, w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
+	n.m = consensus.New(n.name, w.names, consensus.Timing{Beat: timing.Beat, Patience: timing.Patience, Lost: w.lost}, w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
 	n.queue, n.waiting, n.applied = nil, map[uint64]uint64{}, n.disk.snap.Index
 }
 
 // store brings what an output says onto the disk.
-func (d *disk) store(out agreement.Output) uint64 {
+func (d *disk) store(out consensus.Output) uint64 {
 	last := uint64(0)
 	if out.Hard != nil {
 		d.hard = *out.Hard
@@ -82,7 +82,7 @@
 		d.snap, d.log, last = *out.Snapshot, nil, out.Snapshot.Index
 	}
 	if out.Truncate > 0 {
-		d.log = slices.DeleteFunc(d.log, func(e agreement.Entry) bool { return e.Index >= out.Truncate })
+		d.log = slices.DeleteFunc(d.log, func(e consensus.Entry) bool { return e.Index >= out.Truncate })
 	}
 	for _, e := range out.Entries {
 		d.log, last = append(d.log, e), e.Index
@@ -90,7 +90,7 @@
 	return last
 }
 
-func (w *world) post(ms []agreement.Message) {
+func (w *world) post(ms []consensus.Message) {
 	for _, m := range ms {
 		if w.rng.IntN(15) > 0 {
 			w.mail = append(w.mail, letter{w.now + time.Duration(1+w.rng.IntN(20))*time.Millisecond, m})
@@ -124,7 +124,7 @@
 			w.acked[e.Index] = string(e.Data)
 		}
 	}
-	if n.m.Role() == agreement.Leader && w.rng.IntN(40) == 0 && n.m.Commit() > 6 {
+	if n.m.Role() == consensus.Leader && w.rng.IntN(40) == 0 && n.m.Commit() > 6 {
 		n.m.Compact(n.applied, []byte("state"))
 	}
 }
@@ -142,7 +142,7 @@
 	n.downTil = w.now + time.Duration(w.rng.IntN(400))*time.Millisecond
 	n.queue = nil
 	if wipe {
-		n.disk = disk{hard: agreement.Hard{Blank: w.fault != "votes with an empty disk"}}
+		n.disk = disk{hard: consensus.Hard{Blank: w.fault != "votes with an empty disk"}}
 	}
 	w.mail = slices.DeleteFunc(w.mail, func(l letter) bool { return l.m.From == n.name || l.m.To == n.name })
 	w.start(n)
@@ -187,7 +187,7 @@
 				}
 			}
 			n.m.Tick(w.now)
-			if n.m.Role() == agreement.Leader && w.rng.IntN(15) == 0 {
+			if n.m.Role() == consensus.Leader && w.rng.IntN(15) == 0 {
 				w.next++
 				if index, term, ok := n.m.Propose(fmt.Appendf(nil, "change %d", w.next), w.now); ok {
 					n.waiting[index] = term
--- a/internal/exchange/bookings.go
+++ b/internal/control/controller/bookings.go
@@ -1,4 +1,4 @@
-package exchange
+package controller
 
 import (
 	"cmp"
@@ -14,13 +14,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
 	"mulleinwood/internal/operator"
-	"mulleinwood/internal/tone"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/peer"
 )
 
 const (
@@ -32,15 +32,15 @@
 // rooms is the part of a planner that holds booked room. The leader says which rooms are held and deals them; the others
 // pass that on between it and their edges.
 type rooms struct {
-	clock  *booking.Clock
-	dealer *booking.Dealer // of the term that this planner led last
-	round  uint64          // of answers that are to prove that it still leads
-	asked  time.Duration   // when that one began
-	proven time.Duration   // when the last one began that was proven; 0: none
+	clock  *reservation.Clock
+	dealer *reservation.Dealer // of the term that this planner led last
+	round  uint64              // of answers that are to prove that it still leads
+	asked  time.Duration       // when that one began
+	proven time.Duration       // when the last one began that was proven; 0: none
 	next   time.Duration
 	again  time.Duration
-	told   *trunk.Rooms // as this planner last heard or said; nil: nothing yet
-	from   string       // who said it
+	told   *peer.Rooms // as this planner last heard or said; nil: nothing yet
+	from   string      // who said it
 	homes  map[string]string
 }
 
@@ -48,14 +48,14 @@
 func wall() float64 { return float64(time.Now().UnixNano()) / 1e9 }
 
 // carry is what a service's servers carry at once, by zone: the slots of those that take requests.
-func (x *Exchange) carry() map[string]booking.Carry {
-	all := map[string]booking.Carry{}
+func (x *Exchange) carry() map[string]reservation.Carry {
+	all := map[string]reservation.Carry{}
 	for _, e := range x.dir.All(x.now()) {
-		if e.State != directory.Ready || e.Silent {
+		if e.State != registry.Ready || e.Silent {
 			continue
 		}
 		if all[e.Service] == nil {
-			all[e.Service] = booking.Carry{}
+			all[e.Service] = reservation.Carry{}
 		}
 		all[e.Service][e.Zone] += float64(e.Capacity)
 	}
@@ -71,22 +71,22 @@
 	}
 	r.next = now + dealEvery
 	if r.dealer == nil || r.dealer.Term() != x.member.Term() {
-		r.dealer, r.round, r.proven, r.again, r.homes = booking.NewDealer(x.member.Term(), now), 0, 0, 0, map[string]string{}
+		r.dealer, r.round, r.proven, r.again, r.homes = reservation.NewDealer(x.member.Term(), now), 0, 0, 0, map[string]string{}
 	}
 	if r.round > 0 && x.member.Confirmed(r.round) {
 		r.proven = r.asked
 	}
 	r.round, r.asked = x.member.Confirm(now), now
-	if r.proven == 0 || now-r.proven > booking.Confirmed {
+	if r.proven == 0 || now-r.proven > reservation.Confirmed {
 		return
 	}
 	list := x.state.Book.Rooms(x.carry(), r.clock.Now(now))
 	changed := r.told == nil || r.told.Term != r.dealer.Term() || !slices.Equal(r.told.List, list)
 	if changed || len(list) > 0 && now >= r.again {
 		r.again = now + roomsAgain
-		r.told, r.from = &trunk.Rooms{Term: r.dealer.Term(), List: list}, x.set.IP
+		r.told, r.from = &peer.Rooms{Term: r.dealer.Term(), List: list}, x.set.IP
 		for _, p := range x.peers {
-			p.link.Send(&trunk.Frame{Rooms: r.told})
+			p.link.Send(&peer.Frame{Rooms: r.told})
 		}
 	}
 	if changed {
@@ -97,17 +97,17 @@
 		return
 	}
 	r.dealer.Plan(list, now)
-	byHome := map[string][]trunk.Leased{}
+	byHome := map[string][]peer.Leased{}
 	for edge, lease := range r.dealer.Deal(now) {
 		home := r.homes[edge]
-		byHome[home] = append(byHome[home], trunk.Leased{Edge: edge, Lease: lease})
+		byHome[home] = append(byHome[home], peer.Leased{Edge: edge, Lease: lease})
 	}
 	for home, leases := range byHome {
-		slices.SortFunc(leases, func(a, b trunk.Leased) int { return cmp.Compare(a.Edge, b.Edge) })
+		slices.SortFunc(leases, func(a, b peer.Leased) int { return cmp.Compare(a.Edge, b.Edge) })
 		if home == x.set.IP {
 			x.passLeases(leases)
 		} else if p := x.peers[home]; p != nil {
-			p.link.Send(&trunk.Frame{Leases: leases})
+			p.link.Send(&peer.Frame{Leases: leases})
 		}
 	}
 }
@@ -115,27 +115,27 @@
 // passRooms tells the edges of this planner which rooms are held.
 func (x *Exchange) passRooms() {
 	for _, e := range x.edges {
-		e.link.Send(&trunk.Frame{Rooms: x.rooms.told})
+		e.link.Send(&peer.Frame{Rooms: x.rooms.told})
 	}
 }
 
 // tellRooms tells one who joins. A leader tells that nothing is held, too: the other may have missed an end.
-func (x *Exchange) tellRooms(p *peer) {
+func (x *Exchange) tellRooms(p *remote) {
 	if told := x.rooms.told; told != nil && (p.edge || x.leads() && told.Term == x.member.Term()) {
-		p.link.Send(&trunk.Frame{Rooms: told})
+		p.link.Send(&peer.Frame{Rooms: told})
 	}
 }
 
-func (x *Exchange) passLeases(leases []trunk.Leased) {
+func (x *Exchange) passLeases(leases []peer.Leased) {
 	for _, l := range leases {
 		if e := x.edges[l.Edge]; e != nil {
-			e.link.Send(&trunk.Frame{Leases: []trunk.Leased{l}})
+			e.link.Send(&peer.Frame{Leases: []peer.Leased{l}})
 		}
 	}
 }
 
 // roomFrame takes what a frame says of rooms.
-func (x *Exchange) roomFrame(p *peer, f *trunk.Frame) {
+func (x *Exchange) roomFrame(p *remote, f *peer.Frame) {
 	if f.Rooms != nil && !p.edge && (x.rooms.told == nil || f.Rooms.Term >= x.rooms.told.Term) {
 		same := x.rooms.told != nil && f.Rooms.Term == x.rooms.told.Term && slices.Equal(f.Rooms.List, x.rooms.told.List)
 		if x.rooms.told, x.rooms.from = f.Rooms, p.ip; !same {
@@ -151,14 +151,14 @@
 }
 
 // words hands edges' words to whoever deals: the one that said which rooms there are.
-func (x *Exchange) words(p *peer, words []trunk.Worded) {
+func (x *Exchange) words(p *remote, words []peer.Worded) {
 	if p.edge {
 		words[0].Edge = p.ip
 		words = words[:1]
 	}
 	if x.rooms.from != x.set.IP {
 		if dealer := x.peers[x.rooms.from]; p.edge && dealer != nil {
-			dealer.link.Send(&trunk.Frame{Words: words})
+			dealer.link.Send(&peer.Frame{Words: words})
 		}
 		return
 	}
@@ -179,7 +179,9 @@
 	for _, one := range x.state.Book.All {
 		b.Bookings = append(b.Bookings, one)
 	}
-	slices.SortFunc(b.Bookings, func(a, b booking.Booking) int { return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(b.Bookings, func(a, b reservation.Booking) int {
+		return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID))
+	})
 	for service, carry := range x.carryBooked() {
 		for id, lacks := range x.state.Book.Endangered(service, carry, b.Now) {
 			b.Lacks[id] = lacks
@@ -195,11 +197,11 @@
 }
 
 // carryBooked is carry for all services of the book: one without any server carries nothing.
-func (x *Exchange) carryBooked() map[string]booking.Carry {
+func (x *Exchange) carryBooked() map[string]reservation.Carry {
 	all := x.carry()
 	for _, b := range x.state.Book.All {
 		if all[b.Service] == nil {
-			all[b.Service] = booking.Carry{}
+			all[b.Service] = reservation.Carry{}
 		}
 	}
 	return all
@@ -226,21 +228,21 @@
 func (x *Exchange) bookingCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bookingMost))
 	if err != nil {
-		refuse(w, tone.Malformed.Wrap(err, "body"))
+		refuse(w, apierror.Malformed.Wrap(err, "body"))
 		return
 	}
 	dry := r.URL.Query().Get("dry_run") == "true"
 	match := r.Header.Get("If-Match")
-	base, ok := dialplan.ParseVersion(strings.Replace(match, "b", "r", 1))
+	base, ok := config.ParseVersion(strings.Replace(match, "b", "r", 1))
 	if !ok && !dry {
-		refuse(w, tone.Malformed.New("If-Match %q is no version of the book, as b7", match))
+		refuse(w, apierror.Malformed.New("If-Match %q is no version of the book, as b7", match))
 		return
 	}
 	sum := sha256.Sum256(fmt.Appendf(nil, "%s %s %d %s", r.Method, r.PathValue("id"), base, body))
-	op := booking.Op{Call: hex.EncodeToString(sum[:16]), Base: uint64(base)}
+	op := reservation.Op{Call: hex.EncodeToString(sum[:16]), Base: uint64(base)}
 	if r.Method == http.MethodPut {
 		if op.Puts, err = readBookings(r.PathValue("id"), body); err != nil {
-			refuse(w, tone.Malformed.New("body: %s", err))
+			refuse(w, apierror.Malformed.New("body: %s", err))
 			return
 		}
 	} else {
@@ -263,9 +265,9 @@
 }
 
 // readBookings reads one booking, whose id the path has, or a list of them.
-func readBookings(id string, body []byte) (all []booking.Booking, err error) {
+func readBookings(id string, body []byte) (all []reservation.Booking, err error) {
 	if id != "" {
-		all = make([]booking.Booking, 1)
+		all = make([]reservation.Booking, 1)
 		err = json.Unmarshal(body, &all[0])
 		all[0].ID = id
 	} else {
@@ -291,12 +293,12 @@
 
 // proposeBooking puts a change of the book into the history, if this planner leads and what is booked can be kept. The
 // entry is built on the version that was judged, so that two bookings at once can't both take the last room.
-func (x *Exchange) proposeBooking(op booking.Op, dry bool, done chan booked) {
+func (x *Exchange) proposeBooking(op reservation.Op, dry bool, done chan booked) {
 	if !x.leads() {
 		if leader := x.leader(); leader != "" && leader != x.set.IP {
 			done <- booked{leader: leader}
 		} else {
-			done <- booked{err: tone.NoLeader.New("nobody leads now")}
+			done <- booked{err: apierror.NoLeader.New("nobody leads now")}
 		}
 		return
 	}
@@ -324,12 +326,12 @@
 		return
 	}
 	if !out.kept {
-		done <- booked{err: tone.Overbooked.New("booking %s can't be kept, %.1f slots could", out.id, out.could)}
+		done <- booked{err: apierror.Overbooked.New("booking %s can't be kept, %.1f slots could", out.id, out.could)}
 		return
 	}
-	data, err := cbor.Marshal(daybook.Change{Book: &op})
+	data, err := cbor.Marshal(statemachine.Change{Book: &op})
 	if err != nil {
-		done <- booked{err: tone.Malformed.Wrap(err, "booking")}
+		done <- booked{err: apierror.Malformed.Wrap(err, "booking")}
 		return
 	}
 	index, term, _ := x.member.Propose(data, x.now())
--- a/internal/exchange/exchange.go
+++ b/internal/control/controller/controller.go
@@ -1,7 +1,7 @@
-// Package exchange runs a control planner: it owns the deciders (agreement, directory, ledger, tables), feeds them with
-// what comes in on sockets and timers, and does what they say. One goroutine owns all of them; whatever waits for a
-// disk or a peer is a callback that it runs later.
-package exchange
+// Package controller is the runtime of a controller process: it owns the deciders (consensus, registry, ledger, weights),
+// feeds them with what comes in on sockets and timers, and does what they say. One goroutine owns all of them; whatever
+// waits for a disk or a peer is a callback that it runs later.
+package controller
 
 import (
 	"cmp"
@@ -18,18 +18,18 @@
 
 	"github.com/go-kit/log"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/archive"
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/boot"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/night"
-	"mulleinwood/internal/notice"
-	"mulleinwood/internal/tally"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/lifecycle"
+	"mulleinwood/internal/platform/metrics"
+	"mulleinwood/internal/platform/nodesettings"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
 )
 
 // Spans of the control plane. They follow from how soon a second's bounds have to be met, not from a deployment.
@@ -58,41 +58,41 @@
 
 // Exchange is one control planner.
 type Exchange struct {
-	set      *boot.Settings
-	security *trunk.Security
+	set      *nodesettings.Settings
+	security *peer.Security
 	logger   log.Logger
 	began    time.Time
 	life     uint64
 	inbox    chan func()
 
-	tally               *tally.Tally
-	archive             *archive.Archive
+	tally               *metrics.Tally
+	archive             *storage.Archive
 	store               store
 	members             []string
-	member              *agreement.Member // nil in an exchange that has no vote
+	member              *consensus.Member // nil in a controller that has no vote
 	blank               bool              // an empty disk, and the members aren't known yet
-	state               *daybook.Daybook
+	state               *statemachine.Daybook
 	waiters             map[uint64]waiter
 	reads               []read
-	dir                 *directory.Directory
-	ledger              *ticket.Ledger
-	office              *ticket.Office
-	copies              map[string]bool  // ledgers that were copied while ours is blank, and whether they were blank too
-	peers               map[string]*peer // exchanges by IP
-	edges               map[string]*peer // by IP
-	guests              map[*peer]bool
-	board               *notice.Board
+	dir                 *registry.Directory
+	ledger              *idempotency.Ledger
+	office              *idempotency.Office
+	copies              map[string]bool    // ledgers that were copied while ours is blank, and whether they were blank too
+	peers               map[string]*remote // controllers by IP
+	edges               map[string]*remote // by IP
+	guests              map[*remote]bool
+	board               *broadcast.Board
 	calls               map[uint64]func() // of servers, to be acknowledged
 	nextCall            uint64
-	fetches             map[ticket.Token]*fetch
-	tables              *huntgroup.Groups
+	fetches             map[idempotency.Token]*fetch
+	tables              *weights.Groups
 	rooms               rooms
-	known               map[string]bool   // IPs of exchanges
+	known               map[string]bool   // IPs of controllers
 	founder             bool              // names the members, once there are enough
 	fresh               bool              // the whole system starts for the first time
-	lives               map[string]uint64 // of exchanges, when last met
-	claimers            map[ticket.Token]*peer
-	goneSince           map[string]time.Duration // exchanges out of reach
+	lives               map[string]uint64 // of controllers, when last met
+	claimers            map[idempotency.Token]*remote
+	goneSince           map[string]time.Duration // controllers out of reach
 	nextPulse, nextCopy time.Duration
 	pulses              int
 	draining            bool   // told to end
@@ -100,20 +100,20 @@
 }
 
 // Run serves until ctx ends.
-func Run(ctx context.Context, set *boot.Settings, security *trunk.Security, logger log.Logger) error {
+func Run(ctx context.Context, set *nodesettings.Settings, security *peer.Security, logger log.Logger) error {
 	x := &Exchange{set: set, security: security, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
-		waiters: map[uint64]waiter{}, state: daybook.New(), copies: map[string]bool{},
-		peers: map[string]*peer{}, edges: map[string]*peer{}, guests: map[*peer]bool{}, calls: map[uint64]func(){},
-		fetches: map[ticket.Token]*fetch{}, known: map[string]bool{}, claimers: map[ticket.Token]*peer{},
+		waiters: map[uint64]waiter{}, state: statemachine.New(), copies: map[string]bool{},
+		peers: map[string]*remote{}, edges: map[string]*remote{}, guests: map[*remote]bool{}, calls: map[uint64]func(){},
+		fetches: map[idempotency.Token]*fetch{}, known: map[string]bool{}, claimers: map[idempotency.Token]*remote{},
 		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
-	reloads := night.Reloads()
-	x.dir = directory.New(tombstones)
-	x.board = notice.New(x.dir)
-	x.tally = tally.New(tally.Exchange)
-	x.tables = huntgroup.New(set.Zone, slices.Collect(maps.Keys(set.Zones)), x.life, func() int { return len(x.members) }, func(service, note string) {
+	reloads := lifecycle.Reloads()
+	x.dir = registry.New(tombstones)
+	x.board = broadcast.New(x.dir)
+	x.tally = metrics.New(metrics.Controller)
+	x.tables = weights.New(set.Zone, slices.Collect(maps.Keys(set.Zones)), x.life, func() int { return len(x.members) }, func(service, note string) {
 		_ = logger.Log("event", "table", "service", service, "note", note)
 	})
-	x.rooms.clock = booking.NewClock()
+	x.rooms.clock = reservation.NewClock()
 	if err := x.open(); err != nil {
 		return err
 	}
@@ -136,24 +136,24 @@
 	}()
 	defer server.Close()
 	go x.accept(listener)
-	_ = logger.Log("event", "exchange starts", "node", set.Node, "zone", set.Zone, "members", strings.Join(x.members, " "), "blank", x.blank)
+	_ = logger.Log("event", "controller starts", "node", set.Node, "zone", set.Zone, "members", strings.Join(x.members, " "), "blank", x.blank)
 	go func() {
 		for range reloads {
 			x.do(x.reload)
 		}
 	}()
 	x.loop(ctx)
-	_ = logger.Log("event", "exchange ends", "node", set.Node)
+	_ = logger.Log("event", "controller ends", "node", set.Node)
 	return nil
 }
 
-// reload takes the settings file's seeds over: the only part of it that a running exchange has use for. A file that is
+// reload takes the settings file's seeds over: the only part of it that a running controller has use for. A file that is
 // wrong changes nothing.
 func (x *Exchange) reload() {
 	if err := x.security.Reload(); err != nil {
 		_ = x.logger.Log("event", "inner TLS not taken over", "cause", err)
 	}
-	set, err := boot.Load()
+	set, err := nodesettings.Load()
 	if err != nil {
 		_ = x.logger.Log("event", "settings not taken over", "cause", err)
 		return
@@ -180,7 +180,7 @@
 	}
 	window := x.set.Seconds("key_window_s", 60) + keySlack
 	answers := x.answersMost()
-	a, state, err := archive.Open(dir, window, answers)
+	a, state, err := storage.Open(dir, window, answers)
 	if err != nil {
 		return err
 	}
@@ -202,11 +202,11 @@
 	x.founder = len(x.members) == 0 && first && x.set.Counted && len(seeds) > 0 && seeds[0] == x.set.IP
 	if len(x.members) == 0 && first && slices.Contains(seeds, x.set.IP) && len(seeds) >= x.wanted() {
 		x.members = seeds
-		if err := a.Commit([]*archive.Batch{{Members: x.members, Hard: &state.Hard}}); err != nil {
+		if err := a.Commit([]*storage.Batch{{Members: x.members, Hard: &state.Hard}}); err != nil {
 			return err
 		}
 	}
-	x.ledger = ticket.NewLedger(window, blank || state.LedgerBlank)
+	x.ledger = idempotency.NewLedger(window, blank || state.LedgerBlank)
 	x.ledger.Bound(answers)
 	for _, r := range state.Records {
 		x.ledger.Load(r, x.now())
@@ -214,7 +214,7 @@
 	for _, e := range state.Servers { // as they were: their next beats confirm them, or their silence takes them out
 		e.Warmup, e.Owner = 0, x.set.IP
 		if now, news := x.dir.Take(e, x.now()); news {
-			x.tables.Changed([]directory.Entry{now}, x.now())
+			x.tables.Changed([]registry.Entry{now}, x.now())
 		}
 	}
 	x.blank = blank
@@ -261,7 +261,7 @@
 	for _, p := range x.peers {
 		hello := x.hello()
 		hello.Members = x.members
-		p.link.Send(&trunk.Frame{Hello: hello})
+		p.link.Send(&peer.Frame{Hello: hello})
 	}
 }
 
@@ -273,7 +273,7 @@
 }
 
 // join starts this planner's part in the agreement.
-func (x *Exchange) join(state *archive.State) error {
+func (x *Exchange) join(state *storage.State) error {
 	for _, ip := range x.members {
 		if ip != x.set.IP {
 			x.known[ip] = true
@@ -282,11 +282,11 @@
 	if !slices.Contains(x.members, x.set.IP) {
 		return nil
 	}
-	x.member = agreement.New(x.set.IP, x.members, agreement.Timing{Beat: beatEvery, Patience: patience, Lost: x.set.Tolerance.Machines}, x.life,
+	x.member = consensus.New(x.set.IP, x.members, consensus.Timing{Beat: beatEvery, Patience: patience, Lost: x.set.Tolerance.Machines}, x.life,
 		state.Hard, state.Snapshot, state.Entries, x.now())
 	at := slices.Index(x.members, x.set.IP)
 	order := append(slices.Clone(x.members[at:]), x.members[:at]...)
-	x.office = ticket.NewOffice(order, claimHurry, claimLimit)
+	x.office = idempotency.NewOffice(order, claimHurry, claimLimit)
 	return nil
 }
 
@@ -297,13 +297,13 @@
 	}
 	x.members = slices.Clone(members)
 	slices.Sort(x.members)
-	hard := agreement.Hard{Blank: slices.Contains(members, x.set.IP) && !x.fresh}
+	hard := consensus.Hard{Blank: slices.Contains(members, x.set.IP) && !x.fresh}
 	yes := hard.Blank
 	if !yes {
 		x.ledger.Restored() // it never granted anything, or is asked by nobody
 	}
-	x.put(&archive.Batch{Members: x.members, Hard: &hard, LedgerBlank: &yes}, nil)
-	if err := x.join(&archive.State{Hard: hard}); err != nil {
+	x.put(&storage.Batch{Members: x.members, Hard: &hard, LedgerBlank: &yes}, nil)
+	if err := x.join(&storage.State{Hard: hard}); err != nil {
 		_ = x.logger.Log("event", "can't join", "cause", err)
 	}
 	_ = x.logger.Log("event", "members learnt", "members", strings.Join(x.members, " "), "vote", x.member != nil)
@@ -359,7 +359,7 @@
 	changed := x.dir.Silence(x.set.IP, x.lost, time.Duration(silentBeats*x.set.BeatPeriod*float64(time.Second)), now)
 	if len(changed) > 0 {
 		for _, e := range changed {
-			_ = x.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.State == directory.Gone)
+			_ = x.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.State == registry.Gone)
 		}
 		x.board.Changed(changed, now)
 	}
@@ -391,7 +391,7 @@
 			if out.Empty() && x.store.idleAgree() {
 				done(true)
 			} else {
-				x.store.agree(&archive.Batch{Hard: out.Hard, Snapshot: out.Snapshot, Truncate: out.Truncate, Entries: out.Entries}, done)
+				x.store.agree(&storage.Batch{Hard: out.Hard, Snapshot: out.Snapshot, Truncate: out.Truncate, Entries: out.Entries}, done)
 			}
 		}
 		x.apply(out)
@@ -404,7 +404,7 @@
 
 func (x *Exchange) sayRole() {
 	role := "follower of " + x.member.Leader()
-	if x.member.Role() == agreement.Leader {
+	if x.member.Role() == consensus.Leader {
 		role = "leader"
 	} else if x.member.Leader() == "" {
 		role = "no leader"
@@ -418,9 +418,9 @@
 	}
 }
 
-func (x *Exchange) sendAgree(m agreement.Message) {
+func (x *Exchange) sendAgree(m consensus.Message) {
 	if p := x.peers[m.To]; p != nil {
-		p.link.Send(&trunk.Frame{Agree: []agreement.Message{m}})
+		p.link.Send(&peer.Frame{Agree: []consensus.Message{m}})
 	}
 }
 
--- a/internal/exchange/fuzz_test.go
+++ b/internal/control/controller/fuzz_test.go
@@ -1,4 +1,4 @@
-package exchange
+package controller
 
 import (
 	"net/http"
@@ -9,12 +9,12 @@
 
 	"github.com/go-kit/log"
 
-	"mulleinwood/internal/boot"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/notice"
-	"mulleinwood/internal/tally"
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/metrics"
+	"mulleinwood/internal/platform/nodesettings"
 )
 
 // FuzzBeat has a server's call hold any bytes. It is refused, or what is known of that server afterwards makes sense.
@@ -28,15 +28,15 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	set, err := boot.Parse("test", []byte("node: \"x\"\nip: \"10.0.0.1\"\nzone: \"a\"\nseeds: [\"10.0.0.1:1\"]\ninner_port_range: [7000, 7001]\n"))
+	set, err := nodesettings.Parse("test", []byte("node: \"x\"\nip: \"10.0.0.1\"\nzone: \"a\"\nseeds: [\"10.0.0.1:1\"]\ninner_port_range: [7000, 7001]\n"))
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*peer{}, edges: map[string]*peer{}}
-		x.state, x.tally = daybook.New(), tally.New(tally.Exchange)
-		x.dir = directory.New(tombstones)
-		x.board, x.tables = notice.New(x.dir), huntgroup.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
+		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*remote{}, edges: map[string]*remote{}}
+		x.state, x.tally = statemachine.New(), metrics.New(metrics.Controller)
+		x.dir = registry.New(tombstones)
+		x.board, x.tables = broadcast.New(x.dir), weights.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
 		w := httptest.NewRecorder()
 		done := make(chan struct{})
 		go func() {
@@ -60,7 +60,7 @@
 			t.Errorf("refused with %d and known", w.Code)
 		case w.Code != http.StatusOK && w.Code/100 != 4:
 			t.Errorf("answered %d", w.Code)
-		case known && (e.Service == "" || e.Address == "" || e.Capacity < 1 || e.State > directory.Draining || e.Warmup < 0 || e.Warmup > warmupMost):
+		case known && (e.Service == "" || e.Address == "" || e.Capacity < 1 || e.State > registry.Draining || e.Warmup < 0 || e.Warmup > warmupMost):
 			t.Errorf("taken as %+v", e)
 		}
 		if w.Code == http.StatusOK {
--- a/internal/exchange/keys.go
+++ b/internal/control/controller/keys.go
@@ -1,28 +1,28 @@
-package exchange
+package controller
 
 import (
 	"slices"
 	"time"
 
-	"mulleinwood/internal/archive"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
 )
 
-// fetch waits for an answer that another exchange holds.
+// fetch waits for an answer that another controller holds.
 type fetch struct {
 	until time.Duration
-	left  int // exchanges that have not said
-	do    func(*ticket.Answer)
+	left  int // controllers that have not said
+	do    func(*idempotency.Answer)
 }
 
 const copyChunk = 2000
 
 // claimed takes the claims of an edge.
-func (x *Exchange) claimed(p *peer, f *trunk.Frame) {
+func (x *Exchange) claimed(p *remote, f *peer.Frame) {
 	for _, r := range f.Claims {
 		if x.office == nil || x.draining {
-			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: r.Token, Ruling: ticket.Refused}}})
+			p.link.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: r.Token, Ruling: idempotency.Refused}}})
 			continue
 		}
 		r.Home = x.set.IP
@@ -32,20 +32,20 @@
 }
 
 // keyFrame takes what a frame says of claims.
-func (x *Exchange) keyFrame(p *peer, f *trunk.Frame) {
+func (x *Exchange) keyFrame(p *remote, f *peer.Frame) {
 	now := x.now()
 	x.claimed(p, f)
 	for _, r := range f.Asks {
-		x.judge(r, func(v ticket.Verdict, holder ticket.Record) {
-			answer := trunk.Verdict{Token: r.Token, Verdict: v}
-			if v == ticket.Held {
+		x.judge(r, func(v idempotency.Verdict, holder idempotency.Record) {
+			answer := peer.Verdict{Token: r.Token, Verdict: v}
+			if v == idempotency.Held {
 				answer.Holder = &holder
 			}
-			p.link.Send(&trunk.Frame{Verdicts: []trunk.Verdict{answer}})
+			p.link.Send(&peer.Frame{Verdicts: []peer.Verdict{answer}})
 		})
 	}
 	for _, v := range f.Verdicts {
-		holder := ticket.Record{}
+		holder := idempotency.Record{}
 		if v.Holder != nil {
 			holder = *v.Holder
 		}
@@ -67,7 +67,7 @@
 	}
 	for _, r := range f.Fetch {
 		r.Answer = x.ledger.Answer(r.Key, r.Token)
-		p.link.Send(&trunk.Frame{Fetched: []ticket.Record{r}})
+		p.link.Send(&peer.Frame{Fetched: []idempotency.Record{r}})
 	}
 	for _, r := range f.Fetched {
 		if w, ok := x.fetches[r.Token]; ok {
@@ -86,7 +86,7 @@
 }
 
 // judge puts a claim to the ledger here; a grant is told once it is durable.
-func (x *Exchange) judge(r ticket.Record, tell func(ticket.Verdict, ticket.Record)) {
+func (x *Exchange) judge(r idempotency.Record, tell func(idempotency.Verdict, idempotency.Record)) {
 	v, holder, store := x.ledger.Claim(r, x.now())
 	if !store {
 		tell(v, holder)
@@ -97,27 +97,27 @@
 			x.ledger.Failed(r.Key, r.Token)
 		}
 		if !ok || !x.ledger.Stored(r.Key, r.Token) {
-			v = ticket.Unable
+			v = idempotency.Unable
 		}
 		tell(v, holder)
 	})
 }
 
 // askLedgers puts claims to ledgers.
-func (x *Exchange) askLedgers(asks []ticket.Ask) {
+func (x *Exchange) askLedgers(asks []idempotency.Ask) {
 	for _, a := range asks {
 		if a.To == x.set.IP {
 			r := a.Record
-			x.judge(r, func(v ticket.Verdict, holder ticket.Record) { x.verdict(x.set.IP, r.Token, v, holder) })
+			x.judge(r, func(v idempotency.Verdict, holder idempotency.Record) { x.verdict(x.set.IP, r.Token, v, holder) })
 		} else if p := x.peers[a.To]; p != nil {
-			p.link.Send(&trunk.Frame{Asks: []ticket.Record{a.Record}})
+			p.link.Send(&peer.Frame{Asks: []idempotency.Record{a.Record}})
 		} else {
-			x.verdict(a.To, a.Record.Token, ticket.Unable, ticket.Record{})
+			x.verdict(a.To, a.Record.Token, idempotency.Unable, idempotency.Record{})
 		}
 	}
 }
 
-func (x *Exchange) verdict(from string, token ticket.Token, v ticket.Verdict, holder ticket.Record) {
+func (x *Exchange) verdict(from string, token idempotency.Token, v idempotency.Verdict, holder idempotency.Record) {
 	if x.office == nil {
 		return
 	}
@@ -130,16 +130,16 @@
 
 // ruled tells the claimer, who alone withdraws what doesn't stand: two offices may be asked about one claim, and only
 // the claimer knows which of them it heard. Where another claim holds the key, its answer goes along, if there is one.
-func (x *Exchange) ruled(o ticket.Outcome) {
+func (x *Exchange) ruled(o idempotency.Outcome) {
 	x.tally.Claims.WithLabelValues(o.Ruling.String()).Inc()
 	p := x.claimers[o.Token]
 	delete(x.claimers, o.Token)
-	tell := func(a *ticket.Answer) {
+	tell := func(a *idempotency.Answer) {
 		if p != nil {
-			p.link.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: o.Token, Ruling: o.Ruling, Answer: a}}})
+			p.link.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: o.Token, Ruling: o.Ruling, Answer: a}}})
 		}
 	}
-	if o.Ruling != ticket.Taken {
+	if o.Ruling != idempotency.Taken {
 		tell(nil)
 		return
 	}
@@ -152,7 +152,7 @@
 	asked := 0
 	do := x.also(h.Token, tell)
 	for _, p := range x.peers {
-		p.link.Send(&trunk.Frame{Fetch: []ticket.Record{{Key: h.Key, Token: h.Token}}})
+		p.link.Send(&peer.Frame{Fetch: []idempotency.Record{{Key: h.Key, Token: h.Token}}})
 		asked++
 	}
 	if asked == 0 {
@@ -163,44 +163,44 @@
 }
 
 // also lets one fetch serve all that wait for the same answer.
-func (x *Exchange) also(t ticket.Token, tell func(*ticket.Answer)) func(*ticket.Answer) {
+func (x *Exchange) also(t idempotency.Token, tell func(*idempotency.Answer)) func(*idempotency.Answer) {
 	if w, ok := x.fetches[t]; ok {
-		return func(a *ticket.Answer) { w.do(a); tell(a) }
+		return func(a *idempotency.Answer) { w.do(a); tell(a) }
 	}
 	return tell
 }
 
 // void withdraws a claim under which nothing was run, or ever will be.
-func (x *Exchange) void(r ticket.Record, at []string) {
+func (x *Exchange) void(r idempotency.Record, at []string) {
 	for _, ip := range at {
 		if ip == x.set.IP {
 			x.voidHere(r)
 		} else if p := x.peers[ip]; p != nil {
-			p.link.Send(&trunk.Frame{Voids: []ticket.Record{{Key: r.Key, Token: r.Token}}})
+			p.link.Send(&peer.Frame{Voids: []idempotency.Record{{Key: r.Key, Token: r.Token}}})
 		}
 	}
 }
 
-func (x *Exchange) voidHere(r ticket.Record) {
+func (x *Exchange) voidHere(r idempotency.Record) {
 	if line, store := x.ledger.Void(r.Key, r.Token, x.now()); store {
 		x.store.record(line, x.now(), nil)
 	}
 }
 
 // sendCopy hands a blank ledger all that this one holds.
-func (x *Exchange) sendCopy(p *peer) {
-	var part []ticket.Record
-	x.ledger.Each(func(r ticket.Record) {
+func (x *Exchange) sendCopy(p *remote) {
+	var part []idempotency.Record
+	x.ledger.Each(func(r idempotency.Record) {
 		if part = append(part, r); len(part) == copyChunk {
-			p.link.Send(&trunk.Frame{Copied: &trunk.Copied{Records: part}})
+			p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part}})
 			part = nil
 		}
 	})
-	p.link.Send(&trunk.Frame{Copied: &trunk.Copied{Records: part, Last: true, Blank: x.ledger.Blank()}})
+	p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part, Last: true, Blank: x.ledger.Blank()}})
 }
 
 // copied takes a part of another ledger. Once enough of them are here and durable, this ledger grants again.
-func (x *Exchange) copied(p *peer, c *trunk.Copied) {
+func (x *Exchange) copied(p *remote, c *peer.Copied) {
 	if !x.ledger.Blank() || x.member == nil {
 		return
 	}
@@ -223,7 +223,7 @@
 		return
 	}
 	no := false
-	x.put(&archive.Batch{LedgerBlank: &no}, func(ok bool) {
+	x.put(&storage.Batch{LedgerBlank: &no}, func(ok bool) {
 		if ok && x.ledger.Blank() {
 			x.ledger.Restored()
 			_ = x.logger.Log("event", "ledger restored", "keys", x.ledger.Len())
@@ -239,7 +239,7 @@
 	x.nextCopy = now + time.Second
 	for ip, p := range x.peers {
 		if blank, copied := x.copies[ip]; slices.Contains(x.members, ip) && (!copied || blank) {
-			p.link.Send(&trunk.Frame{Copy: true})
+			p.link.Send(&peer.Frame{Copy: true})
 		}
 	}
 }
--- a/internal/exchange/links.go
+++ b/internal/control/controller/links.go
@@ -1,4 +1,4 @@
-package exchange
+package controller
 
 import (
 	"net"
@@ -6,31 +6,31 @@
 	"strings"
 	"time"
 
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/peer"
 )
 
-// peer is a process at the other end of a link.
-type peer struct {
-	link     *trunk.Link
+// remote is a process at the other end of a link.
+type remote struct {
+	link     *peer.Link
 	node     string
 	ip       string
 	zone     string
 	counted  bool
-	byLower  bool // of two exchanges, the one with the lower address dialled
+	byLower  bool // of two controllers, the one with the lower address dialled
 	life     uint64
 	fleet    int // edges whose home it is
 	edge     bool
 	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
 	attached bool
-	cells    trunk.Comparing
-	crew     map[string][]uint32 // an exchange's edges, by zone
+	cells    peer.Comparing
+	crew     map[string][]uint32 // a controller's edges, by zone
 	roster   []uint32            // as an edge was last told
-	usual    []trunk.Zoned
+	usual    []peer.Zoned
 }
 
-// name is how the notice board knows a peer.
-func (p *peer) name() string {
+// name is how the broadcast board knows a peer.
+func (p *remote) name() string {
 	if p.edge {
 		return "edge " + p.ip
 	}
@@ -40,7 +40,7 @@
 func exchangeName(ip string) string { return "exchange " + ip }
 
 // named finds the peer that the board means.
-func (x *Exchange) named(name string) *peer {
+func (x *Exchange) named(name string) *remote {
 	kind, ip, _ := strings.Cut(name, " ")
 	if kind == "edge" {
 		return x.edges[ip]
@@ -66,9 +66,9 @@
 		_ = x.logger.Log("event", "stranger", "cause", err)
 		return
 	}
-	link := trunk.NewLink(conn)
-	var p *peer
-	_ = link.Read(func(f *trunk.Frame) { // how a link ends doesn't matter: it is made anew
+	link := peer.NewLink(conn)
+	var p *remote
+	_ = link.Read(func(f *peer.Frame) { // how a link ends doesn't matter: it is made anew
 		if p == nil {
 			if f.Hello == nil {
 				link.Close()
@@ -79,7 +79,7 @@
 				link.Close()
 				return
 			}
-			p = &peer{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < x.set.IP}
+			p = &remote{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < x.set.IP}
 			x.do(func() { x.joined(p, f.Hello) })
 		}
 		x.do(func() { x.frame(p, f) })
@@ -89,7 +89,7 @@
 	}
 }
 
-// dial keeps a link to another exchange. Of two exchanges the one with the lower address dials first; the other follows
+// dial keeps a link to another controller. Of two controllers the one with the lower address dials first; the other follows
 // a little later if nobody came, since the first may not know it.
 func (x *Exchange) dial(ip string) {
 	if x.set.IP > ip {
@@ -105,16 +105,16 @@
 		if err != nil {
 			continue
 		}
-		link := trunk.NewLink(conn)
-		link.Send(&trunk.Frame{Hello: x.hello()})
-		var p *peer
-		_ = link.Read(func(f *trunk.Frame) { // how a link ends doesn't matter: it is made anew
+		link := peer.NewLink(conn)
+		link.Send(&peer.Frame{Hello: x.hello()})
+		var p *remote
+		_ = link.Read(func(f *peer.Frame) { // how a link ends doesn't matter: it is made anew
 			if p == nil {
 				if f.Hello == nil {
 					link.Close()
 					return
 				}
-				p = &peer{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone, byLower: x.set.IP < ip}
+				p = &remote{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone, byLower: x.set.IP < ip}
 				x.do(func() { x.joined(p, f.Hello) })
 			}
 			x.do(func() { x.frame(p, f) })
@@ -126,14 +126,14 @@
 }
 
 // hello is only what never changes: it is sent from outside the owner, too.
-func (x *Exchange) hello() *trunk.Hello {
-	return &trunk.Hello{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Life: x.life, Counted: x.set.Counted}
+func (x *Exchange) hello() *peer.Hello {
+	return &peer.Hello{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Life: x.life, Counted: x.set.Counted}
 }
 
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
-func (x *Exchange) joined(p *peer, h *trunk.Hello) {
+func (x *Exchange) joined(p *remote, h *peer.Hello) {
 	if p.look = h.Look; h.Look {
-		p.link.Send(&trunk.Frame{Hello: x.hello(), Pulse: x.makePulse(true)})
+		p.link.Send(&peer.Frame{Hello: x.hello(), Pulse: x.makePulse(true)})
 		x.guests[p] = true
 		return
 	}
@@ -168,7 +168,7 @@
 	answer := x.hello()
 	answer.Blank = x.ledger.Blank()
 	answer.Members = x.members
-	f := &trunk.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
+	f := &peer.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
 	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.Version() {
 		f.Config = x.whole()
 	}
@@ -178,7 +178,7 @@
 	}
 }
 
-func (x *Exchange) left(p *peer) {
+func (x *Exchange) left(p *remote) {
 	delete(x.guests, p)
 	if x.edges[p.ip] != p && x.peers[p.ip] != p {
 		return
@@ -194,7 +194,7 @@
 	_ = x.logger.Log("event", "link down", "node", p.node, "ip", p.ip, "edge", p.edge)
 }
 
-// meet starts a link to an exchange that is not known yet.
+// meet starts a link to a controller that is not known yet.
 func (x *Exchange) meet(ip string) {
 	if ip == x.set.IP || x.known[ip] {
 		return
@@ -204,7 +204,7 @@
 }
 
 // frame takes what a peer sends.
-func (x *Exchange) frame(p *peer, f *trunk.Frame) {
+func (x *Exchange) frame(p *remote, f *peer.Frame) {
 	if p.look {
 		x.claimed(p, f)
 		for _, r := range f.Voids {
@@ -232,7 +232,7 @@
 			}
 			if p.cells.Due(f.Pulse.Sum, x.dir.Sum(), x.now()) {
 				_ = x.logger.Log("event", "cells compared", "with", p.node)
-				p.link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: x.dir.Sums()}})
+				p.link.Send(&peer.Frame{Cells: &peer.Cells{Sums: x.dir.Sums()}})
 			}
 		}
 		for _, ip := range f.Pulse.Exchanges {
@@ -256,10 +256,10 @@
 		x.board.Received(p.name(), f.Received)
 	}
 	if f.Config != nil && !x.observed(f.Config) {
-		p.link.Send(&trunk.Frame{NeedAll: true})
+		p.link.Send(&peer.Frame{NeedAll: true})
 	}
 	if f.NeedAll {
-		p.link.Send(&trunk.Frame{Config: x.whole()})
+		p.link.Send(&peer.Frame{Config: x.whole()})
 	}
 	if f.Report != nil {
 		x.tables.Report(p.ip, f.Report, func(server string) (string, bool) {
@@ -271,7 +271,7 @@
 	x.keyFrame(p, f)
 }
 
-// tell does what the notice board wants told.
+// tell does what the broadcast board wants told.
 func (x *Exchange) tell() {
 	out := x.board.Take()
 	if len(out.News) > 0 {
@@ -280,7 +280,7 @@
 	}
 	for _, s := range out.Sends {
 		if p := x.named(s.To); p != nil {
-			p.link.Send(&trunk.Frame{Entries: s.Entries, Receipt: s.Receipt, Received: s.Received})
+			p.link.Send(&peer.Frame{Entries: s.Entries, Receipt: s.Receipt, Received: s.Received})
 		}
 	}
 	for _, call := range out.Done {
@@ -293,22 +293,22 @@
 
 // pushWeights sends the edges what the tables order.
 func (x *Exchange) pushWeights(now time.Duration) {
-	orders := x.tables.Tick(now, func() (all []huntgroup.Others) {
+	orders := x.tables.Tick(now, func() (all []weights.Others) {
 		for _, p := range x.peers {
-			all = append(all, huntgroup.Others{Edges: p.fleet, Usual: p.usual})
+			all = append(all, weights.Others{Edges: p.fleet, Usual: p.usual})
 		}
 		return all
 	})
 	for ip, w := range orders {
 		if e := x.edges[ip]; e != nil {
-			e.link.Send(&trunk.Frame{Weights: w})
+			e.link.Send(&peer.Frame{Weights: w})
 		}
 	}
 }
 
 // makePulse says how this planner sees the system.
-func (x *Exchange) makePulse(full bool) *trunk.Pulse {
-	p := &trunk.Pulse{Attached: x.attached() && !x.draining, Version: x.state.Version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
+func (x *Exchange) makePulse(full bool) *peer.Pulse {
+	p := &peer.Pulse{Attached: x.attached() && !x.draining, Version: x.state.Version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
 	for _, other := range x.peers {
 		p.Fleet += other.fleet
 	}
@@ -333,16 +333,16 @@
 			go x.dial(ip)
 		}
 	}
-	x.nextPulse = now + trunk.PulseEvery
+	x.nextPulse = now + peer.PulseEvery
 	x.pulses++
 	full := x.pulses%fullEvery == 0
 	pulse := x.makePulse(full)
-	f := &trunk.Frame{Pulse: pulse}
+	f := &peer.Frame{Pulse: pulse}
 	for _, e := range x.edges {
 		if roster := x.roster(e.zone); full && !slices.Equal(roster, e.roster) {
 			mine := *pulse
 			mine.Roster, e.roster = roster, roster
-			e.link.Send(&trunk.Frame{Pulse: &mine})
+			e.link.Send(&peer.Frame{Pulse: &mine})
 			continue
 		}
 		e.link.Send(f)
@@ -350,12 +350,12 @@
 	for g := range x.guests {
 		g.link.Send(f)
 	}
-	f = &trunk.Frame{Pulse: x.makePulse(full)}
+	f = &peer.Frame{Pulse: x.makePulse(full)}
 	if full {
 		f.Pulse.Usual, f.Pulse.Crew, f.Pulse.Clock = x.tables.Mine(), map[string][]uint32{}, wall()
 		x.rooms.clock.Heard(x.set.IP, f.Pulse.Clock, now)
 		for _, e := range x.edges {
-			f.Pulse.Crew[e.zone] = append(f.Pulse.Crew[e.zone], trunk.Badge(e.node))
+			f.Pulse.Crew[e.zone] = append(f.Pulse.Crew[e.zone], peer.Badge(e.node))
 		}
 	}
 	for _, p := range x.peers {
@@ -368,7 +368,7 @@
 	var all []uint32
 	for _, e := range x.edges {
 		if e.zone == zone {
-			all = append(all, trunk.Badge(e.node))
+			all = append(all, peer.Badge(e.node))
 		}
 	}
 	for _, p := range x.peers {
@@ -378,7 +378,7 @@
 	return slices.Compact(all)
 }
 
-// lost tells whether an exchange is out of reach for longer than its servers need to find another.
+// lost tells whether a controller is out of reach for longer than its servers need to find another.
 func (x *Exchange) lost(ip string) bool {
 	if ip == x.set.IP || x.peers[ip] != nil {
 		return false
--- a/internal/exchange/operator.go
+++ b/internal/control/controller/operator.go
@@ -1,4 +1,4 @@
-package exchange
+package controller
 
 import (
 	"encoding/hex"
@@ -13,12 +13,12 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/statemachine"
 	"mulleinwood/internal/operator"
-	"mulleinwood/internal/tone"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/peer"
 )
 
 const bodyMost = 32 << 20
@@ -54,14 +54,14 @@
 	mux.HandleFunc("GET /status", x.status)
 	mux.Handle("GET /metrics", x.tally.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		refuse(w, tone.UnknownCall.New("%s %s is no call", r.Method, r.URL.Path))
+		refuse(w, apierror.UnknownCall.New("%s %s is no call", r.Method, r.URL.Path))
 	})
 	return mux
 }
 
 // refuse answers an error as the table of kinds says.
 func refuse(w http.ResponseWriter, err error) {
-	a := tone.For(err)
+	a := apierror.For(err)
 	if a.Retry > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.Retry, 'f', -1, 64))
 	}
@@ -82,14 +82,14 @@
 // elsewhere sends a caller to the leader.
 func (x *Exchange) elsewhere(w http.ResponseWriter, r *http.Request, leader string) {
 	if leader == "" || leader == x.set.IP {
-		refuse(w, tone.NoLeader.New("nobody leads now"))
+		refuse(w, apierror.NoLeader.New("nobody leads now"))
 		return
 	}
 	w.Header().Set("Location", "http://"+x.controlOf(leader)+r.URL.RequestURI())
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
-// controlOf is where an exchange takes control calls: all use the same port.
+// controlOf is where a controller takes control calls: all use the same port.
 func (x *Exchange) controlOf(ip string) string {
 	_, port, err := net.SplitHostPort(x.set.Listen.Control)
 	if err != nil {
@@ -98,7 +98,7 @@
 	return net.JoinHostPort(ip, port)
 }
 
-func (x *Exchange) leads() bool { return x.member != nil && x.member.Role() == agreement.Leader }
+func (x *Exchange) leads() bool { return x.member != nil && x.member.Role() == consensus.Leader }
 
 func (x *Exchange) leader() string {
 	if x.member != nil {
@@ -124,25 +124,25 @@
 func (x *Exchange) change(w http.ResponseWriter, r *http.Request, patch bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err != nil {
-		kind := tone.Malformed
+		kind := apierror.Malformed
 		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-			kind = tone.TooLarge
+			kind = apierror.TooLarge
 		}
 		refuse(w, kind.Wrap(err, "body"))
 		return
 	}
-	base, ok := dialplan.ParseVersion(r.Header.Get("If-Match"))
+	base, ok := config.ParseVersion(r.Header.Get("If-Match"))
 	if !ok {
-		refuse(w, tone.Malformed.New("If-Match %q is no version", r.Header.Get("If-Match")))
+		refuse(w, apierror.Malformed.New("If-Match %q is no version", r.Header.Get("If-Match")))
 		return
 	}
 	if !patch {
-		if _, err := dialplan.Parse(body); err != nil {
+		if _, err := config.Parse(body); err != nil {
 			refuse(w, err)
 			return
 		}
 	}
-	c := daybook.Change{Base: uint64(base), Patch: patch, Body: body}
+	c := statemachine.Change{Base: uint64(base), Patch: patch, Body: body}
 	done := make(chan answered, 1)
 	x.do(func() { x.propose(c, done) })
 	select {
@@ -153,19 +153,19 @@
 		case a.err != nil:
 			refuse(w, a.err)
 		default:
-			reply(w, http.StatusOK, map[string]any{"version": dialplan.Version(a.version)})
+			reply(w, http.StatusOK, map[string]any{"version": config.Version(a.version)})
 		}
 	case <-r.Context().Done():
 	}
 }
 
 // propose puts a change into the history, if this planner leads.
-func (x *Exchange) propose(c daybook.Change, done chan answered) {
+func (x *Exchange) propose(c statemachine.Change, done chan answered) {
 	if !x.leads() {
 		if leader := x.leader(); leader != "" && leader != x.set.IP {
 			done <- answered{leader: leader}
 		} else {
-			done <- answered{err: tone.NoLeader.New("nobody leads now")}
+			done <- answered{err: apierror.NoLeader.New("nobody leads now")}
 		}
 		return
 	}
@@ -178,7 +178,7 @@
 	}
 	data, err := cbor.Marshal(c)
 	if err != nil {
-		done <- answered{err: tone.Malformed.Wrap(err, "change")}
+		done <- answered{err: apierror.Malformed.Wrap(err, "change")}
 		return
 	}
 	index, term, _ := x.member.Propose(data, x.now())
@@ -188,9 +188,9 @@
 }
 
 // apply takes what the agreement committed.
-func (x *Exchange) apply(out agreement.Output) {
+func (x *Exchange) apply(out consensus.Output) {
 	before, booked := x.state.Version(), x.state.Book.Version
-	var last *daybook.Change
+	var last *statemachine.Change
 	steps := 0
 	if out.Install != nil {
 		if err := x.state.Restore(*out.Install); err != nil {
@@ -203,12 +203,12 @@
 		c, err := x.state.Apply(e)
 		if c != nil {
 			last, steps = c, steps+1
-			_ = x.logger.Log("event", "configuration", "version", dialplan.Version(x.state.Version()), "index", e.Index, "term", e.Term, "routes", len(x.state.Config.Routes))
+			_ = x.logger.Log("event", "configuration", "version", config.Version(x.state.Version()), "index", e.Index, "term", e.Term, "routes", len(x.state.Config.Routes))
 		}
 		if w, ok := x.waiters[e.Index]; ok {
 			delete(x.waiters, e.Index)
 			if w.term != e.Term {
-				err = tone.Unconfirmed.New("another change took its place")
+				err = apierror.Unconfirmed.New("another change took its place")
 			}
 			w.answer(x.state.Version(), err)
 		}
@@ -217,7 +217,7 @@
 		_ = x.logger.Log("event", "bookings", "version", v, "held", len(x.state.Book.All))
 	}
 	if x.state.Version() != before {
-		f := &trunk.Config{Version: x.state.Version()}
+		f := &peer.Config{Version: x.state.Version()}
 		if steps == 1 && last.Patch {
 			f.Base, f.Change = before, last.Body
 		} else if whole, err := json.Marshal(x.state.Config); err == nil {
@@ -233,21 +233,21 @@
 	}
 }
 
-// pushConfig sends a configuration to the edges, and to exchanges without a vote.
-func (x *Exchange) pushConfig(f *trunk.Config) {
+// pushConfig sends a configuration to the edges, and to controllers without a vote.
+func (x *Exchange) pushConfig(f *peer.Config) {
 	for _, e := range x.edges {
-		e.link.Send(&trunk.Frame{Config: f})
+		e.link.Send(&peer.Frame{Config: f})
 	}
 	for ip, p := range x.peers {
 		if x.leads() && !slices.Contains(x.members, ip) {
-			p.link.Send(&trunk.Frame{Config: f})
+			p.link.Send(&peer.Frame{Config: f})
 		}
 	}
 	x.tables.Configured(x.state.Config)
 }
 
 // whole is the configuration for one who has none, or another.
-func (x *Exchange) whole() *trunk.Config {
+func (x *Exchange) whole() *peer.Config {
 	if x.state.Config == nil {
 		return nil
 	}
@@ -255,18 +255,18 @@
 	if err != nil {
 		return nil
 	}
-	return &trunk.Config{Version: x.state.Version(), Whole: body}
+	return &peer.Config{Version: x.state.Version(), Whole: body}
 }
 
-// observed takes a configuration that an exchange without a vote was sent.
-func (x *Exchange) observed(c *trunk.Config) (whole bool) {
+// observed takes a configuration that a controller without a vote was sent.
+func (x *Exchange) observed(c *peer.Config) (whole bool) {
 	if x.member != nil || c.Version <= x.state.Version() {
 		return true
 	}
-	var next *dialplan.Config
+	var next *config.Config
 	var err error
 	if c.Whole != nil {
-		next, err = dialplan.Parse(c.Whole)
+		next, err = config.Parse(c.Whole)
 	} else if x.state.Config == nil || c.Base != x.state.Version() {
 		return false
 	} else {
@@ -322,7 +322,7 @@
 		case x.leads() && x.member.Confirmed(r.round):
 			r.answer(r.body())
 		case !x.leads() || x.now() > r.until:
-			r.answer(nil, tone.NoLeader.New("it could not be confirmed that this planner leads"))
+			r.answer(nil, apierror.NoLeader.New("it could not be confirmed that this planner leads"))
 		default:
 			return false
 		}
@@ -335,7 +335,7 @@
 	for index, w := range x.waiters {
 		if now > w.until || !x.leads() {
 			delete(x.waiters, index)
-			w.answer(0, tone.Unconfirmed.New("no agreement in time: the change may still be taken"))
+			w.answer(0, apierror.Unconfirmed.New("no agreement in time: the change may still be taken"))
 		}
 	}
 	for token, f := range x.fetches {
@@ -353,7 +353,7 @@
 	x.do(func() {
 		all := []past{}
 		for _, t := range slices.Backward(x.state.Taken) {
-			all = append(all, past{dialplan.Version(t.Version).String(), hex.EncodeToString(t.Digest[:8])})
+			all = append(all, past{config.Version(t.Version).String(), hex.EncodeToString(t.Digest[:8])})
 		}
 		done <- all
 	})
@@ -364,7 +364,7 @@
 func (x *Exchange) status(w http.ResponseWriter, _ *http.Request) {
 	done := make(chan operator.View, 1)
 	x.do(func() {
-		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: dialplan.Version(x.state.Version()).String(),
+		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: config.Version(x.state.Version()).String(),
 			Leader: x.leader(), Members: x.members, Keys: x.ledger.Len(), LedgerBlank: x.ledger.Blank(), DiskRefuses: x.store.failing, DiskMs: x.store.took()}
 		for _, e := range x.edges {
 			v.Edges = append(v.Edges, e.node)
--- a/internal/exchange/registrar.go
+++ b/internal/control/controller/registrar.go
@@ -1,12 +1,12 @@
-package exchange
+package controller
 
 import (
 	"encoding/json"
 	"io"
 	"net/http"
 
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // beatBody is what a server says of itself.
@@ -31,29 +31,29 @@
 func (x *Exchange) beat(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatMost))
 	if err != nil {
-		refuse(w, tone.Malformed.Wrap(err, "body"))
+		refuse(w, apierror.Malformed.Wrap(err, "body"))
 		return
 	}
 	var b beatBody
 	if err := json.Unmarshal(text, &b); err != nil {
-		refuse(w, tone.Malformed.New("body: %s", err))
+		refuse(w, apierror.Malformed.New("body: %s", err))
 		return
 	}
 	if b.Service == "" || b.Address == "" || b.State != "ready" && b.State != "draining" || b.Capacity < 0 {
-		refuse(w, tone.Malformed.New("a beat needs service, address, capacity and a state, ready or draining"))
+		refuse(w, apierror.Malformed.New("a beat needs service, address, capacity and a state, ready or draining"))
 		return
 	}
-	e := directory.Entry{ID: r.PathValue("id"), Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
+	e := registry.Entry{ID: r.PathValue("id"), Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
 		Capacity: min(max(1, b.Capacity), slotsMost), Warmup: min(max(0, b.Warmup), warmupMost), Seq: b.Seq, Owner: x.set.IP}
 	if b.State == "draining" {
-		e.State = directory.Draining
+		e.State = registry.Draining
 	}
 	x.register(w, r, e)
 }
 
 // leave takes a server's last call.
 func (x *Exchange) leave(w http.ResponseWriter, r *http.Request) {
-	x.register(w, r, directory.Entry{ID: r.PathValue("id"), State: directory.Gone, Owner: x.set.IP})
+	x.register(w, r, registry.Entry{ID: r.PathValue("id"), State: registry.Gone, Owner: x.set.IP})
 }
 
 type registered struct {
@@ -61,7 +61,7 @@
 	err    error
 }
 
-func (x *Exchange) register(w http.ResponseWriter, r *http.Request, e directory.Entry) {
+func (x *Exchange) register(w http.ResponseWriter, r *http.Request, e registry.Entry) {
 	done := make(chan registered, 1)
 	x.do(func() { x.registerNow(e, done) })
 	select {
@@ -78,10 +78,10 @@
 	}
 }
 
-func (x *Exchange) registerNow(e directory.Entry, done chan registered) {
-	if e.State > directory.Ready && len(x.members) > 0 && !x.attached() {
+func (x *Exchange) registerNow(e registry.Entry, done chan registered) {
+	if e.State > registry.Ready && len(x.members) > 0 && !x.attached() {
 		// Cut off from the others, this planner can't let them know; another can.
-		done <- registered{err: tone.NoLeader.New("cut off from the other planners")}
+		done <- registered{err: apierror.NoLeader.New("cut off from the other planners")}
 		return
 	}
 	x.nextCall++
@@ -93,7 +93,7 @@
 	}
 }
 
-// beatTarget is the exchange of the server's zone, so that beats don't cross zones.
+// beatTarget is the controller of the server's zone, so that beats don't cross zones.
 func (x *Exchange) beatTarget(zone string) string {
 	if zone == "" || zone == x.set.Zone {
 		return ""
--- a/internal/exchange/store.go
+++ b/internal/control/controller/store.go
@@ -1,19 +1,19 @@
-package exchange
+package controller
 
 import (
 	"time"
 
-	"mulleinwood/internal/archive"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/storage"
 )
 
 // store gathers what has to become durable while the disk is at work, so that one sync serves all of it.
 type store struct {
-	pending []*archive.Batch // of the agreement, in order
+	pending []*storage.Batch // of the agreement, in order
 	after   []func(bool)
-	records []ticket.Record
-	servers []directory.Entry
+	records []idempotency.Record
+	servers []registry.Entry
 	claimed []func(bool)
 	lazy    time.Duration // since when lines wait that nobody waits for; 0: none do
 	busy    bool
@@ -28,14 +28,14 @@
 // idleAgree tells that nothing of the agreement waits for the disk.
 func (s *store) idleAgree() bool { return !s.busy && len(s.pending) == 0 }
 
-func (s *store) agree(b *archive.Batch, done func(bool)) {
+func (s *store) agree(b *storage.Batch, done func(bool)) {
 	s.pending = append(s.pending, b)
 	s.after = append(s.after, done)
 }
 
 // record makes a line of the ledger durable; done hears whether it is. A line that nobody waits for rides along with
 // the next sync, or with one of its own a little later: syncs are what the disk and the processor spend.
-func (s *store) record(r ticket.Record, now time.Duration, done func(bool)) {
+func (s *store) record(r idempotency.Record, now time.Duration, done func(bool)) {
 	s.records = append(s.records, r)
 	if done != nil {
 		s.claimed = append(s.claimed, done)
@@ -46,7 +46,7 @@
 
 // server keeps what is known of servers, for a start after all have lost power: beats alone would bring them back one by
 // one, and the first of them would get all the traffic.
-func (s *store) server(entries []directory.Entry, now time.Duration) {
+func (s *store) server(entries []registry.Entry, now time.Duration) {
 	s.servers = append(s.servers, entries...)
 	if s.lazy == 0 && len(entries) > 0 {
 		s.lazy = now
@@ -58,7 +58,7 @@
 	return len(s.pending) > 0 || len(s.claimed) > 0 || len(s.records)+len(s.servers) > 0 && now-s.lazy >= lazyMost
 }
 
-func (x *Exchange) put(b *archive.Batch, done func(bool)) {
+func (x *Exchange) put(b *storage.Batch, done func(bool)) {
 	if done == nil {
 		done = func(bool) {}
 	}
@@ -84,7 +84,7 @@
 	batches, servers := pending, s.servers
 	s.servers = nil
 	if len(records)+len(servers) > 0 {
-		batches = append(batches[:len(batches):len(batches)], &archive.Batch{Records: records, Servers: servers})
+		batches = append(batches[:len(batches):len(batches)], &storage.Batch{Records: records, Servers: servers})
 	}
 	began := x.now()
 	go func() {
--- a/internal/ticket/ticket.go
+++ b/internal/control/idempotency/idempotency.go
@@ -1,10 +1,10 @@
-// Package ticket is the ledger of operations that may run only once. Each planner that counts holds a Ledger of claims;
-// an Office beside it collects enough of them for a claim to stand. Both are values fed with events.
+// Package idempotency is the ledger of operations that may run only once. Each controller that counts holds a Ledger of
+// claims; an Office beside it collects enough of them for a claim to stand. Both are values fed with events.
 //
 // A claim stands once more than half of the ledgers hold it durably. A ledger whose disk came back empty grants nothing
 // before it has copied what every other ledger holds, so any two claims that stand have a ledger in common that
 // remembers. A claim is withdrawn only while it is certain that nothing was run under it.
-package ticket
+package idempotency
 
 import (
 	"crypto/sha256"
--- a/internal/ticket/ticket_test.go
+++ b/internal/control/idempotency/idempotency_test.go
@@ -1,4 +1,4 @@
-package ticket_test
+package idempotency_test
 
 import (
 	"fmt"
@@ -10,70 +10,70 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/idempotency"
 )
 
 func TestTicket(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "ticket")
+	RunSpecs(t, "idempotency")
 }
 
 const window = time.Minute
 
-func token(n uint64) ticket.Token { return ticket.Token{Life: 1, N: n} }
+func token(n uint64) idempotency.Token { return idempotency.Token{Life: 1, N: n} }
 
 // put gives a ledger a claim and makes it durable, as a host does.
-func put(l *ticket.Ledger, r ticket.Record, now time.Duration) ticket.Verdict {
+func put(l *idempotency.Ledger, r idempotency.Record, now time.Duration) idempotency.Verdict {
 	v, _, store := l.Claim(r, now)
 	if store && !l.Stored(r.Key, r.Token) {
-		return ticket.Unable
+		return idempotency.Unable
 	}
 	return v
 }
 
 var _ = Describe("a ledger", func() {
-	key := ticket.KeyOf("toll.example", "k-1")
+	key := idempotency.KeyOf("toll.example", "k-1")
 
 	It("grants a key to one token, and to that one again", func() {
-		l := ticket.NewLedger(window, false)
-		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 0)).To(Equal(ticket.Granted))
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Held))
-		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Granted))
+		l := idempotency.NewLedger(window, false)
+		Expect(put(l, idempotency.Record{Key: key, Token: token(1)}, 0)).To(Equal(idempotency.Granted))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, 1)).To(Equal(idempotency.Held))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(1)}, 2)).To(Equal(idempotency.Granted))
 	})
 	It("takes the same key of another tenant for another operation", func() {
-		l := ticket.NewLedger(window, false)
-		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
-		Expect(put(l, ticket.Record{Key: ticket.KeyOf("bridge.example", "k-1"), Token: token(2)}, 1)).To(Equal(ticket.Granted))
+		l := idempotency.NewLedger(window, false)
+		put(l, idempotency.Record{Key: key, Token: token(1)}, 0)
+		Expect(put(l, idempotency.Record{Key: idempotency.KeyOf("bridge.example", "k-1"), Token: token(2)}, 1)).To(Equal(idempotency.Granted))
 	})
 	It("grants again once a claim is withdrawn, but not a claim that comes after its withdrawal", func() {
-		l := ticket.NewLedger(window, false)
-		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l := idempotency.NewLedger(window, false)
+		put(l, idempotency.Record{Key: key, Token: token(1)}, 0)
 		l.Void(key, token(1), 1)
-		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Unable))
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 3)).To(Equal(ticket.Granted))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(1)}, 2)).To(Equal(idempotency.Unable))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, 3)).To(Equal(idempotency.Granted))
 	})
 	It("keeps a durable claim when storing it once more fails", func() {
-		l := ticket.NewLedger(window, false)
-		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l := idempotency.NewLedger(window, false)
+		put(l, idempotency.Record{Key: key, Token: token(1)}, 0)
 		l.Failed(key, token(1))
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Held))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, 1)).To(Equal(idempotency.Held))
 	})
 	It("forgets a claim that the disk refused", func() {
-		l := ticket.NewLedger(window, false)
-		_, _, store := l.Claim(ticket.Record{Key: key, Token: token(1)}, 0)
+		l := idempotency.NewLedger(window, false)
+		_, _, store := l.Claim(idempotency.Record{Key: key, Token: token(1)}, 0)
 		Expect(store).To(BeTrue())
 		l.Failed(key, token(1))
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 1)).To(Equal(ticket.Granted))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, 1)).To(Equal(idempotency.Granted))
 	})
 	It("holds answers within its bound, the newest, and gives up none of the claims", func() {
-		l := ticket.NewLedger(window, false)
+		l := idempotency.NewLedger(window, false)
 		l.Bound(1000)
-		name := func(n uint64) ticket.Key { return ticket.KeyOf("t", fmt.Sprint(n)) }
+		name := func(n uint64) idempotency.Key { return idempotency.KeyOf("t", fmt.Sprint(n)) }
 		for n := range uint64(30) {
 			now := time.Duration(n) * 3 * time.Second
 			l.Expire(now)
-			put(l, ticket.Record{Key: name(n), Token: token(n)}, now)
-			l.Done(ticket.Record{Key: name(n), Token: token(n), Answer: &ticket.Answer{Status: 200, Body: make([]byte, 100+n)}}, now)
+			put(l, idempotency.Record{Key: name(n), Token: token(n)}, now)
+			l.Done(idempotency.Record{Key: name(n), Token: token(n), Answer: &idempotency.Answer{Status: 200, Body: make([]byte, 100+n)}}, now)
 			l.Void(name(n), token(n), now)
 			held, bytes := 0, uint64(0)
 			for m := range n + 1 {
@@ -84,36 +84,36 @@
 			}
 			Expect(bytes).To(BeNumerically("<=", 1000))
 			Expect(held).To(BeNumerically(">=", min(int(n)+1, 7)))
-			Expect(put(l, ticket.Record{Key: name(n - min(n, 15)), Token: token(99)}, now)).To(Equal(ticket.Held), "one whose answer is gone has run all the same")
+			Expect(put(l, idempotency.Record{Key: name(n - min(n, 15)), Token: token(99)}, now)).To(Equal(idempotency.Held), "one whose answer is gone has run all the same")
 		}
 	})
 	It("keeps a claim for its window, and no longer", func() {
-		l := ticket.NewLedger(window, false)
-		put(l, ticket.Record{Key: key, Token: token(1)}, 0)
+		l := idempotency.NewLedger(window, false)
+		put(l, idempotency.Record{Key: key, Token: token(1)}, 0)
 		l.Expire(window)
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, window)).To(Equal(ticket.Held))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, window)).To(Equal(idempotency.Held))
 		l.Expire(window + 1)
 		Expect(l.Len()).To(BeZero())
 	})
 	It("grants nothing while blank, and nobody a key that it copied", func() {
-		l := ticket.NewLedger(window, true)
-		Expect(put(l, ticket.Record{Key: key, Token: token(3)}, 0)).To(Equal(ticket.Unable))
-		l.Copy(ticket.Record{Key: key, Token: token(1)}, 1) // stood, with the grant that was lost here
-		l.Copy(ticket.Record{Key: key, Token: token(2)}, 1) // held by one ledger alone
+		l := idempotency.NewLedger(window, true)
+		Expect(put(l, idempotency.Record{Key: key, Token: token(3)}, 0)).To(Equal(idempotency.Unable))
+		l.Copy(idempotency.Record{Key: key, Token: token(1)}, 1) // stood, with the grant that was lost here
+		l.Copy(idempotency.Record{Key: key, Token: token(2)}, 1) // held by one ledger alone
 		l.Restored()
-		Expect(put(l, ticket.Record{Key: key, Token: token(1)}, 2)).To(Equal(ticket.Held))
-		Expect(put(l, ticket.Record{Key: key, Token: token(2)}, 2)).To(Equal(ticket.Held))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(1)}, 2)).To(Equal(idempotency.Held))
+		Expect(put(l, idempotency.Record{Key: key, Token: token(2)}, 2)).To(Equal(idempotency.Held))
 	})
 })
 
 var _ = Describe("an office", func() {
-	key := ticket.KeyOf("toll.example", "k-1")
-	open := func(o *ticket.Office, n uint64) []ticket.Ask {
-		return o.Open(ticket.Record{Key: key, Token: token(n)}, 0)
+	key := idempotency.KeyOf("toll.example", "k-1")
+	open := func(o *idempotency.Office, n uint64) []idempotency.Ask {
+		return o.Open(idempotency.Record{Key: key, Token: token(n)}, 0)
 	}
 
 	It("asks its own ledger and one more, and the third when they are slow", func() {
-		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		o := idempotency.NewOffice([]string{"a", "b", "c"}, 20, 900)
 		Expect(open(o, 1)).To(HaveLen(2))
 		asks, done := o.Tick(21)
 		Expect(done).To(BeEmpty())
@@ -121,28 +121,28 @@
 		Expect(asks[0].To).To(Equal("c"))
 	})
 	It("lets a claim stand on more than half of the ledgers, whatever a stale claim holds elsewhere", func() {
-		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		o := idempotency.NewOffice([]string{"a", "b", "c"}, 20, 900)
 		open(o, 1)
-		o.Verdict("a", token(1), ticket.Granted, ticket.Record{}, 1)
-		asks, _ := o.Verdict("b", token(1), ticket.Held, ticket.Record{Token: token(9)}, 1)
+		o.Verdict("a", token(1), idempotency.Granted, idempotency.Record{}, 1)
+		asks, _ := o.Verdict("b", token(1), idempotency.Held, idempotency.Record{Token: token(9)}, 1)
 		Expect(asks).To(HaveLen(1))
-		_, done := o.Verdict("c", token(1), ticket.Granted, ticket.Record{}, 1)
-		Expect(done.Ruling).To(Equal(ticket.Stands))
+		_, done := o.Verdict("c", token(1), idempotency.Granted, idempotency.Record{}, 1)
+		Expect(done.Ruling).To(Equal(idempotency.Stands))
 	})
 	It("takes back the grant of a ledger that began a new life", func() {
-		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		o := idempotency.NewOffice([]string{"a", "b", "c"}, 20, 900)
 		open(o, 1)
-		o.Verdict("b", token(1), ticket.Granted, ticket.Record{}, 1)
+		o.Verdict("b", token(1), idempotency.Granted, idempotency.Record{}, 1)
 		Expect(o.Forget("b")).To(BeEmpty())
-		_, done := o.Verdict("a", token(1), ticket.Granted, ticket.Record{}, 2)
+		_, done := o.Verdict("a", token(1), idempotency.Granted, idempotency.Record{}, 2)
 		Expect(done).To(BeNil())
 	})
 	It("refuses what can't be decided in time", func() {
-		o := ticket.NewOffice([]string{"a", "b", "c"}, 20, 900)
+		o := idempotency.NewOffice([]string{"a", "b", "c"}, 20, 900)
 		open(o, 1)
 		_, done := o.Tick(901)
 		Expect(done).To(HaveLen(1))
-		Expect(done[0].Ruling).To(Equal(ticket.Refused))
+		Expect(done[0].Ruling).To(Equal(idempotency.Refused))
 	})
 })
 
@@ -171,25 +171,25 @@
 type world struct {
 	rng     *rand.Rand
 	names   []string
-	ledgers map[string]*ticket.Ledger
+	ledgers map[string]*idempotency.Ledger
 	lives   map[string]int
-	offices map[string]*ticket.Office
+	offices map[string]*idempotency.Office
 	copies  map[string]map[string]bool
 	mail    []message
 	step    int
-	stands  map[ticket.Token]bool
-	alive   map[ticket.Token]bool // not given up by its claimer
-	key     ticket.Key
+	stands  map[idempotency.Token]bool
+	alive   map[idempotency.Token]bool // not given up by its claimer
+	key     idempotency.Key
 	lost    int // disks that may be lost at once
 }
 
 func newWorld(seed uint64, ledgers, lost int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), names: []string{"a", "b", "c", "d", "e"}[:ledgers], ledgers: map[string]*ticket.Ledger{}, lives: map[string]int{},
-		offices: map[string]*ticket.Office{}, copies: map[string]map[string]bool{}, stands: map[ticket.Token]bool{},
-		alive: map[ticket.Token]bool{}, key: ticket.KeyOf("t", "k"), lost: lost}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), names: []string{"a", "b", "c", "d", "e"}[:ledgers], ledgers: map[string]*idempotency.Ledger{}, lives: map[string]int{},
+		offices: map[string]*idempotency.Office{}, copies: map[string]map[string]bool{}, stands: map[idempotency.Token]bool{},
+		alive: map[idempotency.Token]bool{}, key: idempotency.KeyOf("t", "k"), lost: lost}
 	for i, n := range w.names {
-		w.ledgers[n] = ticket.NewLedger(time.Hour, false)
-		w.offices[n] = ticket.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
+		w.ledgers[n] = idempotency.NewLedger(time.Hour, false)
+		w.offices[n] = idempotency.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
 	}
 	return w
 }
@@ -204,13 +204,13 @@
 	w.mail = append(w.mail, message{at: w.step + 1 + w.rng.IntN(8), do: do, via: peer, age: w.lives[peer]})
 }
 
-func (w *world) asks(office string, asks []ticket.Ask) {
+func (w *world) asks(office string, asks []idempotency.Ask) {
 	for _, a := range asks {
 		life := w.lives[office]
 		w.send(a.To, func() {
 			v, holder, store := w.ledgers[a.To].Claim(a.Record, w.now())
 			if store && !w.ledgers[a.To].Stored(a.Record.Key, a.Record.Token) {
-				v = ticket.Unable
+				v = idempotency.Unable
 			}
 			w.send(a.To, func() {
 				if w.lives[office] != life {
@@ -226,15 +226,15 @@
 	}
 }
 
-func (w *world) ruled(o ticket.Outcome) {
-	if o.Ruling == ticket.Stands && w.alive[o.Token] {
+func (w *world) ruled(o idempotency.Outcome) {
+	if o.Ruling == idempotency.Stands && w.alive[o.Token] {
 		w.stands[o.Token] = true
 		return
 	}
 	w.withdraw(o.Token)
 }
 
-func (w *world) withdraw(t ticket.Token) {
+func (w *world) withdraw(t idempotency.Token) {
 	if w.stands[t] || !w.alive[t] {
 		return
 	}
@@ -247,7 +247,7 @@
 // wipe ends a ledger's life and its disk; its office ends with it, the others hear of the new life before it copies.
 func (w *world) wipe(n string) {
 	w.lives[n]++
-	w.ledgers[n] = ticket.NewLedger(time.Hour, true)
+	w.ledgers[n] = idempotency.NewLedger(time.Hour, true)
 	w.copies[n] = map[string]bool{}
 	for _, o := range w.names {
 		if o != n {
@@ -259,8 +259,8 @@
 				if w.ledgers[o].Blank() {
 					return // it knows nothing itself
 				}
-				var all []ticket.Record
-				w.ledgers[o].Each(func(r ticket.Record) { all = append(all, r) })
+				var all []idempotency.Record
+				w.ledgers[o].Each(func(r idempotency.Record) { all = append(all, r) })
 				w.mail = append(w.mail, message{at: w.step + 1 + w.rng.IntN(6), via: n, age: life, do: func() {
 					for _, r := range all {
 						w.ledgers[n].Copy(r, w.now())
@@ -273,7 +273,7 @@
 		}
 	}
 	i := slices.Index(w.names, n)
-	w.offices[n] = ticket.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
+	w.offices[n] = idempotency.NewOffice(append(append([]string{}, w.names[i:]...), w.names[:i]...), 5, 60)
 }
 
 func (w *world) play() bool {
@@ -284,7 +284,7 @@
 			at := w.names[w.rng.IntN(len(w.names))]
 			t := token(next)
 			w.alive[t] = true
-			w.asks(at, w.offices[at].Open(ticket.Record{Key: w.key, Token: t, Home: at}, w.now()))
+			w.asks(at, w.offices[at].Open(idempotency.Record{Key: w.key, Token: t, Home: at}, w.now()))
 		}
 		if w.rng.IntN(40) == 0 && next > 0 {
 			w.withdraw(token(1 + w.rng.Uint64N(next)))
--- a/internal/ticket/office.go
+++ b/internal/control/idempotency/office.go
@@ -1,4 +1,4 @@
-package ticket
+package idempotency
 
 import "time"
 
--- a/internal/directory/directory.go
+++ b/internal/control/registry/registry.go
@@ -1,10 +1,10 @@
-// Package directory is the register of servers: what their beats say, merged so that the order in which planners hear
-// of it doesn't matter. A life (an id) only ever goes from ready to draining to gone; a late beat, a late planner or an
+// Package registry is the register of servers: what their beats say, merged so that the order in which controllers hear
+// of it doesn't matter. A life (an id) only ever goes from ready to draining to gone; a late beat, a late controller or an
 // old snapshot can't undo that. It does no I/O and has no clock.
 //
-// Lives are kept in cells, one a zone. A cell has a sum over what others have to know of its lives, so that two planners
+// Lives are kept in cells, one a zone. A cell has a sum over what others have to know of its lives, so that two controllers
 // can tell at the cost of a few bytes whether they hold the same, and which cells to compare where they don't.
-package directory
+package registry
 
 import (
 	"cmp"
@@ -73,7 +73,7 @@
 	cell  string
 }
 
-// New makes an empty directory that remembers lives that are gone for a time.
+// New makes an empty registry that remembers lives that are gone for a time.
 func New(hold time.Duration) *Directory {
 	return &Directory{entries: map[string]*held{}, cells: map[string]uint64{}, hold: hold}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/control/registry/registry_test.go
@@ -1,4 +1,4 @@
-package directory_test
+package registry_test
 
 import (
 	"fmt"
@@ -9,80 +9,80 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/directory"
+	"mulleinwood/internal/control/registry"
 )
 
 func TestDirectory(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "directory")
+	RunSpecs(t, "registry")
 }
 
 const beat = 1500 * time.Millisecond
 
 func never(string) bool { return false }
 
-func entry(seq uint64, state directory.State) directory.Entry {
-	return directory.Entry{ID: "i-1", Service: "ledger", Address: "10.0.0.9:80", Capacity: 2, Seq: seq, State: state, Owner: "x"}
+func entry(seq uint64, state registry.State) registry.Entry {
+	return registry.Entry{ID: "i-1", Service: "ledger", Address: "10.0.0.9:80", Capacity: 2, Seq: seq, State: state, Owner: "x"}
 }
 
-var _ = Describe("a directory", func() {
+var _ = Describe("a registry", func() {
 	It("keeps a server draining when a late beat says ready", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Draining), 0)
-		now, news := d.Take(entry(4, directory.Ready), 1)
-		Expect(now.State).To(Equal(directory.Draining))
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Draining), 0)
+		now, news := d.Take(entry(4, registry.Ready), 1)
+		Expect(now.State).To(Equal(registry.Draining))
 		Expect(news).To(BeFalse())
-		now, _ = d.Take(entry(6, directory.Ready), 2)
-		Expect(now.State).To(Equal(directory.Draining))
+		now, _ = d.Take(entry(6, registry.Ready), 2)
+		Expect(now.State).To(Equal(registry.Draining))
 	})
 	It("keeps a life gone when a snapshot of one who missed that comes", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Gone), 0)
-		now, news := d.Take(entry(9, directory.Ready), 1)
-		Expect(now.State).To(Equal(directory.Gone))
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Gone), 0)
+		now, news := d.Take(entry(9, registry.Ready), 1)
+		Expect(now.State).To(Equal(registry.Gone))
 		Expect(news).To(BeFalse())
 	})
 	It("takes an address given to another service for another life", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Gone), 0)
-		next := directory.Entry{ID: "i-2", Service: "tags", Address: "10.0.0.9:80", Capacity: 2, Seq: 1}
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Gone), 0)
+		next := registry.Entry{ID: "i-2", Service: "tags", Address: "10.0.0.9:80", Capacity: 2, Seq: 1}
 		now, news := d.Take(next, 1)
 		Expect(news).To(BeTrue())
 		Expect(now.Service).To(Equal("tags"))
 		old, _ := d.Get("i-1")
-		Expect(old.State).To(Equal(directory.Gone))
+		Expect(old.State).To(Equal(registry.Gone))
 	})
 	It("marks silent whose beats stop, and takes the next beat back", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Ready), 0)
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Ready), 0)
 		Expect(d.Silence("x", never, 3*beat, 3*beat)).To(BeEmpty())
 		Expect(d.Silence("x", never, 3*beat, 3*beat+1)).To(HaveLen(1))
-		now, news := d.Take(entry(6, directory.Ready), 4*beat)
+		now, news := d.Take(entry(6, registry.Ready), 4*beat)
 		Expect(now.Silent).To(BeFalse())
 		Expect(news).To(BeTrue())
 	})
 	It("leaves the beats of others alone, while those are heard", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Ready), 0)
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Ready), 0)
 		Expect(d.Silence("y", never, 3*beat, 9*beat)).To(BeEmpty())
 		Expect(d.Silence("y", func(string) bool { return true }, 3*beat, 9*beat)).To(HaveLen(1))
 	})
 	It("comes to the same, whatever the order of what it hears", func() {
 		rng := rand.New(rand.NewPCG(1, 1))
 		for range 2000 {
-			var all []directory.Entry
+			var all []registry.Entry
 			for range 5 {
-				e := entry(rng.Uint64N(4), directory.State(rng.IntN(3)))
+				e := entry(rng.Uint64N(4), registry.State(rng.IntN(3)))
 				e.Silent, e.Owner = rng.IntN(3) == 0, string(rune('x'+rng.IntN(2)))
 				all = append(all, e)
 			}
-			want := directory.Entry{}
+			want := registry.Entry{}
 			for round := range 4 {
 				got := all[0]
 				for _, e := range all[1:] {
-					got = directory.Merge(got, e)
+					got = registry.Merge(got, e)
 				}
-				got = directory.Merge(got, got)
+				got = registry.Merge(got, got)
 				if round == 0 {
 					want = got
 				}
@@ -95,10 +95,10 @@
 		rng := rand.New(rand.NewPCG(4, 4))
 		zones := []string{"a", "b", "c"}
 		for range 300 {
-			one, two := directory.New(time.Minute), directory.New(time.Minute)
-			var all []directory.Entry
+			one, two := registry.New(time.Minute), registry.New(time.Minute)
+			var all []registry.Entry
 			for i := range 12 {
-				e := entry(uint64(1+rng.IntN(3)), directory.State(rng.IntN(3)))
+				e := entry(uint64(1+rng.IntN(3)), registry.State(rng.IntN(3)))
 				e.ID, e.Zone, e.Silent = fmt.Sprint(i%6), zones[i%3], rng.IntN(3) == 0
 				all = append(all, e)
 			}
@@ -110,21 +110,21 @@
 				two.Take(e, 0)
 			}
 			Expect(one.Sum()).To(Equal(two.Sum()))
-			extra := entry(9, directory.Ready)
+			extra := entry(9, registry.Ready)
 			extra.ID, extra.Zone = "new", zones[rng.IntN(3)]
 			two.Take(extra, 0)
 			Expect(one.Sum()).NotTo(Equal(two.Sum()))
 			for _, z := range zones {
 				Expect(one.Sums()[z] == two.Sums()[z]).To(Equal(z != extra.Zone))
 			}
-			extra.State = directory.Gone
+			extra.State = registry.Gone
 			two.Take(extra, 0)
 			Expect(one.Sum()).To(Equal(two.Sum()), "what is gone doesn't count: it is forgotten at different times")
 		}
 	})
 	It("forgets what is long gone", func() {
-		d := directory.New(time.Minute)
-		d.Take(entry(5, directory.Gone), 0)
+		d := registry.New(time.Minute)
+		d.Take(entry(5, registry.Gone), 0)
 		d.Forget(time.Minute)
 		Expect(d.All(0)).To(HaveLen(1))
 		d.Forget(time.Minute + 1)
--- a/internal/booking/book.go
+++ b/internal/control/reservation/book.go
@@ -1,7 +1,7 @@
-// Package booking keeps room that is booked ahead for a tenant's busy hours. The Book is the lasting part, agreed by the
-// core like a configuration; a Dealer deals a booking's room to the edges, by leases; a Gate at each edge lets requests in
-// and lends what is idle. All are values fed with events; time is handed in, and the core says what time it is.
-package booking
+// Package reservation keeps capacity that is booked ahead for a tenant's busy hours. The Book is the lasting part, agreed
+// by the controllers like a configuration; a Dealer deals a booking's room to the edges, by leases; a Gate at each edge lets
+// requests in and lends what is idle. All are values fed with events; time is handed in, and the core says what time it is.
+package reservation
 
 import (
 	"cmp"
@@ -10,7 +10,7 @@
 	"slices"
 	"strings"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Booking is room for one tenant at one service. Times are seconds on the core's clock.
@@ -55,13 +55,13 @@
 func (b *Booking) check() error {
 	switch {
 	case b.ID == "" || b.Tenant == "" || b.Service == "" || b.Owner == "":
-		return tone.Invalid.New("a booking needs an id, a tenant, a service and an owner")
+		return apierror.Invalid.New("a booking needs an id, a tenant, a service and an owner")
 	case strings.HasPrefix(b.ID, restMark) || len(b.ID) > idMost:
-		return tone.Invalid.New("booking %.20q: an id does not begin with %s and has %d bytes at most", b.ID, restMark, idMost)
+		return apierror.Invalid.New("booking %.20q: an id does not begin with %s and has %d bytes at most", b.ID, restMark, idMost)
 	case !(b.End > b.Start) || math.IsInf(b.End, 0) || !(b.Ramp >= 0) || math.IsInf(b.Ramp, 0):
-		return tone.Invalid.New("booking %s: its end is not after its start, or its ramp is no time", b.ID)
+		return apierror.Invalid.New("booking %s: its end is not after its start, or its ramp is no time", b.ID)
 	case !(b.Slots > 0) || math.IsInf(b.Slots, 0):
-		return tone.Invalid.New("booking %s: slots is not above 0", b.ID)
+		return apierror.Invalid.New("booking %s: slots is not above 0", b.ID)
 	}
 	return nil
 }
@@ -111,7 +111,7 @@
 // Judge says what is wrong with a change: one that is built on another version, or that asks for what can't be.
 func (k *Book) Judge(op Op) error {
 	if op.Base != k.Version {
-		return tone.Stale.New("built on %d, current is %d", op.Base, k.Version)
+		return apierror.Stale.New("built on %d, current is %d", op.Base, k.Version)
 	}
 	added := 0
 	for _, b := range op.Puts {
@@ -119,7 +119,7 @@
 			return err
 		}
 		if b.End <= op.Now {
-			return tone.Invalid.New("booking %s is over", b.ID)
+			return apierror.Invalid.New("booking %s is over", b.ID)
 		}
 		if _, known := k.All[b.ID]; !known {
 			added++
@@ -129,13 +129,13 @@
 	case len(op.Puts) > 0:
 	case op.Cancel != "":
 		if _, known := k.All[op.Cancel]; !known {
-			return tone.Invalid.New("there is no booking %s", op.Cancel)
+			return apierror.Invalid.New("there is no booking %s", op.Cancel)
 		}
 	default:
-		return tone.Invalid.New("nothing to change")
+		return apierror.Invalid.New("nothing to change")
 	}
 	if added > 0 && len(k.All)+added > allMost {
-		return tone.Invalid.New("there are %d bookings already, %d are allowed", len(k.All), allMost)
+		return apierror.Invalid.New("there are %d bookings already, %d are allowed", len(k.All), allMost)
 	}
 	return nil
 }
--- a/internal/booking/dealer.go
+++ b/internal/control/reservation/dealer.go
@@ -1,4 +1,4 @@
-package booking
+package reservation
 
 import (
 	"cmp"
@@ -281,7 +281,7 @@
 	until time.Duration
 }
 
-// Follow takes the home exchange's word on the term that rooms are dealt under. Leases of former ones are refused from
+// Follow takes the home controller's word on the term that rooms are dealt under. Leases of former ones are refused from
 // then on: the new dealer may count on what it is told here.
 func (h *Held) Follow(term uint64) { h.term = max(h.term, term) }
 
--- a/internal/booking/gate.go
+++ b/internal/control/reservation/gate.go
@@ -1,4 +1,4 @@
-package booking
+package reservation
 
 import (
 	"math"
--- a/internal/booking/booking_test.go
+++ b/internal/control/reservation/reservation_test.go
@@ -1,4 +1,4 @@
-package booking_test
+package reservation_test
 
 import (
 	"fmt"
@@ -9,48 +9,48 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/platform/apierror"
 )
 
-func room(id string, start, end, slots float64) booking.Booking {
-	return booking.Booking{ID: id, Tenant: "toll.example", Service: "ledger", Start: start, End: end, Slots: slots, Owner: "hall"}
+func room(id string, start, end, slots float64) reservation.Booking {
+	return reservation.Booking{ID: id, Tenant: "toll.example", Service: "ledger", Start: start, End: end, Slots: slots, Owner: "hall"}
 }
 
-func put(b booking.Booking, base uint64, now float64) booking.Op {
-	return booking.Op{Call: fmt.Sprint(b.ID, base), Base: base, Puts: []booking.Booking{b}, Now: now}
+func put(b reservation.Booking, base uint64, now float64) reservation.Op {
+	return reservation.Op{Call: fmt.Sprint(b.ID, base), Base: base, Puts: []reservation.Booking{b}, Now: now}
 }
 
 func TestBook(t *testing.T) {
 	g := NewWithT(t)
-	k := booking.NewBook()
+	k := reservation.NewBook()
 	first := put(room("a", 100, 200, 10), 0, 0)
 	g.Expect(k.Apply(first)).To(Succeed())
 	g.Expect(k.Apply(first)).To(Succeed(), "the same call again")
 	g.Expect(k.Version).To(BeEquivalentTo(1))
-	g.Expect(tone.For(k.Apply(put(room("b", 100, 200, 10), 0, 0))).Status).To(Equal(412), "two on one version: one wins")
-	for _, bad := range []booking.Booking{room("", 1, 2, 3), room("x", 2, 2, 3), room("x", 1, 2, 0), room("x", 1, math.NaN(), 3), room("x", 1, 2, math.Inf(1)), room("x", 1, 2, 1)} {
-		g.Expect(tone.For(k.Apply(put(bad, 1, 5))).Status).To(Equal(400), "%+v", bad)
+	g.Expect(apierror.For(k.Apply(put(room("b", 100, 200, 10), 0, 0))).Status).To(Equal(412), "two on one version: one wins")
+	for _, bad := range []reservation.Booking{room("", 1, 2, 3), room("x", 2, 2, 3), room("x", 1, 2, 0), room("x", 1, math.NaN(), 3), room("x", 1, 2, math.Inf(1)), room("x", 1, 2, 1)} {
+		g.Expect(apierror.For(k.Apply(put(bad, 1, 5))).Status).To(Equal(400), "%+v", bad)
 	}
-	g.Expect(k.Apply(booking.Op{Call: "c", Base: 1, Cancel: "a", Now: 150})).To(Succeed(), "in the middle of its hour")
+	g.Expect(k.Apply(reservation.Op{Call: "c", Base: 1, Cancel: "a", Now: 150})).To(Succeed(), "in the middle of its hour")
 	g.Expect(k.All).To(BeEmpty())
-	g.Expect(k.Gone[0].How).To(Equal(booking.Cancelled))
+	g.Expect(k.Gone[0].How).To(Equal(reservation.Cancelled))
 	g.Expect(k.Apply(put(room("d", 100, 200, 1), 2, 150))).To(Succeed())
 	g.Expect(k.Apply(put(room("e", 300, 400, 1), 3, 250))).To(Succeed())
-	g.Expect(k.Gone[1].How).To(Equal(booking.Expired))
+	g.Expect(k.Gone[1].How).To(Equal(reservation.Expired))
 }
 
 // Two bookings that fit alone, the loss of a zone, and five hundred of them: what is said to be possible is, and no more.
 func TestWhatCouldBeKept(t *testing.T) {
 	g := NewWithT(t)
-	carry := booking.Carry{"x": 10, "y": 12, "z": 8}
-	both := []booking.Booking{room("a", 100, 200, 12), room("b", 150, 250, 12)}
-	isShort, id, could := booking.NewBook().Short(both, map[string]booking.Carry{"ledger": carry})
+	carry := reservation.Carry{"x": 10, "y": 12, "z": 8}
+	both := []reservation.Booking{room("a", 100, 200, 12), room("b", 150, 250, 12)}
+	isShort, id, could := reservation.NewBook().Short(both, map[string]reservation.Carry{"ledger": carry})
 	g.Expect(isShort).To(BeTrue(), "each fits alone")
 	g.Expect(id).To(Equal("b"))
 	g.Expect(could).To(BeNumerically("~", 6, 1e-6))
 	g.Expect(carry.Least()).To(Equal(18.0), "whatever zone is lost")
-	k := booking.NewBook()
+	k := reservation.NewBook()
 	g.Expect(k.Apply(put(room("a", 100, 200, 12), 0, 0))).To(Succeed())
 	g.Expect(k.Could(room("b", 150, 250, 12), carry)).To(BeNumerically("~", 6, 1e-6), "both fit alone")
 	g.Expect(k.Could(room("b", 200, 250, 12), carry)).To(BeNumerically("~", 18, 1e-6))
@@ -68,25 +68,25 @@
 		g.Expect(k.Endangered("ledger", carry, at)).To(BeEmpty())
 	}
 	g.Expect(len(k.All)).To(BeNumerically(">", 400))
-	short := k.Endangered("ledger", booking.Carry{"x": 1, "y": 1}, 150)
+	short := k.Endangered("ledger", reservation.Carry{"x": 1, "y": 1}, 150)
 	g.Expect(short).To(HaveKeyWithValue("a", 11.0))
 }
 
 func TestWhoGivesWayIsDecidedByRank(t *testing.T) {
 	g := NewWithT(t)
-	k := booking.NewBook()
+	k := reservation.NewBook()
 	for i, id := range []string{"later", "first", "low"} {
 		b := room(id, 100-float64(i), 200, 10)
 		b.Rank = i / 2
 		g.Expect(k.Apply(put(b, uint64(i), 0))).To(Succeed())
 	}
-	short := k.Endangered("ledger", booking.Carry{"x": 8, "y": 7, "z": 8}, 150)
+	short := k.Endangered("ledger", reservation.Carry{"x": 8, "y": 7, "z": 8}, 150)
 	g.Expect(short).To(Equal(map[string]float64{"later": 5, "low": 10}))
 }
 
 // edge is a process with a clock of its own.
 type edge struct {
-	held   booking.Held
+	held   reservation.Held
 	offset time.Duration
 	frozen time.Duration
 	dead   bool // and never comes back
@@ -96,7 +96,7 @@
 
 // leader deals under a term until another one leads, and at most for as long after that as a proof that it leads is good.
 type leader struct {
-	*booking.Dealer
+	*reservation.Dealer
 	until time.Duration
 }
 
@@ -107,12 +107,12 @@
 	for seed := range uint64(120) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		whole, rest := 1+rng.IntN(40), rng.IntN(30)
-		rooms := []booking.Room{{ID: "b", Service: "s", Slots: whole}, {ID: booking.Rest("s"), Service: "s", Slots: rest}}
-		leaders := []*leader{{booking.NewDealer(1, 0), 1 << 60}}
+		rooms := []reservation.Room{{ID: "b", Service: "s", Slots: whole}, {ID: reservation.Rest("s"), Service: "s", Slots: rest}}
+		leaders := []*leader{{reservation.NewDealer(1, 0), 1 << 60}}
 		leaders[0].Plan(rooms, 0)
 		edges := make([]*edge, 2+rng.IntN(8))
 		for i := range edges {
-			edges[i] = &edge{held: booking.Held{Life: uint64(i + 1)}, offset: time.Duration(rng.IntN(7200)) * time.Second, load: rng.IntN(8)}
+			edges[i] = &edge{held: reservation.Held{Life: uint64(i + 1)}, offset: time.Duration(rng.IntN(7200)) * time.Second, load: rng.IntN(8)}
 		}
 		type letter struct {
 			at time.Duration
@@ -140,8 +140,8 @@
 			mail = rest
 			if !calm && rng.IntN(60) == 0 {
 				last := leaders[len(leaders)-1]
-				last.until = now + time.Duration(rng.Int64N(int64(booking.Confirmed)))
-				next := &leader{booking.NewDealer(last.Term()+1, now), 1 << 60}
+				last.until = now + time.Duration(rng.Int64N(int64(reservation.Confirmed)))
+				next := &leader{reservation.NewDealer(last.Term()+1, now), 1 << 60}
 				next.Plan(rooms, now)
 				leaders = append(leaders, next)
 			}
@@ -155,7 +155,7 @@
 						e.frozen = now + time.Duration(rng.IntN(5000))*time.Millisecond
 						continue
 					case 1:
-						e.held, e.offset = booking.Held{Life: e.held.Life + 100}, time.Duration(rng.IntN(7200))*time.Second
+						e.held, e.offset = reservation.Held{Life: e.held.Life + 100}, time.Duration(rng.IntN(7200))*time.Second
 					case 2:
 						e.load = rng.IntN(60)
 					case 3:
@@ -165,7 +165,7 @@
 				if now%(250*time.Millisecond) == 0 && (calm || rng.IntN(4) > 0) {
 					term := leaders[max(0, len(leaders)-1-btoi(!calm && rng.IntN(3) == 0))].Term() // as its home knows it
 					e.held.Follow(term)
-					word := e.held.Word(map[string]int{"b": e.load, booking.Rest("s"): e.load / 2}, now+e.offset)
+					word := e.held.Word(map[string]int{"b": e.load, reservation.Rest("s"): e.load / 2}, now+e.offset)
 					for _, d := range leaders {
 						at := now + delay()
 						mail = append(mail, letter{at, -1, func() { d.Heard(fmt.Sprint(i), word, at) }})
@@ -216,9 +216,9 @@
 // none of them away.
 func TestPartsFollowTheTraffic(t *testing.T) {
 	g := NewWithT(t)
-	d := booking.NewDealer(1, -time.Minute)
-	d.Plan([]booking.Room{{ID: "b", Service: "s", Slots: 20}}, 0)
-	edges := make([]booking.Held, 10)
+	d := reservation.NewDealer(1, -time.Minute)
+	d.Plan([]reservation.Room{{ID: "b", Service: "s", Slots: 20}}, 0)
+	edges := make([]reservation.Held, 10)
 	load := 2
 	for now := time.Duration(0); now <= 5*time.Second; now += 250 * time.Millisecond {
 		for i := range edges {
@@ -239,7 +239,7 @@
 		switch {
 		case now == 2*time.Second:
 			load = 20
-			gate := booking.NewGate()
+			gate := reservation.NewGate()
 			gate.Part("b", part, 20, full)
 			for range load {
 				_, ok := gate.Admit("b")
@@ -256,10 +256,10 @@
 // an edge holds that was not heard yet isn't dealt again.
 func TestANewDealerTakesNothingAway(t *testing.T) {
 	g := NewWithT(t)
-	rooms := []booking.Room{{ID: "b", Service: "s", Slots: 20}}
-	edges := make([]booking.Held, 4)
+	rooms := []reservation.Room{{ID: "b", Service: "s", Slots: 20}}
+	edges := make([]reservation.Held, 4)
 	wants := []int{5, 5, 5, 5}
-	turn := func(d *booking.Dealer, now time.Duration, heard int) (parts []int) {
+	turn := func(d *reservation.Dealer, now time.Duration, heard int) (parts []int) {
 		for i := range edges[:heard] {
 			edges[i].Life = uint64(i + 1)
 			edges[i].Follow(d.Term())
@@ -276,10 +276,10 @@
 		}
 		return parts
 	}
-	first := booking.NewDealer(1, -time.Minute)
+	first := reservation.NewDealer(1, -time.Minute)
 	first.Plan(rooms, 0)
 	g.Expect(turn(first, 0, 4)).To(Equal([]int{5, 5, 5, 5}))
-	second := booking.NewDealer(2, time.Second)
+	second := reservation.NewDealer(2, time.Second)
 	second.Plan(rooms, time.Second)
 	wants = []int{15, 0, 0, 0}
 	g.Expect(turn(second, time.Second, 3)).To(Equal([]int{5, 0, 0, 5}), "two give theirs up")
@@ -292,7 +292,7 @@
 // One planner's clock is two hours ahead: the core's time is as the others say.
 func TestOneClockDecidesNothing(t *testing.T) {
 	g := NewWithT(t)
-	c := booking.NewClock()
+	c := reservation.NewClock()
 	c.Heard("a", 1000, 10*time.Second)
 	c.Heard("b", 1001, 10*time.Second)
 	c.Heard("c", 8200, 10*time.Second)
@@ -305,18 +305,18 @@
 // Rooms open ahead of their time, in whole slots, and never hold more than there is; what gives way is decided by rank.
 func TestRoomsAsTheyAreHeld(t *testing.T) {
 	g := NewWithT(t)
-	k := booking.NewBook()
+	k := reservation.NewBook()
 	low := room("low", 100, 200, 12)
 	low.Rank = 1
 	g.Expect(k.Apply(put(low, 0, 0))).To(Succeed())
 	g.Expect(k.Apply(put(room("high", 100, 200, 12), 1, 0))).To(Succeed())
-	carry := map[string]booking.Carry{"ledger": {"x": 10, "y": 8}}
+	carry := map[string]reservation.Carry{"ledger": {"x": 10, "y": 8}}
 	g.Expect(k.Rooms(carry, 94)).To(BeEmpty())
 	slots := map[string]int{}
 	for _, r := range k.Rooms(carry, 96) {
 		slots[r.ID] = r.Slots
 	}
-	g.Expect(slots).To(Equal(map[string]int{"high": 12, "low": 6, booking.Rest("ledger"): 0}))
+	g.Expect(slots).To(Equal(map[string]int{"high": 12, "low": 6, reservation.Rest("ledger"): 0}))
 	g.Expect(k.Rooms(carry, 201)).To(BeEmpty())
 }
 
@@ -327,7 +327,7 @@
 		over, asked, lent := 0, 0, 0
 		for seed := range uint64(25) {
 			rng := rand.New(rand.NewPCG(seed, 9))
-			gate := booking.NewGate() // room for 40, of which 20 are booked
+			gate := reservation.NewGate() // room for 40, of which 20 are booked
 			gate.Part("b", 20, 20, true)
 			gate.Others(20, 20, true)
 			type running struct {
--- a/internal/daybook/daybook.go
+++ b/internal/control/statemachine/statemachine.go
@@ -1,6 +1,7 @@
-// Package daybook is what the entries of the agreement lead to: the configuration, the calls that brought it there, and the
-// book of bookings. It is a value fed with entries; every planner that applies the same comes to the same.
-package daybook
+// Package statemachine is the replicated state that the entries of the consensus log lead to: the configuration, the calls
+// that brought it there, and the book of bookings. It is a value fed with entries; every controller that applies the same
+// comes to the same.
+package statemachine
 
 import (
 	"crypto/sha256"
@@ -9,10 +10,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Change is a call of an operator, as the agreement's history holds it.
@@ -21,7 +22,7 @@
 	Patch bool   `cbor:"2,keyasint,omitempty"`
 	Body  []byte `cbor:"3,keyasint"`
 
-	Book *booking.Op `cbor:"4,keyasint,omitempty"` // instead: a change of the book
+	Book *reservation.Op `cbor:"4,keyasint,omitempty"` // instead: a change of the book
 }
 
 // digest tells calls apart: the same call again has the same.
@@ -47,15 +48,15 @@
 
 // Daybook is the state after some entries. Its fields are to be read.
 type Daybook struct {
-	Config *dialplan.Config // nil before the first
-	Book   *booking.Book
+	Config *config.Config // nil before the first
+	Book   *reservation.Book
 	Taken  []Taken // oldest first
 	Index  uint64  // of the last entry
 	Since  int     // entries since the last snapshot
 }
 
 // New makes an empty one.
-func New() *Daybook { return &Daybook{Book: booking.NewBook()} }
+func New() *Daybook { return &Daybook{Book: reservation.NewBook()} }
 
 // Version is that of the configuration; 0: there is none yet.
 func (h *Daybook) Version() uint64 {
@@ -72,7 +73,7 @@
 }
 
 // Apply takes an entry. Every planner comes to the same outcome, so that a refused change is refused everywhere.
-func (h *Daybook) Apply(e agreement.Entry) (applied *Change, err error) {
+func (h *Daybook) Apply(e consensus.Entry) (applied *Change, err error) {
 	h.Index = e.Index
 	h.Since++
 	if len(e.Data) == 0 {
@@ -80,7 +81,7 @@
 	}
 	var c Change
 	if err := cbor.Unmarshal(e.Data, &c); err != nil {
-		return nil, tone.Invalid.Wrap(err, "entry %d", e.Index)
+		return nil, apierror.Invalid.Wrap(err, "entry %d", e.Index)
 	}
 	if c.Book != nil {
 		return nil, h.Book.Apply(*c.Book)
@@ -89,7 +90,7 @@
 		return nil, nil // the same call again, after an answer that was lost
 	}
 	if c.Base != h.Version() {
-		return nil, tone.Stale.New("built on %s, current is %s", dialplan.Version(c.Base), dialplan.Version(h.Version()))
+		return nil, apierror.Stale.New("built on %s, current is %s", config.Version(c.Base), config.Version(h.Version()))
 	}
 	next, err := h.Check(c)
 	if err != nil {
@@ -102,16 +103,16 @@
 }
 
 // Check gives the configuration that a change would lead to.
-func (h *Daybook) Check(c Change) (*dialplan.Config, error) {
+func (h *Daybook) Check(c Change) (*config.Config, error) {
 	if c.Patch {
 		if h.Config == nil {
-			return nil, tone.Stale.New("there is no configuration to change")
+			return nil, apierror.Stale.New("there is no configuration to change")
 		}
 		return h.Config.Patch(c.Body)
 	}
-	next, err := dialplan.Parse(c.Body)
+	next, err := config.Parse(c.Body)
 	if err == nil && uint64(next.Version) <= h.Version() {
-		err = tone.Invalid.New("version %s is not above %s", next.Version, dialplan.Version(h.Version()))
+		err = apierror.Invalid.New("version %s is not above %s", next.Version, config.Version(h.Version()))
 	}
 	return next, err
 }
@@ -120,7 +121,7 @@
 	Config []byte  `cbor:"1,keyasint,omitempty"`
 	Taken  []Taken `cbor:"2,keyasint,omitempty"`
 
-	Book *booking.Book `cbor:"3,keyasint,omitempty"`
+	Book *reservation.Book `cbor:"3,keyasint,omitempty"`
 }
 
 // Save is the snapshot of a history.
@@ -139,17 +140,17 @@
 }
 
 // Restore takes a snapshot over.
-func (h *Daybook) Restore(s agreement.Snapshot) error {
+func (h *Daybook) Restore(s consensus.Snapshot) error {
 	var saved savedHistory
 	if err := cbor.Unmarshal(s.Data, &saved); err != nil {
 		return err
 	}
-	next := Daybook{Taken: saved.Taken, Index: s.Index, Book: booking.NewBook()}
+	next := Daybook{Taken: saved.Taken, Index: s.Index, Book: reservation.NewBook()}
 	if saved.Book != nil {
 		next.Book = saved.Book
 	}
 	if saved.Config != nil {
-		config, err := dialplan.Parse(saved.Config)
+		config, err := config.Parse(saved.Config)
 		if err != nil {
 			return err
 		}
--- a/internal/huntgroup/huntgroup.go
+++ b/internal/control/weights/weights.go
@@ -1,7 +1,8 @@
-// Package huntgroup decides in what shares each edge's requests hunt over a service's lines: one controller of the decision
-// module a service, fed with the directory, the configuration and what the edges of one planner report. What it orders
-// goes to the edges merged, and the next changes wait for their answers. It is a value fed with events; time is handed in.
-package huntgroup
+// Package weights decides in what shares each edge's requests go to a service's servers: one controller of the decision
+// module (rules) a service, fed with the registry, the configuration and what the edges of one controller process report.
+// What it orders goes to the edges merged, and the next changes wait for their answers. It is a value fed with events;
+// time is handed in.
+package weights
 
 import (
 	"cmp"
@@ -9,9 +10,9 @@
 	"slices"
 	"time"
 
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/peer"
 	"mulleinwood/rules"
 )
 
@@ -22,9 +23,9 @@
 	seed      uint64
 	instances func() int
 	log       func(service, note string)
-	config    *dialplan.Config
+	config    *config.Config
 	edges     map[string]string // zones, by edge
-	servers   map[string]directory.Entry
+	servers   map[string]registry.Entry
 	services  map[string]*table
 	met       uint64 // services so far
 	nextLook  time.Duration
@@ -33,7 +34,7 @@
 // Others are what the edges of the other planners bring.
 type Others struct {
 	Edges int
-	Usual []trunk.Zoned
+	Usual []peer.Zoned
 }
 
 type table struct {
@@ -53,7 +54,7 @@
 
 const (
 	reportPeriod  = 1000.0 // milliseconds, between an edge's reports
-	channelWide   = 1e6    // lines: an exchange's links to its edges bound nothing
+	channelWide   = 1e6    // lines: a controller's links to its edges bound nothing
 	warmupLongest = 30000.0
 	tableLook     = 250 * time.Millisecond
 )
@@ -61,7 +62,7 @@
 // New makes the groups of a planner in a zone. Instances is how many planners there are, as known when a service is met.
 func New(zone string, zones []string, seed uint64, instances func() int, log func(service, note string)) *Groups {
 	t := &Groups{zone: zone, zones: slices.Sorted(slices.Values(zones)), seed: seed, instances: instances, log: log,
-		edges: map[string]string{}, servers: map[string]directory.Entry{}, services: map[string]*table{}}
+		edges: map[string]string{}, servers: map[string]registry.Entry{}, services: map[string]*table{}}
 	if len(t.zones) == 0 {
 		t.zones = []string{zone}
 	}
@@ -137,23 +138,23 @@
 }
 
 // Changed takes news of servers.
-func (t *Groups) Changed(news []directory.Entry, now time.Duration) {
+func (t *Groups) Changed(news []registry.Entry, now time.Duration) {
 	for _, e := range news {
 		if e.Service == "" {
 			continue
 		}
 		s := t.of(e.Service)
-		if t.servers[e.ID] = e; e.State == directory.Gone {
+		if t.servers[e.ID] = e; e.State == registry.Gone {
 			delete(t.servers, e.ID)
 		}
 		s.changed(t, e, now)
 	}
 }
 
-func (s *table) changed(t *Groups, e directory.Entry, now time.Duration) {
+func (s *table) changed(t *Groups, e registry.Entry, now time.Duration) {
 	id, ok := s.ids[e.ID]
 	if !ok {
-		if e.State == directory.Gone {
+		if e.State == registry.Gone {
 			return
 		}
 		s.nextID++
@@ -162,9 +163,9 @@
 	}
 	state := rules.Ready
 	switch {
-	case e.State == directory.Gone || e.Silent:
+	case e.State == registry.Gone || e.Silent:
 		state = rules.Gone
-	case e.State == directory.Draining:
+	case e.State == registry.Draining:
 		state = rules.Draining
 	}
 	started := 0.0
@@ -173,7 +174,7 @@
 	}
 	s.events = append(s.events, rules.List{Kind: rules.ListChanges, Servers: []rules.Server{{ID: id, Weight: float64(e.Capacity),
 		Zone: t.at(e.Zone), State: state, StartedAt: started}}})
-	if e.State == directory.Gone {
+	if e.State == registry.Gone {
 		s.events = append(s.events, rules.Forgotten{Server: id})
 		delete(s.ids, e.ID)
 		delete(s.names, id)
@@ -184,17 +185,17 @@
 }
 
 // Configured follows a new configuration: services that it doesn't know any more are forgotten.
-func (t *Groups) Configured(c *dialplan.Config) {
+func (t *Groups) Configured(c *config.Config) {
 	t.config = c
 	for name := range t.services {
-		if !slices.ContainsFunc(c.Services, func(s *dialplan.Service) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(c.Services, func(s *config.Service) bool { return s.Name == name }) {
 			delete(t.services, name)
 		}
 	}
 }
 
 // Report takes what an edge saw. Service names the service of a server that is known.
-func (t *Groups) Report(edge string, r *trunk.Report, service func(server string) (string, bool)) {
+func (t *Groups) Report(edge string, r *peer.Report, service func(server string) (string, bool)) {
 	period := max(1, r.Period*1000)
 	for _, m := range r.Met {
 		name, known := service(m.Server)
@@ -244,12 +245,12 @@
 }
 
 // Mine is what this planner's edges bring, by service and zone.
-func (t *Groups) Mine() (all []trunk.Zoned) {
+func (t *Groups) Mine() (all []peer.Zoned) {
 	for _, name := range t.names() {
 		own, _ := t.services[name].control.Mine()
 		for z, rate := range own.Usual {
 			if rate > 0.05 {
-				all = append(all, trunk.Zoned{Service: name, Zone: t.zones[z], Rate: float64(int(rate*10)) / 10})
+				all = append(all, peer.Zoned{Service: name, Zone: t.zones[z], Rate: float64(int(rate*10)) / 10})
 			}
 		}
 	}
@@ -257,13 +258,13 @@
 }
 
 // Tick lets the controllers look, if it is time, and gives what they order, by edge. Others are told by those who know them.
-func (t *Groups) Tick(now time.Duration, others func() []Others) map[string]*trunk.Weights {
+func (t *Groups) Tick(now time.Duration, others func() []Others) map[string]*peer.Weights {
 	if now < t.nextLook {
 		return nil
 	}
 	elsewhere := others()
 	t.nextLook = now + tableLook
-	orders := map[string]*trunk.Weights{}
+	orders := map[string]*peer.Weights{}
 	for _, name := range t.names() {
 		s := t.services[name]
 		part := rules.Part{Channel: 1, Usual: make([]float64, len(t.zones)), Demands: []float64{0}}
@@ -282,19 +283,19 @@
 		s.follow(t, actions, orders)
 	}
 	for _, w := range orders {
-		slices.SortFunc(w.Lines, func(a, b trunk.Weight) int { return cmp.Compare(a.Server, b.Server) })
+		slices.SortFunc(w.Lines, func(a, b peer.Weight) int { return cmp.Compare(a.Server, b.Server) })
 	}
 	return orders
 }
 
 // follow turns a controller's actions into what edges are sent.
-func (s *table) follow(t *Groups, actions []rules.Action, orders map[string]*trunk.Weights) {
+func (s *table) follow(t *Groups, actions []rules.Action, orders map[string]*peer.Weights) {
 	touched := map[string]bool{}
-	to := func(id rules.ProxyID) *trunk.Weights {
+	to := func(id rules.ProxyID) *peer.Weights {
 		ip := s.ips[id]
 		touched[ip] = true
 		if orders[ip] == nil {
-			orders[ip] = &trunk.Weights{}
+			orders[ip] = &peer.Weights{}
 		}
 		return orders[ip]
 	}
@@ -303,7 +304,7 @@
 		case rules.SetWeight:
 			w, name := to(rules.ProxyID(a.Table)), s.names[a.Server]
 			if name != "" {
-				w.Lines = append(w.Lines, trunk.Weight{Server: name, Weight: a.Weight})
+				w.Lines = append(w.Lines, peer.Weight{Server: name, Weight: a.Weight})
 				held := s.weights[s.ips[rules.ProxyID(a.Table)]]
 				if held[name] = a.Weight; a.Weight <= 0 {
 					delete(held, name)
@@ -314,8 +315,8 @@
 			w := to(a.Proxy)
 			w.Whole = append(w.Whole, s.service)
 			for name, weight := range s.weights[ip] {
-				if weight > 0 && !slices.ContainsFunc(w.Lines, func(l trunk.Weight) bool { return l.Server == name }) {
-					w.Lines = append(w.Lines, trunk.Weight{Server: name, Weight: weight})
+				if weight > 0 && !slices.ContainsFunc(w.Lines, func(l peer.Weight) bool { return l.Server == name }) {
+					w.Lines = append(w.Lines, peer.Weight{Server: name, Weight: weight})
 				}
 			}
 		case rules.Mark:
--- a/internal/huntgroup/huntgroup_test.go
+++ b/internal/control/weights/weights_test.go
@@ -1,4 +1,4 @@
-package huntgroup_test
+package weights_test
 
 import (
 	"fmt"
@@ -7,17 +7,17 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/peer"
 )
 
 const step = 250 * time.Millisecond
 
 // planner plays the groups' owner: it passes orders on to edges that answer at once, and asks as edges do.
 type planner struct {
-	*huntgroup.Groups
+	*weights.Groups
 	now  time.Duration
 	held map[string]map[string]float64
 	of   map[string]string
@@ -25,14 +25,14 @@
 
 func newPlanner() *planner {
 	p := &planner{held: map[string]map[string]float64{}, of: map[string]string{}}
-	p.Groups = huntgroup.New("a", []string{"a", "b"}, 1, func() int { return 3 }, func(string, string) {})
+	p.Groups = weights.New("a", []string{"a", "b"}, 1, func() int { return 3 }, func(string, string) {})
 	return p
 }
 
-func (p *planner) server(service string, n int, state directory.State) {
+func (p *planner) server(service string, n int, state registry.State) {
 	id := fmt.Sprint(service, "-", n)
 	p.of[id] = service
-	p.Changed([]directory.Entry{{ID: id, Service: service, Address: id, Zone: "a", Capacity: 2, State: state}}, p.now)
+	p.Changed([]registry.Entry{{ID: id, Service: service, Address: id, Zone: "a", Capacity: 2, State: state}}, p.now)
 }
 
 // runs lets time pass; each second edges say what they met, by the latency of each server.
@@ -40,16 +40,16 @@
 	for end := p.now + span; p.now < end; p.now += step {
 		if p.now%time.Second == 0 {
 			for edge := range p.held {
-				r := &trunk.Report{Period: 1, Asked: []trunk.Asked{{Service: "tags", Requests: 40}}}
+				r := &peer.Report{Period: 1, Asked: []peer.Asked{{Service: "tags", Requests: 40}}}
 				for id := range p.of {
 					if s := latency(id); s > 0 {
-						r.Met = append(r.Met, trunk.Met{Server: id, Tries: 10, Time: 10 * s})
+						r.Met = append(r.Met, peer.Met{Server: id, Tries: 10, Time: 10 * s})
 					}
 				}
 				p.Report(edge, r, func(id string) (string, bool) { s, ok := p.of[id]; return s, ok })
 			}
 		}
-		for edge, w := range p.Tick(p.now, func() []huntgroup.Others { return nil }) {
+		for edge, w := range p.Tick(p.now, func() []weights.Others { return nil }) {
 			for _, service := range w.Whole {
 				for id := range p.held[edge] {
 					if p.of[id] == service {
@@ -60,7 +60,7 @@
 			for _, l := range w.Lines {
 				p.held[edge][l.Server] = l.Weight
 			}
-			p.Report(edge, &trunk.Report{Applied: w.Marks}, func(string) (string, bool) { return "", false })
+			p.Report(edge, &peer.Report{Applied: w.Marks}, func(string) (string, bool) { return "", false })
 		}
 	}
 }
@@ -76,7 +76,7 @@
 	g := NewWithT(t)
 	p := newPlanner()
 	for n := range 4 {
-		p.server("tags", n, directory.Ready)
+		p.server("tags", n, registry.Ready)
 	}
 	p.join("e-1")
 	p.runs(5*time.Second, even)
@@ -88,7 +88,7 @@
 		return 0.1
 	})
 	g.Expect(p.held["e-1"]["tags-3"]).To(BeNumerically("<", 0.8*p.held["e-1"]["tags-0"]))
-	p.server("tags", 0, directory.Draining)
+	p.server("tags", 0, registry.Draining)
 	p.runs(time.Second, even)
 	g.Expect(p.held["e-1"]["tags-0"]).To(BeZero(), "it leaves, and is out of the table")
 }
@@ -98,34 +98,34 @@
 	g := NewWithT(t)
 	p := newPlanner()
 	for n := range 3 {
-		p.server("tags", n, directory.Ready)
+		p.server("tags", n, registry.Ready)
 	}
 	p.join("e-1")
 	p.runs(5*time.Second, even)
 	p.Leave("e-1")
-	p.server("tags", 2, directory.Gone)
+	p.server("tags", 2, registry.Gone)
 	p.runs(time.Second, even)
 	p.join("e-1")
 	p.runs(time.Second, even)
 	g.Expect(p.held["e-1"]).To(HaveLen(2))
-	p.server("tags", 3, directory.Ready)
+	p.server("tags", 3, registry.Ready)
 	p.runs(5*time.Second, even)
 	g.Expect(p.held["e-1"]).To(HaveKey("tags-3"))
 }
 
 // A configuration drops a service and a later one has it again, while its servers were there all the time: nothing is news
-// to the directory, and the tables have to know them all the same.
+// to the registry, and the tables have to know them all the same.
 func TestAServiceThatComesBackHasItsServers(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner()
 	for n := range 3 {
-		p.server("tags", n, directory.Ready)
+		p.server("tags", n, registry.Ready)
 	}
 	p.join("e-1")
 	p.runs(5*time.Second, even)
-	p.Configured(&dialplan.Config{})
+	p.Configured(&config.Config{})
 	p.runs(time.Second, even)
-	p.Configured(&dialplan.Config{Services: []*dialplan.Service{{Name: "tags"}}})
+	p.Configured(&config.Config{Services: []*config.Service{{Name: "tags"}}})
 	p.held["e-1"] = map[string]float64{}
 	p.Leave("e-1")
 	p.join("e-1")
--- a/internal/testdesk/book.go
+++ b/internal/demo/book.go
@@ -1,4 +1,4 @@
-package testdesk
+package demo
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// booking calls an exchange on booked room, and another one while it can't answer; a client follows to the leader.
+// booking calls a controller on booked room, and another one while it can't answer; a client follows to the leader.
 func (d *Desk) booking(method, path, match, body string) (status int, said map[string]any, err error) {
 	for _, at := range d.seeds {
 		var req *http.Request
--- a/internal/testdesk/desk.go
+++ b/internal/demo/desk.go
@@ -1,4 +1,4 @@
-package testdesk
+package demo
 
 import (
 	"bytes"
@@ -16,10 +16,10 @@
 	"syscall"
 	"time"
 
-	"mulleinwood/internal/boot"
+	"mulleinwood/internal/platform/nodesettings"
 )
 
-// Desk is a gateway of three exchanges and two crossbars, each a process of its own on its own loopback address.
+// Desk is a gateway of three controllers and two edges, each a process of its own on its own loopback address.
 type Desk struct {
 	Dir  string // holds settings, disks and logs
 	Bin  string // holds the programs
@@ -47,7 +47,7 @@
 )
 
 func (d *Desk) settings(name, role, ip string, first bool) string {
-	exchange := role == "exchange"
+	exchange := role == "controller"
 	data, listen := "null", fmt.Sprintf("  front: %q\n  readiness: %q\n", address(ip, frontPort), address(ip, readinessPort))
 	if exchange {
 		data, listen = fmt.Sprintf("%q", filepath.Join(d.Dir, name)), fmt.Sprintf("  control: %q\n", address(ip, controlPort))
@@ -69,12 +69,12 @@
 		d.seeds = append(d.seeds, address(ip, controlPort))
 	}
 	for i, ip := range exchanges {
-		if err := d.launch(fmt.Sprintf("exchange-%d", i+1), "exchange", ip); err != nil {
+		if err := d.launch(fmt.Sprintf("controller-%d", i+1), "controller", ip); err != nil {
 			return err
 		}
 	}
 	for i, ip := range []string{"127.0.61.11", "127.0.61.12"} {
-		if err := d.launch(fmt.Sprintf("crossbar-%d", i+1), "crossbar", ip); err != nil {
+		if err := d.launch(fmt.Sprintf("edge-%d", i+1), "edge", ip); err != nil {
 			return err
 		}
 	}
@@ -132,7 +132,7 @@
 		return err
 	}
 	cmd := exec.Command(filepath.Join(d.Bin, role))
-	cmd.Env = append(os.Environ(), boot.Variable+"="+path)
+	cmd.Env = append(os.Environ(), nodesettings.Variable+"="+path)
 	cmd.Stdout, cmd.Stderr = log, log
 	if d.Tail {
 		cmd.Stdout, cmd.Stderr = d.Out, d.Out
@@ -273,7 +273,7 @@
 	return nil
 }
 
-// Status reads an exchange's view.
+// Status reads a controller's view.
 func (d *Desk) Status() (map[string]any, error) {
 	resp, err := http.Get("http://" + d.seeds[0] + "/status")
 	if err != nil {
@@ -284,12 +284,12 @@
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
-// Stop ends all in order: edges, servers, exchanges; each program has to end with code 0.
+// Stop ends all in order: edges, servers, controllers; each program has to end with code 0.
 func (d *Desk) Stop() error {
 	var first error
 	for i := len(d.procs) - 1; i >= 0; i-- {
 		p := d.procs[i]
-		if strings.HasPrefix(p.name, "exchange") && len(d.servers) > 0 {
+		if strings.HasPrefix(p.name, "controller") && len(d.servers) > 0 {
 			for _, s := range d.servers {
 				s.Stop()
 			}
--- a/internal/testdesk/server.go
+++ b/internal/demo/server.go
@@ -1,6 +1,6 @@
-// Package testdesk is a gateway on one machine for trying it out and for CI: stand-in servers that beat and answer by
+// Package demo is a gateway on one machine for trying it out and for CI: stand-in servers that beat and answer by
 // the published protocol, the programs as processes on loopback addresses, and requests of each kind.
-package testdesk
+package demo
 
 import (
 	"bytes"
@@ -65,7 +65,7 @@
 	}
 }
 
-// call tells an exchange, the one it was pointed to first.
+// call tells a controller, the one it was pointed to first.
 func (s *Server) call(ctx context.Context, method string) bool {
 	state := "ready"
 	if s.draining.Load() {
@@ -155,7 +155,7 @@
 	return all
 }
 
-// Drain says that the server is leaving, and whether an exchange acknowledged it.
+// Drain says that the server is leaving, and whether a controller acknowledged it.
 func (s *Server) Drain() bool {
 	s.draining.Store(true)
 	return s.call(context.Background(), http.MethodPut)
--- a/internal/cord/cord.go
+++ b/internal/edge/attempt/attempt.go
@@ -1,7 +1,7 @@
-// Package cord follows one request from server to server. It holds the one table from what came of a try to what is known
-// of it, and decides whether another try may follow: what must not run twice goes elsewhere only on proof that it never
-// ran. It is a value without I/O and clock.
-package cord
+// Package attempt follows one request from server to server. It holds the one table from what came of a try to what is
+// known of it, and decides whether another try may follow: what must not run twice goes elsewhere only on proof that it
+// never ran. It is a value without I/O and clock.
+package attempt
 
 // Ending says how a try at a server went.
 type Ending uint8
@@ -50,7 +50,7 @@
 const (
 	Stop  Next = iota
 	Again      // another server, at no cost: none was reached yet, or it is paid for
-	Pay        // another server, if the meter allows it
+	Pay        // another server, if the retry budget allows it
 )
 
 // failed is the status from which a server's answer is a failure of its own, which may be otherwise elsewhere.
--- a/internal/cord/cord_test.go
+++ b/internal/edge/attempt/attempt_test.go
@@ -1,11 +1,11 @@
-package cord_test
+package attempt_test
 
 import (
 	"testing"
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/cord"
+	"mulleinwood/internal/edge/attempt"
 )
 
 // All answers there can be: only one that is whole, this try's and says so proves that nothing ran.
@@ -13,11 +13,11 @@
 	g := NewWithT(t)
 	for n := range 1 << 7 {
 		bit := func(i int) bool { return n>>i&1 == 1 }
-		a := cord.Answer{Came: bit(0), Ours: bit(1), Ends: bit(2), Whole: bit(3), NotRun: bit(4), Good: bit(5), Sealed: bit(6)}
+		a := attempt.Answer{Came: bit(0), Ours: bit(1), Ends: bit(2), Whole: bit(3), NotRun: bit(4), Good: bit(5), Sealed: bit(6)}
 		believed := a.Came && a.Ours && a.Ends && a.Whole
-		g.Expect(a.Ending() == cord.NotRun).To(Equal(believed && a.NotRun), "%+v", a)
-		g.Expect(a.Ending() == cord.Ran).To(Equal(believed && !a.NotRun && (!a.Good || a.Sealed)), "%+v", a)
-		g.Expect(a.Ending()).NotTo(Equal(cord.NotSent))
+		g.Expect(a.Ending() == attempt.NotRun).To(Equal(believed && a.NotRun), "%+v", a)
+		g.Expect(a.Ending() == attempt.Ran).To(Equal(believed && !a.NotRun && (!a.Good || a.Sealed)), "%+v", a)
+		g.Expect(a.Ending()).NotTo(Equal(attempt.NotSent))
 	}
 }
 
@@ -25,30 +25,30 @@
 // more servers than its route allows, and each further server is paid for.
 func TestEveryWayOfARequest(t *testing.T) {
 	g := NewWithT(t)
-	var walk func(c cord.Cord, ran int, paid int)
+	var walk func(c attempt.Cord, ran int, paid int)
 	ways := 0
-	walk = func(c cord.Cord, ran, paid int) {
+	walk = func(c attempt.Cord, ran, paid int) {
 		ways++
 		g.Expect(c.Sent).To(BeNumerically("<=", c.Most))
 		g.Expect(max(0, c.Sent-1)).To(BeNumerically("<=", paid))
 		if c.Tried == 5 {
 			return
 		}
-		for _, e := range []cord.Ending{cord.NotSent, cord.NotRun, cord.Ran, cord.Perhaps} {
+		for _, e := range []attempt.Ending{attempt.NotSent, attempt.NotRun, attempt.Ran, attempt.Perhaps} {
 			for _, status := range []int{200, 404, 500} {
 				next := c
-				held := status != 404 || e != cord.Ran // a long body, say
+				held := status != 404 || e != attempt.Ran // a long body, say
 				may := ran
-				if e == cord.Ran || e == cord.Perhaps {
+				if e == attempt.Ran || e == attempt.Perhaps {
 					may++
 				}
 				if !c.Safe {
 					g.Expect(may).To(BeNumerically("<=", 1), "%+v", c)
 				}
 				switch next.Ended(e, status, held) {
-				case cord.Again:
+				case attempt.Again:
 					walk(next, may, paid)
-				case cord.Pay:
+				case attempt.Pay:
 					next.Paid = true
 					walk(next, may, paid+1)
 				}
@@ -57,7 +57,7 @@
 	}
 	for _, safe := range []bool{true, false} {
 		for most := 1; most <= 3; most++ {
-			walk(cord.Cord{Safe: safe, Most: most}, 0, 0)
+			walk(attempt.Cord{Safe: safe, Most: most}, 0, 0)
 		}
 	}
 	g.Expect(ways).To(BeNumerically(">", 500))
--- a/internal/finder/finder.go
+++ b/internal/edge/picker/picker.go
@@ -1,7 +1,7 @@
-// Package finder is an edge's line finder: it knows the lines to servers, how full and how sound each is thought to be,
-// and picks one for a request. It is a value fed with events; time and chance are handed in. Its owner keeps the
-// connections and holds a lock around it.
-package finder
+// Package picker picks a server for each request at an edge: it knows the lines to servers, how full and how sound each is
+// thought to be. It is a value fed with events; time and chance are handed in. Its owner keeps the connections and holds a
+// lock around it.
+package picker
 
 import (
 	"cmp"
@@ -73,7 +73,7 @@
 	load   float64
 }
 
-// New makes a finder for an edge of a zone.
+// New makes a picker for an edge of a zone.
 func New(zone string, chance func() float64) *Finder {
 	return &Finder{zone: zone, chance: chance, lines: map[string]*Line{}, services: map[string][]*Line{}}
 }
@@ -251,7 +251,7 @@
 // Book takes a place on a line, for one who chose it otherwise.
 func (f *Finder) Book(l *Line) { l.out++ }
 
-// Lines are those to a service, by id. They stay the finder's.
+// Lines are those to a service, by id. They stay the picker's.
 func (f *Finder) Lines(service string) []*Line { return f.services[service] }
 
 func (f *Finder) draw(sum float64) candidate {
--- a/internal/finder/finder_test.go
+++ b/internal/edge/picker/picker_test.go
@@ -1,4 +1,4 @@
-package finder_test
+package picker_test
 
 import (
 	"fmt"
@@ -8,16 +8,16 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/finder"
+	"mulleinwood/internal/edge/picker"
 )
 
-func nobody(*finder.Line) bool { return false }
+func nobody(*picker.Line) bool { return false }
 
-func hall(edges int, self uint32, servers, slots int) *finder.Finder {
+func hall(edges int, self uint32, servers, slots int) *picker.Finder {
 	rng := rand.New(rand.NewPCG(uint64(self), 1))
-	f := finder.New("hall", rng.Float64)
+	f := picker.New("hall", rng.Float64)
 	for i := range servers {
-		f.Add(&finder.Line{ID: fmt.Sprint("i-", i), Service: "tags", Zone: "hall", Capacity: slots})
+		f.Add(&picker.Line{ID: fmt.Sprint("i-", i), Service: "tags", Zone: "hall", Capacity: slots})
 	}
 	var roster []uint32
 	for e := range edges {
@@ -27,8 +27,8 @@
 	return f
 }
 
-// take books places until the finder has used what is dealt to it, and tells how many it took where.
-func take(f *finder.Finder, n int) map[string]int {
+// take books places until the picker has used what is dealt to it, and tells how many it took where.
+func take(f *picker.Finder, n int) map[string]int {
 	at := map[string]int{}
 	for range n {
 		if l := f.Pick("tags", nobody, 0); l != nil {
--- a/internal/crossbar/bodies_test.go
+++ b/internal/edge/proxy/bodies_test.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"bufio"
@@ -15,13 +15,13 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/platform/peer"
 )
 
 // allow puts a configuration with these limits in force.
 func (h *hall) allow(version int, limits string) {
 	next := strings.Replace(strings.Replace(plan, `"r1"`, fmt.Sprintf(`"r%d"`, version), 1), `{"max_body_bytes":100}`, limits, 1)
-	h.g.Expect(h.configure(&trunk.Config{Version: uint64(version), Whole: []byte(next)})).To(BeTrue())
+	h.g.Expect(h.configure(&peer.Config{Version: uint64(version), Whole: []byte(next)})).To(BeTrue())
 }
 
 // street is a listener whose connections are pipes.
--- a/internal/crossbar/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -1,19 +1,19 @@
-package crossbar
+package proxy
 
 import (
 	"slices"
 	"sync"
 	"time"
 
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/platform/peer"
 )
 
 // claims are those that this edge has asked for and not heard of.
 type claims struct {
 	mu    sync.Mutex
 	next  uint64
-	open  map[ticket.Token]*claim
+	open  map[idempotency.Token]*claim
 	kept  []keptAnswer // of the last window, oldest first: a home that loses its disk is given them again
 	size  int          // bytes of their bodies
 	voids []keptAnswer // claims that were withdrawn lately
@@ -24,30 +24,30 @@
 
 type keptAnswer struct {
 	at     time.Duration
-	record ticket.Record
+	record idempotency.Record
 }
 
 // keptMost bounds the memory that kept answers take: an edge has a small machine.
 const keptMost = 8 << 20
 
 type claim struct {
-	record ticket.Record
-	asked  int // exchanges that were asked and have not ruled
-	done   chan trunk.Ruling
+	record idempotency.Record
+	asked  int // controllers that were asked and have not ruled
+	done   chan peer.Ruling
 }
 
-// claimHurry is how long the home exchange has before another is asked, too: it may have died, and a cut is heard
+// claimHurry is how long the home controller has before another is asked, too: it may have died, and a cut is heard
 // only by its silence.
 const claimHurry = 60 * time.Millisecond
 
-// claim asks for the right to run a key's operation. If no exchange can be reached early, or none answers clearly in
+// claim asks for the right to run a key's operation. If no controller can be reached early, or none answers clearly in
 // time, it is withdrawn: nothing was run under it, and nothing ever will be.
-func (c *Crossbar) claim(key ticket.Key, early, limit time.Duration) (ticket.Token, trunk.Ruling) {
+func (c *Crossbar) claim(key idempotency.Key, early, limit time.Duration) (idempotency.Token, peer.Ruling) {
 	k := &c.claims
 	k.mu.Lock()
 	k.next++
-	r := ticket.Record{Key: key, Token: ticket.Token{Life: c.life, N: k.next}}
-	one := &claim{record: r, done: make(chan trunk.Ruling, 1)}
+	r := idempotency.Record{Key: key, Token: idempotency.Token{Life: c.life, N: k.next}}
+	one := &claim{record: r, done: make(chan peer.Ruling, 1)}
 	k.open[r.Token] = one
 	k.mu.Unlock()
 	hurry := claimHurry
@@ -67,7 +67,7 @@
 	for {
 		select {
 		case ruling := <-one.done:
-			if ruling.Ruling != ticket.Stands {
+			if ruling.Ruling != idempotency.Stands {
 				c.withdraw(r.Key, r.Token)
 			}
 			return r.Token, ruling
@@ -77,16 +77,16 @@
 				continue
 			}
 			c.withdraw(r.Key, r.Token)
-			return r.Token, trunk.Ruling{Token: r.Token, Ruling: ticket.Refused}
+			return r.Token, peer.Ruling{Token: r.Token, Ruling: idempotency.Refused}
 		}
 	}
 }
 
 // withdraw voids a claim under which nothing was run. It is said again for a while: a core that could not rule on the
 // claim may not hear of its end either, and whoever holds it would turn away the client's next try.
-func (c *Crossbar) withdraw(key ticket.Key, token ticket.Token) {
-	r := ticket.Record{Key: key, Token: token}
-	c.home.sendBoth(&trunk.Frame{Voids: []ticket.Record{r}})
+func (c *Crossbar) withdraw(key idempotency.Key, token idempotency.Token) {
+	r := idempotency.Record{Key: key, Token: token}
+	c.home.sendBoth(&peer.Frame{Voids: []idempotency.Record{r}})
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
 	c.claims.voids = append(c.claims.voids, keptAnswer{c.now(), r})
@@ -97,7 +97,7 @@
 	k.mu.Lock()
 	now := c.now()
 	k.voids = slices.DeleteFunc(k.voids, func(v keptAnswer) bool { return now-v.at > voidFor })
-	f := &trunk.Frame{}
+	f := &peer.Frame{}
 	for _, v := range k.voids {
 		f.Voids = append(f.Voids, v.record)
 	}
@@ -108,9 +108,9 @@
 }
 
 // finish has the answer of a claim's run kept, for repeats.
-func (c *Crossbar) finish(key ticket.Key, token ticket.Token, a *ticket.Answer) {
-	r := ticket.Record{Key: key, Token: token, Answer: a}
-	c.home.send(&trunk.Frame{Done: []ticket.Record{r}})
+func (c *Crossbar) finish(key idempotency.Key, token idempotency.Token, a *idempotency.Answer) {
+	r := idempotency.Record{Key: key, Token: token, Answer: a}
+	c.home.send(&peer.Frame{Done: []idempotency.Record{r}})
 	k, now, window := &c.claims, c.now(), c.set.Seconds("key_window_s", 60)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -125,20 +125,20 @@
 }
 
 // restore gives a home whose disk came back empty the answers that this edge still holds.
-func (k *claims) restore(link *trunk.Link) {
+func (k *claims) restore(link *peer.Link) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	f := &trunk.Frame{}
+	f := &peer.Frame{}
 	for i, a := range k.kept {
 		if f.Done = append(f.Done, a.record); len(f.Done) == 100 || i == len(k.kept)-1 {
 			link.Send(f)
-			f = &trunk.Frame{}
+			f = &peer.Frame{}
 		}
 	}
 }
 
-// put asks one exchange more, unless the claim is decided.
-func (k *claims) put(send func(*trunk.Frame) bool, one *claim) bool {
+// put asks one controller more, unless the claim is decided.
+func (k *claims) put(send func(*peer.Frame) bool, one *claim) bool {
 	k.mu.Lock()
 	if k.open[one.record.Token] == nil {
 		k.mu.Unlock()
@@ -146,7 +146,7 @@
 	}
 	one.asked++
 	k.mu.Unlock()
-	if send(&trunk.Frame{Claims: []ticket.Record{one.record}}) {
+	if send(&peer.Frame{Claims: []idempotency.Record{one.record}}) {
 		return true
 	}
 	k.mu.Lock()
@@ -155,9 +155,9 @@
 	return false
 }
 
-// ruled takes an exchange's word. That one could not decide it matters only once no other is asked: the first to decide
+// ruled takes a controller's word. That one could not decide it matters only once no other is asked: the first to decide
 // is believed, and then nobody is asked again.
-func (k *claims) ruled(r trunk.Ruling) {
+func (k *claims) ruled(r peer.Ruling) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	one := k.open[r.Token]
@@ -165,7 +165,7 @@
 		return
 	}
 	one.asked--
-	if r.Ruling == ticket.Refused && one.asked > 0 {
+	if r.Ruling == idempotency.Refused && one.asked > 0 {
 		return
 	}
 	delete(k.open, r.Token)
--- a/internal/crossbar/door.go
+++ b/internal/edge/proxy/door.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"net"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"mulleinwood/internal/dialplan"
+	"mulleinwood/internal/config"
 )
 
 // What clients may send before any configuration says so.
@@ -29,7 +29,7 @@
 	conns   *conns
 
 	mu     sync.Mutex
-	limits dialplan.Limits
+	limits config.Limits
 	lobby  *lobby
 }
 
@@ -80,7 +80,7 @@
 }
 
 // limit takes over the limits of a configuration, which may come before the door opens.
-func (d *door) limit(limits dialplan.Limits) {
+func (d *door) limit(limits config.Limits) {
 	d.mu.Lock()
 	same := d.limits.HeaderBytes == limits.HeaderBytes && d.limits.HeaderWait == limits.HeaderWait && d.limits.Idle == limits.Idle
 	at := d.lobby
--- a/internal/crossbar/forward.go
+++ b/internal/edge/proxy/forward.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"bytes"
@@ -13,12 +13,12 @@
 
 	"github.com/joomcode/errorx"
 
-	"mulleinwood/internal/cord"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/meter"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/tone"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/edge/attempt"
+	"mulleinwood/internal/edge/retrybudget"
+	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/peer"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // outcome is how a try ended, and the answer if there is one.
 type outcome struct {
-	ending cord.Ending
+	ending attempt.Ending
 	status int
 	header http.Header
 	body   []byte
@@ -55,7 +55,7 @@
 	}
 	tree := c.tree.Load()
 	if tree == nil {
-		c.refuse(w, r, tone.NotReady.New("no configuration yet"))
+		c.refuse(w, r, apierror.NotReady.New("no configuration yet"))
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -64,7 +64,7 @@
 	}
 	route := tree.Find(r.Host, path)
 	if route == nil {
-		c.refuse(w, r, tone.NoRoute.New("no route for %s%s", r.Host, path))
+		c.refuse(w, r, apierror.NoRoute.New("no route for %s%s", r.Host, path))
 		return
 	}
 	t, err := c.take(w, r, tree, route, now)
@@ -75,7 +75,7 @@
 		c.refuse(w, r, err)
 		return
 	}
-	if route.Kind == dialplan.Keyed {
+	if route.Kind == config.Keyed {
 		c.keyed(w, t)
 		return
 	}
@@ -91,31 +91,31 @@
 	length  int64  // of the whole body; -1: it comes in chunks
 	rest    *rest
 	booked  int64 // of the account of what is held
-	route   *dialplan.Route
+	route   *config.Route
 	service string
 	until   time.Duration
 	aim     time.Duration
 	began   time.Duration
 	tried   []*line
-	way     cord.Cord
+	way     attempt.Cord
 	pass    *pass
 	stale   bool // the client has waited for longer than the aim: what is fresh is worth more
 }
 
 // take reads a request whole and checks what its route needs.
-func (c *Crossbar) take(w http.ResponseWriter, r *http.Request, tree *dialplan.Tree, route *dialplan.Route, now time.Duration) (*task, error) {
+func (c *Crossbar) take(w http.ResponseWriter, r *http.Request, tree *config.Tree, route *config.Route, now time.Duration) (*task, error) {
 	t := &task{r: r, id: r.Header.Get("X-Attempt-Id"), route: route, began: now, aim: time.Duration(route.Setpoint * float64(time.Second))}
 	if t.id == "" {
-		return nil, tone.Malformed.New("X-Attempt-Id is missing")
+		return nil, apierror.Malformed.New("X-Attempt-Id is missing")
 	}
-	if route.Kind == dialplan.Keyed && r.Header.Get("X-Operation-Key") == "" {
-		return nil, tone.Malformed.New("X-Operation-Key is missing on a keyed route")
+	if route.Kind == config.Keyed && r.Header.Get("X-Operation-Key") == "" {
+		return nil, apierror.Malformed.New("X-Operation-Key is missing on a keyed route")
 	}
 	t.until = now + time.Duration(route.Deadline*float64(time.Second))
 	if text := r.Header.Get("X-Deadline-Ms"); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 {
-			return nil, tone.Malformed.New("X-Deadline-Ms %q is no time", text)
+			return nil, apierror.Malformed.New("X-Deadline-Ms %q is no time", text)
 		}
 		t.until = min(t.until, now+time.Duration(ms*float64(time.Millisecond)))
 		t.stale = route.Deadline-ms/1000 > route.Setpoint
@@ -130,7 +130,7 @@
 }
 
 // choose draws one of a route's services by their gains.
-func choose(route *dialplan.Route) string {
+func choose(route *config.Route) string {
 	shares := route.Shares()
 	sum := 0.0
 	for _, s := range shares {
@@ -147,39 +147,39 @@
 
 // keyed runs an operation at most once: claimed before the first byte leaves, kept once it is answered.
 func (c *Crossbar) keyed(w http.ResponseWriter, t *task) {
-	key := ticket.KeyOf(strings.ToLower(t.r.Host), t.r.Header.Get("X-Operation-Key"))
+	key := idempotency.KeyOf(strings.ToLower(t.r.Host), t.r.Header.Get("X-Operation-Key"))
 	left := t.until - c.now()
 	token, ruling := c.claim(key, time.Duration(float64(t.aim)*waitShare), min(claimMost, time.Duration(float64(left)*claimShare)))
 	switch ruling.Ruling {
-	case ticket.Refused:
-		c.refuse(w, t.r, tone.Unclaimed.New("the key could not be claimed"))
+	case idempotency.Refused:
+		c.refuse(w, t.r, apierror.Unclaimed.New("the key could not be claimed"))
 		return
-	case ticket.Taken:
+	case idempotency.Taken:
 		if ruling.Answer == nil {
-			c.refuse(w, t.r, tone.AtWork.New("the operation is at work"))
+			c.refuse(w, t.r, apierror.AtWork.New("the operation is at work"))
 			return
 		}
 		header := http.Header{}
 		for name, value := range ruling.Answer.Headers {
 			header.Set(name, value)
 		}
-		c.answer(w, t, outcome{ending: cord.Ran, status: ruling.Answer.Status, header: header, body: ruling.Answer.Body})
+		c.answer(w, t, outcome{ending: attempt.Ran, status: ruling.Answer.Status, header: header, body: ruling.Answer.Body})
 		return
 	}
 	out := c.run(t)
 	switch out.ending {
-	case cord.Ran:
+	case attempt.Ran:
 		if out.rest != nil {
 			break // too long to be kept: repeats are told that the operation is at work until its window is over
 		}
-		a := &ticket.Answer{Status: out.status, Headers: map[string]string{}, Body: out.body}
+		a := &idempotency.Answer{Status: out.status, Headers: map[string]string{}, Body: out.body}
 		for _, name := range []string{"X-Server-Seal", "Content-Type"} {
 			if v := out.header.Get(name); v != "" {
 				a.Headers[name] = v
 			}
 		}
 		c.finish(key, token, a)
-	case cord.NotSent, cord.NotRun:
+	case attempt.NotSent, attempt.NotRun:
 		c.withdraw(key, token)
 	}
 	c.answer(w, t, out)
@@ -188,22 +188,22 @@
 // run sends a request to servers until one answers, or no further try is allowed.
 func (c *Crossbar) run(t *task) (out outcome) {
 	m := c.asks(t.service)
-	out = outcome{ending: cord.NotSent, err: tone.NoServer.New("no server of %s", t.service)}
+	out = outcome{ending: attempt.NotSent, err: apierror.NoServer.New("no server of %s", t.service)}
 	t.pass = c.rooms.enter(c, t)
 	defer c.rooms.leave(c, t.pass, t.service)
 	way := &t.way
-	way.Safe, way.Most = t.route.Kind == dialplan.Safe, t.route.Tries
+	way.Safe, way.Most = t.route.Kind == config.Safe, t.route.Tries
 	for {
 		if t.until-c.now()-wayBack < leastTime {
 			if way.Sent == 0 {
-				return outcome{ending: cord.NotSent, err: tone.Busy.New("no time left")}
+				return outcome{ending: attempt.NotSent, err: apierror.Busy.New("no time left")}
 			}
 			return out
 		}
 		l := c.seize(t, way.Sent > 0)
 		if l == nil {
-			if way.Sent == 0 && out.ending == cord.NotSent {
-				out.err = tone.Busy.New("no room at %s", t.service)
+			if way.Sent == 0 && out.ending == attempt.NotSent {
+				out.err = apierror.Busy.New("no room at %s", t.service)
 			}
 			if way.Paid {
 				c.back(m)
@@ -216,10 +216,10 @@
 		c.waiting.wake(t.service)
 		held := out.rest == nil && (t.rest == nil || !t.rest.touched.Load())
 		next := way.Ended(out.ending, out.status, held)
-		if next == cord.Stop || c.now() > t.until-leastTime {
+		if next == attempt.Stop || c.now() > t.until-leastTime {
 			return out
 		}
-		if next == cord.Pay {
+		if next == attempt.Pay {
 			if !c.spend(m, t.pass) {
 				return out
 			}
@@ -301,11 +301,11 @@
 		}
 	}()
 	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
-	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != dialplan.Safe && c.distrusts(l.Service))
+	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != config.Safe && c.distrusts(l.Service))
 	dialDone()
 	if err != nil {
 		c.done(l, 0, false, false)
-		return outcome{ending: cord.NotSent, err: tone.NoServer.Wrap(err, "dial")}
+		return outcome{ending: attempt.NotSent, err: apierror.NoServer.Wrap(err, "dial")}
 	}
 	l.mu.Lock()
 	dead := l.dead
@@ -313,29 +313,29 @@
 	if dead { // it began to leave while we dialled
 		k.conn.Close()
 		c.done(l, 0, false, false)
-		return outcome{ending: cord.NotSent, err: tone.NoServer.New("server left")}
+		return outcome{ending: attempt.NotSent, err: apierror.NoServer.New("server left")}
 	}
 	req := c.request(ctx, t, l)
 	sent := c.now()
 	resp, err := k.conn.RoundTrip(req)
 	if err != nil {
 		k.conn.Close()
-		kind := tone.PerhapsRun
+		kind := apierror.PerhapsRun
 		if ctx.Err() != nil {
-			kind = tone.TimedOut
+			kind = apierror.TimedOut
 		} else if t.rest != nil && t.rest.failed.Load() != nil { // the client broke off, or was too slow: not the server's doing
 			c.done(l, 0, true, true)
-			return outcome{ending: cord.Perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
+			return outcome{ending: attempt.Perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
 		} else if k.used {
 			c.distrust(l.Service)
 		}
 		c.done(l, 0, true, false)
-		return outcome{ending: cord.Perhaps, err: kind.Wrap(err, "server %s", l.ID)}
+		return outcome{ending: attempt.Perhaps, err: kind.Wrap(err, "server %s", l.ID)}
 	}
 	out = c.read(t, l, resp)
 	now := c.now()
-	answered := out.ending == cord.Ran && out.status < 500
-	if out.ending == cord.Perhaps {
+	answered := out.ending == attempt.Ran && out.status < 500
+	if out.ending == attempt.Perhaps {
 		c.distrust(l.Service)
 	} else {
 		c.tell(l, resp.Header)
@@ -349,7 +349,7 @@
 		c.done(l, now-sent, true, answered)
 	}
 	if out.rest == nil {
-		end(out.ending != cord.Perhaps)
+		end(out.ending != attempt.Perhaps)
 		return out
 	}
 	out.end = func(whole bool) {
@@ -415,10 +415,10 @@
 	}()
 	bare := t.r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	most := int64(answerHeld)
-	if t.route.Kind == dialplan.Keyed {
+	if t.route.Kind == config.Keyed {
 		most = answerKept
 	}
-	a := cord.Answer{Came: true, Ours: resp.Header.Get("X-Attempt-Id") == t.id, Ends: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bare,
+	a := attempt.Answer{Came: true, Ours: resp.Header.Get("X-Attempt-Id") == t.id, Ends: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bare,
 		NotRun: resp.Header.Get("X-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 		Good:   resp.StatusCode/100 == 2, Sealed: resp.Header.Get("X-Server-Seal") != ""}
 	var body []byte
@@ -431,7 +431,7 @@
 		a.Whole = err == nil && (whole || !a.NotRun) // what turns a request away is short
 	}
 	switch a.Ending() {
-	case cord.Perhaps:
+	case attempt.Perhaps:
 		why := "answer of server " + l.ID
 		switch {
 		case !a.Ours:
@@ -445,12 +445,12 @@
 		default:
 			why += " is a success without a seal"
 		}
-		return outcome{ending: cord.Perhaps, err: tone.PerhapsRun.New("%s", why)}
-	case cord.NotRun:
-		return outcome{ending: cord.NotRun, status: resp.StatusCode, header: resp.Header, body: body,
-			err: tone.NotRun.New("server %s turned it away with %d", l.ID, resp.StatusCode)}
+		return outcome{ending: attempt.Perhaps, err: apierror.PerhapsRun.New("%s", why)}
+	case attempt.NotRun:
+		return outcome{ending: attempt.NotRun, status: resp.StatusCode, header: resp.Header, body: body,
+			err: apierror.NotRun.New("server %s turned it away with %d", l.ID, resp.StatusCode)}
 	}
-	out = outcome{ending: cord.Ran, status: resp.StatusCode, header: resp.Header, body: body}
+	out = outcome{ending: attempt.Ran, status: resp.StatusCode, header: resp.Header, body: body}
 	if !whole {
 		out.rest, out.length = resp.Body, resp.ContentLength
 	}
@@ -459,11 +459,11 @@
 
 // answer passes on what a server said, or says why nobody did.
 func (c *Crossbar) answer(w http.ResponseWriter, t *task, out outcome) {
-	if out.ending != cord.Ran {
+	if out.ending != attempt.Ran {
 		err := out.err
-		if out.ending == cord.NotSent || out.ending == cord.NotRun {
-			if t.way.Sent > 0 && out.ending == cord.NotSent && !errorx.IsOfType(err, tone.NotRun) {
-				err = tone.NotRun.Wrap(err, "turned away before")
+		if out.ending == attempt.NotSent || out.ending == attempt.NotRun {
+			if t.way.Sent > 0 && out.ending == attempt.NotSent && !errorx.IsOfType(err, apierror.NotRun) {
+				err = apierror.NotRun.Wrap(err, "turned away before")
 			}
 		}
 		c.refuse(w, t.r, err)
@@ -496,15 +496,15 @@
 	}
 	out.end(broken == nil && gone == nil)
 	if broken != nil { // what was cut short must not look whole
-		c.tally.GivenUp.WithLabelValues(tone.Kind(tone.PerhapsRun.New("broken off"))).Inc()
-		c.note(tone.PerhapsRun.Wrap(broken, "answer breaks off"), t.r)
+		c.tally.GivenUp.WithLabelValues(apierror.Kind(apierror.PerhapsRun.New("broken off"))).Inc()
+		c.note(apierror.PerhapsRun.Wrap(broken, "answer breaks off"), t.r)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // refuse answers an error as the table of kinds says.
 func (c *Crossbar) refuse(w http.ResponseWriter, r *http.Request, err error) {
-	a := tone.For(err)
+	a := apierror.For(err)
 	h := w.Header()
 	if id := r.Header.Get("X-Attempt-Id"); id != "" {
 		h["X-Attempt-Id"] = []string{id}
@@ -513,18 +513,18 @@
 		h.Set("Retry-After", strconv.FormatFloat(a.Retry*(0.75+rand.Float64()/2), 'f', 3, 64))
 	}
 	h["Content-Type"] = []string{"text/plain"}
-	body := tone.Kind(err) + "\n"
+	body := apierror.Kind(err) + "\n"
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(a.Status)
 	_, _ = io.WriteString(w, body) // a client that is gone has given up
-	c.tally.GivenUp.WithLabelValues(tone.Kind(err)).Inc()
+	c.tally.GivenUp.WithLabelValues(apierror.Kind(err)).Inc()
 	c.note(err, r)
 }
 
 // note logs what was given up, with its cause: a few lines a second of each kind, since a flood of refusals should not
 // cost more than the requests did. The counters tell all.
 func (c *Crossbar) note(err error, r *http.Request) {
-	kind, second := tone.Kind(err), int64(c.now()/time.Second)
+	kind, second := apierror.Kind(err), int64(c.now()/time.Second)
 	c.mu.Lock()
 	if c.noted.second != second {
 		c.noted.second, c.noted.lines = second, map[string]int{}
@@ -537,21 +537,21 @@
 	}
 }
 
-// asks counts a request for a service and gives the service's meter.
-func (c *Crossbar) asks(service string) *meter.Meter {
+// asks counts a request for a service and gives the service's retry budget.
+func (c *Crossbar) asks(service string) *retrybudget.Meter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.meters[service]
 	slack := c.set.Bound("retry_slack", 0)
 	if m == nil {
-		m = meter.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
+		m = retrybudget.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
 		c.meters[service] = m
 	}
 	m.Share(slack, int(c.edges.Load()))
 	m.Request()
 	a := c.asked[service]
 	if a == nil {
-		a = &trunk.Asked{Service: service}
+		a = &peer.Asked{Service: service}
 		c.asked[service] = a
 	}
 	a.Requests++
@@ -559,13 +559,13 @@
 }
 
 // spend takes a further try out of the purse. While room is booked at the service, one try is kept for those who booked.
-func (c *Crossbar) spend(m *meter.Meter, p *pass) bool {
+func (c *Crossbar) spend(m *retrybudget.Meter, p *pass) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return m.Spend(p != nil && p.under == "")
 }
 
-func (c *Crossbar) back(m *meter.Meter) {
+func (c *Crossbar) back(m *retrybudget.Meter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m.Back()
--- a/internal/crossbar/fuzz_test.go
+++ b/internal/edge/proxy/fuzz_test.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"bufio"
@@ -13,9 +13,9 @@
 
 	"github.com/go-kit/log"
 
-	"mulleinwood/internal/boot"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/nodesettings"
+	"mulleinwood/internal/platform/peer"
 )
 
 // FuzzRequest has a client send any bytes. What reaches the server is what net/http read of them, on a route, and no more:
@@ -31,7 +31,7 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	set, err := boot.Parse("test", []byte(settings))
+	set, err := nodesettings.Parse("test", []byte(settings))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -62,8 +62,8 @@
 			}()
 			return near, nil
 		}
-		c.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})
-		c.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
+		c.configure(&peer.Config{Version: 1, Whole: []byte(plan)})
+		c.heard([]registry.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
 		go func() {
 			defer close(done)
 			c.ServeHTTP(httptest.NewRecorder(), r)
--- a/internal/crossbar/holding.go
+++ b/internal/edge/proxy/holding.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Sizes of what is held of a body. Whatever is longer, or finds the account empty, is passed on as it comes.
@@ -81,7 +81,7 @@
 		limit = 64 << 20
 	}
 	if r.ContentLength > limit {
-		return tone.TooLarge.New("body of %d bytes", r.ContentLength)
+		return apierror.TooLarge.New("body of %d bytes", r.ContentLength)
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(t.until - c.now())) // a writer without one is a test's
@@ -102,12 +102,12 @@
 
 func bodyError(err error, limit int64) error {
 	if large := new(http.MaxBytesError); errors.As(err, &large) {
-		return tone.TooLarge.New("body of more than %d bytes", limit)
+		return apierror.TooLarge.New("body of more than %d bytes", limit)
 	}
 	if late := interface{ Timeout() bool }(nil); errors.As(err, &late) && late.Timeout() {
-		return tone.SlowBody.Wrap(err, "body")
+		return apierror.SlowBody.Wrap(err, "body")
 	}
-	return tone.Malformed.Wrap(err, "body")
+	return apierror.Malformed.Wrap(err, "body")
 }
 
 // rest is the part of a request's body that isn't held. Once any of it was read it can't be sent again.
