--- a/internal/crossbar/home.go
+++ b/internal/edge/proxy/home.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"cmp"
@@ -9,32 +9,32 @@
 
 	"github.com/zeebo/xxh3"
 
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/platform/peer"
 )
 
-// home is the exchange that an edge belongs to: of its zone, if one there hears the rest of the core.
+// home is the controller that an edge belongs to: of its zone, if one there hears the rest of the core.
 type home struct {
 	mu    sync.Mutex
-	link  *trunk.Link
+	link  *peer.Link
 	ip    string
-	zones map[string]string // of exchanges, by IP
+	zones map[string]string // of controllers, by IP
 	known map[string]bool
-	guest *trunk.Link   // at another exchange, for claims that home doesn't rule on
+	guest *peer.Link    // at another controller, for claims that home doesn't rule on
 	calls chan struct{} // held by who dials for it
 }
 
-const guestQuiet = 3 * time.Second // without a claim, after which the edge leaves that other exchange
+const guestQuiet = 3 * time.Second // without a claim, after which the edge leaves that other controller
 
 const (
 	homeDial    = 400 * time.Millisecond
-	lookAgain   = 3 * time.Second // for an exchange of the own zone, while home is elsewhere
+	lookAgain   = 3 * time.Second // for a controller of the own zone, while home is elsewhere
 	lookPause   = 50 * time.Millisecond
 	looksInVain = 20                    // before the settings file is read again
 	lookMore    = 60 * time.Millisecond // for further answers after the first
 )
 
-// found is an exchange that answered.
+// found is a controller that answered.
 type found struct {
 	ip       string
 	zone     string
@@ -54,7 +54,7 @@
 	}
 }
 
-// learn adds exchanges that may be asked.
+// learn adds controllers that may be asked.
 func (h *home) learn(ips []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -63,7 +63,7 @@
 	}
 }
 
-// look asks all exchanges that are known how they see the core, and takes the best: one that hears more than half of
+// look asks all controllers that are known how they see the core, and takes the best: one that hears more than half of
 // it, then one of the own zone, then the one that rendezvous hashing names.
 func (h *home) look(c *Crossbar) (best found, ok bool) {
 	h.mu.Lock()
@@ -109,15 +109,15 @@
 	return best, ok
 }
 
-// glance asks one exchange how it is.
+// glance asks one controller how it is.
 func (c *Crossbar) glance(ip string) (f *found) {
 	conn, err := c.security.Dial(c.set.Inner(ip), homeDial)
 	if err != nil {
 		return nil
 	}
-	link := trunk.NewLink(conn)
-	link.Send(&trunk.Frame{Hello: &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
-	_ = link.Read(func(got *trunk.Frame) { // no answer is an answer
+	link := peer.NewLink(conn)
+	link.Send(&peer.Frame{Hello: &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
+	_ = link.Read(func(got *peer.Frame) { // no answer is an answer
 		if got.Hello != nil && got.Pulse != nil {
 			f = &found{ip: ip, zone: got.Hello.Zone, attached: got.Pulse.Attached}
 		}
@@ -126,47 +126,47 @@
 	return f
 }
 
-// stay is at home until the link ends, or the exchange is cut off from the core, or one of the own zone is back.
+// stay is at home until the link ends, or the controller is cut off from the core, or one of the own zone is back.
 func (h *home) stay(c *Crossbar, at found) {
 	conn, err := c.security.Dial(c.set.Inner(at.ip), homeDial)
 	if err != nil {
 		return
 	}
-	link := trunk.NewLink(conn)
-	hello := &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life}
+	link := peer.NewLink(conn)
+	hello := &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life}
 	if tree := c.tree.Load(); tree != nil {
 		hello.Version = uint64(tree.Config.Version)
 	}
-	link.Send(&trunk.Frame{Hello: hello})
+	link.Send(&peer.Frame{Hello: hello})
 	c.mu.Lock()
 	entries := c.dir.All(c.now())
 	c.mu.Unlock()
-	if len(entries) > 0 { // an exchange that starts anew knows no server
-		link.Send(&trunk.Frame{Entries: entries})
+	if len(entries) > 0 { // a controller that starts anew knows no server
+		link.Send(&peer.Frame{Entries: entries})
 	}
 	h.mu.Lock()
 	h.link, h.ip = link, at.ip
 	h.mu.Unlock()
 	c.claims.again(c)
-	_ = c.logger.Log("event", "home", "exchange", at.ip, "zone", at.zone, "attached", at.attached)
+	_ = c.logger.Log("event", "home", "controller", at.ip, "zone", at.zone, "attached", at.attached)
 	var looked time.Duration
-	var cells trunk.Comparing
+	var cells peer.Comparing
 	detached := time.Duration(0)
-	_ = link.Read(func(f *trunk.Frame) { // its end is logged below
+	_ = link.Read(func(f *peer.Frame) { // its end is logged below
 		if p := f.Pulse; p != nil {
 			c.edges.Store(int32(p.Fleet))
 			h.learn(p.Exchanges)
 			if p.Roster != nil {
 				c.lines.mu.Lock()
-				c.lines.Deal(p.Roster, trunk.Badge(c.set.Node))
+				c.lines.Deal(p.Roster, peer.Badge(c.set.Node))
 				c.lines.mu.Unlock()
 			}
-			link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
+			link.Send(&peer.Frame{Pulse: &peer.Pulse{}})
 			now := c.now()
 			if p.Full {
 				c.mu.Lock()
 				if cells.Due(p.Sum, c.dir.Sum(), now) {
-					link.Send(&trunk.Frame{Cells: &trunk.Cells{Sums: c.dir.Sums()}})
+					link.Send(&peer.Frame{Cells: &peer.Cells{Sums: c.dir.Sums()}})
 				}
 				c.mu.Unlock()
 			}
@@ -195,10 +195,10 @@
 	h.mu.Lock()
 	h.link = nil
 	h.mu.Unlock()
-	_ = c.logger.Log("event", "home lost", "exchange", at.ip)
+	_ = c.logger.Log("event", "home lost", "controller", at.ip)
 }
 
-// localExists tells whether any exchange of the own zone was ever seen.
+// localExists tells whether any controller of the own zone was ever seen.
 func (h *home) localExists(c *Crossbar) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -209,8 +209,8 @@
 	return len(h.zones) < len(h.known) || slices.Contains(zones, c.set.Zone)
 }
 
-// send hands a frame to the home exchange, if there is one.
-func (h *home) send(f *trunk.Frame) bool {
+// send hands a frame to the home controller, if there is one.
+func (h *home) send(f *peer.Frame) bool {
 	h.mu.Lock()
 	link := h.link
 	h.mu.Unlock()
@@ -221,9 +221,9 @@
 	return true
 }
 
-// sendBoth hands a frame to home and to the other exchange that claims went to, if there is one: home may have died without
+// sendBoth hands a frame to home and to the other controller that claims went to, if there is one: home may have died without
 // a sign, and what is sent to it until its silence is heard is lost.
-func (h *home) sendBoth(f *trunk.Frame) {
+func (h *home) sendBoth(f *peer.Frame) {
 	h.send(f)
 	h.mu.Lock()
 	guest := h.guest
@@ -233,16 +233,16 @@
 	}
 }
 
-// reaches tells whether any exchange can be asked now.
+// reaches tells whether any controller can be asked now.
 func (h *home) reaches() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.link != nil || h.guest != nil
 }
 
-// sendElsewhere hands a frame to an exchange that is not home.
-func (h *home) sendElsewhere(c *Crossbar) func(*trunk.Frame) bool {
-	return func(f *trunk.Frame) bool {
+// sendElsewhere hands a frame to a controller that is not home.
+func (h *home) sendElsewhere(c *Crossbar) func(*peer.Frame) bool {
+	return func(f *peer.Frame) bool {
 		h.calls <- struct{}{}
 		defer func() { <-h.calls }()
 		h.mu.Lock()
@@ -270,8 +270,8 @@
 	}
 }
 
-// visit links to the first of these exchanges that answers.
-func (c *Crossbar) visit(ips []string) *trunk.Link {
+// visit links to the first of these controllers that answers.
+func (c *Crossbar) visit(ips []string) *peer.Link {
 	slices.SortFunc(ips, func(a, b string) int {
 		return cmp.Compare(xxh3.HashString(c.set.Node+"\x00"+a), xxh3.HashString(c.set.Node+"\x00"+b))
 	})
@@ -301,11 +301,11 @@
 	if first == nil {
 		return nil
 	}
-	link := trunk.NewLink(first)
-	link.Send(&trunk.Frame{Hello: &trunk.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
+	link := peer.NewLink(first)
+	link.Send(&peer.Frame{Hello: &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
 	go func() {
 		last := c.now()
-		_ = link.Read(func(f *trunk.Frame) { // whoever needs it again visits again
+		_ = link.Read(func(f *peer.Frame) { // whoever needs it again visits again
 			if len(f.Rulings) > 0 {
 				last = c.now()
 				for _, r := range f.Rulings {
@@ -313,7 +313,7 @@
 				}
 			}
 			if f.Pulse != nil {
-				link.Send(&trunk.Frame{Pulse: &trunk.Pulse{}})
+				link.Send(&peer.Frame{Pulse: &peer.Pulse{}})
 			}
 			if c.now()-last > guestQuiet {
 				link.Close()
@@ -328,8 +328,8 @@
 	return link
 }
 
-// frame takes what the home exchange sends.
-func (c *Crossbar) frame(link *trunk.Link, f *trunk.Frame) {
+// frame takes what the home controller sends.
+func (c *Crossbar) frame(link *peer.Link, f *peer.Frame) {
 	if len(f.Entries) > 0 {
 		c.heard(f.Entries)
 	}
@@ -345,15 +345,15 @@
 		c.claims.restore(link)
 	}
 	if f.Receipt != 0 {
-		link.Send(&trunk.Frame{Received: f.Receipt})
+		link.Send(&peer.Frame{Received: f.Receipt})
 	}
 	if f.Config != nil && !c.configure(f.Config) {
-		link.Send(&trunk.Frame{NeedAll: true})
+		link.Send(&peer.Frame{NeedAll: true})
 	}
 	if f.Weights != nil {
 		c.weigh(f.Weights)
 		if len(f.Weights.Marks) > 0 {
-			link.Send(&trunk.Frame{Report: &trunk.Report{Applied: f.Weights.Marks}})
+			link.Send(&peer.Frame{Report: &peer.Report{Applied: f.Weights.Marks}})
 		}
 	}
 	for _, r := range f.Rulings {
@@ -368,16 +368,16 @@
 }
 
 // configure takes a configuration over, unless it is older than the one in force: within a life nothing goes back.
-func (c *Crossbar) configure(f *trunk.Config) (ok bool) {
+func (c *Crossbar) configure(f *peer.Config) (ok bool) {
 	tree := c.tree.Load()
 	if tree != nil && f.Version <= uint64(tree.Config.Version) {
 		return true
 	}
-	var next *dialplan.Config
+	var next *config.Config
 	var err error
 	switch {
 	case f.Whole != nil:
-		next, err = dialplan.Parse(f.Whole)
+		next, err = config.Parse(f.Whole)
 	case tree != nil && f.Base == uint64(tree.Config.Version):
 		next, err = tree.Config.Patch(f.Change)
 	default:
@@ -387,7 +387,7 @@
 		_ = c.logger.Log("event", "configuration can't be read", "version", f.Version, "cause", err)
 		return f.Whole != nil
 	}
-	c.tree.Store(dialplan.NewTree(next))
+	c.tree.Store(config.NewTree(next))
 	c.door.limit(next.Limits)
 	_ = c.logger.Log("event", "configuration", "version", next.Version, "routes", len(next.Routes))
 	return true
--- a/internal/crossbar/lines.go
+++ b/internal/edge/proxy/lines.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/platform/peer"
 )
 
 const (
@@ -31,9 +31,9 @@
 	})
 }
 
-// line is a finder's line with its connections. They end with it, whoever has the address next.
+// line is a picker's line with its connections. They end with it, whoever has the address next.
 type line struct {
-	*finder.Line
+	*picker.Line
 	address string
 
 	mu      sync.Mutex
@@ -49,14 +49,14 @@
 	used  bool
 }
 
-// lines holds the finder, and a lock around it.
+// lines holds the picker, and a lock around it.
 type lines struct {
 	mu sync.Mutex
-	*finder.Finder
+	*picker.Finder
 }
 
 // heard takes news of servers.
-func (c *Crossbar) heard(entries []directory.Entry) {
+func (c *Crossbar) heard(entries []registry.Entry) {
 	c.mu.Lock()
 	c.lines.mu.Lock()
 	changed := false
@@ -64,14 +64,14 @@
 	for _, e := range entries {
 		now, _ := c.dir.Take(e, c.now())
 		switch {
-		case now.State != directory.Ready:
+		case now.State != registry.Ready:
 			if l := c.lines.End(e.ID); l != nil {
 				ended = append(ended, l.Host.(*line))
 				changed = true
 			}
 		case c.lines.Line(e.ID) == nil && now.Address != "":
 			l := &line{address: now.Address, idleFor: idleUnknown}
-			l.Line = &finder.Line{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: l}
+			l.Line = &picker.Line{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: l}
 			c.lines.Add(l.Line)
 			changed = true
 		}
@@ -88,7 +88,7 @@
 }
 
 // weigh takes the tables' changed lines.
-func (c *Crossbar) weigh(w *trunk.Weights) {
+func (c *Crossbar) weigh(w *peer.Weights) {
 	c.lines.mu.Lock()
 	defer c.lines.mu.Unlock()
 	for _, service := range w.Whole {
@@ -131,7 +131,7 @@
 func (c *Crossbar) pick(service string, not []*line) *line {
 	c.lines.mu.Lock()
 	defer c.lines.mu.Unlock()
-	l := c.lines.Pick(service, func(l *finder.Line) bool { return slices.Contains(not, l.Host.(*line)) }, c.now())
+	l := c.lines.Pick(service, func(l *picker.Line) bool { return slices.Contains(not, l.Host.(*line)) }, c.now())
 	if l == nil {
 		return nil
 	}
--- a/internal/crossbar/log_test.go
+++ b/internal/edge/proxy/log_test.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"bytes"
@@ -37,6 +37,6 @@
 		h.g.Expect(lines()).To(HaveLen(notedMost), "a flood of refusals costs no more than that")
 		w := httptest.NewRecorder()
 		h.ready(w, httptest.NewRequest("GET", "/metrics", nil))
-		h.g.Expect(w.Body.String()).To(ContainSubstring(fmt.Sprintf(`mulleinwood_given_up_total{error="mulleinwood.no_route",role="crossbar"} %d`, 41)))
+		h.g.Expect(w.Body.String()).To(ContainSubstring(fmt.Sprintf(`mulleinwood_given_up_total{error="mulleinwood.no_route",role="edge"} %d`, 41)))
 	})
 }
--- a/internal/crossbar/crossbar.go
+++ b/internal/edge/proxy/proxy.go
@@ -1,6 +1,6 @@
-// Package crossbar carries the traffic: it takes clients' requests, finds their route, sends each to a server of the
-// route's service and answers with what that server said.
-package crossbar
+// Package proxy is the runtime of an edge process: it takes clients' requests, finds their route, sends each to a server
+// of the route's service and answers with what that server said.
+package proxy
 
 import (
 	"context"
@@ -15,16 +15,16 @@
 
 	"github.com/go-kit/log"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/boot"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/meter"
-	"mulleinwood/internal/night"
-	"mulleinwood/internal/tally"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/edge/retrybudget"
+	"mulleinwood/internal/platform/lifecycle"
+	"mulleinwood/internal/platform/metrics"
+	"mulleinwood/internal/platform/nodesettings"
+	"mulleinwood/internal/platform/peer"
 )
 
 // Spans of an edge.
@@ -38,19 +38,19 @@
 
 // Crossbar is one edge.
 type Crossbar struct {
-	set      *boot.Settings
-	security *trunk.Security
+	set      *nodesettings.Settings
+	security *peer.Security
 	logger   log.Logger
 	began    time.Time
 	life     uint64
 
-	tree  atomic.Pointer[dialplan.Tree]
-	edges atomic.Int32 // in the whole fleet, as the home exchange last told
+	tree  atomic.Pointer[config.Tree]
+	edges atomic.Int32 // in the whole fleet, as the home controller last told
 
 	mu     sync.Mutex
-	dir    *directory.Directory
-	meters map[string]*meter.Meter
-	asked  map[string]*trunk.Asked
+	dir    *registry.Directory
+	meters map[string]*retrybudget.Meter
+	asked  map[string]*peer.Asked
 
 	doubted map[string]time.Duration // services whose connections are not reused for what must not run twice, until when
 	noted   struct {                 // under mu
@@ -58,7 +58,7 @@
 		lines  map[string]int
 	}
 	lines    lines
-	tally    *tally.Tally
+	tally    *metrics.Tally
 	home     home
 	claims   claims
 	rooms    rooms
@@ -73,21 +73,21 @@
 }
 
 // New makes an edge that holds nothing yet.
-func New(set *boot.Settings, logger log.Logger) *Crossbar {
+func New(set *nodesettings.Settings, logger log.Logger) *Crossbar {
 	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1,
-		meters: map[string]*meter.Meter{}, asked: map[string]*trunk.Asked{}}
-	c.dir = directory.New(tombstones)
-	c.tally = tally.New(tally.Crossbar)
-	c.lines.Finder = finder.New(set.Zone, rand.Float64)
+		meters: map[string]*retrybudget.Meter{}, asked: map[string]*peer.Asked{}}
+	c.dir = registry.New(tombstones)
+	c.tally = metrics.New(metrics.Edge)
+	c.lines.Finder = picker.New(set.Zone, rand.Float64)
 	c.home.known, c.home.zones, c.home.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
 	for _, ip := range set.SeedIPs() {
 		c.home.known[ip] = true
 	}
 	c.doubted = map[string]time.Duration{}
 	c.noted.lines = map[string]int{}
-	c.rooms.held.Life, c.rooms.gates, c.rooms.wants = c.life, map[string]*booking.Gate{}, map[string]int{}
+	c.rooms.held.Life, c.rooms.gates, c.rooms.wants = c.life, map[string]*reservation.Gate{}, map[string]int{}
 	c.rooms.kick = make(chan struct{}, 1)
-	c.claims.open = map[ticket.Token]*claim{}
+	c.claims.open = map[idempotency.Token]*claim{}
 	c.conns.all, c.conns.most = map[net.Conn]*use{}, max(16, int(clientShare*float64(set.Limits.FileHandles-keptHandles)))
 	c.door = door{handler: c, conns: &c.conns}
 	c.held.left.Store(int64(heldShare * set.Limits.MemoryMB * (1 << 20)))
@@ -99,10 +99,10 @@
 }
 
 // Run serves until ctx ends, and then until what it has taken is answered.
-func Run(ctx context.Context, set *boot.Settings, security *trunk.Security, logger log.Logger) error {
+func Run(ctx context.Context, set *nodesettings.Settings, security *peer.Security, logger log.Logger) error {
 	c := New(set, logger)
 	c.security = security
-	reloads := night.Reloads()
+	reloads := lifecycle.Reloads()
 	front, err := net.Listen("tcp", set.Listen.Front)
 	if err != nil {
 		return err
@@ -119,7 +119,7 @@
 			}
 		}()
 	}
-	_ = logger.Log("event", "crossbar starts", "node", set.Node, "zone", set.Zone)
+	_ = logger.Log("event", "edge starts", "node", set.Node, "zone", set.Zone)
 	go c.home.run(c)
 	go c.rooms.run(ctx, c)
 	go func() {
@@ -129,7 +129,7 @@
 	}()
 	c.work(ctx)
 	c.leave(front)
-	_ = logger.Log("event", "crossbar ends", "node", set.Node)
+	_ = logger.Log("event", "edge ends", "node", set.Node)
 	return nil
 }
 
@@ -139,7 +139,7 @@
 	if err := c.security.Reload(); err != nil {
 		_ = c.logger.Log("event", "inner TLS not taken over", "cause", err)
 	}
-	set, err := boot.Load()
+	set, err := nodesettings.Load()
 	if err != nil {
 		_ = c.logger.Log("event", "settings not taken over", "cause", err)
 		return
@@ -236,13 +236,13 @@
 	}
 }
 
-// report tells the home exchange what was met since the last report.
+// report tells the home controller what was met since the last report.
 func (c *Crossbar) report() {
-	r := &trunk.Report{Period: reportEvery.Seconds()}
+	r := &peer.Report{Period: reportEvery.Seconds()}
 	c.lines.mu.Lock()
 	for _, l := range c.lines.All() {
 		if m := c.lines.Met(l); m.Tries > 0 {
-			r.Met = append(r.Met, trunk.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
+			r.Met = append(r.Met, peer.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
 		}
 	}
 	c.lines.mu.Unlock()
@@ -253,6 +253,6 @@
 	clear(c.asked)
 	c.mu.Unlock()
 	if len(r.Met)+len(r.Asked) > 0 {
-		c.home.send(&trunk.Frame{Report: r})
+		c.home.send(&peer.Frame{Report: r})
 	}
 }
--- a/internal/crossbar/crossbar_test.go
+++ b/internal/edge/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"bufio"
@@ -18,11 +18,11 @@
 	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/boot"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/nodesettings"
+	"mulleinwood/internal/platform/peer"
 )
 
 const settings = `
@@ -48,25 +48,25 @@
 	got      []*http.Request                       // what servers were sent
 	bodies   []string
 	dials    int
-	rule     func(ticket.Record) (ticket.Ruling, *ticket.Answer)
-	voids    []ticket.Record
-	kept     []ticket.Record
-	exchange *trunk.Link
+	rule     func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer)
+	voids    []idempotency.Record
+	kept     []idempotency.Record
+	exchange *peer.Link
 }
 
 func in(t *testing.T, play func(*hall)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		set, err := boot.Parse("test", []byte(settings))
+		set, err := nodesettings.Parse("test", []byte(settings))
 		g.Expect(err).NotTo(HaveOccurred())
 		h := &hall{Crossbar: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
 		h.dialer.DialContext = h.dial
-		g.Expect(h.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
+		g.Expect(h.configure(&peer.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
 		near, far := net.Pipe()
-		link := trunk.NewLink(near)
+		link := peer.NewLink(near)
 		h.home.link = link
-		h.exchange = trunk.NewLink(far)
-		go func() { _ = link.Read(func(f *trunk.Frame) { h.frame(link, f) }) }()
+		h.exchange = peer.NewLink(far)
+		go func() { _ = link.Read(func(f *peer.Frame) { h.frame(link, f) }) }()
 		go func() { _ = h.exchange.Read(h.frameAtExchange) }()
 		defer func() {
 			link.Close()
@@ -80,13 +80,13 @@
 	})
 }
 
-func (h *hall) frameAtExchange(f *trunk.Frame) {
+func (h *hall) frameAtExchange(f *peer.Frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range f.Claims {
 		if h.rule != nil {
 			ruling, answer := h.rule(r)
-			h.exchange.Send(&trunk.Frame{Rulings: []trunk.Ruling{{Token: r.Token, Ruling: ruling, Answer: answer}}})
+			h.exchange.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: r.Token, Ruling: ruling, Answer: answer}}})
 		}
 	}
 	h.voids = append(h.voids, f.Voids...)
@@ -134,7 +134,7 @@
 	h.mu.Lock()
 	h.servers[id+":80"] = answer
 	h.mu.Unlock()
-	h.heard([]directory.Entry{{ID: id, Service: "tags", Address: id + ":80", Zone: "hall", Capacity: 2, Seq: 1}})
+	h.heard([]registry.Entry{{ID: id, Service: "tags", Address: id + ":80", Zone: "hall", Capacity: 2, Seq: 1}})
 }
 
 func (h *hall) ask(method, path, body string, headers ...string) *httptest.ResponseRecorder {
@@ -261,8 +261,8 @@
 	in(t, func(h *hall) {
 		h.serve("i-1", good)
 		h.g.Expect(h.ask("GET", "/s/x", "").Code).To(Equal(200))
-		h.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 2, State: directory.Draining}})
-		h.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 1}}) // late
+		h.heard([]registry.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 2, State: registry.Draining}})
+		h.heard([]registry.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 1}}) // late
 		h.g.Expect(h.ask("GET", "/s/x", "").Code).To(Equal(503))
 		h.g.Expect(h.got).To(HaveLen(1))
 	})
@@ -274,7 +274,7 @@
 		h.ask("GET", "/s/x", "")
 		h.ask("GET", "/s/x", "")
 		h.g.Expect(h.dials).To(Equal(1))
-		h.heard([]directory.Entry{{ID: "i-1", Seq: 2, State: directory.Gone}, {ID: "i-2", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
+		h.heard([]registry.Entry{{ID: "i-1", Seq: 2, State: registry.Gone}, {ID: "i-2", Service: "tags", Address: "i-1:80", Zone: "hall", Capacity: 2, Seq: 1}})
 		h.ask("GET", "/s/x", "")
 		h.g.Expect(h.dials).To(Equal(2))
 		h.g.Expect(h.got[2].Header.Get("X-Expected-Instance")).To(Equal("i-2"))
@@ -282,7 +282,7 @@
 }
 
 func TestKeyedOperations(t *testing.T) {
-	stands := func(ticket.Record) (ticket.Ruling, *ticket.Answer) { return ticket.Stands, nil }
+	stands := func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer) { return idempotency.Stands, nil }
 	t.Run("run once claimed, and their answer is kept", func(t *testing.T) {
 		in(t, func(h *hall) {
 			h.rule = stands
@@ -295,7 +295,7 @@
 	})
 	t.Run("are 409 while another runs them", func(t *testing.T) {
 		in(t, func(h *hall) {
-			h.rule = func(ticket.Record) (ticket.Ruling, *ticket.Answer) { return ticket.Taken, nil }
+			h.rule = func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer) { return idempotency.Taken, nil }
 			h.serve("i-1", good)
 			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(409))
 			h.g.Expect(h.got).To(BeEmpty())
@@ -303,8 +303,8 @@
 	})
 	t.Run("repeat the first answer, for this try", func(t *testing.T) {
 		in(t, func(h *hall) {
-			h.rule = func(ticket.Record) (ticket.Ruling, *ticket.Answer) {
-				return ticket.Taken, &ticket.Answer{Status: 201, Headers: map[string]string{"X-Server-Seal": "first"}, Body: []byte("one")}
+			h.rule = func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer) {
+				return idempotency.Taken, &idempotency.Answer{Status: 201, Headers: map[string]string{"X-Server-Seal": "first"}, Body: []byte("one")}
 			}
 			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k")
 			h.g.Expect(w.Code).To(Equal(201))
@@ -316,7 +316,7 @@
 	t.Run("send nothing without a clear claim, and withdraw it", func(t *testing.T) {
 		in(t, func(h *hall) {
 			h.serve("i-1", good)
-			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k") // the exchange says nothing
+			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k") // the controller says nothing
 			h.g.Expect(w.Code).To(Equal(503))
 			h.g.Expect(h.got).To(BeEmpty())
 			h.g.Expect(h.voids).To(HaveLen(1))
@@ -337,7 +337,7 @@
 			h.g.Expect(h.kept).To(BeEmpty())
 		})
 	})
-	t.Run("are refused early while no exchange can be reached, and withdrawn once one can", func(t *testing.T) {
+	t.Run("are refused early while no controller can be reached, and withdrawn once one can", func(t *testing.T) {
 		in(t, func(h *hall) {
 			h.serve("i-1", good)
 			link := h.home.link
@@ -353,15 +353,15 @@
 			h.g.Expect(h.got).To(BeEmpty())
 		})
 	})
-	t.Run("are withdrawn at the other exchange, too, that they were put to: home may have died", func(t *testing.T) {
+	t.Run("are withdrawn at the other controller, too, that they were put to: home may have died", func(t *testing.T) {
 		in(t, func(h *hall) {
 			h.serve("i-1", good)
 			near, far := net.Pipe()
-			guest, other := trunk.NewLink(near), trunk.NewLink(far)
+			guest, other := peer.NewLink(near), peer.NewLink(far)
 			defer guest.Close()
 			var claims, voids int
 			go func() {
-				_ = other.Read(func(f *trunk.Frame) { claims, voids = claims+len(f.Claims), voids+len(f.Voids) })
+				_ = other.Read(func(f *peer.Frame) { claims, voids = claims+len(f.Claims), voids+len(f.Voids) })
 			}()
 			h.home.guest = guest
 			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(503))
@@ -460,10 +460,10 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	in(t, func(h *hall) {
 		newer := strings.Replace(plan, `"r1"`, `"r5"`, 1)
-		h.g.Expect(h.configure(&trunk.Config{Version: 5, Whole: []byte(newer)})).To(BeTrue())
-		h.g.Expect(h.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
-		h.g.Expect(h.tree.Load().Config.Version).To(Equal(dialplan.Version(5)))
-		h.g.Expect(h.configure(&trunk.Config{Version: 9, Base: 7, Change: []byte(`{"version":"r9"}`)})).To(BeFalse(), "a change on another version needs the whole")
+		h.g.Expect(h.configure(&peer.Config{Version: 5, Whole: []byte(newer)})).To(BeTrue())
+		h.g.Expect(h.configure(&peer.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
+		h.g.Expect(h.tree.Load().Config.Version).To(Equal(config.Version(5)))
+		h.g.Expect(h.configure(&peer.Config{Version: 9, Base: 7, Change: []byte(`{"version":"r9"}`)})).To(BeFalse(), "a change on another version needs the whole")
 	})
 }
 
@@ -474,13 +474,13 @@
 		_, _ = io.WriteString(w, "bytes")
 	}))
 	defer server.Close()
-	set, err := boot.Parse("test", []byte(settings))
+	set, err := nodesettings.Parse("test", []byte(settings))
 	if err != nil {
 		b.Fatal(err)
 	}
 	c := New(set, log.NewNopLogger())
-	c.configure(&trunk.Config{Version: 1, Whole: []byte(plan)})
-	c.heard([]directory.Entry{{ID: "i-1", Service: "tags", Address: server.Listener.Addr().String(), Zone: "hall", Capacity: 2, Seq: 1}})
+	c.configure(&peer.Config{Version: 1, Whole: []byte(plan)})
+	c.heard([]registry.Entry{{ID: "i-1", Service: "tags", Address: server.Listener.Addr().String(), Zone: "hall", Capacity: 2, Seq: 1}})
 	b.ReportAllocs()
 	for b.Loop() {
 		r := httptest.NewRequest("GET", "http://a.example/s/x", nil)
@@ -533,13 +533,13 @@
 // The same key at three edges at once, and a claimer that dies: whoever is told Taken runs nothing.
 func TestOneOfManyEdgesRunsAKey(t *testing.T) {
 	in(t, func(h *hall) {
-		taken := map[ticket.Key]ticket.Token{}
-		h.rule = func(r ticket.Record) (ticket.Ruling, *ticket.Answer) {
+		taken := map[idempotency.Key]idempotency.Token{}
+		h.rule = func(r idempotency.Record) (idempotency.Ruling, *idempotency.Answer) {
 			if first, ok := taken[r.Key]; ok && first != r.Token {
-				return ticket.Taken, nil
+				return idempotency.Taken, nil
 			}
 			taken[r.Key] = r.Token
-			return ticket.Stands, nil
+			return idempotency.Stands, nil
 		}
 		h.serve("i-1", good)
 		var all sync.WaitGroup
--- a/internal/crossbar/queue.go
+++ b/internal/edge/proxy/queue.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"slices"
--- a/internal/crossbar/rooms.go
+++ b/internal/edge/proxy/rooms.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/platform/peer"
 )
 
 const (
@@ -23,24 +23,24 @@
 type rooms struct {
 	on    atomic.Bool // any room is told, or something runs under a gate
 	mu    sync.Mutex
-	told  []booking.Room
-	held  booking.Held
-	gates map[string]*booking.Gate
+	told  []reservation.Room
+	held  reservation.Held
+	gates map[string]*reservation.Gate
 	wants map[string]int // by room, requests in work or waiting
 	kick  chan struct{}
 }
 
 // pass is what a request holds of a gate.
 type pass struct {
-	gate  *booking.Gate
+	gate  *reservation.Gate
 	room  string // whose traffic it is
 	under string // as what it was let in
 	at    time.Duration
 	in    bool
 }
 
-// take takes the home exchange's word on which rooms are held.
-func (r *rooms) take(c *Crossbar, f *trunk.Rooms) {
+// take takes the home controller's word on which rooms are held.
+func (r *rooms) take(c *Crossbar, f *peer.Rooms) {
 	r.mu.Lock()
 	r.held.Follow(f.Term)
 	r.told = f.List
@@ -54,7 +54,7 @@
 }
 
 // lease takes parts of rooms.
-func (r *rooms) lease(c *Crossbar, l booking.Lease) {
+func (r *rooms) lease(c *Crossbar, l reservation.Lease) {
 	r.mu.Lock()
 	taken := r.held.Take(l)
 	if taken {
@@ -73,12 +73,12 @@
 	services := map[string]bool{}
 	for _, room := range r.told {
 		if services[room.Service] = true; r.gates[room.Service] == nil {
-			r.gates[room.Service] = booking.NewGate()
+			r.gates[room.Service] = reservation.NewGate()
 		}
 		gate := r.gates[room.Service]
 		part, full, known := r.held.Part(room.ID, now)
 		switch {
-		case room.ID != booking.Rest(room.Service):
+		case room.ID != reservation.Rest(room.Service):
 			gate.Part(room.ID, part, room.Slots, full)
 		case known:
 			gate.Others(part, room.Slots, full)
@@ -88,7 +88,7 @@
 	}
 	for service, gate := range r.gates {
 		gate.Keep(func(id string) bool {
-			return slices.ContainsFunc(r.told, func(room booking.Room) bool { return room.ID == id && room.Service == service })
+			return slices.ContainsFunc(r.told, func(room reservation.Room) bool { return room.ID == id && room.Service == service })
 		})
 		if !services[service] {
 			if gate.Free(); gate.Idle() {
@@ -100,8 +100,8 @@
 }
 
 // of finds the room that a request may use: that of its tenant at its service.
-func (r *rooms) of(c *Crossbar, route *dialplan.Route, service string) string {
-	tenant, found := strings.ToLower(route.Plant), booking.Rest(service)
+func (r *rooms) of(c *Crossbar, route *config.Route, service string) string {
+	tenant, found := strings.ToLower(route.Plant), reservation.Rest(service)
 	for _, room := range r.told {
 		if room.Service == service && strings.ToLower(room.Tenant) == tenant && room.Tenant != "" && (room.Route == "" || room.Route == route.Name) && (room.Zone == "" || room.Zone == c.set.Zone) {
 			if found = room.ID; r.gates[service].Has(found) {
@@ -208,6 +208,6 @@
 	told := len(r.told) > 0
 	r.mu.Unlock()
 	if told {
-		c.home.send(&trunk.Frame{Words: []trunk.Worded{{Word: word}}})
+		c.home.send(&peer.Frame{Words: []peer.Worded{{Word: word}}})
 	}
 }
--- a/internal/crossbar/rooms_test.go
+++ b/internal/edge/proxy/rooms_test.go
@@ -1,4 +1,4 @@
-package crossbar
+package proxy
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/platform/peer"
 )
 
 // flood is many requests of a tenant at once, each of which a server works on for a while.
@@ -51,19 +51,19 @@
 	`{"name":"t","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]}]}`
 
 // hold gives the edge rooms and its parts of them.
-func (h *hall) hold(rooms []booking.Room, parts map[string]int, full map[string]bool) {
-	h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3, List: rooms})
-	h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 1, For: 10 * time.Second, Parts: parts, Full: full})
+func (h *hall) hold(rooms []reservation.Room, parts map[string]int, full map[string]bool) {
+	h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3, List: rooms})
+	h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 1, For: 10 * time.Second, Parts: parts, Full: full})
 }
 
 func TestOthersDoNotTakeBookedRoom(t *testing.T) {
 	in(t, func(h *hall) {
-		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 { // eight slots
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []booking.Room{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: booking.Rest("tags"), Service: "tags", Slots: 2}}
-		h.hold(rooms, map[string]int{"flyer": 6, booking.Rest("tags"): 2}, map[string]bool{booking.Rest("tags"): true})
+		rooms := []reservation.Room{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(rooms, map[string]int{"flyer": 6, reservation.Rest("tags"): 2}, map[string]bool{reservation.Rest("tags"): true})
 		others := h.flood(30, "b.example")
 		time.Sleep(20 * time.Millisecond)
 		booked := h.flood(4, "a.example")
@@ -74,7 +74,7 @@
 		h.g.Expect(h.rooms.gates["tags"].Idle()).To(BeTrue(), "all room is given back")
 
 		// The booking ends: nobody is held any more.
-		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3})
+		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3})
 		h.g.Expect(h.rooms.on.Load()).To(BeFalse())
 		h.g.Expect(h.flood(8, "b.example")()).To(Equal(map[int]int{200: 8}))
 	})
@@ -83,15 +83,15 @@
 // The booking is cancelled while others run in its room: they run on, nobody is held any more, and every slot is given back.
 func TestABookingEndsWhileItsRoomIsLent(t *testing.T) {
 	in(t, func(h *hall) {
-		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 {
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 7}, {ID: booking.Rest("tags"), Service: "tags", Slots: 1}}
-		h.hold(rooms, map[string]int{"flyer": 7, booking.Rest("tags"): 1}, map[string]bool{booking.Rest("tags"): true})
+		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 7}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 1}}
+		h.hold(rooms, map[string]int{"flyer": 7, reservation.Rest("tags"): 1}, map[string]bool{reservation.Rest("tags"): true})
 		lent := h.flood(3, "b.example")
 		booked := h.flood(1, "a.example")
-		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 3})
+		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3})
 		h.g.Expect(h.rooms.gates).To(HaveLen(1), "requests still run under it")
 		more := h.flood(4, "b.example")
 		h.g.Expect(lent()).To(Equal(map[int]int{200: 3}))
@@ -107,15 +107,15 @@
 // Once it is used up, what exceeds it competes like everyone else.
 func TestAnEdgeWithASmallPartSendsNobodyAway(t *testing.T) {
 	in(t, func(h *hall) {
-		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 {
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 6}, {ID: booking.Rest("tags"), Service: "tags", Slots: 2}}
-		h.hold(rooms, map[string]int{"flyer": 1, booking.Rest("tags"): 0}, nil)
+		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(rooms, map[string]int{"flyer": 1, reservation.Rest("tags"): 0}, nil)
 		h.g.Expect(h.flood(6, "a.example")()).To(Equal(map[int]int{200: 6}))
-		h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
-			Parts: map[string]int{"flyer": 1, booking.Rest("tags"): 2}, Full: map[string]bool{"flyer": true, booking.Rest("tags"): true}})
+		h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
+			Parts: map[string]int{"flyer": 1, reservation.Rest("tags"): 2}, Full: map[string]bool{"flyer": true, reservation.Rest("tags"): true}})
 		h.g.Expect(h.flood(8, "a.example")()[200]).To(Equal(3), "one booked, two as everybody")
 	})
 }
@@ -124,17 +124,17 @@
 // leader that was on its way says nothing any more.
 func TestAnEdgeWithoutALease(t *testing.T) {
 	in(t, func(h *hall) {
-		h.g.Expect(h.configure(&trunk.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
+		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 {
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
 		h.edges.Store(2)
-		rooms := []booking.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: booking.Rest("tags"), Service: "tags", Slots: 4}}
-		h.hold(rooms, map[string]int{"flyer": 4, booking.Rest("tags"): 4}, map[string]bool{booking.Rest("tags"): true})
+		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 4}}
+		h.hold(rooms, map[string]int{"flyer": 4, reservation.Rest("tags"): 4}, map[string]bool{reservation.Rest("tags"): true})
 		time.Sleep(11 * time.Second)
 		h.rooms.say(h.Crossbar)
-		h.rooms.take(h.Crossbar, &trunk.Rooms{Term: 4, List: rooms})
-		h.rooms.lease(h.Crossbar, booking.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 9, For: 10 * time.Second, Parts: map[string]int{booking.Rest("tags"): 8}})
+		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 4, List: rooms})
+		h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 9, For: 10 * time.Second, Parts: map[string]int{reservation.Rest("tags"): 8}})
 		others := h.flood(10, "b.example")
 		booked := h.flood(4, "a.example")
 		h.g.Expect(booked()).To(Equal(map[int]int{200: 4}))
--- a/internal/meter/meter.go
+++ b/internal/edge/retrybudget/retrybudget.go
@@ -1,7 +1,7 @@
-// Package meter bounds further tries. The budget is one for the whole fleet and every sliding window; each edge spends
-// only what it has earned itself: a share of the requests that it took, and at most a small purse that starts empty.
+// Package retrybudget bounds further tries. The budget is one for the whole fleet and every sliding window; each edge
+// spends only what it has earned itself: a share of the requests that it took, and at most a small purse that starts empty.
 // So a restart refills nothing, an edge that joins brings nothing, and the sum needs nobody's agreement.
-package meter
+package retrybudget
 
 // earnShare is the part of the allowed ratio that is spent: the rest covers tries that a server counts and we don't.
 const earnShare = 0.6
@@ -13,7 +13,7 @@
 	most  float64
 }
 
-// New makes a meter for a fleet-wide ratio and slack. Edges is how many share the slack; 0: not known yet.
+// New makes a retry budget for a fleet-wide ratio and slack. Edges is how many share the slack; 0: not known yet.
 func New(ratio, slack float64, edges int) *Meter {
 	m := &Meter{earn: ratio * earnShare}
 	m.Share(slack, edges)
--- a/internal/meter/meter_test.go
+++ b/internal/edge/retrybudget/retrybudget_test.go
@@ -1,4 +1,4 @@
-package meter_test
+package retrybudget_test
 
 import (
 	"math/rand/v2"
@@ -7,24 +7,24 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/meter"
+	"mulleinwood/internal/edge/retrybudget"
 )
 
 func TestMeter(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "meter")
+	RunSpecs(t, "retrybudget")
 }
 
-var _ = Describe("the meters of a fleet", func() {
+var _ = Describe("the retry budgets of a fleet", func() {
 	const ratio, slack, steps, window = 0.2, 60.0, 6000, 1000 // a step is a hundredth of a second
 
 	// play lets edges spend whatever they may, with bursts, quiet times, restarts and edges that join, and gives the
 	// largest excess over the budget in any window.
 	play := func(seed uint64, refill bool) (worst float64) {
 		rng := rand.New(rand.NewPCG(seed, 5))
-		edges := make([]*meter.Meter, 10)
+		edges := make([]*retrybudget.Meter, 10)
 		for i := range edges {
-			edges[i] = meter.New(ratio, slack, len(edges))
+			edges[i] = retrybudget.New(ratio, slack, len(edges))
 		}
 		requests, spent := make([]float64, steps), make([]float64, steps)
 		rate := 1
@@ -34,7 +34,7 @@
 			}
 			if rng.IntN(2) == 0 { // a restart; or one joins in its place
 				i := rng.IntN(len(edges))
-				edges[i] = meter.New(ratio, slack, len(edges))
+				edges[i] = retrybudget.New(ratio, slack, len(edges))
 				for n := 0; refill && n < 100; n++ {
 					edges[i].Request()
 				}
@@ -73,6 +73,6 @@
 		Expect(broken).To(BeNumerically(">", 0), "the planted fault was not seen")
 	})
 	It("start empty", func() {
-		Expect(meter.New(ratio, slack, 10).Spend(false)).To(BeFalse())
+		Expect(retrybudget.New(ratio, slack, 10).Spend(false)).To(BeFalse())
 	})
 })
--- a/internal/operator/bookings.go
+++ b/internal/operator/bookings.go
@@ -1,20 +1,20 @@
 package operator
 
-import "mulleinwood/internal/booking"
+import "mulleinwood/internal/control/reservation"
 
-// Bookings is the book as an exchange tells it. Times are seconds of the core's time of day.
+// Bookings is the book as a controller tells it. Times are seconds of the core's time of day.
 type Bookings struct {
-	Version  string             `json:"version"`
-	Now      float64            `json:"now"`
-	Bookings []booking.Booking  `json:"bookings"`
-	Past     []booking.Past     `json:"past"`
-	Lacks    map[string]float64 `json:"lacks"` // slots that bookings of now lack, by id
-	Use      []Use              `json:"use"`
+	Version  string                `json:"version"`
+	Now      float64               `json:"now"`
+	Bookings []reservation.Booking `json:"bookings"`
+	Past     []reservation.Past    `json:"past"`
+	Lacks    map[string]float64    `json:"lacks"` // slots that bookings of now lack, by id
+	Use      []Use                 `json:"use"`
 }
 
 // Use is a room that is held now and how much of it is wanted, in work or waiting.
 type Use struct {
-	booking.Room
+	reservation.Room
 	Wanted int `json:"wanted"`
 }
 
@@ -28,5 +28,5 @@
 
 // Days is a list of bookings that are taken together or not at all.
 type Days struct {
-	Bookings []booking.Booking `json:"bookings"`
+	Bookings []reservation.Booking `json:"bookings"`
 }
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -10,19 +10,19 @@
 	"cuelang.org/go/cue/errors"
 	"cuelang.org/go/encoding/json"
 
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/platform/apierror"
 )
 
 //go:embed config.cue
 var shape string
 
 // Check says what is wrong with a configuration file, or with a file of changes, in one line with its place. A change can
-// be judged in full only by the exchanges, which hold what it changes.
+// be judged in full only by the controllers, which hold what it changes.
 func Check(path string, text []byte, change bool) error {
 	expr, err := json.Extract(path, text)
 	if err != nil {
-		return tone.Invalid.New("%s", firstOf(err, path))
+		return apierror.Invalid.New("%s", firstOf(err, path))
 	}
 	name := "#Config"
 	if change {
@@ -31,12 +31,12 @@
 	ctx := cuecontext.New()
 	value := ctx.CompileString(shape).LookupPath(cue.ParsePath(name)).Unify(ctx.BuildExpr(expr))
 	if err := value.Validate(cue.Concrete(true)); err != nil {
-		return tone.Invalid.New("%s", firstOf(err, path))
+		return apierror.Invalid.New("%s", firstOf(err, path))
 	}
 	if change {
 		return nil
 	}
-	if _, err := dialplan.Parse(text); err != nil {
+	if _, err := config.Parse(text); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	return nil
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,4 +1,4 @@
-// Package operator is the operators' client: it calls exchanges, follows them to the leader, and goes to the next when
+// Package operator is the operators' client: it calls controllers, follows them to the leader, and goes to the next when
 // one doesn't answer.
 package operator
 
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// Client calls a system by the control addresses of some exchanges.
+// Client calls a system by the control addresses of some controllers.
 type Client struct {
 	At   []string
 	HTTP *http.Client
@@ -40,7 +40,7 @@
 	follow = 2
 )
 
-// Call makes one call. Without a clear answer it is made again, unchanged, at the next exchange, pausing for longer
+// Call makes one call. Without a clear answer it is made again, unchanged, at the next controller, pausing for longer
 // each round; a change that was taken in the meantime is known to the system by its bytes.
 func (c *Client) Call(ctx context.Context, method, path string, header http.Header, body []byte) ([]byte, error) {
 	var last error
@@ -109,7 +109,7 @@
 	return nil, errors.New("sent on too often")
 }
 
-// Each asks every exchange that is known for its own view, those that others are linked to included.
+// Each asks every controller that is known for its own view, those that others are linked to included.
 func (c *Client) Each(ctx context.Context) (views []View, silent []string) {
 	asked := map[string]bool{}
 	todo := append([]string{}, c.At...)
@@ -132,7 +132,7 @@
 	return views, silent
 }
 
-// View is how one exchange sees the system.
+// View is how one controller sees the system.
 type View struct {
 	Node        string   `json:"node"`
 	IP          string   `json:"ip"`
@@ -156,7 +156,7 @@
 	Endangered  []string `json:"endangered,omitempty"` // bookings that can't be kept, as the leader sees it
 }
 
-// Server is a server as an exchange sees it.
+// Server is a server as a controller sees it.
 type Server struct {
 	ID       string  `json:"id"`
 	Service  string  `json:"service"`
@@ -183,7 +183,7 @@
 	if len(leaders) == 0 {
 		faults = append(faults, "nobody leads: configurations can't be changed")
 	} else if len(leaders) > 1 {
-		faults = append(faults, "exchanges don't agree on who leads")
+		faults = append(faults, "controllers don't agree on who leads")
 	}
 	for _, v := range views {
 		say := func(cond bool, what string) {
--- a/internal/operator/config.cue
+++ b/internal/operator/config.cue
@@ -1,4 +1,4 @@
-// The shape of a configuration. What items say of each other, and of the version before, is checked by the dial plan.
+// The shape of a configuration. What items say of each other, and of the version before, is checked by package config.
 #Version: =~"^r[0-9]+$"
 
 #Service: {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,7 +21,7 @@
 func quiet(string, ...any) {}
 
 var _ = Describe("the client", func() {
-	It("follows to the leader, and goes to the next exchange when one fails", func() {
+	It("follows to the leader, and goes to the next controller when one fails", func() {
 		leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			Expect(r.Header.Get("If-Match")).To(Equal("r1"))
 			_, _ = w.Write([]byte("taken"))
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -11,8 +11,8 @@
 	cuejson "cuelang.org/go/encoding/json"
 	"github.com/joomcode/errorx"
 
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/platform/apierror"
 )
 
 //go:embed plan.cue
@@ -37,27 +37,27 @@
 }
 
 // Plan reads a file of days, and says what is wrong with it in one line with its place.
-func Plan(path string, text []byte) ([]booking.Booking, error) {
+func Plan(path string, text []byte) ([]reservation.Booking, error) {
 	expr, err := cuejson.Extract(path, text)
 	if err != nil {
-		return nil, tone.Invalid.New("%s", firstOf(err, path))
+		return nil, apierror.Invalid.New("%s", firstOf(err, path))
 	}
 	ctx := cuecontext.New()
 	value := ctx.CompileString(planShape).LookupPath(cue.ParsePath("#Plan")).Unify(ctx.BuildExpr(expr))
 	if err := value.Validate(cue.Concrete(true)); err != nil {
-		return nil, tone.Invalid.New("%s", firstOf(err, path))
+		return nil, apierror.Invalid.New("%s", firstOf(err, path))
 	}
 	var file struct {
 		Bookings []Entry `json:"bookings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, tone.Invalid.New("%s: %s", path, err)
+		return nil, apierror.Invalid.New("%s: %s", path, err)
 	}
-	var all []booking.Booking
+	var all []reservation.Booking
 	seen := map[string]bool{}
 	for _, e := range file.Bookings {
 		if seen[e.ID] {
-			return nil, tone.Invalid.New("%s: booking %s stands there twice", path, e.ID)
+			return nil, apierror.Invalid.New("%s: booking %s stands there twice", path, e.ID)
 		}
 		seen[e.ID] = true
 		b, err := e.Booking()
@@ -70,8 +70,8 @@
 }
 
 // Booking reads times and spans.
-func (e Entry) Booking() (booking.Booking, error) {
-	b := booking.Booking{ID: e.ID, Tenant: e.Tenant, Service: e.Service, Route: e.Route, Zone: e.Zone, Slots: e.Slots, Rate: e.Rate,
+func (e Entry) Booking() (reservation.Booking, error) {
+	b := reservation.Booking{ID: e.ID, Tenant: e.Tenant, Service: e.Service, Route: e.Route, Zone: e.Zone, Slots: e.Slots, Rate: e.Rate,
 		Rank: e.Rank, Owner: e.Owner, Reason: e.Reason}
 	for _, f := range []struct {
 		name, text string
@@ -79,7 +79,7 @@
 	}{{"start", e.Start, &b.Start}, {"end", e.End, &b.End}} {
 		at, err := Time(f.text)
 		if err != nil {
-			return b, tone.Invalid.New("booking %s: %s %q is no time such as 2026-07-01T06:00:00-04:00", e.ID, f.name, f.text)
+			return b, apierror.Invalid.New("booking %s: %s %q is no time such as 2026-07-01T06:00:00-04:00", e.ID, f.name, f.text)
 		}
 		*f.into = at
 	}
@@ -92,18 +92,18 @@
 		}
 		span, err := time.ParseDuration(f.text)
 		if err != nil || span < 0 {
-			return b, tone.Invalid.New("booking %s: %s %q is no span such as 250ms or 10m", e.ID, f.name, f.text)
+			return b, apierror.Invalid.New("booking %s: %s %q is no span such as 250ms or 10m", e.ID, f.name, f.text)
 		}
 		*f.into = span.Seconds()
 	}
 	if b = b.Whole(); b.Slots <= 0 {
-		return b, tone.Invalid.New("booking %s: it takes slots, or rate and work", e.ID)
+		return b, apierror.Invalid.New("booking %s: it takes slots, or rate and work", e.ID)
 	}
 	return b, nil
 }
 
 // EntryOf writes a booking as people do.
-func EntryOf(b booking.Booking) Entry {
+func EntryOf(b reservation.Booking) Entry {
 	span := func(seconds float64) string {
 		if seconds == 0 {
 			return ""
--- a/internal/operator/plan_test.go
+++ b/internal/operator/plan_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 const day = `{"bookings":[
@@ -28,7 +28,7 @@
 		{`{"bookings":`, "day.json"},
 	} {
 		_, err := Plan("day.json", []byte(bad.text))
-		g.Expect(tone.For(err).Status).To(Equal(400), bad.text)
+		g.Expect(apierror.For(err).Status).To(Equal(400), bad.text)
 		g.Expect(err.Error()).To(ContainSubstring(bad.says))
 		g.Expect(err.Error()).NotTo(ContainSubstring("\n"))
 	}
--- a/internal/bench/cores.go
+++ b/internal/planner/bench/cores.go
@@ -10,8 +10,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"mulleinwood/internal/audit"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/audit"
+	"mulleinwood/internal/planner/standin"
 )
 
 // Plan says what `bench cores` measures.
--- a/internal/bench/decisions.go
+++ b/internal/planner/bench/decisions.go
@@ -10,8 +10,8 @@
 
 	"gonum.org/v1/plot/plotter"
 
-	"mulleinwood/internal/audit"
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/audit"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/bench/fleet.go
+++ b/internal/planner/bench/fleet.go
@@ -5,8 +5,8 @@
 import (
 	"fmt"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/settings"
 )
 
 // Fleet is the size of a deployment that is made up.
--- a/internal/bench/group.go
+++ b/internal/planner/bench/group.go
@@ -5,10 +5,10 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/cores"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/cores"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/bench/look.go
+++ b/internal/planner/bench/look.go
@@ -12,7 +12,7 @@
 
 	"gonum.org/v1/plot/plotter"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 const (
--- a/internal/bench/peers.go
+++ b/internal/planner/bench/peers.go
@@ -10,9 +10,9 @@
 	load "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"mulleinwood/internal/audit"
-	"mulleinwood/internal/standin"
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/audit"
+	"mulleinwood/internal/planner/standin"
+	"mulleinwood/internal/planner/xds"
 	"mulleinwood/rules"
 )
 
--- a/internal/bench/planner.go
+++ b/internal/planner/bench/planner.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 func marshal(v any) ([]byte, error) { return json.Marshal(v) }
--- a/internal/bench/swarm.go
+++ b/internal/planner/bench/swarm.go
@@ -10,9 +10,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"mulleinwood/internal/audit"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/audit"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
 	"mulleinwood/rules"
 )
 
--- a/internal/bench/versions.go
+++ b/internal/planner/bench/versions.go
@@ -12,8 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/plot/plotter"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/record"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/record"
 	"mulleinwood/tables"
 )
 
--- a/internal/program/ask.go
+++ b/internal/planner/program/ask.go
@@ -17,11 +17,11 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"mulleinwood/internal/dialect"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/transport"
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/dialect"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/transport"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // asker asks servers for their health and load, by the protocol that each speaks.
--- a/internal/program/config.go
+++ b/internal/planner/program/config.go
@@ -12,9 +12,9 @@
 	"reflect"
 	"strconv"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/tables"
 )
 
--- a/internal/program/config_test.go
+++ b/internal/planner/program/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-const example = "../../examples/planner.json"
+const example = "../../../examples/planner.json"
 
 // env returns a getenv of the given variables.
 func env(pairs ...string) func(string) string {
--- a/internal/program/cores_test.go
+++ b/internal/planner/program/cores_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/standin"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/day_test.go
+++ b/internal/planner/program/day_test.go
@@ -11,10 +11,10 @@
 	endpoint "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 
-	"mulleinwood/internal/audit"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/audit"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
+	"mulleinwood/internal/planner/xds"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/fleet_test.go
+++ b/internal/planner/program/fleet_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/front.go
+++ b/internal/planner/program/front.go
@@ -24,12 +24,12 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
-	"mulleinwood/internal/transport"
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
+	"mulleinwood/internal/planner/transport"
+	"mulleinwood/internal/planner/xds"
 )
 
 // Bounds of the gRPC front. They bound memory and descriptors as those of lines do.
--- a/internal/program/front_test.go
+++ b/internal/planner/program/front_test.go
@@ -29,10 +29,10 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
+	"mulleinwood/internal/planner/xds"
 )
 
 var classNames = []string{"lookup", "order"}
--- a/internal/program/inbox.go
+++ b/internal/planner/program/inbox.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"mulleinwood/internal/routing"
+	"mulleinwood/internal/planner/routing"
 )
 
 // reportsMost is how many reports may wait for a core. Who brings more waits, until the core has taken some or is cut off.
--- a/internal/program/keys.go
+++ b/internal/planner/program/keys.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinwood/internal/options"
+	"mulleinwood/internal/planner/options"
 )
 
 // keys are the certificates of the gRPC front. They are read again on SIGHUP; streams that stand keep theirs.
--- a/internal/program/lease.go
+++ b/internal/planner/program/lease.go
@@ -4,8 +4,8 @@
 	"errors"
 	"sync"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
 )
 
 // errRevoked is what a core gets that orders on a stream which another has by now.
--- a/internal/program/loop_test.go
+++ b/internal/planner/program/loop_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/peers.go
+++ b/internal/planner/program/peers.go
@@ -11,10 +11,10 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
-	"mulleinwood/internal/transport"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
+	"mulleinwood/internal/planner/transport"
 )
 
 // spanPeriods is how many of the settings' reporting periods a report may cover. A proxy of little traffic reports after
--- a/internal/program/program.go
+++ b/internal/planner/program/program.go
@@ -11,8 +11,8 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/transport"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/transport"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/program_test.go
+++ b/internal/planner/program/program_test.go
@@ -15,8 +15,8 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
 	"mulleinwood/rules"
 )
 
--- a/internal/program/reload.go
+++ b/internal/planner/program/reload.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/transport"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/transport"
 )
 
 // reloader takes a changed configuration over while the planner serves. Files are read beside the loop, which gets
--- a/internal/program/versions.go
+++ b/internal/planner/program/versions.go
@@ -14,10 +14,10 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/record"
-	"mulleinwood/internal/transport"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/record"
+	"mulleinwood/internal/planner/transport"
 	"mulleinwood/tables"
 )
 
--- a/internal/program/versions_test.go
+++ b/internal/planner/program/versions_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/options"
-	"mulleinwood/internal/record"
-	"mulleinwood/internal/standin"
+	"mulleinwood/internal/planner/options"
+	"mulleinwood/internal/planner/record"
+	"mulleinwood/internal/planner/standin"
 	"mulleinwood/tables"
 )
 
--- a/internal/protocol/exchange.go
+++ b/internal/planner/protocol/exchange.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // Bounds of what another party may answer.
--- a/internal/protocol/exchange_test.go
+++ b/internal/planner/protocol/exchange_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // heard is what an exchange handed on.
--- a/internal/protocol/lines.go
+++ b/internal/planner/protocol/lines.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // LineMost is the most that one line may hold, its LF included.
--- a/internal/protocol/lines_test.go
+++ b/internal/planner/protocol/lines_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 const stream = `{"t":"hb"}
--- a/internal/routing/bench_test.go
+++ b/internal/planner/routing/bench_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/events.go
+++ b/internal/planner/routing/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/fed.go
+++ b/internal/planner/routing/fed.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/lists.go
+++ b/internal/planner/routing/lists.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/moved_test.go
+++ b/internal/planner/routing/moved_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/names.go
+++ b/internal/planner/routing/names.go
@@ -1,8 +1,8 @@
 package routing
 
 import (
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/recorded_test.go
+++ b/internal/planner/routing/recorded_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/retire_test.go
+++ b/internal/planner/routing/retire_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/routing/tables.go
+++ b/internal/planner/routing/tables.go
@@ -6,7 +6,7 @@
 	"math/bits"
 	"slices"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 	"mulleinwood/rules"
 )
 
--- a/internal/simhost/simhost.go
+++ b/internal/planner/simhost/simhost.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"mulleinwood/internal/wire"
+	"mulleinwood/internal/planner/wire"
 	"mulleinwood/rules"
 )
 
--- a/internal/simhost/simhost_test.go
+++ b/internal/planner/simhost/simhost_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"mulleinwood/internal/wire"
+	"mulleinwood/internal/planner/wire"
 	"mulleinwood/rules"
 )
 
--- a/internal/standin/discovery.go
+++ b/internal/planner/standin/discovery.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 // quiet is how often a watch says that nothing has changed.
--- a/internal/standin/grpc.go
+++ b/internal/planner/standin/grpc.go
@@ -23,7 +23,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/xds"
 )
 
 // Dial opens a gRPC connection to a planner; nil credentials stand for none.
--- a/internal/transport/conn.go
+++ b/internal/planner/transport/conn.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // Sizes of the buffers of a connection.
--- a/internal/transport/conn_test.go
+++ b/internal/planner/transport/conn_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // echo is a machine that answers each line with itself. Some lines are words to it.
--- a/internal/transport/dial.go
+++ b/internal/planner/transport/dial.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // Stage says how far a call came.
--- a/internal/transport/dial_test.go
+++ b/internal/planner/transport/dial_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // text is an answer that is complete at its first full stop.
--- a/internal/transport/handover.go
+++ b/internal/planner/transport/handover.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // The first bytes of what is no line of JSON: HTTP/2's preface begins with the one, a TLS handshake with the other.
--- a/internal/transport/listener.go
+++ b/internal/planner/transport/listener.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinwood/internal/transport/ring"
+	"mulleinwood/internal/planner/transport/ring"
 )
 
 // pause is how long accepting rests after the system refused a descriptor and nothing could be shed.
--- a/internal/wire/wire.go
+++ b/internal/planner/wire/wire.go
@@ -8,7 +8,7 @@
 	"io"
 	"math"
 
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/wire/wire_test.go
+++ b/internal/planner/wire/wire_test.go
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
--- a/internal/xds/ads.go
+++ b/internal/planner/xds/ads.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 // TypeEndpoints is the one type of resource that is served: the assignments of a class.
--- a/internal/xds/load.go
+++ b/internal/planner/xds/load.go
@@ -11,7 +11,7 @@
 	load "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 // LatencyMetric is the named metric of an endpoint that tells how long its answers took: the sum in milliseconds, and how
--- a/internal/xds/mixed_test.go
+++ b/internal/planner/xds/mixed_test.go
@@ -16,11 +16,11 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
-	"mulleinwood/internal/standin"
-	"mulleinwood/internal/xds"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
+	"mulleinwood/internal/planner/standin"
+	"mulleinwood/internal/planner/xds"
 	"mulleinwood/rules"
 )
 
--- a/internal/xds/node.go
+++ b/internal/planner/xds/node.go
@@ -13,7 +13,7 @@
 
 	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 // Facts are what the machines must know of the deployment.
--- a/internal/xds/table.go
+++ b/internal/planner/xds/table.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 const (
--- a/internal/xds/xds_test.go
+++ b/internal/planner/xds/xds_test.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 	"pgregory.net/rapid"
 
-	"mulleinwood/internal/protocol"
+	"mulleinwood/internal/planner/protocol"
 )
 
 var facts = Facts{Classes: []string{"view", "pay"}, Zones: []string{"n", "s"}, Period: 1000,
--- a/internal/tone/tone.go
+++ b/internal/platform/apierror/apierror.go
@@ -1,5 +1,5 @@
-// Package tone is the closed list of error kinds and the one table from kind to answer.
-package tone
+// Package apierror is the closed list of the gateway's error kinds and the one table from kind to answer.
+package apierror
 
 import (
 	"net/http"
--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,4 @@
+// Package platform groups what the gateway's programs stand on: settings of a node (nodesettings), the file on disk
+// (storage), links between processes (peer), error kinds (apierror), counters (metrics), starting and ending (lifecycle).
+// It holds no code itself.
+package platform
--- a/internal/night/night.go
+++ b/internal/platform/lifecycle/lifecycle.go
@@ -1,6 +1,6 @@
-// Package night is the watch that all programs share: it starts a command line, ends it on SIGTERM, and turns errors
+// Package lifecycle starts and ends all programs alike: it runs a command line, ends it on SIGTERM, and turns errors
 // into one line and a code: 0 done, 1 failed while running, 2 wrong arguments, settings or surroundings.
-package night
+package lifecycle
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Reloads hands out a value for each SIGHUP, which the platform sends when the settings file has changed. It has to be
@@ -32,7 +32,7 @@
 	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, strings.ReplaceAll(err.Error(), "\n", " "))
-		if errorx.IsOfType(err, tone.Settings) {
+		if errorx.IsOfType(err, apierror.Settings) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/internal/tally/tally.go
+++ b/internal/platform/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package tally counts what a process did and gave up, and tells it in the exposition format that the field reads.
-package tally
+// Package metrics counts what a process did and gave up, and serves it in the Prometheus exposition format.
+package metrics
 
 import (
 	"net/http"
@@ -10,8 +10,8 @@
 
 // The roles.
 const (
-	Exchange = "exchange"
-	Crossbar = "crossbar"
+	Controller = "controller"
+	Edge       = "edge"
 )
 
 // Tally is one process's counters.
@@ -41,7 +41,7 @@
 		Syncs: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "mulleinwood", Name: "sync_seconds", Help: "Time that a write to disk took.",
 			ConstLabels: labels, Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .25, 1, 4}}),
 	}
-	if role == Exchange {
+	if role == Controller {
 		r.MustRegister(t.Syncs)
 	}
 	return t
--- a/internal/boot/boot.go
+++ b/internal/platform/nodesettings/nodesettings.go
@@ -1,5 +1,5 @@
-// Package boot reads the settings file that the platform hands to each process and checks it.
-package boot
+// Package nodesettings reads the settings file that the platform hands to each process, and checks it.
+package nodesettings
 
 import (
 	_ "embed"
@@ -15,7 +15,7 @@
 	"cuelang.org/go/cue/errors"
 	"cuelang.org/go/encoding/yaml"
 
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Variable names the environment variable that holds the path of the settings file.
@@ -71,11 +71,11 @@
 func Load() (*Settings, error) {
 	path := os.Getenv(Variable)
 	if path == "" {
-		return nil, tone.Settings.New("%s is not set: it names the settings file", Variable)
+		return nil, apierror.Settings.New("%s is not set: it names the settings file", Variable)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, tone.Settings.Wrap(err, "settings file")
+		return nil, apierror.Settings.Wrap(err, "settings file")
 	}
 	return Parse(path, text)
 }
@@ -84,24 +84,24 @@
 func Parse(path string, text []byte) (*Settings, error) {
 	file, err := yaml.Extract(path, text)
 	if err != nil {
-		return nil, tone.Settings.New("%s: %s", path, oneLine(err))
+		return nil, apierror.Settings.New("%s: %s", path, oneLine(err))
 	}
 	ctx := cuecontext.New()
 	shape := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Settings"))
 	value := shape.Unify(ctx.BuildFile(file))
 	if err := value.Validate(cue.Concrete(true)); err != nil {
-		return nil, tone.Settings.New("%s: %s", path, oneLine(err))
+		return nil, apierror.Settings.New("%s: %s", path, oneLine(err))
 	}
 	s := &Settings{}
 	if err := value.Decode(s); err != nil {
-		return nil, tone.Settings.New("%s: %s", path, oneLine(err))
+		return nil, apierror.Settings.New("%s: %s", path, oneLine(err))
 	}
 	s.bounds = map[string]float64{}
 	for _, entry := range s.BoundList {
 		for _, pair := range strings.Split(entry, ",") {
 			name, figure, ok := strings.Cut(strings.TrimSpace(pair), "=")
 			if !ok {
-				return nil, tone.Settings.New("%s: bounds: %q is not name=value", path, pair)
+				return nil, apierror.Settings.New("%s: bounds: %q is not name=value", path, pair)
 			}
 			if x, err := strconv.ParseFloat(figure, 64); err == nil {
 				s.bounds[name] = x
--- a/internal/boot/boot_test.go
+++ b/internal/platform/nodesettings/nodesettings_test.go
@@ -1,4 +1,4 @@
-package boot_test
+package nodesettings_test
 
 import (
 	"strings"
@@ -7,16 +7,16 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/boot"
+	"mulleinwood/internal/platform/nodesettings"
 )
 
 func TestBoot(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "boot")
+	RunSpecs(t, "nodesettings")
 }
 
 const good = `node: "core-1"
-role: "exchange"
+role: "controller"
 ip: "10.0.0.1"
 zone: "hall"
 unknown_field:
@@ -35,7 +35,7 @@
 
 var _ = Describe("a settings file", func() {
 	It("is read, and fields that nobody knows pass", func() {
-		s, err := boot.Parse("node.yaml", []byte(good))
+		s, err := nodesettings.Parse("node.yaml", []byte(good))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.SeedIPs()).To(Equal([]string{"10.0.0.1", "10.0.0.2"}))
 		Expect(s.Bound("drain_s", 0)).To(Equal(2.5))
@@ -48,7 +48,7 @@
 	})
 	DescribeTable("is refused in one line that names file and field", func(old, new, field string) {
 		Expect(good).To(ContainSubstring(old))
-		_, err := boot.Parse("node.yaml", []byte(strings.Replace(good, old, new, 1)))
+		_, err := nodesettings.Parse("node.yaml", []byte(strings.Replace(good, old, new, 1)))
 		Expect(err).To(HaveOccurred())
 		Expect(err.Error()).To(ContainSubstring("node.yaml"))
 		Expect(err.Error()).To(ContainSubstring(field))
--- a/internal/trunk/compare.go
+++ b/internal/platform/peer/compare.go
@@ -1,9 +1,9 @@
-package trunk
+package peer
 
 import (
 	"time"
 
-	"mulleinwood/internal/directory"
+	"mulleinwood/internal/control/registry"
 )
 
 // Comparing tells when to ask the other end of a link which cells differ: once two of its full pulses in a row had
@@ -33,7 +33,7 @@
 // Compare answers what the other end says of its cells, after its Entries were taken: whoever is asked sends its lives of
 // the cells that differ, and whoever asked sends its own of those that still do. It guards against news that was missed
 // while links came and went, however that happened.
-func (c *Cells) Compare(d *directory.Directory, now time.Duration) *Frame {
+func (c *Cells) Compare(d *registry.Directory, now time.Duration) *Frame {
 	ours, zones, here := d.Sums(), map[string]bool{}, map[string]uint64{}
 	for zone, sum := range c.Sums {
 		if ours[zone] != sum {
--- a/internal/trunk/compare_test.go
+++ b/internal/platform/peer/compare_test.go
@@ -1,4 +1,4 @@
-package trunk_test
+package peer_test
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/peer"
 )
 
 // Two planners that heard different parts of the news, in any order and with any of it missing, hold the same after one
@@ -19,10 +19,10 @@
 	rng := rand.New(rand.NewPCG(3, 3))
 	bytes := 0
 	for range 500 {
-		a, b := directory.New(time.Minute), directory.New(time.Minute)
+		a, b := registry.New(time.Minute), registry.New(time.Minute)
 		for range rng.IntN(30) {
-			e := directory.Entry{ID: fmt.Sprint("i-", rng.IntN(8)), Service: "tags", Address: "x:1", Capacity: 2, Seq: uint64(rng.IntN(5)),
-				State: directory.State(rng.IntN(3)), Silent: rng.IntN(4) == 0, Owner: string(rune('p' + rng.IntN(2)))}
+			e := registry.Entry{ID: fmt.Sprint("i-", rng.IntN(8)), Service: "tags", Address: "x:1", Capacity: 2, Seq: uint64(rng.IntN(5)),
+				State: registry.State(rng.IntN(3)), Silent: rng.IntN(4) == 0, Owner: string(rune('p' + rng.IntN(2)))}
 			e.Zone = string(rune('a' + int(e.ID[2]-'0')%3)) // a life doesn't move
 			if rng.IntN(3) > 0 {
 				a.Take(e, 0)
@@ -31,13 +31,13 @@
 				b.Take(e, 0)
 			}
 		}
-		take := func(d *directory.Directory, f *trunk.Frame) {
+		take := func(d *registry.Directory, f *peer.Frame) {
 			for _, e := range f.Entries {
 				d.Take(e, 0)
 			}
 			bytes += len(f.Entries)
 		}
-		ask := &trunk.Frame{Cells: &trunk.Cells{Sums: a.Sums()}}
+		ask := &peer.Frame{Cells: &peer.Cells{Sums: a.Sums()}}
 		if answer := ask.Cells.Compare(b, 0); answer != nil {
 			take(a, answer)
 			if last := answer.Cells.Compare(a, 0); last != nil {
@@ -45,14 +45,14 @@
 			}
 		}
 		g.Expect(a.Sum()).To(Equal(b.Sum()))
-		g.Expect((&trunk.Cells{Sums: a.Sums()}).Compare(b, 0)).To(BeNil())
+		g.Expect((&peer.Cells{Sums: a.Sums()}).Compare(b, 0)).To(BeNil())
 	}
 	g.Expect(bytes).To(BeNumerically(">", 500))
 }
 
 func TestComparingWaitsForNewsOnItsWay(t *testing.T) {
 	g := NewWithT(t)
-	c := trunk.Comparing{}
+	c := peer.Comparing{}
 	g.Expect(c.Due(1, 2, 1*time.Second)).To(BeFalse(), "it may be on its way")
 	g.Expect(c.Due(2, 2, 2*time.Second)).To(BeFalse())
 	g.Expect(c.Due(1, 2, 3*time.Second)).To(BeFalse())
--- a/internal/trunk/frame.go
+++ b/internal/platform/peer/frame.go
@@ -1,60 +1,60 @@
-// Package trunk is what the system's processes say to each other: frames of CBOR, each after its length, over one TCP
+// Package peer is the links between the gateway's own processes: frames of CBOR, each after its length, over one TCP
 // connection a pair. Both ends send pulses, so that a cut, which is silent, is heard within a second.
-package trunk
+package peer
 
 import (
 	"github.com/zeebo/xxh3"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
 )
 
 // Frame is one message. Most have one field set; what is said together travels together.
 type Frame struct {
-	Hello    *Hello              `cbor:"1,keyasint,omitempty"`
-	Pulse    *Pulse              `cbor:"2,keyasint,omitempty"`
-	Agree    []agreement.Message `cbor:"3,keyasint,omitempty"`
-	Entries  []directory.Entry   `cbor:"4,keyasint,omitempty"`
-	Receipt  uint64              `cbor:"5,keyasint,omitempty"` // to be sent back once Entries are in force
-	Received uint64              `cbor:"6,keyasint,omitempty"`
-	Config   *Config             `cbor:"7,keyasint,omitempty"`
-	Weights  *Weights            `cbor:"8,keyasint,omitempty"`
-	Report   *Report             `cbor:"9,keyasint,omitempty"`
-	Claims   []ticket.Record     `cbor:"10,keyasint,omitempty"` // edge to its exchange
-	Rulings  []Ruling            `cbor:"11,keyasint,omitempty"` // and back
-	Asks     []ticket.Record     `cbor:"12,keyasint,omitempty"` // office to ledger
-	Verdicts []Verdict           `cbor:"13,keyasint,omitempty"` // and back
-	Voids    []ticket.Record     `cbor:"14,keyasint,omitempty"`
-	Done     []ticket.Record     `cbor:"15,keyasint,omitempty"`
-	Fetch    []ticket.Record     `cbor:"16,keyasint,omitempty"` // an answer that another exchange holds
-	Fetched  []ticket.Record     `cbor:"17,keyasint,omitempty"`
-	Copy     bool                `cbor:"18,keyasint,omitempty"` // the whole ledger is wanted
-	Copied   *Copied             `cbor:"19,keyasint,omitempty"`
-	NeedAll  bool                `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
-	Cells    *Cells              `cbor:"21,keyasint,omitempty"`
-	Rooms    *Rooms              `cbor:"22,keyasint,omitempty"`
-	Words    []Worded            `cbor:"23,keyasint,omitempty"` // edge to its exchange, and on to the dealer
-	Leases   []Leased            `cbor:"24,keyasint,omitempty"` // and back
+	Hello    *Hello               `cbor:"1,keyasint,omitempty"`
+	Pulse    *Pulse               `cbor:"2,keyasint,omitempty"`
+	Agree    []consensus.Message  `cbor:"3,keyasint,omitempty"`
+	Entries  []registry.Entry     `cbor:"4,keyasint,omitempty"`
+	Receipt  uint64               `cbor:"5,keyasint,omitempty"` // to be sent back once Entries are in force
+	Received uint64               `cbor:"6,keyasint,omitempty"`
+	Config   *Config              `cbor:"7,keyasint,omitempty"`
+	Weights  *Weights             `cbor:"8,keyasint,omitempty"`
+	Report   *Report              `cbor:"9,keyasint,omitempty"`
+	Claims   []idempotency.Record `cbor:"10,keyasint,omitempty"` // edge to its controller
+	Rulings  []Ruling             `cbor:"11,keyasint,omitempty"` // and back
+	Asks     []idempotency.Record `cbor:"12,keyasint,omitempty"` // office to ledger
+	Verdicts []Verdict            `cbor:"13,keyasint,omitempty"` // and back
+	Voids    []idempotency.Record `cbor:"14,keyasint,omitempty"`
+	Done     []idempotency.Record `cbor:"15,keyasint,omitempty"`
+	Fetch    []idempotency.Record `cbor:"16,keyasint,omitempty"` // an answer that another controller holds
+	Fetched  []idempotency.Record `cbor:"17,keyasint,omitempty"`
+	Copy     bool                 `cbor:"18,keyasint,omitempty"` // the whole ledger is wanted
+	Copied   *Copied              `cbor:"19,keyasint,omitempty"`
+	NeedAll  bool                 `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
+	Cells    *Cells               `cbor:"21,keyasint,omitempty"`
+	Rooms    *Rooms               `cbor:"22,keyasint,omitempty"`
+	Words    []Worded             `cbor:"23,keyasint,omitempty"` // edge to its controller, and on to the dealer
+	Leases   []Leased             `cbor:"24,keyasint,omitempty"` // and back
 }
 
 // Rooms are all that are held, as the leader of a term says.
 type Rooms struct {
-	Term uint64         `cbor:"1,keyasint"`
-	List []booking.Room `cbor:"2,keyasint,omitempty"`
+	Term uint64             `cbor:"1,keyasint"`
+	List []reservation.Room `cbor:"2,keyasint,omitempty"`
 }
 
 // Worded is an edge's word on its rooms.
 type Worded struct {
-	Edge string       `cbor:"1,keyasint"` // IP
-	Word booking.Word `cbor:"2,keyasint"`
+	Edge string           `cbor:"1,keyasint"` // IP
+	Word reservation.Word `cbor:"2,keyasint"`
 }
 
 // Leased is an edge's parts of the rooms.
 type Leased struct {
-	Edge  string        `cbor:"1,keyasint"`
-	Lease booking.Lease `cbor:"2,keyasint"`
+	Edge  string            `cbor:"1,keyasint"`
+	Lease reservation.Lease `cbor:"2,keyasint"`
 }
 
 // Cells compares what two processes hold of servers, cell by cell. The answer comes with the lives of the cells that
@@ -72,27 +72,27 @@
 	Edge    bool     `cbor:"4,keyasint,omitempty"`
 	Life    uint64   `cbor:"5,keyasint"`
 	Version uint64   `cbor:"6,keyasint,omitempty"`  // of the configuration held
-	Members []string `cbor:"7,keyasint,omitempty"`  // of the agreement, as an exchange knows them
-	Look    bool     `cbor:"8,keyasint,omitempty"`  // only to see how an exchange is
+	Members []string `cbor:"7,keyasint,omitempty"`  // of the agreement, as a controller knows them
+	Look    bool     `cbor:"8,keyasint,omitempty"`  // only to see how a controller is
 	Blank   bool     `cbor:"9,keyasint,omitempty"`  // the disk came back empty: answers that others still hold are wanted
-	Counted bool     `cbor:"10,keyasint,omitempty"` // an exchange that the platform counts, and that may be a member
+	Counted bool     `cbor:"10,keyasint,omitempty"` // a controller that the platform counts, and that may be a member
 }
 
-// Pulse says that the sender lives. Attached: an exchange that hears more than half of the core. Every few pulses are
-// full: with the exchanges that the sender is linked to, and the traffic of its edges.
+// Pulse says that the sender lives. Attached: a controller that hears more than half of the core. Every few pulses are
+// full: with the controllers that the sender is linked to, and the traffic of its edges.
 type Pulse struct {
 	Attached  bool     `cbor:"1,keyasint,omitempty"`
 	Version   uint64   `cbor:"2,keyasint,omitempty"`
 	Edges     int      `cbor:"3,keyasint,omitempty"` // whose home the sender is
-	Fleet     int      `cbor:"7,keyasint,omitempty"` // edges of all exchanges
+	Fleet     int      `cbor:"7,keyasint,omitempty"` // edges of all controllers
 	Full      bool     `cbor:"6,keyasint,omitempty"`
 	Exchanges []string `cbor:"4,keyasint,omitempty"`
 	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
 	Sum       uint64   `cbor:"8,keyasint,omitempty"` // of the servers that the sender knows, in full pulses
 
-	Crew   map[string][]uint32 `cbor:"9,keyasint,omitempty"`  // to exchanges: the sender's edges, by zone
+	Crew   map[string][]uint32 `cbor:"9,keyasint,omitempty"`  // to controllers: the sender's edges, by zone
 	Roster []uint32            `cbor:"10,keyasint,omitempty"` // to an edge: all of its zone, once it has changed
-	Clock  float64             `cbor:"11,keyasint,omitempty"` // to exchanges: the sender's time of day, in seconds
+	Clock  float64             `cbor:"11,keyasint,omitempty"` // to controllers: the sender's time of day, in seconds
 }
 
 // Badge is the short name of an edge in rosters.
@@ -155,21 +155,21 @@
 
 // Ruling tells an edge the outcome of its claim.
 type Ruling struct {
-	Token  ticket.Token   `cbor:"1,keyasint"`
-	Ruling ticket.Ruling  `cbor:"2,keyasint"`
-	Answer *ticket.Answer `cbor:"3,keyasint,omitempty"` // of the first run
+	Token  idempotency.Token   `cbor:"1,keyasint"`
+	Ruling idempotency.Ruling  `cbor:"2,keyasint"`
+	Answer *idempotency.Answer `cbor:"3,keyasint,omitempty"` // of the first run
 }
 
 // Verdict tells an office what a ledger says.
 type Verdict struct {
-	Token   ticket.Token   `cbor:"1,keyasint"`
-	Verdict ticket.Verdict `cbor:"2,keyasint"`
-	Holder  *ticket.Record `cbor:"3,keyasint,omitempty"`
+	Token   idempotency.Token   `cbor:"1,keyasint"`
+	Verdict idempotency.Verdict `cbor:"2,keyasint"`
+	Holder  *idempotency.Record `cbor:"3,keyasint,omitempty"`
 }
 
 // Copied is a part of a ledger, for one that copies.
 type Copied struct {
-	Records []ticket.Record `cbor:"1,keyasint,omitempty"`
-	Last    bool            `cbor:"2,keyasint,omitempty"`
-	Blank   bool            `cbor:"3,keyasint,omitempty"` // the sender knows nothing itself
+	Records []idempotency.Record `cbor:"1,keyasint,omitempty"`
+	Last    bool                 `cbor:"2,keyasint,omitempty"`
+	Blank   bool                 `cbor:"3,keyasint,omitempty"` // the sender knows nothing itself
 }
--- a/internal/trunk/trunk_test.go
+++ b/internal/platform/peer/peer_test.go
@@ -1,4 +1,4 @@
-package trunk_test
+package peer_test
 
 import (
 	"encoding/binary"
@@ -10,19 +10,19 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/peer"
 )
 
 func TestFramesArriveInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		a, b := net.Pipe()
-		from, to := trunk.NewLink(a), trunk.NewLink(b)
+		from, to := peer.NewLink(a), peer.NewLink(b)
 		var got []uint64
-		go func() { _ = to.Read(func(f *trunk.Frame) { got = append(got, f.Receipt) }) }()
+		go func() { _ = to.Read(func(f *peer.Frame) { got = append(got, f.Receipt) }) }()
 		for i := range uint64(50) {
-			from.Send(&trunk.Frame{Receipt: i + 1, Entries: []directory.Entry{{ID: "i-1"}}})
+			from.Send(&peer.Frame{Receipt: i + 1, Entries: []registry.Entry{{ID: "i-1"}}})
 		}
 		synctest.Wait()
 		g.Expect(got).To(HaveLen(50))
@@ -41,11 +41,11 @@
 		g := NewWithT(t)
 		a, b := net.Pipe()
 		defer a.Close()
-		link := trunk.NewLink(b)
+		link := peer.NewLink(b)
 		began := time.Now()
-		err := link.Read(func(*trunk.Frame) {})
+		err := link.Read(func(*peer.Frame) {})
 		g.Expect(err).To(HaveOccurred())
-		g.Expect(time.Since(began)).To(Equal(trunk.Silence))
+		g.Expect(time.Since(began)).To(Equal(peer.Silence))
 		<-link.Closed()
 	})
 }
@@ -62,9 +62,9 @@
 				go func() {
 					_, _ = a.Write(bytes)
 				}()
-				link := trunk.NewLink(b)
+				link := peer.NewLink(b)
 				called := false
-				err := link.Read(func(*trunk.Frame) { called = true })
+				err := link.Read(func(*peer.Frame) { called = true })
 				g.Expect(err).To(HaveOccurred())
 				g.Expect(called).To(BeFalse())
 				a.Close()
@@ -74,19 +74,19 @@
 }
 
 func FuzzFrame(f *testing.F) {
-	good, err := cbor.Marshal(&trunk.Frame{Receipt: 7, Entries: []directory.Entry{{ID: "i-1", Seq: 3}}, Hello: &trunk.Hello{Node: "n"}})
+	good, err := cbor.Marshal(&peer.Frame{Receipt: 7, Entries: []registry.Entry{{ID: "i-1", Seq: 3}}, Hello: &peer.Hello{Node: "n"}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(good)
 	f.Fuzz(func(t *testing.T, body []byte) {
 		a, b := net.Pipe()
-		link := trunk.NewLink(b)
+		link := peer.NewLink(b)
 		go func() {
 			_, _ = a.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...))
 			a.Close()
 		}()
-		_ = link.Read(func(got *trunk.Frame) {
+		_ = link.Read(func(got *peer.Frame) {
 			if _, err := cbor.Marshal(got); err != nil {
 				t.Fatalf("taken, but can't be written: %v", err)
 			}
--- a/internal/trunk/secure.go
+++ b/internal/platform/peer/secure.go
@@ -1,4 +1,4 @@
-package trunk
+package peer
 
 import (
 	"context"
--- a/internal/trunk/secure_test.go
+++ b/internal/platform/peer/secure_test.go
@@ -1,4 +1,4 @@
-package trunk_test
+package peer_test
 
 import (
 	"crypto/ecdsa"
@@ -15,7 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/platform/peer"
 )
 
 // authority signs certificates for a test.
@@ -73,7 +73,7 @@
 }
 
 // meet has one process dial another, and tells how that ended at both ends.
-func meet(g *WithT, at, from *trunk.Security) (dialled, accepted error) {
+func meet(g *WithT, at, from *peer.Security) (dialled, accepted error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
@@ -99,10 +99,10 @@
 func TestLinksProveWhoTheyAre(t *testing.T) {
 	g := NewWithT(t)
 	ours, theirs := newAuthority(g), newAuthority(g)
-	folder := func(a *authority, ip string, believed ...*authority) (*trunk.Security, string) {
+	folder := func(a *authority, ip string, believed ...*authority) (*peer.Security, string) {
 		dir := t.TempDir()
 		a.issue(dir, ip, believed...)
-		s, err := trunk.NewSecurity(dir, "127.0.0.1")
+		s, err := peer.NewSecurity(dir, "127.0.0.1")
 		g.Expect(err).NotTo(HaveOccurred())
 		return s, dir
 	}
@@ -112,13 +112,13 @@
 	g.Expect(dialled).NotTo(HaveOccurred())
 	g.Expect(accepted).NotTo(HaveOccurred())
 
-	for name, stranger := range map[string]*trunk.Security{
+	for name, stranger := range map[string]*peer.Security{
 		"a plain link": nil,
-		"another authority's": func() *trunk.Security {
+		"another authority's": func() *peer.Security {
 			s, _ := folder(theirs, "127.0.0.1", ours)
 			return s
 		}(),
-		"a certificate for another address": func() *trunk.Security {
+		"a certificate for another address": func() *peer.Security {
 			s, _ := folder(ours, "10.0.0.9", ours)
 			return s
 		}(),
@@ -134,7 +134,7 @@
 	ours.issue(dir, "127.0.0.1", ours, theirs)
 	g.Expect(good.Reload()).To(Succeed())
 	moved, _ := folder(theirs, "127.0.0.1", ours, theirs)
-	for _, pair := range [][2]*trunk.Security{{good, moved}, {moved, good}, {good, other}} {
+	for _, pair := range [][2]*peer.Security{{good, moved}, {moved, good}, {good, other}} {
 		dialled, accepted = meet(g, pair[0], pair[1])
 		g.Expect(dialled).NotTo(HaveOccurred())
 		g.Expect(accepted).NotTo(HaveOccurred())
@@ -151,7 +151,7 @@
 	g.Expect(good.Reload()).NotTo(Succeed())
 	_, accepted = meet(g, good, moved)
 	g.Expect(accepted).NotTo(HaveOccurred())
-	_, err := trunk.NewSecurity(t.TempDir(), "127.0.0.1")
+	_, err := peer.NewSecurity(t.TempDir(), "127.0.0.1")
 	g.Expect(err).To(MatchError(ContainSubstring("certificate.pem")))
 }
 
@@ -163,8 +163,8 @@
 	conn, err := net.Dial("tcp", l.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
-	g.Expect((&trunk.Security{}).Believe(conn, &trunk.Hello{IP: "127.0.0.1"})).To(Succeed())
-	g.Expect((&trunk.Security{}).Believe(conn, &trunk.Hello{IP: "10.0.0.9"})).NotTo(Succeed())
-	var none *trunk.Security
-	g.Expect(none.Believe(conn, &trunk.Hello{IP: "10.0.0.9"})).To(Succeed())
+	g.Expect((&peer.Security{}).Believe(conn, &peer.Hello{IP: "127.0.0.1"})).To(Succeed())
+	g.Expect((&peer.Security{}).Believe(conn, &peer.Hello{IP: "10.0.0.9"})).NotTo(Succeed())
+	var none *peer.Security
+	g.Expect(none.Believe(conn, &peer.Hello{IP: "10.0.0.9"})).To(Succeed())
 }
--- a/internal/archive/growth_test.go
+++ b/internal/platform/storage/growth_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package storage_test
 
 import (
 	"fmt"
@@ -10,10 +10,10 @@
 
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/archive"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/storage"
 )
 
 // Two simulated hours of claims with answers, changes with snapshots, and servers that come and go: the file is as large
@@ -22,7 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		dir := t.TempDir()
-		a, _, err := archive.Open(dir, window, 64<<20)
+		a, _, err := storage.Open(dir, window, 64<<20)
 		g.Expect(err).NotTo(HaveOccurred())
 		size := func() int64 {
 			info, err := os.Stat(filepath.Join(dir, "exchange.db"))
@@ -32,19 +32,19 @@
 		var n, index uint64
 		early := int64(0)
 		for second := 0; second < 7200; second += 5 {
-			b := &archive.Batch{}
+			b := &storage.Batch{}
 			for range 100 {
 				n++
-				r := ticket.Record{Key: ticket.KeyOf("t", fmt.Sprint(n)), Token: ticket.Token{Life: 1, N: n}, Answer: &ticket.Answer{Status: 200, Body: make([]byte, 1000)}}
+				r := idempotency.Record{Key: idempotency.KeyOf("t", fmt.Sprint(n)), Token: idempotency.Token{Life: 1, N: n}, Answer: &idempotency.Answer{Status: 200, Body: make([]byte, 1000)}}
 				b.Records = append(b.Records, r)
 			}
 			index++
-			b.Entries = []agreement.Entry{{Term: 1, Index: index, Data: make([]byte, 2000)}}
+			b.Entries = []consensus.Entry{{Term: 1, Index: index, Data: make([]byte, 2000)}}
 			if index%64 == 0 {
-				b.Entries, b.Snapshot = nil, &agreement.Snapshot{Term: 1, Index: index, Data: make([]byte, 50_000)}
+				b.Entries, b.Snapshot = nil, &consensus.Snapshot{Term: 1, Index: index, Data: make([]byte, 50_000)}
 			}
-			b.Servers = []directory.Entry{{ID: fmt.Sprint("i-", index), Address: "x:1"}, {ID: fmt.Sprint("i-", index-min(index, 20)), State: directory.Gone}}
-			g.Expect(a.Commit([]*archive.Batch{b})).To(Succeed())
+			b.Servers = []registry.Entry{{ID: fmt.Sprint("i-", index), Address: "x:1"}, {ID: fmt.Sprint("i-", index-min(index, 20)), State: registry.Gone}}
+			g.Expect(a.Commit([]*storage.Batch{b})).To(Succeed())
 			if second == 600 {
 				early = size()
 			}
@@ -52,7 +52,7 @@
 		}
 		g.Expect(size()).To(BeNumerically("<=", early+16<<20), "bbolt makes a file longer by 16 MB at a time")
 		g.Expect(a.Close()).To(Succeed())
-		a, s, err := archive.Open(dir, window, 64<<20)
+		a, s, err := storage.Open(dir, window, 64<<20)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(s.Spoilt).NotTo(HaveOccurred())
 		g.Expect(len(s.Records)).To(BeNumerically("<=", 100*24), "eight spans, each of which ends with the first write after ten seconds")
--- a/internal/archive/open.go
+++ b/internal/platform/storage/open.go
@@ -1,4 +1,4 @@
-package archive
+package storage
 
 import (
 	"encoding/binary"
@@ -16,9 +16,9 @@
 	bolt "go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
 )
 
 const (
@@ -162,7 +162,7 @@
 			return err
 		}
 		if err := each(tx.Bucket(serversBucket), func(k, v []byte) error {
-			var e directory.Entry
+			var e registry.Entry
 			if err := get(k, v, &e); err != nil {
 				return fmt.Errorf("servers: %w", err)
 			}
@@ -233,7 +233,7 @@
 func (s *State) readLog(log *bolt.Bucket) error {
 	next := s.Snapshot.Index + 1
 	return each(log, func(k, v []byte) error {
-		var e agreement.Entry
+		var e consensus.Entry
 		if err := get(k, v, &e); err != nil {
 			return fmt.Errorf("log: %w", err)
 		}
@@ -253,7 +253,7 @@
 	return ledger.ForEachBucket(func(name []byte) error {
 		a.gens, a.bytes = append(a.gens, binary.BigEndian.Uint64(name)), append(a.bytes, 0)
 		return ledger.Bucket(name).ForEach(func(k, v []byte) error {
-			var r ticket.Record
+			var r idempotency.Record
 			if err := get(k, v, &r); err != nil {
 				return fmt.Errorf("ledger: %w", err)
 			}
--- a/internal/archive/archive.go
+++ b/internal/platform/storage/storage.go
@@ -1,6 +1,6 @@
-// Package archive keeps a planner's lasting state on disk: its part of the agreement and its ledger of claims, in one
+// Package storage keeps a controller's lasting state on disk: its part of the consensus and its ledger of claims, in one
 // bbolt file. What is handed over together becomes durable together.
-package archive
+package storage
 
 import (
 	"encoding/binary"
@@ -10,9 +10,9 @@
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
 )
 
 // Format of the file. Another one is not read.
@@ -36,23 +36,23 @@
 	New         bool     // nothing was there
 	Spoilt      error    // what was there could not be believed, and was put aside: this disk has told what it doesn't know
 	Members     []string // of the agreement
-	Hard        agreement.Hard
-	Snapshot    agreement.Snapshot
-	Entries     []agreement.Entry
-	Records     []ticket.Record // in the order they were written
-	Servers     []directory.Entry
+	Hard        consensus.Hard
+	Snapshot    consensus.Snapshot
+	Entries     []consensus.Entry
+	Records     []idempotency.Record // in the order they were written
+	Servers     []registry.Entry
 	LedgerBlank bool
 }
 
 // Batch is what becomes durable together.
 type Batch struct {
 	Members     []string
-	Hard        *agreement.Hard
-	Snapshot    *agreement.Snapshot
+	Hard        *consensus.Hard
+	Snapshot    *consensus.Snapshot
 	Truncate    uint64
-	Entries     []agreement.Entry
-	Records     []ticket.Record
-	Servers     []directory.Entry // those that are gone are removed
+	Entries     []consensus.Entry
+	Records     []idempotency.Record
+	Servers     []registry.Entry // those that are gone are removed
 	LedgerBlank *bool
 }
 
@@ -167,7 +167,7 @@
 func (b *Batch) servers(tx *bolt.Tx) error {
 	bucket := tx.Bucket(serversBucket)
 	for _, e := range b.Servers {
-		if e.State == directory.Gone {
+		if e.State == registry.Gone {
 			if err := bucket.Delete([]byte(e.ID)); err != nil {
 				return err
 			}
--- a/internal/archive/archive_test.go
+++ b/internal/platform/storage/storage_test.go
@@ -1,4 +1,4 @@
-package archive_test
+package storage_test
 
 import (
 	"bytes"
@@ -13,30 +13,30 @@
 	. "github.com/onsi/gomega"
 	bolt "go.etcd.io/bbolt"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/archive"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/platform/storage"
 )
 
 func TestArchive(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "archive")
+	RunSpecs(t, "storage")
 }
 
 const window = time.Minute
 
-func open(dir string) (*archive.Archive, *archive.State) {
-	a, s, err := archive.Open(dir, window, 64<<20)
+func open(dir string) (*storage.Archive, *storage.State) {
+	a, s, err := storage.Open(dir, window, 64<<20)
 	Expect(err).NotTo(HaveOccurred())
 	return a, s
 }
 
-func record(n uint64) ticket.Record {
-	return ticket.Record{Key: ticket.Key{byte(n)}, Token: ticket.Token{Life: 1, N: n}}
+func record(n uint64) idempotency.Record {
+	return idempotency.Record{Key: idempotency.Key{byte(n)}, Token: idempotency.Token{Life: 1, N: n}}
 }
 
-var _ = Describe("an archive", func() {
+var _ = Describe("a storage file", func() {
 	It("tells a new disk from one that was used", func() {
 		dir := GinkgoT().TempDir()
 		a, s := open(dir)
@@ -49,20 +49,20 @@
 	It("gives back what was made durable, in order", func() {
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
-		hard := agreement.Hard{Term: 4, Vote: "b", Commit: 2}
-		Expect(a.Commit([]*archive.Batch{
-			{Members: []string{"a", "b", "c"}, Hard: &hard, Entries: []agreement.Entry{{Term: 3, Index: 1}, {Term: 3, Index: 2}, {Term: 3, Index: 3}}},
-			{Truncate: 3, Entries: []agreement.Entry{{Term: 4, Index: 3, Data: []byte("x")}}},
-			{Records: []ticket.Record{record(1), record(2)}},
+		hard := consensus.Hard{Term: 4, Vote: "b", Commit: 2}
+		Expect(a.Commit([]*storage.Batch{
+			{Members: []string{"a", "b", "c"}, Hard: &hard, Entries: []consensus.Entry{{Term: 3, Index: 1}, {Term: 3, Index: 2}, {Term: 3, Index: 3}}},
+			{Truncate: 3, Entries: []consensus.Entry{{Term: 4, Index: 3, Data: []byte("x")}}},
+			{Records: []idempotency.Record{record(1), record(2)}},
 		})).To(Succeed())
 		Expect(a.Close()).To(Succeed())
 		a, s := open(dir)
 		Expect(s.Hard).To(Equal(hard))
 		Expect(s.Members).To(Equal([]string{"a", "b", "c"}))
 		Expect(s.Entries).To(HaveLen(3))
-		Expect(s.Entries[2]).To(Equal(agreement.Entry{Term: 4, Index: 3, Data: []byte("x")}))
-		Expect(s.Records).To(Equal([]ticket.Record{record(1), record(2)}))
-		Expect(a.Commit([]*archive.Batch{{Snapshot: &agreement.Snapshot{Term: 4, Index: 3, Data: []byte("s")}}, {Records: []ticket.Record{record(3)}}})).To(Succeed())
+		Expect(s.Entries[2]).To(Equal(consensus.Entry{Term: 4, Index: 3, Data: []byte("x")}))
+		Expect(s.Records).To(Equal([]idempotency.Record{record(1), record(2)}))
+		Expect(a.Commit([]*storage.Batch{{Snapshot: &consensus.Snapshot{Term: 4, Index: 3, Data: []byte("s")}}, {Records: []idempotency.Record{record(3)}}})).To(Succeed())
 		Expect(a.Close()).To(Succeed())
 		a, s = open(dir)
 		Expect(s.Entries).To(BeEmpty())
@@ -73,14 +73,14 @@
 	It("keeps servers until they are gone", func() {
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
-		one, two := directory.Entry{ID: "i-1", Service: "tags", Address: "x:1", Seq: 3}, directory.Entry{ID: "i-2", Service: "tags", Address: "x:2", Seq: 4}
-		Expect(a.Commit([]*archive.Batch{{Servers: []directory.Entry{one, two}}})).To(Succeed())
-		one.State = directory.Draining
-		two.State = directory.Gone
-		Expect(a.Commit([]*archive.Batch{{Servers: []directory.Entry{one, two}}})).To(Succeed())
+		one, two := registry.Entry{ID: "i-1", Service: "tags", Address: "x:1", Seq: 3}, registry.Entry{ID: "i-2", Service: "tags", Address: "x:2", Seq: 4}
+		Expect(a.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
+		one.State = registry.Draining
+		two.State = registry.Gone
+		Expect(a.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
 		Expect(a.Close()).To(Succeed())
 		a, s := open(dir)
-		Expect(s.Servers).To(Equal([]directory.Entry{one}))
+		Expect(s.Servers).To(Equal([]registry.Entry{one}))
 		Expect(a.Close()).To(Succeed())
 	})
 	It("puts a file aside that is none, and starts new", func() {
@@ -95,7 +95,7 @@
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
 		for n := range uint64(20) {
-			Expect(a.Commit([]*archive.Batch{{Hard: &agreement.Hard{Term: n + 1}, Records: []ticket.Record{record(n)}}})).To(Succeed())
+			Expect(a.Commit([]*storage.Batch{{Hard: &consensus.Hard{Term: n + 1}, Records: []idempotency.Record{record(n)}}})).To(Succeed())
 		}
 		Expect(a.Close()).To(Succeed())
 		whole, err := os.ReadFile(filepath.Join(dir, "exchange.db"))
@@ -109,7 +109,7 @@
 				text[i] ^= byte(1 + rng.IntN(255))
 			}
 			Expect(os.WriteFile(filepath.Join(cut, "exchange.db"), text, 0o600)).To(Succeed())
-			b, s, err := archive.Open(cut, window, 64<<20)
+			b, s, err := storage.Open(cut, window, 64<<20)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(s.Hard.Term).To(BeElementOf(uint64(19), uint64(20)))
 			Expect(len(s.Records)).To(BeElementOf(19, 20))
@@ -120,9 +120,9 @@
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
 		for n := range uint64(60) {
-			Expect(a.Commit([]*archive.Batch{{Members: []string{"a", "b", "c"}, Hard: &agreement.Hard{Term: n + 1},
-				Entries: []agreement.Entry{{Term: n + 1, Index: n + 1, Data: []byte("change")}}, Servers: []directory.Entry{{ID: fmt.Sprint("i-", n%9), Service: "tags", Address: "x:1", Seq: n}},
-				Records: []ticket.Record{record(n), {Key: ticket.Key{byte(n)}, Token: ticket.Token{Life: 1, N: n}, Answer: &ticket.Answer{Status: 200, Body: make([]byte, 300)}}}}})).To(Succeed())
+			Expect(a.Commit([]*storage.Batch{{Members: []string{"a", "b", "c"}, Hard: &consensus.Hard{Term: n + 1},
+				Entries: []consensus.Entry{{Term: n + 1, Index: n + 1, Data: []byte("change")}}, Servers: []registry.Entry{{ID: fmt.Sprint("i-", n%9), Service: "tags", Address: "x:1", Seq: n}},
+				Records: []idempotency.Record{record(n), {Key: idempotency.Key{byte(n)}, Token: idempotency.Token{Life: 1, N: n}, Answer: &idempotency.Answer{Status: 200, Body: make([]byte, 300)}}}}})).To(Succeed())
 		}
 		Expect(a.Close()).To(Succeed())
 		whole, err := os.ReadFile(filepath.Join(dir, "exchange.db"))
@@ -146,7 +146,7 @@
 			}
 			touched := GinkgoT().TempDir()
 			Expect(os.WriteFile(filepath.Join(touched, "exchange.db"), text, 0o600)).To(Succeed())
-			b, s, err := archive.Open(touched, window, 64<<20)
+			b, s, err := storage.Open(touched, window, 64<<20)
 			Expect(err).NotTo(HaveOccurred(), what)
 			if s.Spoilt != nil || s.New {
 				spoilt++
@@ -156,7 +156,7 @@
 				same++
 				Expect(s).To(Equal(good), what)
 			}
-			Expect(b.Commit([]*archive.Batch{{Records: []ticket.Record{record(1)}}})).To(Succeed(), what)
+			Expect(b.Commit([]*storage.Batch{{Records: []idempotency.Record{record(1)}}})).To(Succeed(), what)
 			Expect(b.Close()).To(Succeed())
 		}
 		Expect(spoilt).To(BeNumerically(">", 30))
@@ -165,7 +165,7 @@
 	It("is put aside when its opening ends the process again and again", func() {
 		dir := GinkgoT().TempDir()
 		a, _ := open(dir)
-		Expect(a.Commit([]*archive.Batch{{Members: []string{"a"}, Hard: &agreement.Hard{Term: 7}}})).To(Succeed())
+		Expect(a.Commit([]*storage.Batch{{Members: []string{"a"}, Hard: &consensus.Hard{Term: 7}}})).To(Succeed())
 		Expect(a.Close()).To(Succeed())
 		tries := filepath.Join(dir, "exchange.db.opening")
 		Expect(os.WriteFile(tries, []byte("...."), 0o600)).To(Succeed())
@@ -189,18 +189,18 @@
 			return meta.Put([]byte("format"), []byte{1})
 		})).To(Succeed())
 		Expect(db.Close()).To(Succeed())
-		_, _, err = archive.Open(dir, window, 64<<20)
+		_, _, err = storage.Open(dir, window, 64<<20)
 		Expect(err).To(MatchError(ContainSubstring("another format: 1, not 2")))
 		Expect(filepath.Join(dir, "exchange.db.spoilt")).NotTo(BeAnExistingFile())
 	})
 	It("bounds what answers take", func() {
 		dir := GinkgoT().TempDir()
-		a, _, err := archive.Open(dir, window, 1000)
+		a, _, err := storage.Open(dir, window, 1000)
 		Expect(err).NotTo(HaveOccurred())
 		for n := range uint64(9) {
 			r := record(n)
-			r.Answer = &ticket.Answer{Status: 200, Body: make([]byte, 300)}
-			Expect(a.Commit([]*archive.Batch{{Records: []ticket.Record{record(n), r}}})).To(Succeed())
+			r.Answer = &idempotency.Answer{Status: 200, Body: make([]byte, 300)}
+			Expect(a.Commit([]*storage.Batch{{Records: []idempotency.Record{record(n), r}}})).To(Succeed())
 		}
 		Expect(a.Close()).To(Succeed())
 		a, s := open(dir)
--- a/internal/rehearse/bookings.go
+++ b/internal/simulation/bookings.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
@@ -8,13 +8,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/cord"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/edge/attempt"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/platform/apierror"
 )
 
 // Busy is a busy day that was known beforehand: one tenant's traffic at the first service, and that of all others, which
@@ -39,7 +39,7 @@
 	measured   = 9 * time.Second // from a second after the crowd came
 	againMost  = 3               // times that others repeat
 	dealOf     = 250 * time.Millisecond
-	aheadBy    = 2 * time.Hour // of the first exchange's clock
+	aheadBy    = 2 * time.Hour // of the first controller's clock
 )
 
 // NewBusyDay draws a busy day on which processes end, servers leave and crash, and edges are cut off now and then.
@@ -53,39 +53,39 @@
 	return d
 }
 
-// nodeRooms is an exchange's part of booked room.
+// nodeRooms is a controller's part of booked room.
 type nodeRooms struct {
-	clock  *booking.Clock
-	dealer *booking.Dealer
+	clock  *reservation.Clock
+	dealer *reservation.Dealer
 	round  uint64
 	asked  time.Duration
 	proven time.Duration
 	next   time.Duration
-	told   []booking.Room
+	told   []reservation.Room
 	term   uint64
 	from   int
 }
 
 // edgeRooms is an edge's.
 type edgeRooms struct {
-	held  booking.Held
-	told  []booking.Room
-	gate  *booking.Gate
+	held  reservation.Held
+	told  []reservation.Room
+	gate  *reservation.Gate
 	wants map[string]int
 	next  time.Duration
 }
 
 // pass is what a request holds of a gate.
 type pass struct {
-	gate        *booking.Gate
+	gate        *reservation.Gate
 	room, under string
 	at          time.Duration
 	in          bool
 }
 
-func (w *world) newRooms(n *node) { n.rooms = nodeRooms{clock: booking.NewClock(), from: n.n} }
+func (w *world) newRooms(n *node) { n.rooms = nodeRooms{clock: reservation.NewClock(), from: n.n} }
 
-// wallOf is an exchange's time of day: the first's is hours off.
+// wallOf is a controller's time of day: the first's is hours off.
 func (w *world) wallOf(n *node) float64 {
 	wall := w.now
 	if n.n == 0 {
@@ -101,7 +101,7 @@
 		return
 	}
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	if !w.running(n.n) || n.member.Role() != agreement.Leader {
+	if !w.running(n.n) || n.member.Role() != consensus.Leader {
 		return
 	}
 	whole := 0.0
@@ -110,8 +110,8 @@
 			whole += float64(s.capacity)
 		}
 	}
-	b := booking.Booking{ID: "busy", Tenant: "tenant", Service: w.services[0], Start: 1e6 + bookedFrom.Seconds(), End: 2e6, Slots: float64(int(whole * busy.Booked)), Owner: "hall"}
-	data, err := cbor.Marshal(daybook.Change{Book: &booking.Op{Call: "busy", Base: n.state.Book.Version, Puts: []booking.Booking{b}, Now: n.rooms.clock.Now(w.now)}})
+	b := reservation.Booking{ID: "busy", Tenant: "tenant", Service: w.services[0], Start: 1e6 + bookedFrom.Seconds(), End: 2e6, Slots: float64(int(whole * busy.Booked)), Owner: "hall"}
+	data, err := cbor.Marshal(statemachine.Change{Book: &reservation.Op{Call: "busy", Base: n.state.Book.Version, Puts: []reservation.Booking{b}, Now: n.rooms.clock.Now(w.now)}})
 	if err != nil {
 		panic(err) // plain values
 	}
@@ -119,24 +119,24 @@
 	n.waiting[index] = waiter{term, w.now + callOver, func(err error) {
 		if err == nil {
 			w.bookAcked = true
-		} else if tone.For(err).Status < 500 {
+		} else if apierror.For(err).Status < 500 {
 			w.broken("FAULT: a booking is refused: %v", err)
 		}
 	}}
 	w.settle(n)
 }
 
-// dealRooms is what an exchange does for booked room: as the program does.
+// dealRooms is what a controller does for booked room: as the program does.
 func (w *world) dealRooms(n *node) {
 	r := &n.rooms
-	if w.now < r.next || n.member.Role() != agreement.Leader || n.state.Book.Version == 0 {
+	if w.now < r.next || n.member.Role() != consensus.Leader || n.state.Book.Version == 0 {
 		return
 	}
 	r.next = w.now + dealOf
 	if r.dealer == nil || r.dealer.Term() != n.member.Term() {
-		r.dealer, r.round, r.proven = booking.NewDealer(n.member.Term(), w.now), 0, 0
+		r.dealer, r.round, r.proven = reservation.NewDealer(n.member.Term(), w.now), 0, 0
 		if w.day.Fault == "a new dealer deals at once" {
-			r.dealer = booking.NewDealer(n.member.Term(), -time.Hour)
+			r.dealer = reservation.NewDealer(n.member.Term(), -time.Hour)
 		}
 	}
 	if r.round > 0 && n.member.Confirmed(r.round) {
@@ -144,14 +144,14 @@
 	}
 	r.round, r.asked = n.member.Confirm(w.now), w.now
 	w.settle(n)
-	if r.proven == 0 || w.now-r.proven > booking.Confirmed {
+	if r.proven == 0 || w.now-r.proven > reservation.Confirmed {
 		return
 	}
-	carry := map[string]booking.Carry{}
+	carry := map[string]reservation.Carry{}
 	for _, e := range n.dir.All(w.now) {
-		if e.State == directory.Ready && !e.Silent {
+		if e.State == registry.Ready && !e.Silent {
 			if carry[e.Service] == nil {
-				carry[e.Service] = booking.Carry{}
+				carry[e.Service] = reservation.Carry{}
 			}
 			carry[e.Service][e.Zone] += float64(e.Capacity)
 		}
@@ -181,7 +181,7 @@
 	}
 }
 
-// relay brings something from an exchange to an edge, by the edge's home.
+// relay brings something from a controller to an edge, by the edge's home.
 func (w *world) relay(from, home, edge int, do func(*edge)) {
 	last := func() {
 		if k := w.between(home, -1-edge); k != nil {
@@ -229,7 +229,7 @@
 		}
 	}
 	r.gate.Keep(func(id string) bool {
-		return slices.ContainsFunc(r.told, func(o booking.Room) bool { return o.ID == id })
+		return slices.ContainsFunc(r.told, func(o reservation.Room) bool { return o.ID == id })
 	})
 	if len(r.told) == 0 {
 		r.gate.Free()
@@ -237,7 +237,7 @@
 	for _, room := range r.told {
 		part, full, known := r.held.Part(room.ID, w.now)
 		switch {
-		case room.ID != booking.Rest(room.Service):
+		case room.ID != reservation.Rest(room.Service):
 			r.gate.Part(room.ID, part, room.Slots, full)
 		case known:
 			r.gate.Others(part, room.Slots, full)
@@ -254,7 +254,7 @@
 	}
 	whole, sum := 0, 0
 	for _, n := range w.nodes {
-		if n.member.Role() == agreement.Leader && n.rooms.proven > 0 && w.now-n.rooms.proven <= booking.Confirmed {
+		if n.member.Role() == consensus.Leader && n.rooms.proven > 0 && w.now-n.rooms.proven <= reservation.Confirmed {
 			for _, room := range n.rooms.told {
 				if room.ID == "busy" {
 					whole = room.Slots
@@ -310,13 +310,13 @@
 	if q.counts {
 		q.side.Asked++
 	}
-	q.way = cord.Cord{Safe: true, Most: triesMost}
+	q.way = attempt.Cord{Safe: true, Most: triesMost}
 	w.result.Requests++
 	w.asked[q.service] = append(w.asked[q.service], w.now)
 	e.asked[q.service]++
 	e.meter(q.service, len(w.edges)).Request()
 	if len(e.rooms.told) > 0 {
-		q.pass = &pass{gate: e.rooms.gate, room: booking.Rest(q.service)}
+		q.pass = &pass{gate: e.rooms.gate, room: reservation.Rest(q.service)}
 		if tenant {
 			q.pass.room = "busy"
 		}
@@ -326,7 +326,7 @@
 }
 
 // place picks a server, if the request may have room.
-func (w *world) place(e *edge, q *request) (l *finder.Line) {
+func (w *world) place(e *edge, q *request) (l *picker.Line) {
 	if p := q.pass; p != nil && !p.in {
 		if p.under, p.in = p.gate.Admit(p.room); !p.in {
 			return nil
--- a/internal/rehearse/claims.go
+++ b/internal/simulation/claims.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"cmp"
@@ -6,17 +6,17 @@
 	"slices"
 	"time"
 
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/idempotency"
 )
 
 // inOrder makes what comes out of an office's map the same again from the same seed.
-func inOrder(asks []ticket.Ask, done []ticket.Outcome) {
-	slices.SortStableFunc(asks, func(a, b ticket.Ask) int { return cmp.Compare(a.Record.Token.N, b.Record.Token.N) })
-	slices.SortFunc(done, func(a, b ticket.Outcome) int { return cmp.Compare(a.Token.N, b.Token.N) })
+func inOrder(asks []idempotency.Ask, done []idempotency.Outcome) {
+	slices.SortStableFunc(asks, func(a, b idempotency.Ask) int { return cmp.Compare(a.Record.Token.N, b.Record.Token.N) })
+	slices.SortFunc(done, func(a, b idempotency.Outcome) int { return cmp.Compare(a.Token.N, b.Token.N) })
 }
 
 // judge puts a claim to a node's ledger; a grant is told once it is durable.
-func (w *world) judge(n *node, r ticket.Record, tell func(ticket.Verdict, ticket.Record)) {
+func (w *world) judge(n *node, r idempotency.Record, tell func(idempotency.Verdict, idempotency.Record)) {
 	v, holder, store := n.ledger.Claim(r, w.now)
 	if !store {
 		tell(v, holder)
@@ -31,7 +31,7 @@
 			ledger.Failed(r.Key, r.Token)
 		}
 		if !ok || !ledger.Stored(r.Key, r.Token) {
-			v = ticket.Unable
+			v = idempotency.Unable
 		}
 		if w.day.Fault != "grants before storing" {
 			tell(v, holder)
@@ -40,11 +40,11 @@
 }
 
 // ask puts claims to ledgers.
-func (w *world) ask(n *node, asks []ticket.Ask) {
+func (w *world) ask(n *node, asks []idempotency.Ask) {
 	for _, a := range asks {
 		to := slices.Index(w.names, a.To)
 		r := a.Record
-		verdict := func(v ticket.Verdict, holder ticket.Record) {
+		verdict := func(v idempotency.Verdict, holder idempotency.Record) {
 			more, done := n.office.Verdict(a.To, r.Token, v, holder, w.now)
 			w.ask(n, more)
 			if done != nil {
@@ -56,14 +56,14 @@
 			continue
 		}
 		w.send(n.n, to, func() {
-			w.judge(w.nodes[to], r, func(v ticket.Verdict, holder ticket.Record) {
+			w.judge(w.nodes[to], r, func(v idempotency.Verdict, holder idempotency.Record) {
 				w.send(to, n.n, func() { verdict(v, holder) })
 			})
 		})
 	}
 }
 
-func (w *world) ruled(n *node, o ticket.Outcome) {
+func (w *world) ruled(n *node, o idempotency.Outcome) {
 	if tell := n.claims[o.Token]; tell != nil {
 		delete(n.claims, o.Token)
 		tell(o.Ruling)
@@ -78,13 +78,13 @@
 		}
 		w.send(n.n, o.n, func() {
 			blank := o.ledger.Blank()
-			var all []ticket.Record
-			o.ledger.Each(func(r ticket.Record) { all = append(all, r) })
+			var all []idempotency.Record
+			o.ledger.Each(func(r idempotency.Record) { all = append(all, r) })
 			w.send(o.n, n.n, func() {
 				if !n.ledger.Blank() {
 					return
 				}
-				var kept []ticket.Record
+				var kept []idempotency.Record
 				for _, r := range all {
 					kept = append(kept, n.ledger.Copy(r, w.now))
 				}
@@ -121,13 +121,13 @@
 		return
 	}
 	if w.rng.IntN(6) == 0 {
-		key := ticket.KeyOf("t", fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second)))
+		key := idempotency.KeyOf("t", fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second)))
 		if w.tried[key] {
 			w.result.Repeats++
 		}
 		w.tried[key] = true
 		w.next++
-		r := ticket.Record{Key: key, Token: ticket.Token{Life: uint64(e.n + 1), N: w.next}}
+		r := idempotency.Record{Key: key, Token: idempotency.Token{Life: uint64(e.n + 1), N: w.next}}
 		e.open[r.Token] = &claim{record: r, since: w.now}
 		w.claim(e, r, w.homeOr(e, w.rng.IntN(len(w.nodes))))
 	}
@@ -154,7 +154,7 @@
 	}
 }
 
-// homeOr is the exchange that an edge asks first.
+// homeOr is the controller that an edge asks first.
 func (w *world) homeOr(e *edge, otherwise int) int {
 	if e.home == nowhere {
 		return otherwise
@@ -162,33 +162,33 @@
 	return e.home
 }
 
-// claim asks an exchange for the right to run a key's operation.
-func (w *world) claim(e *edge, r ticket.Record, at int) {
+// claim asks a controller for the right to run a key's operation.
+func (w *world) claim(e *edge, r idempotency.Record, at int) {
 	e.open[r.Token].asked++
 	n := w.nodes[at]
 	w.send(-1-e.n, at, func() {
 		life := e.life
-		n.claims[r.Token] = func(ruling ticket.Ruling) {
+		n.claims[r.Token] = func(ruling idempotency.Ruling) {
 			w.send(at, -1-e.n, func() {
 				if e.life == life {
 					w.heard(e, r, ruling)
 				}
 			})
 		}
-		w.ask(n, n.office.Open(ticket.Record{Key: r.Key, Token: r.Token, Home: n.name}, w.now))
+		w.ask(n, n.office.Open(idempotency.Record{Key: r.Key, Token: r.Token, Home: n.name}, w.now))
 	})
 }
 
 // heard takes a ruling as an edge does: the first to decide is believed.
-func (w *world) heard(e *edge, r ticket.Record, ruling ticket.Ruling) {
+func (w *world) heard(e *edge, r idempotency.Record, ruling idempotency.Ruling) {
 	c := e.open[r.Token]
 	if c == nil {
 		return
 	}
-	if c.asked--; ruling == ticket.Refused && c.asked > 0 {
+	if c.asked--; ruling == idempotency.Refused && c.asked > 0 {
 		return
 	}
-	if ruling != ticket.Stands {
+	if ruling != idempotency.Stands {
 		w.withdraw(e, c)
 		return
 	}
@@ -211,7 +211,7 @@
 	e.voids = append(e.voids, void{c.record, w.now, 0})
 }
 
-func (w *world) sayVoid(e *edge, r ticket.Record) {
+func (w *world) sayVoid(e *edge, r idempotency.Record) {
 	for _, n := range w.nodes {
 		w.send(-1-e.n, n.n, func() {
 			if line, store := n.ledger.Void(r.Key, r.Token, w.now); store {
--- a/internal/rehearse/explore.go
+++ b/internal/simulation/explore.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"reflect"
 	"slices"
 
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/idempotency"
 )
 
 // Explored is what an exploration saw.
@@ -37,21 +37,21 @@
 }
 
 type smallNode struct {
-	Ledger  *ticket.Ledger
-	Office  *ticket.Office
-	Records []ticket.Record // on disk
-	Blank   bool            // on disk
+	Ledger  *idempotency.Ledger
+	Office  *idempotency.Office
+	Records []idempotency.Record // on disk
+	Blank   bool                 // on disk
 	Writes  []smallWrite
 	Copied  [3]int // 0 not yet, 1 it knew nothing, 2 it did
 	Asked   bool
 }
 
 type smallWrite struct {
-	Records  []ticket.Record
+	Records  []idempotency.Record
 	Restored bool
 	Claim    bool // from tells whom
 	From     int
-	Record   ticket.Record
+	Record   idempotency.Record
 }
 
 type smallEdge struct {
@@ -62,11 +62,11 @@
 type note struct {
 	Kind    string
 	From    int
-	Record  ticket.Record
-	Verdict ticket.Verdict
-	Holder  ticket.Record
-	Ruling  ticket.Ruling
-	Records []ticket.Record
+	Record  idempotency.Record
+	Verdict idempotency.Verdict
+	Holder  idempotency.Record
+	Ruling  idempotency.Ruling
+	Records []idempotency.Record
 	Blank   bool
 }
 
@@ -85,12 +85,12 @@
 
 func (s *small) boot(i int) {
 	n := &s.Nodes[i]
-	n.Ledger = ticket.NewLedger(window, n.Blank)
+	n.Ledger = idempotency.NewLedger(window, n.Blank)
 	for _, r := range n.Records {
 		n.Ledger.Load(r, 0)
 	}
 	names := []string{"0", "1", "2"}
-	n.Office = ticket.NewOffice(append(slices.Clone(names[i:]), names[:i]...), hurry, limit)
+	n.Office = idempotency.NewOffice(append(slices.Clone(names[i:]), names[:i]...), hurry, limit)
 	n.Writes, n.Copied, n.Asked = nil, [3]int{}, false
 	for j := range places {
 		s.Messages[i*places+j], s.Messages[j*places+i] = nil, nil
@@ -186,8 +186,8 @@
 	}
 }
 
-func (s *small) record(edge int) ticket.Record {
-	return ticket.Record{Key: ticket.KeyOf("t", smallKey), Token: ticket.Token{Life: uint64(edge + 1), N: 1}}
+func (s *small) record(edge int) idempotency.Record {
+	return idempotency.Record{Key: idempotency.KeyOf("t", smallKey), Token: idempotency.Token{Life: uint64(edge + 1), N: 1}}
 }
 
 // void withdraws an edge's claim everywhere.
@@ -204,7 +204,7 @@
 		if e.Over {
 			return
 		}
-		if m.Ruling == ticket.Stands {
+		if m.Ruling == idempotency.Stands {
 			e.Over = true
 			s.Runs++
 			if s.fault == "withdraws what ran" {
@@ -225,11 +225,11 @@
 		s.verdict(to, m.From, m.Record, m.Verdict, m.Holder)
 	case "void":
 		if line, store := n.Ledger.Void(m.Record.Key, m.Record.Token, 0); store {
-			n.Writes = append(n.Writes, smallWrite{Records: []ticket.Record{line}})
+			n.Writes = append(n.Writes, smallWrite{Records: []idempotency.Record{line}})
 		}
 	case "copy":
-		var all []ticket.Record
-		n.Ledger.Each(func(r ticket.Record) { all = append(all, r) })
+		var all []idempotency.Record
+		n.Ledger.Each(func(r idempotency.Record) { all = append(all, r) })
 		s.post(to, m.From, note{Kind: "copied", Records: all, Blank: n.Ledger.Blank()})
 	case "copied":
 		if !n.Ledger.Blank() {
@@ -253,7 +253,7 @@
 	}
 }
 
-func (s *small) ask(from int, asks []ticket.Ask) {
+func (s *small) ask(from int, asks []idempotency.Ask) {
 	for _, a := range asks {
 		var to int
 		_, _ = fmt.Sscan(a.To, &to) // names are numbers
@@ -265,18 +265,18 @@
 	}
 }
 
-func (s *small) judge(at, asker int, r ticket.Record) {
+func (s *small) judge(at, asker int, r idempotency.Record) {
 	n := &s.Nodes[at]
 	v, holder, store := n.Ledger.Claim(r, 0)
 	if !store || s.fault == "grants before storing" {
 		s.tellVerdict(at, asker, r, v, holder)
 	}
 	if store {
-		n.Writes = append(n.Writes, smallWrite{Records: []ticket.Record{r}, Claim: true, From: asker, Record: r})
+		n.Writes = append(n.Writes, smallWrite{Records: []idempotency.Record{r}, Claim: true, From: asker, Record: r})
 	}
 }
 
-func (s *small) tellVerdict(at, asker int, r ticket.Record, v ticket.Verdict, holder ticket.Record) {
+func (s *small) tellVerdict(at, asker int, r idempotency.Record, v idempotency.Verdict, holder idempotency.Record) {
 	if asker == at {
 		s.verdict(at, at, r, v, holder)
 	} else {
@@ -284,7 +284,7 @@
 	}
 }
 
-func (s *small) verdict(at, from int, r ticket.Record, v ticket.Verdict, holder ticket.Record) {
+func (s *small) verdict(at, from int, r idempotency.Record, v idempotency.Verdict, holder idempotency.Record) {
 	asks, done := s.Nodes[at].Office.Verdict(fmt.Sprint(from), r.Token, v, holder, 0)
 	s.ask(at, asks)
 	if done != nil {
@@ -292,7 +292,7 @@
 	}
 }
 
-func (s *small) ruled(at int, o ticket.Outcome) {
+func (s *small) ruled(at int, o idempotency.Outcome) {
 	s.post(at, 2+int(o.Token.Life), note{Kind: "ruling", Ruling: o.Ruling})
 }
 
@@ -306,11 +306,11 @@
 		n.Ledger.Restored()
 	}
 	if w.Claim && s.fault != "grants before storing" {
-		v := ticket.Granted
+		v := idempotency.Granted
 		if !n.Ledger.Stored(w.Record.Key, w.Record.Token) {
-			v = ticket.Unable
+			v = idempotency.Unable
 		}
-		s.tellVerdict(at, w.From, w.Record, v, ticket.Record{})
+		s.tellVerdict(at, w.From, w.Record, v, idempotency.Record{})
 	}
 }
 
--- a/internal/rehearse/growth_test.go
+++ b/internal/simulation/growth_test.go
@@ -1,4 +1,4 @@
-package rehearse_test
+package simulation_test
 
 import (
 	"encoding/json"
@@ -9,19 +9,19 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/dialplan"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/notice"
-	"mulleinwood/internal/ticket"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/config"
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/platform/peer"
 )
 
 // Growth by size: what one event costs as a system grows one, two, four and eight times from edges x servers x routes of a
-// small site. docs/system.md has the figures; go test -run '^$' -bench Growth ./internal/rehearse makes them.
+// small site. docs/system.md has the figures; go test -run '^$' -bench Growth ./internal/simulation makes them.
 type fleet struct{ edges, servers, routes int }
 
 var sizes = []fleet{{10, 36, 15}, {20, 72, 30}, {40, 144, 60}, {80, 288, 120}}
@@ -37,13 +37,13 @@
 	}
 }
 
-func entry(n int, seq uint64) directory.Entry {
-	return directory.Entry{ID: fmt.Sprint("i-", n), Service: fmt.Sprint("service-", n%services), Zone: fmt.Sprint("z", n/services%halls),
+func entry(n int, seq uint64) registry.Entry {
+	return registry.Entry{ID: fmt.Sprint("i-", n), Service: fmt.Sprint("service-", n%services), Zone: fmt.Sprint("z", n/services%halls),
 		Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200), Version: "v1", Capacity: 2, Seq: seq, Owner: "a"}
 }
 
-func known(f fleet) *directory.Directory {
-	d := directory.New(time.Minute)
+func known(f fleet) *registry.Directory {
+	d := registry.New(time.Minute)
 	for n := range f.servers {
 		d.Take(entry(n, 1), 0)
 	}
@@ -51,7 +51,7 @@
 }
 
 // size is how many bytes a frame takes.
-func size(b *testing.B, f *trunk.Frame) float64 {
+func size(b *testing.B, f *peer.Frame) float64 {
 	text, err := cbor.Marshal(f)
 	if err != nil {
 		b.Fatal(err)
@@ -62,7 +62,7 @@
 func BenchmarkGrowthBeat(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
 		d := known(f)
-		board := notice.New(d)
+		board := broadcast.New(d)
 		for n := range f.edges / halls {
 			board.Join(fmt.Sprint("edge ", n), true)
 		}
@@ -78,7 +78,7 @@
 
 func BenchmarkGrowthNewServer(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
-		board := notice.New(known(f))
+		board := broadcast.New(known(f))
 		for n := range f.edges / halls {
 			board.Join(fmt.Sprint("edge ", n), true)
 		}
@@ -89,7 +89,7 @@
 			for _, s := range board.Take().Sends {
 				sends++
 				if n == f.servers+1 {
-					bytes += size(b, &trunk.Frame{Entries: s.Entries, Receipt: s.Receipt})
+					bytes += size(b, &peer.Frame{Entries: s.Entries, Receipt: s.Receipt})
 				}
 			}
 		}
@@ -101,10 +101,10 @@
 func BenchmarkGrowthJoin(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
 		d := known(f)
-		whole := config(f)
-		var frame *trunk.Frame
+		whole := configuration(f)
+		var frame *peer.Frame
 		for b.Loop() {
-			frame = &trunk.Frame{Hello: &trunk.Hello{Node: "x"}, Entries: d.All(0), Config: &trunk.Config{Version: 1, Whole: whole}}
+			frame = &peer.Frame{Hello: &peer.Hello{Node: "x"}, Entries: d.All(0), Config: &peer.Config{Version: 1, Whole: whole}}
 			if _, err := cbor.Marshal(frame); err != nil {
 				b.Fatal(err)
 			}
@@ -115,7 +115,7 @@
 
 func BenchmarkGrowthTables(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
-		g := huntgroup.New("z0", []string{"z0", "z1", "z2", "z3"}, 1, func() int { return 3 }, func(string, string) {})
+		g := weights.New("z0", []string{"z0", "z1", "z2", "z3"}, 1, func() int { return 3 }, func(string, string) {})
 		d := known(f)
 		g.Changed(d.All(0), 0)
 		for n := range f.edges / halls {
@@ -125,15 +125,15 @@
 		now := time.Duration(0)
 		for b.Loop() { // a second: every edge reports, and four looks
 			for n := range f.edges / halls {
-				r := &trunk.Report{Period: 1}
+				r := &peer.Report{Period: 1}
 				for s := range f.servers {
-					r.Met = append(r.Met, trunk.Met{Server: fmt.Sprint("i-", s), Tries: 4, Time: 0.4 + 0.2*rng.Float64()})
+					r.Met = append(r.Met, peer.Met{Server: fmt.Sprint("i-", s), Tries: 4, Time: 0.4 + 0.2*rng.Float64()})
 				}
 				g.Report(fmt.Sprint("e", n), r, func(id string) (string, bool) { e, ok := d.Get(id); return e.Service, ok })
 			}
 			for range 4 {
-				for edge, w := range g.Tick(now, func() []huntgroup.Others { return nil }) {
-					g.Report(edge, &trunk.Report{Applied: w.Marks}, nil)
+				for edge, w := range g.Tick(now, func() []weights.Others { return nil }) {
+					g.Report(edge, &peer.Report{Applied: w.Marks}, nil)
 				}
 				now += 250 * time.Millisecond
 			}
@@ -141,7 +141,7 @@
 	})
 }
 
-func config(f fleet) []byte {
+func configuration(f fleet) []byte {
 	type m = map[string]any
 	var list, channels []m
 	for n := range services {
@@ -159,32 +159,32 @@
 
 func BenchmarkGrowthChange(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
-		book := daybook.New()
-		put := func(index uint64, c daybook.Change) {
+		book := statemachine.New()
+		put := func(index uint64, c statemachine.Change) {
 			data, err := cbor.Marshal(c)
 			if err != nil {
 				b.Fatal(err)
 			}
-			if _, err := book.Apply(agreement.Entry{Index: index, Term: 1, Data: data}); err != nil {
+			if _, err := book.Apply(consensus.Entry{Index: index, Term: 1, Data: data}); err != nil {
 				b.Fatal(err)
 			}
 		}
-		put(1, daybook.Change{Body: config(f)})
+		put(1, statemachine.Change{Body: configuration(f)})
 		at := uint64(1)
-		for b.Loop() { // one route changes: the daybook at a planner, and the tree at an edge
+		for b.Loop() { // one route changes: the state machine at a planner, and the tree at an edge
 			at++
-			put(at, daybook.Change{Base: at - 1, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"plants":[{"plant":"a.example","channels":[{"name":"r-1","path_prefix":"/p1/","kind":"safe","deadline_s":1,"service":"service-1","tries":2}]}]}}`, at)})
-			dialplan.NewTree(book.Config)
+			put(at, statemachine.Change{Base: at - 1, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"plants":[{"plant":"a.example","channels":[{"name":"r-1","path_prefix":"/p1/","kind":"safe","deadline_s":1,"service":"service-1","tries":2}]}]}}`, at)})
+			config.NewTree(book.Config)
 		}
 	})
 }
 
 func BenchmarkGrowthPick(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
-		x := finder.New("z0", rand.New(rand.NewPCG(1, 1)).Float64)
+		x := picker.New("z0", rand.New(rand.NewPCG(1, 1)).Float64)
 		for n := range f.servers {
 			e := entry(n, 1)
-			x.Add(&finder.Line{ID: e.ID, Service: e.Service, Zone: e.Zone, Capacity: e.Capacity})
+			x.Add(&picker.Line{ID: e.ID, Service: e.Service, Zone: e.Zone, Capacity: e.Capacity})
 		}
 		roster := make([]uint32, f.edges/halls)
 		for i := range roster {
@@ -194,7 +194,7 @@
 		now := time.Duration(0)
 		for b.Loop() {
 			now += time.Millisecond
-			if l := x.Pick("service-0", func(*finder.Line) bool { return false }, now); l != nil {
+			if l := x.Pick("service-0", func(*picker.Line) bool { return false }, now); l != nil {
 				x.Done(l, 0, true, true, now)
 			}
 		}
@@ -204,12 +204,12 @@
 func BenchmarkGrowthClaim(b *testing.B) {
 	for _, held := range []int{1000, 10000, 100000} {
 		b.Run(fmt.Sprint(held, " keys held"), func(b *testing.B) {
-			office := ticket.NewOffice([]string{"a", "b", "c"}, time.Second, time.Second)
-			ledgers := map[string]*ticket.Ledger{"a": ticket.NewLedger(time.Minute, false), "b": ticket.NewLedger(time.Minute, false), "c": ticket.NewLedger(time.Minute, false)}
+			office := idempotency.NewOffice([]string{"a", "b", "c"}, time.Second, time.Second)
+			ledgers := map[string]*idempotency.Ledger{"a": idempotency.NewLedger(time.Minute, false), "b": idempotency.NewLedger(time.Minute, false), "c": idempotency.NewLedger(time.Minute, false)}
 			n := uint64(0)
 			claim := func() {
 				n++
-				r := ticket.Record{Key: ticket.KeyOf("t", fmt.Sprint(n)), Token: ticket.Token{Life: 1, N: n}}
+				r := idempotency.Record{Key: idempotency.KeyOf("t", fmt.Sprint(n)), Token: idempotency.Token{Life: 1, N: n}}
 				for asks := office.Open(r, 0); len(asks) > 0; {
 					a := asks[0]
 					asks = asks[1:]
--- a/internal/rehearse/norace_test.go
+++ b/internal/simulation/norace_test.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package rehearse_test
+package simulation_test
 
 const raced = false
--- a/internal/rehearse/operators.go
+++ b/internal/simulation/operators.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
@@ -7,9 +7,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/tone"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/platform/apierror"
 )
 
 const (
@@ -23,7 +23,7 @@
 )
 
 // writer is an operator: it reads the version in force, from whoever says so, and puts a change on top of it. Without a
-// clear answer it makes the same call again, at any exchange.
+// clear answer it makes the same call again, at any controller.
 type writer struct {
 	n     int
 	call  *call
@@ -33,7 +33,7 @@
 // call is one change that an operator asks for.
 type call struct {
 	data    []byte
-	change  daybook.Change
+	change  statemachine.Change
 	version uint64
 	at      int
 	again   time.Duration // when it is made once more
@@ -73,12 +73,12 @@
 	item := fmt.Sprintf(`{"name":"s-%d","health_path":"/%d/%d"}`, w.rng.IntN(namesMost), o.n, o.calls)
 	switch {
 	case base == 0 || w.rng.IntN(4) == 0:
-		c.change = daybook.Change{Base: base, Body: fmt.Appendf(nil, `{"version":"r%d","services":[%s],"limits":{},"plants":[]}`, c.version, item)}
+		c.change = statemachine.Change{Base: base, Body: fmt.Appendf(nil, `{"version":"r%d","services":[%s],"limits":{},"plants":[]}`, c.version, item)}
 	case w.rng.IntN(8) == 0: // one that can't be
 		c.version = base
 		fallthrough
 	default:
-		c.change = daybook.Change{Base: base, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"services":[%s]},"remove":{}}`, c.version, item)}
+		c.change = statemachine.Change{Base: base, Patch: true, Body: fmt.Appendf(nil, `{"version":"r%d","upsert":{"services":[%s]},"remove":{}}`, c.version, item)}
 	}
 	data, err := cbor.Marshal(c.change)
 	if err != nil {
@@ -88,14 +88,14 @@
 	w.put(o, c, c.at, followMost)
 }
 
-// put brings a call to an exchange.
+// put brings a call to a controller.
 func (w *world) put(o *writer, c *call, at, follow int) {
 	w.after(1+w.rng.IntN(5), func() {
 		n := w.nodes[at]
 		if !w.running(at) || c.over {
 			return
 		}
-		if n.member.Role() != agreement.Leader {
+		if n.member.Role() != consensus.Leader {
 			if leader := slices.Index(w.names, n.member.Leader()); leader >= 0 && leader != at && follow > 0 {
 				w.put(o, c, leader, follow-1)
 			} else {
@@ -130,7 +130,7 @@
 	}
 	status := 200
 	if err != nil {
-		status = tone.For(err).Status
+		status = apierror.For(err).Status
 	}
 	if status >= 500 {
 		c.again = min(c.again, w.now+pauseAgain)
@@ -158,8 +158,8 @@
 
 // entered takes a new entry of the history into the auditor's books. It judges by the numbers alone: a change counts if it
 // is built on the version in force, is above it and wasn't taken before.
-func (w *world) entered(e agreement.Entry) {
-	var c daybook.Change
+func (w *world) entered(e consensus.Entry) {
+	var c statemachine.Change
 	if len(e.Data) > 0 && cbor.Unmarshal(e.Data, &c) == nil {
 		var version uint64
 		if _, err := fmt.Sscanf(string(c.Body), `{"version":"r%d"`, &version); err == nil && c.Base == w.inForce && version > w.inForce {
@@ -175,10 +175,10 @@
 	w.forceAt = append(w.forceAt, w.inForce)
 }
 
-// applies feeds a node's daybook with an entry, and answers who waits for it.
-func (w *world) applies(n *node, e agreement.Entry) {
+// applies feeds a node's state machine with an entry, and answers who waits for it.
+func (w *world) applies(n *node, e consensus.Entry) {
 	if w.day.Fault == "a base isn't looked at" && len(e.Data) > 0 {
-		var c daybook.Change
+		var c statemachine.Change
 		if cbor.Unmarshal(e.Data, &c) == nil && !n.state.Knows(c) {
 			c.Base = n.state.Version()
 			e.Data, _ = cbor.Marshal(c)
@@ -198,7 +198,7 @@
 	if wait, ok := n.waiting[e.Index]; ok {
 		delete(n.waiting, e.Index)
 		if wait.term != e.Term {
-			err = tone.Unconfirmed.New("another change took its place")
+			err = apierror.Unconfirmed.New("another change took its place")
 		}
 		wait.answer(err)
 	}
@@ -207,10 +207,10 @@
 // readBack holds what the leader holds when the day is over against what was acknowledged.
 func (w *world) readBack() {
 	for _, n := range w.nodes {
-		if n.member.Role() == agreement.Leader && n.member.Attached(w.now) && w.bookAcked && len(n.state.Book.All) == 0 {
+		if n.member.Role() == consensus.Leader && n.member.Attached(w.now) && w.bookAcked && len(n.state.Book.All) == 0 {
 			w.broken("LOST: a booking was acknowledged and %s, which leads, has none", n.name)
 		}
-		if n.member.Role() == agreement.Leader && n.member.Attached(w.now) && len(w.ackTimes) > 0 {
+		if n.member.Role() == consensus.Leader && n.member.Attached(w.now) && len(w.ackTimes) > 0 {
 			if newest := w.ackTimes[len(w.ackTimes)-1]; n.state.Version() < newest.version && w.now-newest.at > contact {
 				w.broken("LOST: r%d is read back, r%d was acknowledged", n.state.Version(), newest.version)
 			}
@@ -221,9 +221,9 @@
 // overdue answers calls that waited for too long.
 func (w *world) overdue(n *node) {
 	for _, index := range sortedKeys(n.waiting) {
-		if wait := n.waiting[index]; w.now > wait.until || n.member.Role() != agreement.Leader {
+		if wait := n.waiting[index]; w.now > wait.until || n.member.Role() != consensus.Leader {
 			delete(n.waiting, index)
-			wait.answer(tone.Unconfirmed.New("no agreement in time"))
+			wait.answer(apierror.Unconfirmed.New("no agreement in time"))
 		}
 	}
 }
--- a/internal/rehearse/policies.go
+++ b/internal/simulation/policies.go
@@ -1,22 +1,22 @@
-package rehearse
+package simulation
 
 import (
 	"cmp"
 	"slices"
 
-	"mulleinwood/internal/finder"
+	"mulleinwood/internal/edge/picker"
 )
 
 // Policies by which edges can pick, beside their own: what is common in the field, and one that sees what nobody can.
 var Policies = []string{"", "tables", "round robin", "least outstanding", "two choices", "oracle"}
 
 // pick chooses a server for a request.
-func (w *world) pick(e *edge, q *request) *finder.Line {
-	not := func(l *finder.Line) bool { return slices.Contains(q.tried, l) }
+func (w *world) pick(e *edge, q *request) *picker.Line {
+	not := func(l *picker.Line) bool { return slices.Contains(q.tried, l) }
 	if w.day.Policy == "" || w.day.Policy == "tables" { // the latter without parts: nothing is dealt
 		return e.finder.Pick(q.service, not, w.now)
 	}
-	var fit []*finder.Line
+	var fit []*picker.Line
 	for _, l := range e.finder.Lines(q.service) {
 		if !not(l) {
 			fit = append(fit, l)
@@ -25,16 +25,16 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	least := func(of func(*finder.Line) float64) *finder.Line {
-		return slices.MinFunc(fit, func(a, b *finder.Line) int { return cmp.Compare(of(a), of(b)) })
+	least := func(of func(*picker.Line) float64) *picker.Line {
+		return slices.MinFunc(fit, func(a, b *picker.Line) int { return cmp.Compare(of(a), of(b)) })
 	}
-	var l *finder.Line
+	var l *picker.Line
 	switch w.day.Policy {
 	case "round robin":
 		e.turn[q.service]++
 		l = fit[e.turn[q.service]%len(fit)]
 	case "least outstanding":
-		l = least(func(l *finder.Line) float64 { return float64(l.Out()) / float64(l.Capacity) })
+		l = least(func(l *picker.Line) float64 { return float64(l.Out()) / float64(l.Capacity) })
 	case "two choices":
 		a, b := fit[w.rng.IntN(len(fit))], fit[w.rng.IntN(len(fit))]
 		if l = a; b.Out()*a.Capacity < a.Out()*b.Capacity {
@@ -48,7 +48,7 @@
 }
 
 // trulyTakes is how long a request would take at a server, in units of its usual work: what an oracle sees.
-func (w *world) trulyTakes(l *finder.Line) float64 {
+func (w *world) trulyTakes(l *picker.Line) float64 {
 	s := w.at[l.Host.(string)]
 	if s == nil || s.ended || s.id != l.ID {
 		return 1e9
--- a/internal/rehearse/requests.go
+++ b/internal/simulation/requests.go
@@ -1,14 +1,14 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"mulleinwood/internal/cord"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/meter"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/edge/attempt"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/edge/retrybudget"
 )
 
 const (
@@ -31,8 +31,8 @@
 	life    int
 	began   time.Duration
 	calm    bool // the edge was in touch when it came
-	way     cord.Cord
-	tried   []*finder.Line
+	way     attempt.Cord
+	tried   []*picker.Line
 	over    bool
 
 	pass   *pass // of busy days
@@ -42,17 +42,17 @@
 }
 
 // edgeHears takes news of servers.
-func (w *world) edgeHears(e *edge, entries []directory.Entry) {
+func (w *world) edgeHears(e *edge, entries []registry.Entry) {
 	for _, entry := range entries {
 		now, _ := e.dir.Take(entry, w.now)
 		if w.day.Fault == "a late beat undoes a drain" {
 			now = entry
 		}
 		switch {
-		case now.State != directory.Ready:
+		case now.State != registry.Ready:
 			e.finder.End(now.ID)
 		case e.finder.Line(now.ID) == nil && now.Address != "":
-			e.finder.Add(&finder.Line{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: now.Address})
+			e.finder.Add(&picker.Line{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: now.Address})
 		}
 		e.finder.Silent(now.ID, now.Silent)
 	}
@@ -73,7 +73,7 @@
 	w.next++
 	q := &request{id: w.next, safe: w.rng.IntN(2) == 0, service: w.services[w.rng.IntN(len(w.services))], edge: e, life: e.life, began: w.now,
 		calm: w.calm() && e.calm <= w.now}
-	q.way = cord.Cord{Safe: q.safe, Most: triesMost}
+	q.way = attempt.Cord{Safe: q.safe, Most: triesMost}
 	w.result.Requests++
 	w.asked[q.service] = append(w.asked[q.service], w.now)
 	e.asked[q.service]++
@@ -84,10 +84,10 @@
 	w.seek(q)
 }
 
-func (e *edge) meter(service string, edges int) *meter.Meter {
+func (e *edge) meter(service string, edges int) *retrybudget.Meter {
 	m := e.meters[service]
 	if m == nil {
-		m = meter.New(earnRatio, slack, edges)
+		m = retrybudget.New(earnRatio, slack, edges)
 		e.meters[service] = m
 	}
 	return m
@@ -104,7 +104,7 @@
 		return
 	}
 	if w.now > q.began+patient-step {
-		w.finish(q, cord.NotSent, 0)
+		w.finish(q, attempt.NotSent, 0)
 		return
 	}
 	l := w.place(e, q)
@@ -113,7 +113,7 @@
 			if q.way.Paid {
 				e.meter(q.service, len(w.edges)).Back()
 			}
-			w.finish(q, cord.NotSent, 0)
+			w.finish(q, attempt.NotSent, 0)
 			return
 		}
 		w.after(10, func() { w.seek(q) })
@@ -127,7 +127,7 @@
 	met := e.met[l.ID]
 	e.met[l.ID] = true
 	onPool := met && w.rng.IntN(10) < pooled
-	t.answer = func(a cord.Answer, status int, load [2]float64) {
+	t.answer = func(a attempt.Answer, status int, load [2]float64) {
 		if t.over || e.life != q.life {
 			return
 		}
@@ -147,37 +147,37 @@
 	}
 	w.after(int(limit/time.Millisecond), func() {
 		if s := w.at[l.Host.(string)]; !onPool && s != nil && s.ended && s.silent {
-			t.answer(cord.Answer{}, 0, [2]float64{})
+			t.answer(attempt.Answer{}, 0, [2]float64{})
 			return
 		}
-		t.answer(cord.Answer{}, -1, [2]float64{})
+		t.answer(attempt.Answer{}, -1, [2]float64{})
 	})
 }
 
-// ended takes how a try went, and goes on as the cord says.
-func (w *world) ended(q *request, t *try, a cord.Answer, status int, load [2]float64, onPool bool) {
+// ended takes how a try went, and goes on as the attempt's table says.
+func (w *world) ended(q *request, t *try, a attempt.Answer, status int, load [2]float64, onPool bool) {
 	e := q.edge
 	ending := a.Ending()
 	if !a.Came && status == 0 && !onPool && t.sent+dialFor >= w.now && !w.reached[t] {
-		ending = cord.NotSent // the connection was refused
+		ending = attempt.NotSent // the connection was refused
 	}
 	if w.day.Fault == "answers aren't told apart" && a.Came && !a.Ours {
-		ending = cord.Ran
+		ending = attempt.Ran
 	}
-	if w.day.Fault == "what broke off is tried again" && ending == cord.Perhaps {
-		ending = cord.NotRun
+	if w.day.Fault == "what broke off is tried again" && ending == attempt.Perhaps {
+		ending = attempt.NotRun
 	}
-	e.finder.Done(t.l, w.now-t.sent, ending != cord.NotSent, ending == cord.Ran, w.now)
+	e.finder.Done(t.l, w.now-t.sent, ending != attempt.NotSent, ending == attempt.Ran, w.now)
 	if a.Came && a.Ours {
 		e.finder.Told(t.l, load[0], load[1], w.now)
 	}
 	switch q.way.Ended(ending, status, true) {
-	case cord.Stop:
-		if ending == cord.Ran && t.brings != q.id {
+	case attempt.Stop:
+		if ending == attempt.Ran && t.brings != q.id {
 			w.broken("MIXED: request %d is answered with what belongs to %d", q.id, t.brings)
 		}
 		w.finish(q, ending, status)
-	case cord.Pay:
+	case attempt.Pay:
 		if w.day.Fault != "tries cost nothing" && !e.meter(q.service, len(w.edges)).Spend(false) {
 			w.finish(q, ending, status)
 			return
@@ -190,18 +190,18 @@
 }
 
 // finish is what a client hears.
-func (w *world) finish(q *request, ending cord.Ending, status int) {
+func (w *world) finish(q *request, ending attempt.Ending, status int) {
 	q.over = true
-	w.leaves(q, ending == cord.Ran && status < 500, ending == cord.NotSent || ending == cord.NotRun)
+	w.leaves(q, ending == attempt.Ran && status < 500, ending == attempt.NotSent || ending == attempt.NotRun)
 	took := w.now - q.began
 	switch {
-	case ending == cord.Ran && status < 500:
+	case ending == attempt.Ran && status < 500:
 		w.result.Served++
 		if took > aim {
 			w.result.Late++
 		}
 		w.result.took(took)
-	case ending == cord.NotSent || ending == cord.NotRun:
+	case ending == attempt.NotSent || ending == attempt.NotRun:
 		w.result.Refused++
 		if !q.safe { // a promise
 			if w.ranBy[q.id] > 0 {
--- a/internal/rehearse/script.go
+++ b/internal/simulation/script.go
@@ -1,8 +1,8 @@
-// Package rehearse plays the core of the gateway and its edges in simulated time from one seed: the real deciders
-// (agreement, ledgers, offices) over modelled messages, disks and losses. An auditor that knows nothing of their books
+// Package simulation plays the controllers of the gateway and its edges in simulated time from one seed: the real deciders
+// (consensus, ledgers, offices) over modelled messages, disks and losses. An auditor that knows nothing of their books
 // holds what servers ran and what operators were told against the rules. What goes wrong in a day is a script, so that a
 // bad day can be cut down to the few troubles that it needs.
-package rehearse
+package simulation
 
 import (
 	"cmp"
@@ -16,7 +16,7 @@
 type Trouble struct {
 	At   time.Duration
 	Kind string
-	Node int // an exchange; for a kill of an edge, the edge
+	Node int // a controller; for a kill of an edge, the edge
 	For  time.Duration
 }
 
@@ -26,18 +26,18 @@
 
 // The kinds of trouble.
 const (
-	Kill     = "kill"      // an exchange's process ends; its disk stays
+	Kill     = "kill"      // a controller's process ends; its disk stays
 	Wipe     = "wipe"      // it loses its disk with it
-	PowerAll = "power_all" // all exchanges end; writes that were not done are lost
-	Cut      = "cut"       // an exchange is cut off from the other exchanges
-	CutOut   = "cut_out"   // it hears the other exchanges, and they don't hear it
+	PowerAll = "power_all" // all controllers end; writes that were not done are lost
+	Cut      = "cut"       // a controller is cut off from the other controllers
+	CutOut   = "cut_out"   // it hears the other controllers, and they don't hear it
 	CutIn    = "cut_in"    // they hear it, and it doesn't hear them
 	SlowDisk = "slow_disk" // its writes take 25 times as long
 	FullDisk = "full_disk" // its writes fail
 	KillEdge = "kill_edge" // an edge forgets all
 
-	Freeze      = "freeze"      // an exchange stands still, and goes on
-	CutEdge     = "cut_edge"    // an edge is cut off from all exchanges
+	Freeze      = "freeze"      // a controller stands still, and goes on
+	CutEdge     = "cut_edge"    // an edge is cut off from all controllers
 	FreezeEdge  = "freeze_edge" // an edge stands still
 	Drain       = "drain"       // a server leaves in order, and its address goes to another service
 	Crash       = "crash"       // a server ends, half of them with their machine
@@ -47,7 +47,7 @@
 	Sick        = "sick" // most answers of all servers of a service break off
 )
 
-// core are the troubles of exchanges and edges, service those of servers.
+// core are the troubles of controllers and edges, service those of servers.
 var (
 	ofCore    = []string{Kill, Kill, PowerAll, Cut, SlowDisk, FullDisk, KillEdge, Freeze, CutEdge, FreezeEdge}
 	ofService = []string{Drain, Drain, Drain, Crash, LoseAnswers, Garble, SlowServer, Sick}
@@ -56,7 +56,7 @@
 // Day is what is played.
 type Day struct {
 	Seed     uint64
-	Members  int // exchanges with a vote
+	Members  int // controllers with a vote
 	Lost     int // disks that may be lost at once
 	Edges    int
 	Services int
--- a/internal/rehearse/servers.go
+++ b/internal/simulation/servers.go
@@ -1,14 +1,14 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
 	"math"
 	"time"
 
-	"mulleinwood/internal/cord"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/notice"
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/edge/attempt"
+	"mulleinwood/internal/edge/picker"
 )
 
 const (
@@ -33,7 +33,7 @@
 	calling              bool
 	asked                time.Duration // when it began to leave
 	acked                time.Duration // when that was acknowledged
-	ackedCalm            bool          // by an exchange in touch
+	ackedCalm            bool          // by a controller in touch
 	ends                 time.Duration
 	ended                bool // its process is gone
 	silent               bool // and its machine says nothing
@@ -45,10 +45,10 @@
 // try is a request at a server.
 type try struct {
 	q      *request
-	l      *finder.Line
+	l      *picker.Line
 	expect string
 	sent   time.Duration
-	answer func(cord.Answer, int, [2]float64)
+	answer func(attempt.Answer, int, [2]float64)
 	brings uint64 // the request that the answer belongs to
 	over   bool   // the edge has stopped listening
 }
@@ -68,39 +68,39 @@
 		return
 	}
 	if s.leaving && (s.acked > 0 && w.now > s.acked+drainOf+100*time.Millisecond || w.now > s.asked+drainMost) {
-		w.call(s, directory.Gone)
+		w.call(s, registry.Gone)
 		w.end(s, false)
 		return
 	}
 	if w.now >= s.next && !s.calling {
 		s.next = w.now + beatOf
-		state := directory.Ready
+		state := registry.Ready
 		if s.leaving {
-			state = directory.Draining
+			state = registry.Draining
 		}
 		w.call(s, state)
 	}
 }
 
-// call tells an exchange, and another one if that doesn't answer.
-func (w *world) call(s *server, state directory.State) {
+// call tells a controller, and another one if that doesn't answer.
+func (w *world) call(s *server, state registry.State) {
 	s.seq++
 	s.calling = true
-	e := directory.Entry{ID: s.id, Service: s.service, Address: s.address, Zone: fmt.Sprint("z", s.zone), Capacity: s.capacity, Seq: s.seq, State: state}
-	if state == directory.Gone {
-		e = directory.Entry{ID: s.id, State: directory.Gone}
+	e := registry.Entry{ID: s.id, Service: s.service, Address: s.address, Zone: fmt.Sprint("z", s.zone), Capacity: s.capacity, Seq: s.seq, State: state}
+	if state == registry.Gone {
+		e = registry.Entry{ID: s.id, State: registry.Gone}
 	}
 	n := w.nodes[s.target]
 	answered := false
 	way := 1 + w.rng.IntN(5)
-	if state == directory.Ready && w.rng.IntN(8) == 0 {
+	if state == registry.Ready && w.rng.IntN(8) == 0 {
 		way += w.rng.IntN(3000) // a late one: the connection was slow
 	}
 	w.after(way, func() {
-		if w.day.Fault == "a late beat undoes a drain" && state == directory.Ready {
+		if w.day.Fault == "a late beat undoes a drain" && state == registry.Ready {
 			w.undo(n, e.ID)
 		}
-		if !w.running(n.n) || state > directory.Ready && !n.member.Attached(w.now) {
+		if !w.running(n.n) || state > registry.Ready && !n.member.Attached(w.now) {
 			return
 		}
 		e.Owner = n.name
@@ -113,12 +113,12 @@
 					return
 				}
 				answered, s.calling = true, false
-				if state == directory.Draining && s.acked == 0 {
+				if state == registry.Draining && s.acked == 0 {
 					s.acked, s.ackedCalm = w.now, calm
 				}
 			})
 		}
-		if w.day.Fault == "a drain is acknowledged before it is told" && state == directory.Draining {
+		if w.day.Fault == "a drain is acknowledged before it is told" && state == registry.Draining {
 			n.calls[n.nextCall]()
 			delete(n.calls, n.nextCall)
 			return
@@ -134,14 +134,14 @@
 	})
 }
 
-// undo has an exchange forget that a server leaves.
+// undo has a controller forget that a server leaves.
 func (w *world) undo(n *node, id string) {
-	if e, known := n.dir.Get(id); !known || e.State != directory.Draining {
+	if e, known := n.dir.Get(id); !known || e.State != registry.Draining {
 		return
 	}
 	all := n.dir.All(w.now)
-	n.dir = directory.New(90 * time.Second)
-	n.board, n.calls = notice.New(n.dir), map[uint64]func(){}
+	n.dir = registry.New(90 * time.Second)
+	n.board, n.calls = broadcast.New(n.dir), map[uint64]func(){}
 	for _, e := range all {
 		if e.ID != id {
 			n.dir.Take(e, w.now)
@@ -166,7 +166,7 @@
 func (w *world) end(s *server, silent bool) {
 	s.ended, s.silent = true, silent
 	for _, t := range append(s.running, s.queue...) {
-		w.after(1, func() { t.answer(cord.Answer{}, 0, [2]float64{}) }) // the connection breaks
+		w.after(1, func() { t.answer(attempt.Answer{}, 0, [2]float64{}) }) // the connection breaks
 	}
 	s.running, s.queue = nil, nil
 	service := w.services[w.rng.IntN(len(w.services))]
@@ -187,12 +187,12 @@
 	load := func() [2]float64 { return [2]float64{float64(len(s.running)), float64(len(s.queue))} }
 	if s == nil || s.ended {
 		if s == nil || !s.silent {
-			t.answer(cord.Answer{}, 0, [2]float64{})
+			t.answer(attempt.Answer{}, 0, [2]float64{})
 		}
 		return
 	}
 	if s.id != t.expect && w.day.Fault != "connections belong to an address" {
-		t.answer(cord.Answer{Came: true, Ours: true, Ends: true, Whole: true, NotRun: true}, 421, load())
+		t.answer(attempt.Answer{Came: true, Ours: true, Ends: true, Whole: true, NotRun: true}, 421, load())
 		return
 	}
 	w.arrived(t, s)
@@ -202,7 +202,7 @@
 	case len(s.queue) < queueOf*s.capacity:
 		s.queue = append(s.queue, t)
 	default:
-		t.answer(cord.Answer{Came: true, Ours: true, Ends: true, Whole: true, NotRun: true}, 503, load())
+		t.answer(attempt.Answer{Came: true, Ours: true, Ends: true, Whole: true, NotRun: true}, 503, load())
 	}
 }
 
@@ -229,7 +229,7 @@
 			}
 		}
 		load := [2]float64{float64(len(s.running)), float64(len(s.queue))}
-		a := cord.Answer{Came: true, Ours: true, Ends: true, Whole: true, Good: true, Sealed: true}
+		a := attempt.Answer{Came: true, Ours: true, Ends: true, Whole: true, Good: true, Sealed: true}
 		t.brings = t.q.id
 		switch {
 		case s.garbling > w.now && w.rng.IntN(8) == 0:
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/simulation/simulation_test.go
@@ -1,4 +1,4 @@
-package rehearse_test
+package simulation_test
 
 import (
 	"sync"
@@ -8,21 +8,21 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"mulleinwood/internal/rehearse"
+	"mulleinwood/internal/simulation"
 )
 
 func TestRehearse(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "rehearse")
+	RunSpecs(t, "simulation")
 }
 
 // playAll plays so many days with three members and with five, side by side, and sums up what happened.
-func playAll(draw func(uint64, int, int) rehearse.Day, days uint64) (all rehearse.Result) {
-	results := make([]rehearse.Result, 2*days)
+func playAll(draw func(uint64, int, int) simulation.Day, days uint64) (all simulation.Result) {
+	results := make([]simulation.Result, 2*days)
 	var playing sync.WaitGroup
 	for i := range results {
 		seed, lost := uint64(i)/2, 1+i%2
-		playing.Go(func() { results[i] = rehearse.Play(draw(seed, 2*lost+1, lost)) })
+		playing.Go(func() { results[i] = simulation.Play(draw(seed, 2*lost+1, lost)) })
 	}
 	playing.Wait()
 	for i, r := range results {
@@ -32,27 +32,27 @@
 	return all
 }
 
-func busyDay(seed uint64, members, lost int) rehearse.Day {
-	return rehearse.NewBusyDay(seed, members, lost, rehearse.Busy{Rate: 20, Crowd: 10, Booked: 0.5})
+func busyDay(seed uint64, members, lost int) simulation.Day {
+	return simulation.NewBusyDay(seed, members, lost, simulation.Busy{Rate: 20, Crowd: 10, Booked: 0.5})
 }
 
 var _ = Describe("days of a core and its edges", func() {
 	It("break no rule, and are days on which something happens", func() {
 		if raced {
-			playAll(rehearse.NewDay, 1)
+			playAll(simulation.NewDay, 1)
 			return
 		}
-		all := playAll(rehearse.NewDay, 10)
+		all := playAll(simulation.NewDay, 10)
 		Expect(all.Changes).To(BeNumerically(">", 1000))
 		Expect(all.Runs).To(BeNumerically(">", 2500))
 		Expect(all.Repeats).To(BeNumerically(">", 3000))
 	})
 	It("break no rule while servers come, leave and fail, over a million events", func() {
 		if raced {
-			playAll(rehearse.NewServiceDay, 1)
+			playAll(simulation.NewServiceDay, 1)
 			return
 		}
-		all := playAll(rehearse.NewServiceDay, 10)
+		all := playAll(simulation.NewServiceDay, 10)
 		Expect(all.Steps).To(BeNumerically(">", 1_000_000))
 		Expect(all.Served).To(BeNumerically(">", 20_000))
 		Expect(all.Drains).To(BeNumerically(">", 100))
@@ -65,13 +65,13 @@
 		if raced {
 			days = 1
 		}
-		play := func(busy rehearse.Busy) (all rehearse.Result) {
-			return playAll(func(seed uint64, members, lost int) rehearse.Day {
-				return rehearse.NewBusyDay(seed, members, lost, busy)
+		play := func(busy simulation.Busy) (all simulation.Result) {
+			return playAll(func(seed uint64, members, lost int) simulation.Day {
+				return simulation.NewBusyDay(seed, members, lost, busy)
 			}, days)
 		}
-		share := func(t rehearse.Tenant) float64 { return float64(t.Served) / float64(t.Asked) }
-		crowd := rehearse.Busy{Rate: 20, Crowd: 10}
+		share := func(t simulation.Tenant) float64 { return float64(t.Served) / float64(t.Asked) }
+		crowd := simulation.Busy{Rate: 20, Crowd: 10}
 		without := play(crowd)
 		crowd.Booked = 0.5
 		with := play(crowd)
@@ -79,86 +79,86 @@
 		Expect(share(with.Tenant)).To(BeNumerically(">", 0.9))
 		Expect(with.Others.Served).To(BeNumerically(">", with.Tenant.Served), "what is left, and what is lent")
 	})
-	DescribeTable("keep booked room through", func(troubles ...rehearse.Trouble) {
+	DescribeTable("keep booked room through", func(troubles ...simulation.Trouble) {
 		d := busyDay(3, 3, 1)
 		d.Troubles = troubles
-		r := rehearse.Play(d)
+		r := simulation.Play(d)
 		Expect(r.Broken).To(BeEmpty())
 		Expect(float64(r.Tenant.Served) / float64(r.Tenant.Asked)).To(BeNumerically(">", 0.85))
 		Expect(r.Runs).To(BeNumerically(">", 200), "keyed operations go on, each once")
 	},
 		Entry("nothing"),
-		Entry("the loss of the whole core a second before the start", rehearse.Trouble{At: 9 * time.Second, Kind: rehearse.PowerAll, For: 3 * time.Second}),
-		Entry("a leader that dies as it acknowledges", rehearse.Trouble{At: 1100 * time.Millisecond, Kind: rehearse.Kill, Node: 0, For: time.Second},
-			rehearse.Trouble{At: 1150 * time.Millisecond, Kind: rehearse.Kill, Node: 1, For: time.Second}, rehearse.Trouble{At: 1200 * time.Millisecond, Kind: rehearse.Kill, Node: 2, For: time.Second}),
-		Entry("a disk that is lost right after, and power on the others", rehearse.Trouble{At: 1300 * time.Millisecond, Kind: rehearse.Wipe, Node: 1, For: time.Second},
-			rehearse.Trouble{At: 1300 * time.Millisecond, Kind: rehearse.PowerAll, For: time.Second}),
-		Entry("half of the edges replaced in the middle", rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.KillEdge, Node: 0}, rehearse.Trouble{At: 13 * time.Second, Kind: rehearse.KillEdge, Node: 2}),
-		Entry("an edge that is cut off for long", rehearse.Trouble{At: 9 * time.Second, Kind: rehearse.CutEdge, Node: 1, For: 9 * time.Second}),
-		Entry("servers that crash in the middle", rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.Crash, Node: 0}, rehearse.Trouble{At: 12 * time.Second, Kind: rehearse.Crash, Node: 2},
-			rehearse.Trouble{At: 12100 * time.Millisecond, Kind: rehearse.Crash, Node: 4}),
-		Entry("exchanges that stand still by turns", rehearse.Trouble{At: 10 * time.Second, Kind: rehearse.Freeze, Node: 0, For: 2 * time.Second},
-			rehearse.Trouble{At: 13 * time.Second, Kind: rehearse.Freeze, Node: 1, For: 2 * time.Second}, rehearse.Trouble{At: 16 * time.Second, Kind: rehearse.Freeze, Node: 2, For: 2 * time.Second}),
+		Entry("the loss of the whole core a second before the start", simulation.Trouble{At: 9 * time.Second, Kind: simulation.PowerAll, For: 3 * time.Second}),
+		Entry("a leader that dies as it acknowledges", simulation.Trouble{At: 1100 * time.Millisecond, Kind: simulation.Kill, Node: 0, For: time.Second},
+			simulation.Trouble{At: 1150 * time.Millisecond, Kind: simulation.Kill, Node: 1, For: time.Second}, simulation.Trouble{At: 1200 * time.Millisecond, Kind: simulation.Kill, Node: 2, For: time.Second}),
+		Entry("a disk that is lost right after, and power on the others", simulation.Trouble{At: 1300 * time.Millisecond, Kind: simulation.Wipe, Node: 1, For: time.Second},
+			simulation.Trouble{At: 1300 * time.Millisecond, Kind: simulation.PowerAll, For: time.Second}),
+		Entry("half of the edges replaced in the middle", simulation.Trouble{At: 12 * time.Second, Kind: simulation.KillEdge, Node: 0}, simulation.Trouble{At: 13 * time.Second, Kind: simulation.KillEdge, Node: 2}),
+		Entry("an edge that is cut off for long", simulation.Trouble{At: 9 * time.Second, Kind: simulation.CutEdge, Node: 1, For: 9 * time.Second}),
+		Entry("servers that crash in the middle", simulation.Trouble{At: 12 * time.Second, Kind: simulation.Crash, Node: 0}, simulation.Trouble{At: 12 * time.Second, Kind: simulation.Crash, Node: 2},
+			simulation.Trouble{At: 12100 * time.Millisecond, Kind: simulation.Crash, Node: 4}),
+		Entry("controllers that stand still by turns", simulation.Trouble{At: 10 * time.Second, Kind: simulation.Freeze, Node: 0, For: 2 * time.Second},
+			simulation.Trouble{At: 13 * time.Second, Kind: simulation.Freeze, Node: 1, For: 2 * time.Second}, simulation.Trouble{At: 16 * time.Second, Kind: simulation.Freeze, Node: 2, For: 2 * time.Second}),
 	)
 	It("are the same again from the same seed", func() {
-		Expect(rehearse.Play(rehearse.NewDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewDay(7, 5, 2))))
-		Expect(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))).To(Equal(rehearse.Play(rehearse.NewServiceDay(7, 5, 2))))
+		Expect(simulation.Play(simulation.NewDay(7, 5, 2))).To(Equal(simulation.Play(simulation.NewDay(7, 5, 2))))
+		Expect(simulation.Play(simulation.NewServiceDay(7, 5, 2))).To(Equal(simulation.Play(simulation.NewServiceDay(7, 5, 2))))
 	})
-	DescribeTable("show a planted fault", func(fault, as string, draw func(uint64, int, int) rehearse.Day) {
+	DescribeTable("show a planted fault", func(fault, as string, draw func(uint64, int, int) simulation.Day) {
 		if raced {
 			Skip("too slow under the race detector; .ci/run plays them without it")
 		}
 		for seed := range uint64(300) {
 			d := draw(seed, 3, 1)
 			d.Fault = fault
-			if rehearse.Play(d).Broken != "" {
-				short := rehearse.Shrink(d, 10)
-				Expect(rehearse.Play(short).Broken).To(MatchRegexp("^(" + as + ")"))
+			if simulation.Play(d).Broken != "" {
+				short := simulation.Shrink(d, 10)
+				Expect(simulation.Play(short).Broken).To(MatchRegexp("^(" + as + ")"))
 				Expect(len(short.Troubles)).To(BeNumerically("<=", len(d.Troubles)))
 				return
 			}
 		}
 		Fail("the planted fault was not seen")
 	},
-		Entry("a ledger that grants before storing", "grants before storing", "TWICE", rehearse.NewDay),
-		Entry("a ledger that grants with an empty disk", "grants with an empty disk", "TWICE", rehearse.NewDay),
-		Entry("a ledger that is restored from one other", "restored from one", "TWICE", rehearse.NewDay),
-		Entry("an edge that withdraws what ran", "withdraws what ran", "TWICE", rehearse.NewDay),
-		Entry("a claim that one ledger decides", "one ledger is enough", "TWICE", rehearse.NewDay),
-		Entry("a member that votes with an empty disk", "votes with an empty disk", "CONFIG|LOST", rehearse.NewDay),
-		Entry("a snapshot without the log after it", "a snapshot drops the log after it", "FAULT", rehearse.NewDay),
-		Entry("a change whose base isn't looked at", "a base isn't looked at", "CONFIG", rehearse.NewDay),
-		Entry("a call that is not known again", "calls are forgotten", "CONFIG", rehearse.NewDay),
-		Entry("an edge that takes an older configuration", "an edge takes any version", "CONFIG", rehearse.NewServiceDay),
+		Entry("a ledger that grants before storing", "grants before storing", "TWICE", simulation.NewDay),
+		Entry("a ledger that grants with an empty disk", "grants with an empty disk", "TWICE", simulation.NewDay),
+		Entry("a ledger that is restored from one other", "restored from one", "TWICE", simulation.NewDay),
+		Entry("an edge that withdraws what ran", "withdraws what ran", "TWICE", simulation.NewDay),
+		Entry("a claim that one ledger decides", "one ledger is enough", "TWICE", simulation.NewDay),
+		Entry("a member that votes with an empty disk", "votes with an empty disk", "CONFIG|LOST", simulation.NewDay),
+		Entry("a snapshot without the log after it", "a snapshot drops the log after it", "FAULT", simulation.NewDay),
+		Entry("a change whose base isn't looked at", "a base isn't looked at", "CONFIG", simulation.NewDay),
+		Entry("a call that is not known again", "calls are forgotten", "CONFIG", simulation.NewDay),
+		Entry("an edge that takes an older configuration", "an edge takes any version", "CONFIG", simulation.NewServiceDay),
 		Entry("a new dealer that deals what a former one dealt", "a new dealer deals at once", "ROOM", busyDay),
-		Entry("a whole table that is kept back from an edge that comes back", "a whole table is kept back", "TABLE", rehearse.NewServiceDay),
-		Entry("a drain that is acknowledged before it is told", "a drain is acknowledged before it is told", "DRAIN", rehearse.NewServiceDay),
-		Entry("a late beat that undoes a drain", "a late beat undoes a drain", "DRAIN", rehearse.NewServiceDay),
-		Entry("connections that belong to an address", "connections belong to an address", "ROUTE", rehearse.NewServiceDay),
-		Entry("an edge that believes any answer", "answers aren't told apart", "MIXED", rehearse.NewServiceDay),
-		Entry("an edge that tries again what may have run", "what broke off is tried again", "TWICE|REFUSED", rehearse.NewServiceDay),
-		Entry("further tries that cost nothing", "tries cost nothing", "BUDGET", rehearse.NewServiceDay),
+		Entry("a whole table that is kept back from an edge that comes back", "a whole table is kept back", "TABLE", simulation.NewServiceDay),
+		Entry("a drain that is acknowledged before it is told", "a drain is acknowledged before it is told", "DRAIN", simulation.NewServiceDay),
+		Entry("a late beat that undoes a drain", "a late beat undoes a drain", "DRAIN", simulation.NewServiceDay),
+		Entry("connections that belong to an address", "connections belong to an address", "ROUTE", simulation.NewServiceDay),
+		Entry("an edge that believes any answer", "answers aren't told apart", "MIXED", simulation.NewServiceDay),
+		Entry("an edge that tries again what may have run", "what broke off is tried again", "TWICE|REFUSED", simulation.NewServiceDay),
+		Entry("further tries that cost nothing", "tries cost nothing", "BUDGET", simulation.NewServiceDay),
 	)
 })
 
 var _ = Describe("every order of a small core's events", func() {
 	It("lets a key run once through a loss of power, and, as far as is gone, of a disk", func() {
 		if raced {
-			Expect(rehearse.Explore(rehearse.Bounds{States: 300, Powers: 1, Wipes: 1}).Broken).To(BeEmpty())
+			Expect(simulation.Explore(simulation.Bounds{States: 300, Powers: 1, Wipes: 1}).Broken).To(BeEmpty())
 			return
 		}
-		r := rehearse.Explore(rehearse.Bounds{States: 5000, Powers: 1})
+		r := simulation.Explore(simulation.Bounds{States: 5000, Powers: 1})
 		Expect(r.Broken).To(BeEmpty())
 		Expect(r.Deeper).To(BeFalse(), "all there are")
 		Expect(r.States).To(BeNumerically(">", 1000))
-		r = rehearse.Explore(rehearse.Bounds{States: 3000, Powers: 1, Wipes: 1, Withdrawals: 1})
+		r = simulation.Explore(simulation.Bounds{States: 3000, Powers: 1, Wipes: 1, Withdrawals: 1})
 		Expect(r.Broken).To(BeEmpty())
 	})
 	DescribeTable("shows a planted fault", func(fault string, powers, wipes int) {
 		if raced {
 			Skip("too slow under the race detector; .ci/run plays them without it")
 		}
-		r := rehearse.Explore(rehearse.Bounds{States: 8000, Powers: powers, Wipes: wipes, Fault: fault})
+		r := simulation.Explore(simulation.Bounds{States: 8000, Powers: powers, Wipes: wipes, Fault: fault})
 		Expect(r.Broken).To(HavePrefix("TWICE"))
 		Expect(r.Way).NotTo(BeEmpty())
 	},
--- a/internal/rehearse/tables.go
+++ b/internal/simulation/tables.go
@@ -1,13 +1,13 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/platform/peer"
 )
 
 const (
@@ -15,22 +15,22 @@
 	tableWait = 3 * time.Second // in which an edge at its home has a table
 )
 
-// newGroups gives an exchange's life its tables, which hold nothing yet.
+// newGroups gives a controller's life its tables, which hold nothing yet.
 func (w *world) newGroups(n *node) {
 	var zones []string
 	for i := range w.nodes {
 		zones = append(zones, fmt.Sprint("z", i))
 	}
-	n.groups = huntgroup.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
-	n.others = map[int]huntgroup.Others{}
+	n.groups = weights.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
+	n.others = map[int]weights.Others{}
 	if n.dir != nil {
 		n.groups.Changed(n.dir.All(w.now), w.now)
 	}
 }
 
-// weigh sends an exchange's edges what its tables order.
+// weigh sends a controller's edges what its tables order.
 func (w *world) weigh(n *node) {
-	orders := n.groups.Tick(w.now, func() (all []huntgroup.Others) {
+	orders := n.groups.Tick(w.now, func() (all []weights.Others) {
 		for i := range w.nodes {
 			if o, heard := n.others[i]; heard {
 				all = append(all, o)
@@ -52,7 +52,7 @@
 				e.finder.Weigh(l.Server, l.Weight)
 			}
 			if len(order.Marks) > 0 {
-				w.wired(k, -1-i, func() { n.groups.Report(name, &trunk.Report{Applied: order.Marks}, nil) })
+				w.wired(k, -1-i, func() { n.groups.Report(name, &peer.Report{Applied: order.Marks}, nil) })
 			}
 		})
 	}
@@ -68,15 +68,15 @@
 	if k == nil {
 		return
 	}
-	r := &trunk.Report{Period: reportOf.Seconds()}
+	r := &peer.Report{Period: reportOf.Seconds()}
 	for _, service := range w.services {
 		for _, l := range e.finder.Lines(service) {
 			if m := e.finder.Met(l); m.Tries > 0 {
-				r.Met = append(r.Met, trunk.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
+				r.Met = append(r.Met, peer.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
 			}
 		}
 		if n := e.asked[service]; n > 0 {
-			r.Asked = append(r.Asked, trunk.Asked{Service: service, Requests: uint32(n)})
+			r.Asked = append(r.Asked, peer.Asked{Service: service, Requests: uint32(n)})
 		}
 	}
 	clear(e.asked)
@@ -99,15 +99,15 @@
 	for _, service := range w.services {
 		ordered := n.groups.Ordered(linkName(-1-e.n), service)
 		lines := e.finder.Lines(service)
-		meant := slices.ContainsFunc(lines, func(l *finder.Line) bool { return ordered[l.ID] > 0 })
-		if !meant || slices.ContainsFunc(lines, (*finder.Line).Weighed) {
+		meant := slices.ContainsFunc(lines, func(l *picker.Line) bool { return ordered[l.ID] > 0 })
+		if !meant || slices.ContainsFunc(lines, (*picker.Line).Weighed) {
 			delete(e.bare, service)
 			continue
 		}
 		if since, seen := e.bare[service]; !seen { // it may be on its way
 			e.bare[service] = w.now
 		} else if w.now-since > tableWait {
-			w.broken("TABLE: edge %d has been at exchange %d for %s and holds nothing of its table of %s", e.n, n.n, w.now-e.arrived, service)
+			w.broken("TABLE: edge %d has been at controller %d for %s and holds nothing of its table of %s", e.n, n.n, w.now-e.arrived, service)
 		}
 	}
 }
--- a/internal/rehearse/wires.go
+++ b/internal/simulation/wires.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"cmp"
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/trunk"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/peer"
 )
 
 // Spans of links and homes, as the programs have them.
@@ -23,7 +23,7 @@
 // wire is a connection between two processes: in order, and without loss while it holds. A cut holds its bytes up; one
 // that lasts for longer than silence breaks it, and so does the end of a process.
 type wire struct {
-	a, b   int // b is an exchange; a another one, or an edge
+	a, b   int // b is a controller; a another one, or an edge
 	up     bool
 	lives  [2]int
 	mute   time.Duration // since when nothing passes
@@ -31,7 +31,7 @@
 	again  time.Duration // not made anew before
 	epoch  int
 	free   [2]time.Duration
-	cells  [2]trunk.Comparing
+	cells  [2]peer.Comparing
 }
 
 func linkName(who int) string {
@@ -164,13 +164,13 @@
 	return nil
 }
 
-// tell hands an exchange what another process knows of servers.
-func (w *world) tell(n *node, from int, entries []directory.Entry, receipt uint64) {
+// tell hands a controller what another process knows of servers.
+func (w *world) tell(n *node, from int, entries []registry.Entry, receipt uint64) {
 	n.board.Heard(linkName(from), entries, receipt, w.now)
 	w.flush(n)
 }
 
-// flush sends what an exchange's notice board wants told.
+// flush sends what a controller's broadcast board wants told.
 func (w *world) flush(n *node) {
 	out := n.board.Take()
 	if len(out.News) > 0 {
@@ -223,7 +223,7 @@
 	}
 }
 
-// pulse lets an exchange's links know how it is.
+// pulse lets a controller's links know how it is.
 func (w *world) pulse(n *node) {
 	n.pulses++
 	full := n.pulses%fullOf == 0
@@ -236,7 +236,7 @@
 	}
 	wall := w.wallOf(n)
 	n.rooms.clock.Heard(n.name, wall, w.now)
-	mine := huntgroup.Others{Usual: n.groups.Mine()}
+	mine := weights.Others{Usual: n.groups.Mine()}
 	for _, k := range w.wires {
 		mine.Edges += btoi(k.up && k.a < 0 && k.b == n.n)
 	}
@@ -252,7 +252,7 @@
 					o.rooms.clock.Heard(n.name, wall, w.now)
 					o.board.Hears(linkName(n.n), hears)
 					if k.cells[btoi(other == k.b)].Due(sum, o.dir.Sum(), w.now) {
-						w.compare(k, other, n.n, &trunk.Cells{Sums: o.dir.Sums()})
+						w.compare(k, other, n.n, &peer.Cells{Sums: o.dir.Sums()})
 					}
 				}
 				return
@@ -268,7 +268,7 @@
 				}
 			}
 			if full && k.cells[0].Due(sum, e.dir.Sum(), w.now) {
-				w.compare(k, other, n.n, &trunk.Cells{Sums: e.dir.Sums()})
+				w.compare(k, other, n.n, &peer.Cells{Sums: e.dir.Sums()})
 			}
 		})
 	}
@@ -277,7 +277,7 @@
 // zone is where an edge stands.
 func (e *edge) zone() int { return e.n % e.zones }
 
-// roster is the edges of a zone, as the exchanges that are in touch know them.
+// roster is the edges of a zone, as the controllers that are in touch know them.
 func (w *world) roster(zone int) (all []uint32) {
 	for _, e := range w.edges {
 		if e.zone() == zone && e.home != nowhere {
@@ -288,7 +288,7 @@
 }
 
 // compare carries one step of comparing cells.
-func (w *world) compare(k *wire, from, to int, cells *trunk.Cells) {
+func (w *world) compare(k *wire, from, to int, cells *peer.Cells) {
 	w.wired(k, from, func() {
 		dir := w.dirOf(to)
 		answer := cells.Compare(dir, w.now)
@@ -314,7 +314,7 @@
 	})
 }
 
-func (w *world) dirOf(who int) *directory.Directory {
+func (w *world) dirOf(who int) *registry.Directory {
 	if who < 0 {
 		return w.edges[-1-who].dir
 	}
@@ -323,7 +323,7 @@
 
 const nowhere = -1000
 
-// bestHome is where an edge would belong: an exchange that it reaches and that hears more than half of the core.
+// bestHome is where an edge would belong: a controller that it reaches and that hears more than half of the core.
 func (w *world) bestHome(e *edge) int {
 	best, score := nowhere, -1
 	for i := range w.nodes {
@@ -345,7 +345,7 @@
 	return 0
 }
 
-// strung lays a wire between each two exchanges, and from each edge to each exchange.
+// strung lays a wire between each two controllers, and from each edge to each controller.
 func (w *world) strung() {
 	w.byEnds = map[[2]int]*wire{}
 	for b := range w.nodes {
--- a/internal/rehearse/world.go
+++ b/internal/simulation/world.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"fmt"
@@ -7,15 +7,15 @@
 	"slices"
 	"time"
 
-	"mulleinwood/internal/agreement"
-	"mulleinwood/internal/booking"
-	"mulleinwood/internal/daybook"
-	"mulleinwood/internal/directory"
-	"mulleinwood/internal/finder"
-	"mulleinwood/internal/huntgroup"
-	"mulleinwood/internal/meter"
-	"mulleinwood/internal/notice"
-	"mulleinwood/internal/ticket"
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/edge/picker"
+	"mulleinwood/internal/edge/retrybudget"
 )
 
 // Result is what a day showed.
@@ -63,7 +63,7 @@
 	window  = time.Minute
 	hurry   = 20 * time.Millisecond
 	limit   = 900 * time.Millisecond
-	edgeFor = 60 * time.Millisecond // until an edge asks a second exchange
+	edgeFor = 60 * time.Millisecond // until an edge asks a second controller
 	giveUp  = 400 * time.Millisecond
 	voidFor = 4 * time.Second
 )
@@ -77,11 +77,11 @@
 	edges    []*edge
 	mail     []letter
 	result   Result
-	history  []agreement.Entry
+	history  []consensus.Entry
 	writers  []*writer
 	ackTimes []ackedAt
-	runs     map[ticket.Key]int
-	tried    map[ticket.Key]bool
+	runs     map[idempotency.Key]int
+	tried    map[idempotency.Key]bool
 	next     uint64
 
 	wires     []*wire
@@ -121,10 +121,10 @@
 // letter is a message on its way. It is lost with the life of either end.
 type letter struct {
 	at       time.Duration
-	from, to int // exchanges; edges are -1 - number
+	from, to int // controllers; edges are -1 - number
 	lives    [2]int
 	do       func()
-	inner    bool // between exchanges: a cut stops it
+	inner    bool // between controllers: a cut stops it
 	wire     *wire
 	epoch    int
 	free     bool // something that the clock brings
@@ -137,12 +137,12 @@
 }
 
 type disk struct {
-	hard    agreement.Hard
-	snap    agreement.Snapshot
-	log     []agreement.Entry
-	records []ticket.Record
+	hard    consensus.Hard
+	snap    consensus.Snapshot
+	log     []consensus.Entry
+	records []idempotency.Record
 	blank   bool
-	servers map[string]directory.Entry
+	servers map[string]registry.Entry
 }
 
 type node struct {
@@ -150,30 +150,30 @@
 	name    string
 	life    int
 	up      time.Duration // down until
-	cutOut  time.Duration // until when nothing of it reaches other exchanges
+	cutOut  time.Duration // until when nothing of it reaches other controllers
 	cutIn   time.Duration // and nothing of theirs it
 	slow    time.Duration
 	full    time.Duration
 	disk    disk
 	queue   []write
-	member  *agreement.Member
-	ledger  *ticket.Ledger
-	office  *ticket.Office
+	member  *consensus.Member
+	ledger  *idempotency.Ledger
+	office  *idempotency.Office
 	copies  map[int]bool
 	askedAt time.Duration
-	state   *daybook.Daybook
+	state   *statemachine.Daybook
 	waiting map[uint64]waiter
-	claims  map[ticket.Token]func(ticket.Ruling)
+	claims  map[idempotency.Token]func(idempotency.Ruling)
 
 	frozen   time.Duration
 	rooms    nodeRooms
-	groups   *huntgroup.Groups
-	others   map[int]huntgroup.Others // what other exchanges' edges bring, as last told
-	dir      *directory.Directory
-	board    *notice.Board
+	groups   *weights.Groups
+	others   map[int]weights.Others // what other controllers' edges bring, as last told
+	dir      *registry.Directory
+	board    *broadcast.Board
 	calls    map[uint64]func()
 	nextCall uint64
-	gone     map[int]time.Duration // exchanges out of reach, since when
+	gone     map[int]time.Duration // controllers out of reach, since when
 	pulses   int
 	pulsed   time.Duration
 }
@@ -181,7 +181,7 @@
 type edge struct {
 	n, life int
 	home    int
-	open    map[ticket.Token]*claim
+	open    map[idempotency.Token]*claim
 	voids   []void
 
 	frozen, cut time.Duration
@@ -189,9 +189,9 @@
 	look        time.Duration
 	attached    bool
 	version     uint64
-	dir         *directory.Directory
-	finder      *finder.Finder
-	meters      map[string]*meter.Meter
+	dir         *registry.Directory
+	finder      *picker.Finder
+	meters      map[string]*retrybudget.Meter
 	met         map[string]bool
 	zones       int
 	turn        map[string]int // of a policy that goes round
@@ -203,21 +203,21 @@
 }
 
 type claim struct {
-	record ticket.Record
+	record idempotency.Record
 	since  time.Duration
 	asked  int
 	second bool
 }
 
 type void struct {
-	record ticket.Record
+	record idempotency.Record
 	at     time.Duration
 	said   time.Duration
 }
 
 // Play plays a day. A decider that meets what can't be ends the day, as it would end its process.
 func Play(d Day) (result Result) {
-	w := &world{day: d, rng: rand.New(rand.NewPCG(d.Seed, 13)), forced: map[string]force{}, ackedOn: map[uint64]string{}, turnedAway: map[string]bool{}, runs: map[ticket.Key]int{}, tried: map[ticket.Key]bool{},
+	w := &world{day: d, rng: rand.New(rand.NewPCG(d.Seed, 13)), forced: map[string]force{}, ackedOn: map[uint64]string{}, turnedAway: map[string]bool{}, runs: map[idempotency.Key]int{}, tried: map[idempotency.Key]bool{},
 		at: map[string]*server{}, slowed: map[*server]time.Duration{}, seen: map[uint64]int{}, ranBy: map[uint64]int{}, refused: map[uint64]bool{},
 		reached: map[*try]bool{}, asked: map[string][]time.Duration{}, extra: map[string][]time.Duration{}, worked: map[[2]int]uint64{}}
 	defer func() {
@@ -233,7 +233,7 @@
 		w.names = append(w.names, string(rune('a'+i)))
 	}
 	for i := range d.Members {
-		w.nodes = append(w.nodes, &node{n: i, name: w.names[i], disk: disk{servers: map[string]directory.Entry{}}})
+		w.nodes = append(w.nodes, &node{n: i, name: w.names[i], disk: disk{servers: map[string]registry.Entry{}}})
 	}
 	for _, n := range w.nodes {
 		w.start(n)
@@ -308,12 +308,12 @@
 // restart gives an edge's process a new life.
 func (w *world) restart(e *edge) {
 	e.life++
-	e.open, e.voids = map[ticket.Token]*claim{}, nil
-	e.dir, e.asked, e.bare = directory.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
-	e.rooms = edgeRooms{held: booking.Held{Life: uint64(e.life)}, gate: booking.NewGate(), wants: map[string]int{}}
+	e.open, e.voids = map[idempotency.Token]*claim{}, nil
+	e.dir, e.asked, e.bare = registry.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
+	e.rooms = edgeRooms{held: reservation.Held{Life: uint64(e.life)}, gate: reservation.NewGate(), wants: map[string]int{}}
 	e.arrived = w.now // as a new life, which holds nothing
-	e.finder = finder.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
-	e.meters, e.met, e.version = map[string]*meter.Meter{}, map[string]bool{}, 0
+	e.finder = picker.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
+	e.meters, e.met, e.version = map[string]*retrybudget.Meter{}, map[string]bool{}, 0
 }
 
 // after has something happen some milliseconds from now.
@@ -404,32 +404,32 @@
 	n.life++
 	n.up, n.queue = w.now+down, nil
 	if wipe {
-		n.disk = disk{hard: agreement.Hard{Blank: w.day.Fault != "votes with an empty disk"}, blank: w.day.Fault != "grants with an empty disk",
-			servers: map[string]directory.Entry{}}
+		n.disk = disk{hard: consensus.Hard{Blank: w.day.Fault != "votes with an empty disk"}, blank: w.day.Fault != "grants with an empty disk",
+			servers: map[string]registry.Entry{}}
 	}
 	w.start(n)
 }
 
 // start gives a node what its disk held.
 func (w *world) start(n *node) {
-	n.member = agreement.New(n.name, w.names, agreement.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond, Lost: w.day.Lost},
+	n.member = consensus.New(n.name, w.names, consensus.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond, Lost: w.day.Lost},
 		w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
-	n.ledger = ticket.NewLedger(window, n.disk.blank)
+	n.ledger = idempotency.NewLedger(window, n.disk.blank)
 	for _, r := range n.disk.records {
 		n.ledger.Load(r, w.now)
 	}
 	order := append(slices.Clone(w.names[n.n:]), w.names[:n.n]...)
-	n.office = ticket.NewOffice(order, hurry, limit)
-	n.copies, n.waiting, n.state = map[int]bool{}, map[uint64]waiter{}, daybook.New()
+	n.office = idempotency.NewOffice(order, hurry, limit)
+	n.copies, n.waiting, n.state = map[int]bool{}, map[uint64]waiter{}, statemachine.New()
 	if n.disk.snap.Index > 0 {
 		w.restores(n, n.disk.snap)
 	}
-	n.claims = map[ticket.Token]func(ticket.Ruling){}
+	n.claims = map[idempotency.Token]func(idempotency.Ruling){}
 	if w.day.Fault == "one ledger is enough" {
-		n.office = ticket.NewOffice(w.names[n.n:n.n+1], hurry, limit)
+		n.office = idempotency.NewOffice(w.names[n.n:n.n+1], hurry, limit)
 	}
-	n.dir = directory.New(90 * time.Second)
-	n.board, n.calls, n.gone, n.frozen = notice.New(n.dir), map[uint64]func(){}, map[int]time.Duration{}, 0
+	n.dir = registry.New(90 * time.Second)
+	n.board, n.calls, n.gone, n.frozen = broadcast.New(n.dir), map[uint64]func(){}, map[int]time.Duration{}, 0
 	for _, id := range slices.Sorted(maps.Keys(n.disk.servers)) {
 		e := n.disk.servers[id]
 		e.Owner = n.name
@@ -556,7 +556,7 @@
 // settle does what the agreement wants done.
 func (w *world) settle(n *node) {
 	out := n.member.Take()
-	post := func(ms []agreement.Message) {
+	post := func(ms []consensus.Message) {
 		for _, m := range ms {
 			to := slices.Index(w.names, m.To)
 			w.send(n.n, to, func() {
@@ -588,7 +588,7 @@
 				}
 			}
 			if out.Truncate > 0 {
-				d.log = slices.DeleteFunc(d.log, func(e agreement.Entry) bool { return e.Index >= out.Truncate })
+				d.log = slices.DeleteFunc(d.log, func(e consensus.Entry) bool { return e.Index >= out.Truncate })
 			}
 			d.log = append(d.log, out.Entries...)
 			if n.life == life {
@@ -634,7 +634,7 @@
 const snapAfter = 30 // entries
 
 // restores gives a node what a snapshot holds.
-func (w *world) restores(n *node, s agreement.Snapshot) {
+func (w *world) restores(n *node, s consensus.Snapshot) {
 	if err := n.state.Restore(s); err != nil {
 		w.broken("FAULT: %s can't read a snapshot: %v", n.name, err)
 	} else if want := w.forceAt[s.Index-1]; n.state.Version() != want {
--- a/rules/churn_test.go
+++ b/rules/churn_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/rs/zerolog"
 
-	"mulleinwood/internal/protocol"
-	"mulleinwood/internal/routing"
-	"mulleinwood/internal/settings"
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/settings"
 	"mulleinwood/rules"
 )
 
