--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -1,5 +1,5 @@
 // Command controller is the gateway's control process: it agrees with the others on the configuration, keeps the registry
-// of servers and the ledger of keyed operations, and decides the weights that the edges send by.
+// of servers and the claim store of keyed operations, and decides the weights that the edges send by.
 package main
 
 import (
--- a/cmd/operator/bookings.go
+++ b/cmd/operator/bookings.go
@@ -20,7 +20,7 @@
 	"mulleinwood/internal/platform/apierror"
 )
 
-// bookings are the commands on booked room.
+// bookings are the commands on booked slots.
 func bookings() *cli.Command {
 	what := []cli.Flag{
 		&cli.StringFlag{Name: "tenant", Usage: "host whose requests have the room"},
@@ -250,7 +250,7 @@
 	return tellBooked(cmd, fmt.Sprintf("%d bookings", len(all)), dry, said)
 }
 
-// bookingsWatch notes how much of the rooms is wanted, as lines of CSV, and draws it.
+// bookingsWatch notes how much of the reservations is wanted, as lines of CSV, and draws it.
 func bookingsWatch(ctx context.Context, cmd *cli.Command) error {
 	var uses []operator.Noted
 	fmt.Println("time,room,slots,wanted")
--- a/cmd/operator/try.go
+++ b/cmd/operator/try.go
@@ -34,22 +34,22 @@
 			if err != nil {
 				return err
 			}
-			desk := &demo.Desk{Dir: dir, Bin: bin, Out: os.Stdout, Tail: cmd.Bool("logs")}
-			err = desk.Start(ctx)
+			gateway := &demo.Demo{Dir: dir, Bin: bin, Out: os.Stdout, Tail: cmd.Bool("logs")}
+			err = gateway.Start(ctx)
 			if err == nil {
-				err = desk.Try()
+				err = gateway.Try()
 			}
 			if err == nil {
-				err = desk.Reload()
+				err = gateway.Reload()
 			}
 			if err == nil {
-				err = desk.Book()
+				err = gateway.Book()
 			}
 			if err == nil && cmd.Bool("stay") {
 				fmt.Println("fronts at 127.0.61.11:18641 and 127.0.61.12:18641, control at 127.0.61.1:18649; end with ctrl-c")
 				<-ctx.Done()
 			}
-			if stopped := desk.Stop(); err == nil {
+			if stopped := gateway.Stop(); err == nil {
 				err = stopped
 			}
 			if err != nil {
--- a/internal/control/broadcast/broadcast.go
+++ b/internal/control/broadcast/broadcast.go
@@ -32,9 +32,9 @@
 	News  []registry.Entry // what changed here, for the tables and the disk
 }
 
-// Board is one controller's part.
-type Board struct {
-	dir      *registry.Directory
+// Broadcaster is one controller's part.
+type Broadcaster struct {
+	registry *registry.Registry
 	links    map[string]*link
 	receipts map[uint64]*receipt
 	next     uint64
@@ -54,13 +54,13 @@
 	done  func()
 }
 
-// New makes a board over a registry.
-func New(dir *registry.Directory) *Board {
-	return &Board{dir: dir, links: map[string]*link{}, receipts: map[uint64]*receipt{}, acked: map[string]registry.State{}}
+// New makes a broadcaster over a registry.
+func New(servers *registry.Registry) *Broadcaster {
+	return &Broadcaster{registry: servers, links: map[string]*link{}, receipts: map[uint64]*receipt{}, acked: map[string]registry.State{}}
 }
 
 // Take hands out what has gathered.
-func (b *Board) Take() Output {
+func (b *Broadcaster) Take() Output {
 	out := b.out
 	b.out = Output{}
 	return out
@@ -68,13 +68,13 @@
 
 // Join takes a link in, by a name that no other has. A new link of one that is there takes its place: what the former was
 // to answer comes with the snapshot that a new link begins with.
-func (b *Board) Join(name string, edge bool) {
+func (b *Broadcaster) Join(name string, edge bool) {
 	b.Left(name)
 	b.links[name] = &link{edge: edge}
 }
 
 // Left takes a link out: nobody waits for it.
-func (b *Board) Left(name string) {
+func (b *Broadcaster) Left(name string) {
 	if b.links[name] == nil {
 		return
 	}
@@ -86,14 +86,14 @@
 }
 
 // Hears notes which controllers another one is linked to.
-func (b *Board) Hears(name string, exchanges []string) {
+func (b *Broadcaster) Hears(name string, controllers []string) {
 	if l := b.links[name]; l != nil {
-		l.hears = exchanges
+		l.hears = controllers
 	}
 }
 
 // Received takes a receipt.
-func (b *Board) Received(name string, id uint64) {
+func (b *Broadcaster) Received(name string, id uint64) {
 	if r := b.receipts[id]; r != nil {
 		delete(r.need, name)
 		b.finish()
@@ -101,10 +101,10 @@
 }
 
 // Heard takes what another process knows of servers, and passes on what is news. Want is the receipt that it asks for.
-func (b *Board) Heard(from string, entries []registry.Entry, want uint64, now time.Duration) {
+func (b *Broadcaster) Heard(from string, entries []registry.Entry, want uint64, now time.Duration) {
 	var news []registry.Entry
 	for _, e := range entries {
-		if changed, isNews := b.dir.Take(e, now); isNews {
+		if changed, isNews := b.registry.Take(e, now); isNews {
 			news = append(news, changed)
 		}
 	}
@@ -116,18 +116,18 @@
 }
 
 // Changed passes on what changed here by itself.
-func (b *Board) Changed(news []registry.Entry, now time.Duration) {
+func (b *Broadcaster) Changed(news []registry.Entry, now time.Duration) {
 	b.spread(news, "", near, now, nil)
 }
 
 // Call takes a server's own word: a beat, or that it leaves or is gone. Call is what Done will hold once it is
 // acknowledged.
-func (b *Board) Call(e registry.Entry, call uint64, now time.Duration) (changed registry.Entry, first bool) {
-	old, known := b.dir.Get(e.ID)
+func (b *Broadcaster) Call(e registry.Entry, call uint64, now time.Duration) (changed registry.Entry, first bool) {
+	old, known := b.registry.Get(e.ID)
 	if e.State == registry.Gone && known {
 		e.Seq = old.Seq
 	}
-	changed, news := b.dir.Take(e, now)
+	changed, news := b.registry.Take(e, now)
 	leaving := e.State > registry.Ready
 	var list []registry.Entry
 	if news || leaving {
@@ -153,7 +153,7 @@
 }
 
 // Tick gives up on receipts that don't come.
-func (b *Board) Tick(now time.Duration) {
+func (b *Broadcaster) Tick(now time.Duration) {
 	for _, id := range b.order() {
 		if r := b.receipts[id]; now > r.until {
 			delete(b.receipts, id)
@@ -164,7 +164,7 @@
 
 // spread tells edges and other controllers of news; done hears when those that have to know hold it. What another controller
 // told goes on to controllers that it has no link to itself.
-func (b *Board) spread(news []registry.Entry, from string, limit, now time.Duration, done func()) {
+func (b *Broadcaster) spread(news []registry.Entry, from string, limit, now time.Duration, done func()) {
 	need, id := map[string]bool{}, uint64(0)
 	if done != nil {
 		b.next++
@@ -189,7 +189,7 @@
 }
 
 // finish ends the receipts that all have given.
-func (b *Board) finish() {
+func (b *Broadcaster) finish() {
 	for _, id := range b.order() {
 		if r := b.receipts[id]; r != nil && len(r.need) == 0 {
 			delete(b.receipts, id)
@@ -199,7 +199,7 @@
 }
 
 // order gives the receipts as they began, so that the same events have the same outcome.
-func (b *Board) order() []uint64 { return sorted(b.receipts) }
+func (b *Broadcaster) order() []uint64 { return sorted(b.receipts) }
 
 func sorted[K uint64 | string, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
--- a/internal/control/consensus/consensus.go
+++ b/internal/control/consensus/consensus.go
@@ -35,12 +35,12 @@
 const (
 	Append Kind = iota
 	AppendReply
-	AskVote
-	Vote
-	AskPre
-	Pre
-	AskTerm // from a member whose disk came back empty
-	TellTerm
+	VoteRequest
+	VoteReply
+	PreVoteRequest
+	PreVoteReply
+	TermRequest // from a member whose disk came back empty
+	TermReply
 )
 
 // Message goes from one member to another.
@@ -60,8 +60,8 @@
 	Blank    bool      `cbor:"13,keyasint,omitempty"` // the sender knows nothing itself
 }
 
-// Hard is what must be durable before messages that tell of it leave.
-type Hard struct {
+// HardState is what must be durable before messages that tell of it leave.
+type HardState struct {
 	Term  uint64 `cbor:"1,keyasint"`
 	Vote  string `cbor:"2,keyasint"`
 	Blank bool   `cbor:"3,keyasint"` // the disk came back empty and what it held isn't restored yet
@@ -72,7 +72,7 @@
 
 // Output is what has to be done after events. Now goes at once; After goes once Store is done.
 type Output struct {
-	Hard      *Hard
+	Hard      *HardState
 	Snapshot  *Snapshot // replaces log and snapshot on disk
 	Truncate  uint64    // entries from this index on are dropped first; 0: none
 	Entries   []Entry   // then these are added
@@ -89,9 +89,9 @@
 
 // Timing holds the member's spans, and how many members may lose their disks at once.
 type Timing struct {
-	Beat     time.Duration // between two of a leader's messages
-	Patience time.Duration // without a leader, before asking for votes; up to twice that by chance
-	Lost     int           // members that may lose their disks at once
+	Heartbeat       time.Duration // between two of a leader's messages
+	ElectionTimeout time.Duration // without a leader, before asking for votes; up to twice that by chance
+	Lost            int           // members that may lose their disks at once
 }
 
 // Role of a member.
@@ -112,15 +112,15 @@
 	snapAt      time.Duration // when a snapshot was last sent
 }
 
-// Member is one planner's part in the agreement.
-type Member struct {
+// Replica is one planner's part in the consensus.
+type Replica struct {
 	id      string
 	members []string
 	timing  Timing
 	rng     *rand.Rand
 	now     time.Duration
 
-	hard     Hard
+	hard     HardState
 	snap     Snapshot
 	log      []Entry // after snap
 	stored   uint64  // last entry that is durable here
@@ -141,14 +141,14 @@
 }
 
 // New makes a member from what its disk held. A disk that came back empty is told by hard.Blank.
-func New(id string, members []string, timing Timing, seed uint64, hard Hard, snap Snapshot, log []Entry, now time.Duration) *Member {
-	m := &Member{id: id, members: slices.Clone(members), timing: timing, rng: rand.New(rand.NewPCG(seed, 2)), hard: hard,
+func New(id string, members []string, timing Timing, seed uint64, hard HardState, snap Snapshot, log []Entry, now time.Duration) *Replica {
+	m := &Replica{id: id, members: slices.Clone(members), timing: timing, rng: rand.New(rand.NewPCG(seed, 2)), hard: hard,
 		snap: snap, log: log, commit: snap.Index, applied: snap.Index, now: now, heard: now,
 		terms: map[string]uint64{}, blankAll: map[string]bool{}}
 	slices.Sort(m.members)
 	m.stored = m.last()
 	m.commit = max(m.commit, min(hard.Commit, m.stored))
-	m.rest()
+	m.resetElectionTimer()
 	if snap.Index > 0 {
 		s := snap
 		m.out.Install = &s
@@ -157,15 +157,15 @@
 }
 
 // Role, leader and progress, for callers.
-func (m *Member) Role() Role        { return m.role }
-func (m *Member) Leader() string    { return m.leader }
-func (m *Member) Term() uint64      { return m.hard.Term }
-func (m *Member) Commit() uint64    { return m.commit }
-func (m *Member) Last() uint64      { return m.last() }
-func (m *Member) Blank() bool       { return m.hard.Blank }
-func (m *Member) Members() []string { return m.members }
-
-func (m *Member) last() uint64 {
+func (m *Replica) Role() Role        { return m.role }
+func (m *Replica) Leader() string    { return m.leader }
+func (m *Replica) Term() uint64      { return m.hard.Term }
+func (m *Replica) Commit() uint64    { return m.commit }
+func (m *Replica) Last() uint64      { return m.last() }
+func (m *Replica) Blank() bool       { return m.hard.Blank }
+func (m *Replica) Members() []string { return m.members }
+
+func (m *Replica) last() uint64 {
 	if n := len(m.log); n > 0 {
 		return m.log[n-1].Index
 	}
@@ -173,7 +173,7 @@
 }
 
 // termOf gives the term of an entry, and whether it is known.
-func (m *Member) termOf(index uint64) (uint64, bool) {
+func (m *Replica) termOf(index uint64) (uint64, bool) {
 	if index == m.snap.Index {
 		return m.snap.Term, true
 	}
@@ -183,14 +183,14 @@
 	return m.log[index-m.snap.Index-1].Term, true
 }
 
-func (m *Member) quorum() int { return len(m.members)/2 + 1 }
+func (m *Replica) quorum() int { return len(m.members)/2 + 1 }
 
-// rest draws anew how long the member waits for a leader.
-func (m *Member) rest() {
-	m.standAt = m.now + m.timing.Patience + time.Duration(m.rng.Int64N(int64(m.timing.Patience)))
+// resetElectionTimer draws anew how long the member waits for a leader.
+func (m *Replica) resetElectionTimer() {
+	m.standAt = m.now + m.timing.ElectionTimeout + time.Duration(m.rng.Int64N(int64(m.timing.ElectionTimeout)))
 }
 
-func (m *Member) send(after bool, msg Message) {
+func (m *Replica) send(after bool, msg Message) {
 	msg.From = m.id
 	if msg.Term == 0 {
 		msg.Term = m.hard.Term
@@ -202,7 +202,7 @@
 	}
 }
 
-func (m *Member) others(do func(id string)) {
+func (m *Replica) others(do func(id string)) {
 	for _, id := range m.members {
 		if id != m.id {
 			do(id)
@@ -211,7 +211,7 @@
 }
 
 // Take hands out what has to be done and starts collecting anew.
-func (m *Member) Take() Output {
+func (m *Replica) Take() Output {
 	if m.applied < m.commit {
 		for i := m.applied + 1; i <= m.commit; i++ {
 			m.out.Committed = append(m.out.Committed, m.log[i-m.snap.Index-1])
@@ -225,7 +225,7 @@
 }
 
 // Stored tells that an output's entries up to this index are durable.
-func (m *Member) Stored(index uint64, now time.Duration) {
+func (m *Replica) Stored(index uint64, now time.Duration) {
 	m.now = now
 	m.stored = max(m.stored, min(index, m.last()))
 	if m.role == Leader {
@@ -234,21 +234,21 @@
 }
 
 // Tick lets time pass.
-func (m *Member) Tick(now time.Duration) {
+func (m *Replica) Tick(now time.Duration) {
 	m.now = now
 	if m.hard.Blank && now >= m.askedAt {
-		m.askedAt = now + 2*m.timing.Beat
-		m.others(func(id string) { m.send(false, Message{Kind: AskTerm, To: id, Blank: true}) })
+		m.askedAt = now + 2*m.timing.Heartbeat
+		m.others(func(id string) { m.send(false, Message{Kind: TermRequest, To: id, Blank: true}) })
 		m.restore()
 	}
 	switch m.role {
 	case Leader:
 		m.others(func(id string) {
-			if now-m.peers[id].sentAt >= m.timing.Beat {
+			if now-m.peers[id].sentAt >= m.timing.Heartbeat {
 				m.push(id)
 			}
 		})
-		if !m.Attached(now) && now-m.heard > 2*m.timing.Patience {
+		if !m.Attached(now) && now-m.heard > 2*m.timing.ElectionTimeout {
 			m.follow(m.hard.Term, "") // nobody follows: whoever is asked should ask another
 		}
 	default:
@@ -259,8 +259,8 @@
 }
 
 // Attached tells whether the member lately heard from more than half: as a leader from followers, else from a leader.
-func (m *Member) Attached(now time.Duration) bool {
-	span := 2 * m.timing.Patience
+func (m *Replica) Attached(now time.Duration) bool {
+	span := 2 * m.timing.ElectionTimeout
 	if m.role != Leader {
 		return m.leader != "" && now-m.heard < span
 	}
@@ -274,13 +274,13 @@
 }
 
 // stand asks for votes, or first whether there would be any.
-func (m *Member) stand(pre bool) {
-	m.rest()
+func (m *Replica) stand(pre bool) {
+	m.resetElectionTimer()
 	m.role, m.leader, m.pre, m.votes = Candidate, "", pre, map[string]bool{m.id: true}
-	kind := AskPre
+	kind := PreVoteRequest
 	term := m.hard.Term + 1
 	if !pre {
-		kind = AskVote
+		kind = VoteRequest
 		m.hard.Term, m.hard.Vote = term, m.id
 		m.keep()
 	}
@@ -291,13 +291,13 @@
 	m.count()
 }
 
-func (m *Member) keep() {
+func (m *Replica) keep() {
 	h := m.hard
 	m.out.Hard = &h
 }
 
 // count sees whether the votes are enough.
-func (m *Member) count() {
+func (m *Replica) count() {
 	n := 0
 	for _, yes := range m.votes {
 		if yes {
@@ -318,17 +318,17 @@
 }
 
 // follow goes back to following, perhaps in a newer term.
-func (m *Member) follow(term uint64, leader string) {
+func (m *Replica) follow(term uint64, leader string) {
 	if term > m.hard.Term {
 		m.hard.Term, m.hard.Vote = term, ""
 		m.keep()
 	}
 	m.role, m.leader, m.peers, m.votes = Follower, leader, nil, nil
-	m.rest()
+	m.resetElectionTimer()
 }
 
 // Propose adds a change; only a leader can. It returns the change's place.
-func (m *Member) Propose(data []byte, now time.Duration) (index, term uint64, ok bool) {
+func (m *Replica) Propose(data []byte, now time.Duration) (index, term uint64, ok bool) {
 	m.now = now
 	if m.role != Leader {
 		return 0, 0, false
@@ -337,7 +337,7 @@
 	return m.last(), m.hard.Term, true
 }
 
-func (m *Member) add(data []byte) {
+func (m *Replica) add(data []byte) {
 	e := Entry{Term: m.hard.Term, Index: m.last() + 1, Data: data}
 	m.log = append(m.log, e)
 	m.out.Entries = append(m.out.Entries, e)
@@ -345,19 +345,19 @@
 	m.advance()
 }
 
-// push sends a peer what it lacks, or a beat.
-func (m *Member) push(id string) {
+// push sends a peer what it lacks, or a heartbeat.
+func (m *Replica) push(id string) {
 	p := m.peers[id]
 	p.sentAt = m.now
 	msg := Message{Kind: Append, To: id, Index: p.next - 1, Commit: m.commit, Last: m.last(), Round: m.round}
 	term, known := m.termOf(p.next - 1)
 	if !known {
-		if m.now-p.snapAt > 4*m.timing.Beat || p.snapAt == 0 {
+		if m.now-p.snapAt > 4*m.timing.Heartbeat || p.snapAt == 0 {
 			p.snapAt = m.now
 			s := m.snap
 			msg.Snapshot, msg.Index, msg.LogTerm = &s, s.Index, s.Term
 		} else {
-			msg.Index, msg.LogTerm = 0, 0 // a beat that matches nothing, while the snapshot is on its way
+			msg.Index, msg.LogTerm = 0, 0 // a heartbeat that matches nothing, while the snapshot is on its way
 			msg.Kind = Append
 		}
 		m.send(false, msg)
@@ -372,7 +372,7 @@
 }
 
 // advance commits what more than half hold durably. Only entries of the own term commit by counting.
-func (m *Member) advance() {
+func (m *Replica) advance() {
 	held := []uint64{}
 	for _, id := range m.members {
 		if id == m.id {
@@ -390,7 +390,7 @@
 }
 
 // Confirm starts a round that shows whether the member still leads; Confirmed tells.
-func (m *Member) Confirm(now time.Duration) uint64 {
+func (m *Replica) Confirm(now time.Duration) uint64 {
 	m.now = now
 	m.round++
 	if m.role == Leader {
@@ -400,7 +400,7 @@
 }
 
 // Confirmed tells whether more than half answered a round, and all that was committed when it began is known here.
-func (m *Member) Confirmed(round uint64) bool {
+func (m *Replica) Confirmed(round uint64) bool {
 	if m.role != Leader {
 		return false
 	}
@@ -417,7 +417,7 @@
 }
 
 // Compact replaces the log up to an applied entry by a snapshot.
-func (m *Member) Compact(index uint64, data []byte) {
+func (m *Replica) Compact(index uint64, data []byte) {
 	term, ok := m.termOf(index)
 	if !ok || index <= m.snap.Index || index > m.applied {
 		return
@@ -429,16 +429,16 @@
 }
 
 // Step takes a message.
-func (m *Member) Step(msg Message, now time.Duration) {
+func (m *Replica) Step(msg Message, now time.Duration) {
 	m.now = now
 	if msg.To != m.id || !slices.Contains(m.members, msg.From) {
 		return
 	}
 	switch msg.Kind {
-	case AskTerm:
-		m.send(true, Message{Kind: TellTerm, To: msg.From, Blank: m.hard.Blank})
+	case TermRequest:
+		m.send(true, Message{Kind: TermReply, To: msg.From, Blank: m.hard.Blank})
 		return
-	case TellTerm:
+	case TermReply:
 		if m.hard.Blank {
 			m.blankAll[msg.From] = msg.Blank
 			if delete(m.terms, msg.From); !msg.Blank { // one that knows nothing itself has nothing to tell
@@ -447,10 +447,10 @@
 			m.restore()
 		}
 		return
-	case AskPre:
+	case PreVoteRequest:
 		m.answerPre(msg)
 		return
-	case Pre:
+	case PreVoteReply:
 		if m.role == Candidate && m.pre && msg.Term == m.hard.Term+1 {
 			m.votes[msg.From] = msg.OK
 			m.count()
@@ -467,9 +467,9 @@
 		return
 	}
 	switch msg.Kind {
-	case AskVote:
+	case VoteRequest:
 		m.answerVote(msg)
-	case Vote:
+	case VoteReply:
 		if m.role == Candidate && !m.pre {
 			m.votes[msg.From] = msg.OK
 			m.count()
@@ -482,36 +482,36 @@
 }
 
 // upToDate tells whether a log that ends so has all that ours has.
-func (m *Member) upToDate(msg Message) bool {
+func (m *Replica) upToDate(msg Message) bool {
 	term, _ := m.termOf(m.last())
 	return msg.LogTerm > term || msg.LogTerm == term && msg.Index >= m.last()
 }
 
-func (m *Member) answerPre(msg Message) {
+func (m *Replica) answerPre(msg Message) {
 	ok := !m.hard.Blank && msg.Term > m.hard.Term && msg.Term > m.hard.Floor && m.upToDate(msg)
-	if m.role == Leader && m.Attached(m.now) || m.role == Follower && m.leader != "" && m.now-m.heard < m.timing.Patience {
+	if m.role == Leader && m.Attached(m.now) || m.role == Follower && m.leader != "" && m.now-m.heard < m.timing.ElectionTimeout {
 		ok = false
 	}
-	m.send(true, Message{Kind: Pre, To: msg.From, Term: msg.Term, OK: ok})
+	m.send(true, Message{Kind: PreVoteReply, To: msg.From, Term: msg.Term, OK: ok})
 }
 
-func (m *Member) answerVote(msg Message) {
+func (m *Replica) answerVote(msg Message) {
 	ok := !m.hard.Blank && msg.Term > m.hard.Floor && m.upToDate(msg) && (m.hard.Vote == "" || m.hard.Vote == msg.From)
 	if ok && m.hard.Vote == "" {
 		m.hard.Vote = msg.From
 		m.keep()
-		m.rest()
+		m.resetElectionTimer()
 	}
-	m.send(true, Message{Kind: Vote, To: msg.From, OK: ok})
+	m.send(true, Message{Kind: VoteReply, To: msg.From, OK: ok})
 }
 
 // appended takes what a leader sends.
-func (m *Member) appended(msg Message) {
+func (m *Replica) appended(msg Message) {
 	if m.role != Follower || m.leader != msg.From {
 		m.follow(m.hard.Term, msg.From)
 	}
 	m.heard = m.now
-	m.rest()
+	m.resetElectionTimer()
 	if s := msg.Snapshot; s != nil && s.Index > m.commit {
 		m.snap, m.log = *s, nil
 		m.commit, m.applied, m.stored = s.Index, s.Index, 0
@@ -531,7 +531,7 @@
 		reply.OK, reply.Index = true, msg.Index+uint64(len(msg.Entries))
 	}
 	if len(msg.Entries) == 0 && msg.Snapshot == nil && reply.OK && !m.hard.Blank {
-		// A beat is answered at once, for what is durable: a slow disk shall not make its leader seem alone.
+		// A heartbeat is answered at once, for what is durable: a slow disk shall not make its leader seem alone.
 		reply.Index = min(reply.Index, m.stored)
 		if at := min(msg.Commit, msg.Index); at > m.commit {
 			m.commit = at
@@ -551,7 +551,7 @@
 }
 
 // extend takes entries over, dropping what conflicts with them.
-func (m *Member) extend(entries []Entry) {
+func (m *Replica) extend(entries []Entry) {
 	for i, e := range entries {
 		if e.Index <= m.snap.Index {
 			continue
@@ -574,7 +574,7 @@
 }
 
 // replied takes a follower's answer.
-func (m *Member) replied(msg Message) {
+func (m *Replica) replied(msg Message) {
 	if m.role != Leader {
 		return
 	}
@@ -595,20 +595,20 @@
 }
 
 // pushMore sends what a peer still lacks, unless a snapshot is on its way to it.
-func (m *Member) pushMore(id string) {
+func (m *Replica) pushMore(id string) {
 	p := m.peers[id]
 	_, known := m.termOf(p.next - 1)
-	if p.next <= m.last() && (known || p.snapAt == 0 || m.now-p.snapAt > 4*m.timing.Beat) {
+	if p.next <= m.last() && (known || p.snapAt == 0 || m.now-p.snapAt > 4*m.timing.Heartbeat) {
 		m.push(id)
 	}
 }
 
 // complete tells whether a blank member has heard the terms of enough others: of all that can have kept their disks when
 // as many as are borne lost theirs. Whoever it voted for, or made an entry count with, has one of those among them.
-func (m *Member) complete() bool { return len(m.terms) >= len(m.members)-m.timing.Lost }
+func (m *Replica) complete() bool { return len(m.terms) >= len(m.members)-m.timing.Lost }
 
 // restore sees how far a blank member has come. Where all are blank, nothing was ever agreed: all begin anew.
-func (m *Member) restore() {
+func (m *Replica) restore() {
 	if !m.hard.Blank {
 		return
 	}
@@ -619,7 +619,7 @@
 	if all && m.last() == 0 {
 		m.hard.Blank = false
 		m.keep()
-		m.rest()
+		m.resetElectionTimer()
 		return
 	}
 	if !m.complete() {
--- a/internal/control/consensus/world_test.go
+++ b/internal/control/consensus/world_test.go
@@ -9,7 +9,7 @@
 	"mulleinwood/internal/control/consensus"
 )
 
-// world plays a whole agreement in simulated time from one seed: messages that are late, lost or cut off, disks that
+// world plays a whole group of replicas in simulated time from one seed: messages that are late, lost or cut off, disks that
 // store late or lose everything, members that lose power. What members apply is held against one record by an auditor
 // that knows nothing of their books.
 type world struct {
@@ -33,7 +33,7 @@
 }
 
 type disk struct {
-	hard consensus.Hard
+	hard consensus.HardState
 	snap consensus.Snapshot
 	log  []consensus.Entry
 }
@@ -45,7 +45,7 @@
 
 type node struct {
 	name    string
-	m       *consensus.Member
+	m       *consensus.Replica
 	disk    disk
 	queue   []write
 	applied uint64
@@ -55,7 +55,7 @@
 
 const step = 5 * time.Millisecond
 
-var timing = consensus.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond}
+var timing = consensus.Timing{Heartbeat: 50 * time.Millisecond, ElectionTimeout: 150 * time.Millisecond}
 
 func newWorld(seed uint64, members, lost int, fault string) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), names: []string{"a", "b", "c", "d", "e"}[:members], lost: lost, nodes: map[string]*node{}, cut: map[string]bool{},
@@ -68,7 +68,7 @@
 }
 
 func (w *world) start(n *node) {
-	n.m = consensus.New(n.name, w.names, consensus.Timing{Beat: timing.Beat, Patience: timing.Patience, Lost: w.lost}, w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
+	n.m = consensus.New(n.name, w.names, consensus.Timing{Heartbeat: timing.Heartbeat, ElectionTimeout: timing.ElectionTimeout, Lost: w.lost}, w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
 	n.queue, n.waiting, n.applied = nil, map[uint64]uint64{}, n.disk.snap.Index
 }
 
@@ -142,7 +142,7 @@
 	n.downTil = w.now + time.Duration(w.rng.IntN(400))*time.Millisecond
 	n.queue = nil
 	if wipe {
-		n.disk = disk{hard: consensus.Hard{Blank: w.fault != "votes with an empty disk"}}
+		n.disk = disk{hard: consensus.HardState{Blank: w.fault != "votes with an empty disk"}}
 	}
 	w.mail = slices.DeleteFunc(w.mail, func(l letter) bool { return l.m.From == n.name || l.m.To == n.name })
 	w.start(n)
--- a/internal/control/controller/bookings.go
+++ b/internal/control/controller/bookings.go
@@ -24,33 +24,33 @@
 )
 
 const (
-	dealEvery   = 250 * time.Millisecond
-	roomsAgain  = time.Second // rooms that are held are told so often, for whoever missed it
-	bookingMost = 1 << 20     // bytes of a call
+	dealEvery         = 250 * time.Millisecond
+	reservationsAgain = time.Second // reservations that are held are told so often, for whoever missed it
+	bookingMost       = 1 << 20     // bytes of a call
 )
 
-// rooms is the part of a planner that holds booked room. The leader says which rooms are held and deals them; the others
+// reservations is the part of a planner that holds booked slots. The leader says which reservations are held and deals them; the others
 // pass that on between it and their edges.
-type rooms struct {
-	clock  *reservation.Clock
-	dealer *reservation.Dealer // of the term that this planner led last
-	round  uint64              // of answers that are to prove that it still leads
-	asked  time.Duration       // when that one began
-	proven time.Duration       // when the last one began that was proven; 0: none
-	next   time.Duration
-	again  time.Duration
-	told   *peer.Rooms // as this planner last heard or said; nil: nothing yet
-	from   string      // who said it
-	homes  map[string]string
+type reservations struct {
+	clock       *reservation.Clock
+	dealer      *reservation.Dealer // of the term that this planner led last
+	round       uint64              // of answers that are to prove that it still leads
+	asked       time.Duration       // when that one began
+	proven      time.Duration       // when the last one began that was proven; 0: none
+	next        time.Duration
+	again       time.Duration
+	told        *peer.Reservations // as this planner last heard or said; nil: nothing yet
+	from        string             // who said it
+	controllers map[string]string
 }
 
 // wall is this machine's time of day, in seconds.
 func wall() float64 { return float64(time.Now().UnixNano()) / 1e9 }
 
 // carry is what a service's servers carry at once, by zone: the slots of those that take requests.
-func (x *Exchange) carry() map[string]reservation.Carry {
+func (c *Controller) carry() map[string]reservation.Carry {
 	all := map[string]reservation.Carry{}
-	for _, e := range x.dir.All(x.now()) {
+	for _, e := range c.registry.All(c.now()) {
 		if e.State != registry.Ready || e.Silent {
 			continue
 		}
@@ -62,144 +62,144 @@
 	return all
 }
 
-// dealRooms says which rooms are held and deals them, while this planner is sure that it leads. Without any booking it
+// dealReservations says which reservations are held and deals them, while this planner is sure that it leads. Without any booking it
 // does nothing.
-func (x *Exchange) dealRooms(now time.Duration) {
-	r := &x.rooms
-	if now < r.next || !x.leads() || x.state.Book.Version == 0 {
+func (c *Controller) dealReservations(now time.Duration) {
+	r := &c.reservations
+	if now < r.next || !c.leads() || c.state.Book.Version == 0 {
 		return
 	}
 	r.next = now + dealEvery
-	if r.dealer == nil || r.dealer.Term() != x.member.Term() {
-		r.dealer, r.round, r.proven, r.again, r.homes = reservation.NewDealer(x.member.Term(), now), 0, 0, 0, map[string]string{}
+	if r.dealer == nil || r.dealer.Term() != c.member.Term() {
+		r.dealer, r.round, r.proven, r.again, r.controllers = reservation.NewDealer(c.member.Term(), now), 0, 0, 0, map[string]string{}
 	}
-	if r.round > 0 && x.member.Confirmed(r.round) {
+	if r.round > 0 && c.member.Confirmed(r.round) {
 		r.proven = r.asked
 	}
-	r.round, r.asked = x.member.Confirm(now), now
+	r.round, r.asked = c.member.Confirm(now), now
 	if r.proven == 0 || now-r.proven > reservation.Confirmed {
 		return
 	}
-	list := x.state.Book.Rooms(x.carry(), r.clock.Now(now))
+	list := c.state.Book.Reservations(c.carry(), r.clock.Now(now))
 	changed := r.told == nil || r.told.Term != r.dealer.Term() || !slices.Equal(r.told.List, list)
 	if changed || len(list) > 0 && now >= r.again {
-		r.again = now + roomsAgain
-		r.told, r.from = &peer.Rooms{Term: r.dealer.Term(), List: list}, x.set.IP
-		for _, p := range x.peers {
-			p.link.Send(&peer.Frame{Rooms: r.told})
+		r.again = now + reservationsAgain
+		r.told, r.from = &peer.Reservations{Term: r.dealer.Term(), List: list}, c.set.IP
+		for _, p := range c.peers {
+			p.link.Send(&peer.Frame{Reservations: r.told})
 		}
 	}
 	if changed {
-		_ = x.logger.Log("event", "rooms", "held", len(list), "term", r.told.Term)
-		x.passRooms()
+		_ = c.logger.Log("event", "rooms", "held", len(list), "term", r.told.Term)
+		c.passReservations()
 	}
 	if len(list) == 0 {
 		return
 	}
 	r.dealer.Plan(list, now)
-	byHome := map[string][]peer.Leased{}
+	byController := map[string][]peer.EdgeLease{}
 	for edge, lease := range r.dealer.Deal(now) {
-		home := r.homes[edge]
-		byHome[home] = append(byHome[home], peer.Leased{Edge: edge, Lease: lease})
-	}
-	for home, leases := range byHome {
-		slices.SortFunc(leases, func(a, b peer.Leased) int { return cmp.Compare(a.Edge, b.Edge) })
-		if home == x.set.IP {
-			x.passLeases(leases)
-		} else if p := x.peers[home]; p != nil {
+		owner := r.controllers[edge]
+		byController[owner] = append(byController[owner], peer.EdgeLease{Edge: edge, Lease: lease})
+	}
+	for owner, leases := range byController {
+		slices.SortFunc(leases, func(a, b peer.EdgeLease) int { return cmp.Compare(a.Edge, b.Edge) })
+		if owner == c.set.IP {
+			c.passLeases(leases)
+		} else if p := c.peers[owner]; p != nil {
 			p.link.Send(&peer.Frame{Leases: leases})
 		}
 	}
 }
 
-// passRooms tells the edges of this planner which rooms are held.
-func (x *Exchange) passRooms() {
-	for _, e := range x.edges {
-		e.link.Send(&peer.Frame{Rooms: x.rooms.told})
+// passReservations tells the edges of this planner which reservations are held.
+func (c *Controller) passReservations() {
+	for _, e := range c.edges {
+		e.link.Send(&peer.Frame{Reservations: c.reservations.told})
 	}
 }
 
-// tellRooms tells one who joins. A leader tells that nothing is held, too: the other may have missed an end.
-func (x *Exchange) tellRooms(p *remote) {
-	if told := x.rooms.told; told != nil && (p.edge || x.leads() && told.Term == x.member.Term()) {
-		p.link.Send(&peer.Frame{Rooms: told})
+// tellReservations tells one who joins. A leader tells that nothing is held, too: the other may have missed an end.
+func (c *Controller) tellReservations(p *remote) {
+	if told := c.reservations.told; told != nil && (p.edge || c.leads() && told.Term == c.member.Term()) {
+		p.link.Send(&peer.Frame{Reservations: told})
 	}
 }
 
-func (x *Exchange) passLeases(leases []peer.Leased) {
+func (c *Controller) passLeases(leases []peer.EdgeLease) {
 	for _, l := range leases {
-		if e := x.edges[l.Edge]; e != nil {
-			e.link.Send(&peer.Frame{Leases: []peer.Leased{l}})
+		if e := c.edges[l.Edge]; e != nil {
+			e.link.Send(&peer.Frame{Leases: []peer.EdgeLease{l}})
 		}
 	}
 }
 
-// roomFrame takes what a frame says of rooms.
-func (x *Exchange) roomFrame(p *remote, f *peer.Frame) {
-	if f.Rooms != nil && !p.edge && (x.rooms.told == nil || f.Rooms.Term >= x.rooms.told.Term) {
-		same := x.rooms.told != nil && f.Rooms.Term == x.rooms.told.Term && slices.Equal(f.Rooms.List, x.rooms.told.List)
-		if x.rooms.told, x.rooms.from = f.Rooms, p.ip; !same {
-			x.passRooms()
+// reservationFrame takes what a frame says of reservations.
+func (c *Controller) reservationFrame(p *remote, f *peer.Frame) {
+	if f.Reservations != nil && !p.edge && (c.reservations.told == nil || f.Reservations.Term >= c.reservations.told.Term) {
+		same := c.reservations.told != nil && f.Reservations.Term == c.reservations.told.Term && slices.Equal(f.Reservations.List, c.reservations.told.List)
+		if c.reservations.told, c.reservations.from = f.Reservations, p.ip; !same {
+			c.passReservations()
 		}
 	}
-	if len(f.Words) > 0 {
-		x.words(p, f.Words)
+	if len(f.Demands) > 0 {
+		c.demands(p, f.Demands)
 	}
 	if len(f.Leases) > 0 && !p.edge {
-		x.passLeases(f.Leases)
+		c.passLeases(f.Leases)
 	}
 }
 
-// words hands edges' words to whoever deals: the one that said which rooms there are.
-func (x *Exchange) words(p *remote, words []peer.Worded) {
+// demands hands edges' words to whoever deals: the one that said which reservations there are.
+func (c *Controller) demands(p *remote, demands []peer.EdgeDemand) {
 	if p.edge {
-		words[0].Edge = p.ip
-		words = words[:1]
+		demands[0].Edge = p.ip
+		demands = demands[:1]
 	}
-	if x.rooms.from != x.set.IP {
-		if dealer := x.peers[x.rooms.from]; p.edge && dealer != nil {
-			dealer.link.Send(&peer.Frame{Words: words})
+	if c.reservations.from != c.set.IP {
+		if dealer := c.peers[c.reservations.from]; p.edge && dealer != nil {
+			dealer.link.Send(&peer.Frame{Demands: demands})
 		}
 		return
 	}
-	home := p.ip
+	owner := p.ip
 	if p.edge {
-		home = x.set.IP
+		owner = c.set.IP
 	}
-	for _, w := range words {
-		x.rooms.homes[w.Edge] = home
-		x.rooms.dealer.Heard(w.Edge, w.Word, x.now())
+	for _, w := range demands {
+		c.reservations.controllers[w.Edge] = owner
+		c.reservations.dealer.Heard(w.Edge, w.Demand, c.now())
 	}
 }
 
 // bookings is the book, as operators read it.
-func (x *Exchange) bookings() ([]byte, error) {
-	now := x.now()
-	b := operator.Bookings{Version: bookVersion(x.state.Book.Version), Now: x.rooms.clock.Now(now), Past: x.state.Book.Gone, Lacks: map[string]float64{}, Use: []operator.Use{}}
-	for _, one := range x.state.Book.All {
+func (c *Controller) bookings() ([]byte, error) {
+	now := c.now()
+	b := operator.Bookings{Version: bookVersion(c.state.Book.Version), Now: c.reservations.clock.Now(now), Past: c.state.Book.Gone, Lacks: map[string]float64{}, Use: []operator.Use{}}
+	for _, one := range c.state.Book.All {
 		b.Bookings = append(b.Bookings, one)
 	}
 	slices.SortFunc(b.Bookings, func(a, b reservation.Booking) int {
 		return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID))
 	})
-	for service, carry := range x.carryBooked() {
-		for id, lacks := range x.state.Book.Endangered(service, carry, b.Now) {
+	for service, carry := range c.carryBooked() {
+		for id, lacks := range c.state.Book.Endangered(service, carry, b.Now) {
 			b.Lacks[id] = lacks
 		}
 	}
-	if told := x.rooms.told; told != nil && x.rooms.dealer != nil {
-		use := x.rooms.dealer.Use(now)
+	if told := c.reservations.told; told != nil && c.reservations.dealer != nil {
+		use := c.reservations.dealer.Use(now)
 		for _, r := range told.List {
-			b.Use = append(b.Use, operator.Use{Room: r, Wanted: use[r.ID]})
+			b.Use = append(b.Use, operator.Use{Reservation: r, Wanted: use[r.ID]})
 		}
 	}
 	return json.Marshal(b)
 }
 
 // carryBooked is carry for all services of the book: one without any server carries nothing.
-func (x *Exchange) carryBooked() map[string]reservation.Carry {
-	all := x.carry()
-	for _, b := range x.state.Book.All {
+func (c *Controller) carryBooked() map[string]reservation.Carry {
+	all := c.carry()
+	for _, b := range c.state.Book.All {
 		if all[b.Service] == nil {
 			all[b.Service] = reservation.Carry{}
 		}
@@ -208,12 +208,12 @@
 }
 
 // endangered are the bookings that can't be kept now, a line each, as the leader sees it.
-func (x *Exchange) endangered() (lines []string) {
-	if !x.leads() || len(x.state.Book.All) == 0 {
+func (c *Controller) endangered() (lines []string) {
+	if !c.leads() || len(c.state.Book.All) == 0 {
 		return nil
 	}
-	for service, carry := range x.carryBooked() {
-		for id, lacks := range x.state.Book.Endangered(service, carry, x.rooms.clock.Now(x.now())) {
+	for service, carry := range c.carryBooked() {
+		for id, lacks := range c.state.Book.Endangered(service, carry, c.reservations.clock.Now(c.now())) {
 			lines = append(lines, fmt.Sprintf("booking %s lacks %.1f slots of %s", id, lacks, service))
 		}
 	}
@@ -225,7 +225,7 @@
 func bookVersion(n uint64) string { return fmt.Sprint("b", n) }
 
 // bookingCall takes a change of the book. With dry_run it only says what could be kept.
-func (x *Exchange) bookingCall(w http.ResponseWriter, r *http.Request) {
+func (c *Controller) bookingCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bookingMost))
 	if err != nil {
 		refuse(w, apierror.Malformed.Wrap(err, "body"))
@@ -249,12 +249,12 @@
 		op.Cancel = r.PathValue("id")
 	}
 	done := make(chan booked, 1)
-	x.do(func() { x.proposeBooking(op, dry, done) })
+	c.do(func() { c.proposeBooking(op, dry, done) })
 	select {
 	case a := <-done:
 		switch {
 		case a.leader != "":
-			x.elsewhere(w, r, a.leader)
+			c.elsewhere(w, r, a.leader)
 		case a.err != nil:
 			refuse(w, a.err)
 		default:
@@ -293,18 +293,18 @@
 
 // proposeBooking puts a change of the book into the history, if this planner leads and what is booked can be kept. The
 // entry is built on the version that was judged, so that two bookings at once can't both take the last room.
-func (x *Exchange) proposeBooking(op reservation.Op, dry bool, done chan booked) {
-	if !x.leads() {
-		if leader := x.leader(); leader != "" && leader != x.set.IP {
+func (c *Controller) proposeBooking(op reservation.Op, dry bool, done chan booked) {
+	if !c.leads() {
+		if leader := c.leader(); leader != "" && leader != c.set.IP {
 			done <- booked{leader: leader}
 		} else {
 			done <- booked{err: apierror.NoLeader.New("nobody leads now")}
 		}
 		return
 	}
-	book := x.state.Book
-	if op.Now = x.rooms.clock.Now(x.now()); op.Now == 0 {
-		op.Now = wall() // before the first pulse
+	book := c.state.Book
+	if op.Now = c.reservations.clock.Now(c.now()); op.Now == 0 {
+		op.Now = wall() // before the first summary
 	}
 	out := booked{version: book.Version, kept: true}
 	if dry {
@@ -317,7 +317,7 @@
 		}
 		if len(op.Puts) > 0 {
 			var short bool
-			short, out.id, out.could = book.Short(op.Puts, x.carry())
+			short, out.id, out.could = book.Short(op.Puts, c.carry())
 			out.kept = !short
 		}
 	}
@@ -334,9 +334,9 @@
 		done <- booked{err: apierror.Malformed.Wrap(err, "booking")}
 		return
 	}
-	index, term, _ := x.member.Propose(data, x.now())
-	x.waiters[index] = waiter{term: term, until: x.now() + callLimit, answer: func(_ uint64, err error) {
-		out.version, out.err = x.state.Book.Version, err
+	index, term, _ := c.member.Propose(data, c.now())
+	c.waiters[index] = waiter{term: term, until: c.now() + callLimit, answer: func(_ uint64, err error) {
+		out.version, out.err = c.state.Book.Version, err
 		done <- out
 	}}
 }
--- a/internal/control/controller/fuzz_test.go
+++ b/internal/control/controller/fuzz_test.go
@@ -33,26 +33,26 @@
 		f.Fatal(err)
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		x := &Exchange{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*remote{}, edges: map[string]*remote{}}
-		x.state, x.tally = statemachine.New(), metrics.New(metrics.Controller)
-		x.dir = registry.New(tombstones)
-		x.board, x.tables = broadcast.New(x.dir), weights.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
+		c := &Controller{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*remote{}, edges: map[string]*remote{}}
+		c.state, c.metrics = statemachine.New(), metrics.New(metrics.Controller)
+		c.registry = registry.New(tombstones)
+		c.broadcaster, c.tables = broadcast.New(c.registry), weights.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
 		w := httptest.NewRecorder()
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			x.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/instances/i-1", strings.NewReader(string(body))))
+			c.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/instances/i-1", strings.NewReader(string(body))))
 		}()
 		for waiting := true; waiting; {
 			select {
-			case turn := <-x.inbox:
+			case turn := <-c.inbox:
 				turn()
-				x.tell()
+				c.tell()
 			case <-done:
 				waiting = false
 			}
 		}
-		e, known := x.dir.Get("i-1")
+		e, known := c.registry.Get("i-1")
 		switch {
 		case w.Code == http.StatusOK && !known:
 			t.Error("acknowledged and not known")
@@ -64,7 +64,7 @@
 			t.Errorf("taken as %+v", e)
 		}
 		if w.Code == http.StatusOK {
-			x.pushWeights(time.Second)
+			c.pushWeights(time.Second)
 		}
 	})
 }
--- a/internal/control/controller/links.go
+++ b/internal/control/controller/links.go
@@ -19,9 +19,9 @@
 	counted  bool
 	byLower  bool // of two controllers, the one with the lower address dialled
 	life     uint64
-	fleet    int // edges whose home it is
+	fleet    int // edges whose controller it is
 	edge     bool
-	look     bool // a guest: an edge of another home, that looks or has claims that its home doesn't rule on
+	look     bool // a guest: an edge of another controller, that looks or has claims that its controller doesn't rule on
 	attached bool
 	cells    peer.Comparing
 	crew     map[string][]uint32 // a controller's edges, by zone
@@ -29,41 +29,41 @@
 	usual    []peer.Zoned
 }
 
-// name is how the broadcast board knows a peer.
+// name is how the broadcaster knows a peer.
 func (p *remote) name() string {
 	if p.edge {
 		return "edge " + p.ip
 	}
-	return exchangeName(p.ip)
+	return controllerName(p.ip)
 }
 
-func exchangeName(ip string) string { return "exchange " + ip }
+func controllerName(ip string) string { return "exchange " + ip }
 
 // named finds the peer that the board means.
-func (x *Exchange) named(name string) *remote {
+func (c *Controller) named(name string) *remote {
 	kind, ip, _ := strings.Cut(name, " ")
 	if kind == "edge" {
-		return x.edges[ip]
+		return c.edges[ip]
 	}
-	return x.peers[ip]
+	return c.peers[ip]
 }
 
 // accept takes links in.
-func (x *Exchange) accept(l net.Listener) {
+func (c *Controller) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go x.serve(conn)
+		go c.serve(conn)
 	}
 }
 
 // serve runs one link: the first frame says who is there.
-func (x *Exchange) serve(conn net.Conn) {
-	conn, err := x.security.Accept(conn)
+func (c *Controller) serve(conn net.Conn) {
+	conn, err := c.security.Accept(conn)
 	if err != nil {
-		_ = x.logger.Log("event", "stranger", "cause", err)
+		_ = c.logger.Log("event", "stranger", "cause", err)
 		return
 	}
 	link := peer.NewLink(conn)
@@ -74,39 +74,39 @@
 				link.Close()
 				return
 			}
-			if err := x.security.Believe(conn, f.Hello); err != nil {
-				_ = x.logger.Log("event", "stranger", "cause", err)
+			if err := c.security.Believe(conn, f.Hello); err != nil {
+				_ = c.logger.Log("event", "stranger", "cause", err)
 				link.Close()
 				return
 			}
-			p = &remote{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < x.set.IP}
-			x.do(func() { x.joined(p, f.Hello) })
+			p = &remote{link: link, node: f.Hello.Node, ip: f.Hello.IP, zone: f.Hello.Zone, edge: f.Hello.Edge, byLower: f.Hello.IP < c.set.IP}
+			c.do(func() { c.joined(p, f.Hello) })
 		}
-		x.do(func() { x.frame(p, f) })
+		c.do(func() { c.frame(p, f) })
 	})
 	if p != nil {
-		x.do(func() { x.left(p) })
+		c.do(func() { c.left(p) })
 	}
 }
 
 // dial keeps a link to another controller. Of two controllers the one with the lower address dials first; the other follows
 // a little later if nobody came, since the first may not know it.
-func (x *Exchange) dial(ip string) {
-	if x.set.IP > ip {
+func (c *Controller) dial(ip string) {
+	if c.set.IP > ip {
 		time.Sleep(2 * redialEvery)
 	}
 	for ; ; time.Sleep(redialEvery) {
 		linked := make(chan bool, 1)
-		x.do(func() { linked <- x.peers[ip] != nil })
+		c.do(func() { linked <- c.peers[ip] != nil })
 		if <-linked {
 			continue
 		}
-		conn, err := x.security.Dial(x.set.Inner(ip), dialLimit)
+		conn, err := c.security.Dial(c.set.Inner(ip), dialLimit)
 		if err != nil {
 			continue
 		}
 		link := peer.NewLink(conn)
-		link.Send(&peer.Frame{Hello: x.hello()})
+		link.Send(&peer.Frame{Hello: c.hello()})
 		var p *remote
 		_ = link.Read(func(f *peer.Frame) { // how a link ends doesn't matter: it is made anew
 			if p == nil {
@@ -114,264 +114,264 @@
 					link.Close()
 					return
 				}
-				p = &remote{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone, byLower: x.set.IP < ip}
-				x.do(func() { x.joined(p, f.Hello) })
+				p = &remote{link: link, node: f.Hello.Node, ip: ip, zone: f.Hello.Zone, byLower: c.set.IP < ip}
+				c.do(func() { c.joined(p, f.Hello) })
 			}
-			x.do(func() { x.frame(p, f) })
+			c.do(func() { c.frame(p, f) })
 		})
 		if p != nil {
-			x.do(func() { x.left(p) })
+			c.do(func() { c.left(p) })
 		}
 	}
 }
 
 // hello is only what never changes: it is sent from outside the owner, too.
-func (x *Exchange) hello() *peer.Hello {
-	return &peer.Hello{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Life: x.life, Counted: x.set.Counted}
+func (c *Controller) hello() *peer.Hello {
+	return &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Life: c.life, Counted: c.set.Counted}
 }
 
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
-func (x *Exchange) joined(p *remote, h *peer.Hello) {
+func (c *Controller) joined(p *remote, h *peer.Hello) {
 	if p.look = h.Look; h.Look {
-		p.link.Send(&peer.Frame{Hello: x.hello(), Pulse: x.makePulse(true)})
-		x.guests[p] = true
+		p.link.Send(&peer.Frame{Hello: c.hello(), Summary: c.makeSummary(true)})
+		c.guests[p] = true
 		return
 	}
 	if p.edge {
-		if old := x.edges[p.ip]; old != nil {
+		if old := c.edges[p.ip]; old != nil {
 			old.link.Close()
 		}
-		x.edges[p.ip] = p
+		c.edges[p.ip] = p
 	} else {
 		p.life = h.Life
-		if old := x.peers[p.ip]; old != nil {
+		if old := c.peers[p.ip]; old != nil {
 			if old.life == p.life && old.byLower && !p.byLower {
 				p.link.Close() // both dialled: both ends keep the same of the two
 				return
 			}
 			old.link.Close()
 		}
-		x.peers[p.ip] = p
+		c.peers[p.ip] = p
 		p.counted = h.Counted
-		if before, met := x.lives[p.ip]; met && before != h.Life && x.office != nil {
-			for _, o := range x.office.Forget(p.ip) {
-				x.ruled(o)
+		if before, met := c.lives[p.ip]; met && before != h.Life && c.coordinator != nil {
+			for _, o := range c.coordinator.Forget(p.ip) {
+				c.ruled(o)
 			}
 		}
-		x.lives[p.ip] = h.Life
-		delete(x.goneSince, p.ip)
-		x.meet(p.ip)
-	}
-	x.tellRooms(p)
-	x.board.Join(p.name(), p.edge)
-	_ = x.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
-	answer := x.hello()
-	answer.Blank = x.ledger.Blank()
-	answer.Members = x.members
-	f := &peer.Frame{Hello: answer, Entries: x.dir.All(x.now()), Pulse: x.makePulse(true)}
-	if (p.edge || !slices.Contains(x.members, p.ip)) && h.Version < x.state.Version() {
-		f.Config = x.whole()
+		c.lives[p.ip] = h.Life
+		delete(c.goneSince, p.ip)
+		c.meet(p.ip)
+	}
+	c.tellReservations(p)
+	c.broadcaster.Join(p.name(), p.edge)
+	_ = c.logger.Log("event", "link up", "node", p.node, "ip", p.ip, "edge", p.edge)
+	answer := c.hello()
+	answer.Blank = c.claimStore.Blank()
+	answer.Members = c.members
+	f := &peer.Frame{Hello: answer, Entries: c.registry.All(c.now()), Summary: c.makeSummary(true)}
+	if (p.edge || !slices.Contains(c.members, p.ip)) && h.Version < c.state.Version() {
+		f.Config = c.whole()
 	}
 	p.link.Send(f)
 	if p.edge {
-		x.tables.Join(p.ip, p.zone)
+		c.tables.Join(p.ip, p.zone)
 	}
 }
 
-func (x *Exchange) left(p *remote) {
-	delete(x.guests, p)
-	if x.edges[p.ip] != p && x.peers[p.ip] != p {
+func (c *Controller) left(p *remote) {
+	delete(c.guests, p)
+	if c.edges[p.ip] != p && c.peers[p.ip] != p {
 		return
 	}
-	if p.edge && x.edges[p.ip] == p {
-		delete(x.edges, p.ip)
-		x.tables.Leave(p.ip)
-	} else if !p.edge && x.peers[p.ip] == p {
-		delete(x.peers, p.ip)
-		x.goneAt(p.ip)
+	if p.edge && c.edges[p.ip] == p {
+		delete(c.edges, p.ip)
+		c.tables.Leave(p.ip)
+	} else if !p.edge && c.peers[p.ip] == p {
+		delete(c.peers, p.ip)
+		c.goneAt(p.ip)
 	}
-	x.board.Left(p.name())
-	_ = x.logger.Log("event", "link down", "node", p.node, "ip", p.ip, "edge", p.edge)
+	c.broadcaster.Left(p.name())
+	_ = c.logger.Log("event", "link down", "node", p.node, "ip", p.ip, "edge", p.edge)
 }
 
 // meet starts a link to a controller that is not known yet.
-func (x *Exchange) meet(ip string) {
-	if ip == x.set.IP || x.known[ip] {
+func (c *Controller) meet(ip string) {
+	if ip == c.set.IP || c.known[ip] {
 		return
 	}
-	x.known[ip] = true
-	go x.dial(ip)
+	c.known[ip] = true
+	go c.dial(ip)
 }
 
 // frame takes what a peer sends.
-func (x *Exchange) frame(p *remote, f *peer.Frame) {
+func (c *Controller) frame(p *remote, f *peer.Frame) {
 	if p.look {
-		x.claimed(p, f)
+		c.claimed(p, f)
 		for _, r := range f.Voids {
-			x.void(r, x.members)
+			c.void(r, c.members)
 		}
 		return
 	}
-	if p.edge && x.edges[p.ip] != p || !p.edge && x.peers[p.ip] != p {
+	if p.edge && c.edges[p.ip] != p || !p.edge && c.peers[p.ip] != p {
 		return // superseded
 	}
 	if f.Hello != nil && len(f.Hello.Members) > 0 {
-		x.invited(f.Hello.Members)
-	}
-	if f.Pulse != nil {
-		p.attached, p.fleet = f.Pulse.Attached, f.Pulse.Edges
-		if f.Pulse.Full {
-			hears := make([]string, 0, len(f.Pulse.Exchanges))
-			for _, ip := range f.Pulse.Exchanges {
-				hears = append(hears, exchangeName(ip))
+		c.invited(f.Hello.Members)
+	}
+	if f.Summary != nil {
+		p.attached, p.fleet = f.Summary.Attached, f.Summary.Edges
+		if f.Summary.Full {
+			hears := make([]string, 0, len(f.Summary.Controllers))
+			for _, ip := range f.Summary.Controllers {
+				hears = append(hears, controllerName(ip))
 			}
-			x.board.Hears(p.name(), hears)
-			p.usual, p.crew = f.Pulse.Usual, f.Pulse.Crew
-			if f.Pulse.Clock > 0 && !p.edge {
-				x.rooms.clock.Heard(p.ip, f.Pulse.Clock, x.now())
+			c.broadcaster.Hears(p.name(), hears)
+			p.usual, p.crew = f.Summary.Usual, f.Summary.Crew
+			if f.Summary.Clock > 0 && !p.edge {
+				c.reservations.clock.Heard(p.ip, f.Summary.Clock, c.now())
 			}
-			if p.cells.Due(f.Pulse.Sum, x.dir.Sum(), x.now()) {
-				_ = x.logger.Log("event", "cells compared", "with", p.node)
-				p.link.Send(&peer.Frame{Cells: &peer.Cells{Sums: x.dir.Sums()}})
+			if p.cells.Due(f.Summary.Sum, c.registry.Sum(), c.now()) {
+				_ = c.logger.Log("event", "cells compared", "with", p.node)
+				p.link.Send(&peer.Frame{Cells: &peer.Cells{Sums: c.registry.Sums()}})
 			}
 		}
-		for _, ip := range f.Pulse.Exchanges {
-			x.meet(ip)
+		for _, ip := range f.Summary.Controllers {
+			c.meet(ip)
 		}
 	}
-	if x.member != nil {
+	if c.member != nil {
 		for _, m := range f.Agree {
-			x.member.Step(m, x.now())
+			c.member.Step(m, c.now())
 		}
 	}
 	if len(f.Entries) > 0 {
-		x.board.Heard(p.name(), f.Entries, f.Receipt, x.now())
+		c.broadcaster.Heard(p.name(), f.Entries, f.Receipt, c.now())
 	}
 	if f.Cells != nil {
-		if answer := f.Cells.Compare(x.dir, x.now()); answer != nil {
+		if answer := f.Cells.Compare(c.registry, c.now()); answer != nil {
 			p.link.Send(answer)
 		}
 	}
 	if f.Received != 0 {
-		x.board.Received(p.name(), f.Received)
+		c.broadcaster.Received(p.name(), f.Received)
 	}
-	if f.Config != nil && !x.observed(f.Config) {
+	if f.Config != nil && !c.observed(f.Config) {
 		p.link.Send(&peer.Frame{NeedAll: true})
 	}
 	if f.NeedAll {
-		p.link.Send(&peer.Frame{Config: x.whole()})
+		p.link.Send(&peer.Frame{Config: c.whole()})
 	}
 	if f.Report != nil {
-		x.tables.Report(p.ip, f.Report, func(server string) (string, bool) {
-			e, known := x.dir.Get(server)
+		c.tables.Report(p.ip, f.Report, func(server string) (string, bool) {
+			e, known := c.registry.Get(server)
 			return e.Service, known
 		})
 	}
-	x.roomFrame(p, f)
-	x.keyFrame(p, f)
+	c.reservationFrame(p, f)
+	c.keyFrame(p, f)
 }
 
-// tell does what the broadcast board wants told.
-func (x *Exchange) tell() {
-	out := x.board.Take()
+// tell does what the broadcaster wants told.
+func (c *Controller) tell() {
+	out := c.broadcaster.Take()
 	if len(out.News) > 0 {
-		x.store.server(out.News, x.now())
-		x.tables.Changed(out.News, x.now())
+		c.store.server(out.News, c.now())
+		c.tables.Changed(out.News, c.now())
 	}
 	for _, s := range out.Sends {
-		if p := x.named(s.To); p != nil {
+		if p := c.named(s.To); p != nil {
 			p.link.Send(&peer.Frame{Entries: s.Entries, Receipt: s.Receipt, Received: s.Received})
 		}
 	}
 	for _, call := range out.Done {
-		if done := x.calls[call]; done != nil {
-			delete(x.calls, call)
+		if done := c.calls[call]; done != nil {
+			delete(c.calls, call)
 			done()
 		}
 	}
 }
 
 // pushWeights sends the edges what the tables order.
-func (x *Exchange) pushWeights(now time.Duration) {
-	orders := x.tables.Tick(now, func() (all []weights.Others) {
-		for _, p := range x.peers {
+func (c *Controller) pushWeights(now time.Duration) {
+	orders := c.tables.Tick(now, func() (all []weights.Others) {
+		for _, p := range c.peers {
 			all = append(all, weights.Others{Edges: p.fleet, Usual: p.usual})
 		}
 		return all
 	})
 	for ip, w := range orders {
-		if e := x.edges[ip]; e != nil {
+		if e := c.edges[ip]; e != nil {
 			e.link.Send(&peer.Frame{Weights: w})
 		}
 	}
 }
 
 // makePulse says how this planner sees the system.
-func (x *Exchange) makePulse(full bool) *peer.Pulse {
-	p := &peer.Pulse{Attached: x.attached() && !x.draining, Version: x.state.Version(), Edges: len(x.edges), Fleet: len(x.edges), Full: full}
-	for _, other := range x.peers {
+func (c *Controller) makeSummary(full bool) *peer.Summary {
+	p := &peer.Summary{Attached: c.attached() && !c.draining, Version: c.state.Version(), Edges: len(c.edges), Fleet: len(c.edges), Full: full}
+	for _, other := range c.peers {
 		p.Fleet += other.fleet
 	}
 	if !full {
 		return p
 	}
-	for ip := range x.peers {
-		p.Exchanges = append(p.Exchanges, ip)
+	for ip := range c.peers {
+		p.Controllers = append(p.Controllers, ip)
 	}
-	slices.Sort(p.Exchanges)
-	p.Sum = x.dir.Sum()
+	slices.Sort(p.Controllers)
+	p.Sum = c.registry.Sum()
 	return p
 }
 
-// pulse lets all links know that this planner lives.
-func (x *Exchange) pulse(now time.Duration) {
-	if now < x.nextPulse {
+// summarize lets all links know that this planner lives.
+func (c *Controller) summarize(now time.Duration) {
+	if now < c.nextSummary {
 		return
 	}
-	if x.nextPulse == 0 {
-		for ip := range x.known {
-			go x.dial(ip)
+	if c.nextSummary == 0 {
+		for ip := range c.known {
+			go c.dial(ip)
 		}
 	}
-	x.nextPulse = now + peer.PulseEvery
-	x.pulses++
-	full := x.pulses%fullEvery == 0
-	pulse := x.makePulse(full)
-	f := &peer.Frame{Pulse: pulse}
-	for _, e := range x.edges {
-		if roster := x.roster(e.zone); full && !slices.Equal(roster, e.roster) {
-			mine := *pulse
+	c.nextSummary = now + peer.SummaryEvery
+	c.summaries++
+	full := c.summaries%fullEvery == 0
+	summary := c.makeSummary(full)
+	f := &peer.Frame{Summary: summary}
+	for _, e := range c.edges {
+		if roster := c.roster(e.zone); full && !slices.Equal(roster, e.roster) {
+			mine := *summary
 			mine.Roster, e.roster = roster, roster
-			e.link.Send(&peer.Frame{Pulse: &mine})
+			e.link.Send(&peer.Frame{Summary: &mine})
 			continue
 		}
 		e.link.Send(f)
 	}
-	for g := range x.guests {
+	for g := range c.guests {
 		g.link.Send(f)
 	}
-	f = &peer.Frame{Pulse: x.makePulse(full)}
+	f = &peer.Frame{Summary: c.makeSummary(full)}
 	if full {
-		f.Pulse.Usual, f.Pulse.Crew, f.Pulse.Clock = x.tables.Mine(), map[string][]uint32{}, wall()
-		x.rooms.clock.Heard(x.set.IP, f.Pulse.Clock, now)
-		for _, e := range x.edges {
-			f.Pulse.Crew[e.zone] = append(f.Pulse.Crew[e.zone], peer.Badge(e.node))
+		f.Summary.Usual, f.Summary.Crew, f.Summary.Clock = c.tables.Mine(), map[string][]uint32{}, wall()
+		c.reservations.clock.Heard(c.set.IP, f.Summary.Clock, now)
+		for _, e := range c.edges {
+			f.Summary.Crew[e.zone] = append(f.Summary.Crew[e.zone], peer.Badge(e.node))
 		}
 	}
-	for _, p := range x.peers {
+	for _, p := range c.peers {
 		p.link.Send(f)
 	}
 }
 
-// roster is a zone's edges, whoever their home is.
-func (x *Exchange) roster(zone string) []uint32 {
+// roster is a zone's edges, whoever their controller is.
+func (c *Controller) roster(zone string) []uint32 {
 	var all []uint32
-	for _, e := range x.edges {
+	for _, e := range c.edges {
 		if e.zone == zone {
 			all = append(all, peer.Badge(e.node))
 		}
 	}
-	for _, p := range x.peers {
+	for _, p := range c.peers {
 		all = append(all, p.crew[zone]...)
 	}
 	slices.Sort(all)
@@ -379,16 +379,16 @@
 }
 
 // lost tells whether a controller is out of reach for longer than its servers need to find another.
-func (x *Exchange) lost(ip string) bool {
-	if ip == x.set.IP || x.peers[ip] != nil {
+func (c *Controller) lost(ip string) bool {
+	if ip == c.set.IP || c.peers[ip] != nil {
 		return false
 	}
-	since, known := x.goneSince[ip]
+	since, known := c.goneSince[ip]
 	if !known {
-		x.goneSince[ip] = x.now()
+		c.goneSince[ip] = c.now()
 		return false
 	}
-	return x.now()-since > ownerLost
+	return c.now()-since > ownerLost
 }
 
-func (x *Exchange) goneAt(ip string) { x.goneSince[ip] = x.now() }
+func (c *Controller) goneAt(ip string) { c.goneSince[ip] = c.now() }
--- a/internal/control/controller/operator.go
+++ b/internal/control/controller/operator.go
@@ -39,20 +39,20 @@
 }
 
 // handler is the control calls' tree of matchers.
-func (x *Exchange) handler() http.Handler {
+func (c *Controller) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /instances/{id}", x.beat)
-	mux.HandleFunc("DELETE /instances/{id}", x.leave)
-	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, false) })
-	mux.HandleFunc("PATCH /config", func(w http.ResponseWriter, r *http.Request) { x.change(w, r, true) })
-	mux.HandleFunc("GET /config", func(w http.ResponseWriter, r *http.Request) { x.readWith(w, r, x.newest) })
-	mux.HandleFunc("GET /config/history", x.pastVersions)
-	mux.HandleFunc("GET /bookings", func(w http.ResponseWriter, r *http.Request) { x.readWith(w, r, x.bookings) })
-	mux.HandleFunc("PUT /bookings", x.bookingCall)
-	mux.HandleFunc("PUT /bookings/{id}", x.bookingCall)
-	mux.HandleFunc("DELETE /bookings/{id}", x.bookingCall)
-	mux.HandleFunc("GET /status", x.status)
-	mux.Handle("GET /metrics", x.tally.Handler())
+	mux.HandleFunc("PUT /instances/{id}", c.beat)
+	mux.HandleFunc("DELETE /instances/{id}", c.leave)
+	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) { c.change(w, r, false) })
+	mux.HandleFunc("PATCH /config", func(w http.ResponseWriter, r *http.Request) { c.change(w, r, true) })
+	mux.HandleFunc("GET /config", func(w http.ResponseWriter, r *http.Request) { c.readWith(w, r, c.newest) })
+	mux.HandleFunc("GET /config/history", c.pastVersions)
+	mux.HandleFunc("GET /bookings", func(w http.ResponseWriter, r *http.Request) { c.readWith(w, r, c.bookings) })
+	mux.HandleFunc("PUT /bookings", c.bookingCall)
+	mux.HandleFunc("PUT /bookings/{id}", c.bookingCall)
+	mux.HandleFunc("DELETE /bookings/{id}", c.bookingCall)
+	mux.HandleFunc("GET /status", c.status)
+	mux.Handle("GET /metrics", c.metrics.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, apierror.UnknownCall.New("%s %s is no call", r.Method, r.URL.Path))
 	})
@@ -80,33 +80,33 @@
 }
 
 // elsewhere sends a caller to the leader.
-func (x *Exchange) elsewhere(w http.ResponseWriter, r *http.Request, leader string) {
-	if leader == "" || leader == x.set.IP {
+func (c *Controller) elsewhere(w http.ResponseWriter, r *http.Request, leader string) {
+	if leader == "" || leader == c.set.IP {
 		refuse(w, apierror.NoLeader.New("nobody leads now"))
 		return
 	}
-	w.Header().Set("Location", "http://"+x.controlOf(leader)+r.URL.RequestURI())
+	w.Header().Set("Location", "http://"+c.controlOf(leader)+r.URL.RequestURI())
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
 // controlOf is where a controller takes control calls: all use the same port.
-func (x *Exchange) controlOf(ip string) string {
-	_, port, err := net.SplitHostPort(x.set.Listen.Control)
+func (c *Controller) controlOf(ip string) string {
+	_, port, err := net.SplitHostPort(c.set.Listen.Control)
 	if err != nil {
 		return ip
 	}
 	return net.JoinHostPort(ip, port)
 }
 
-func (x *Exchange) leads() bool { return x.member != nil && x.member.Role() == consensus.Leader }
+func (c *Controller) leads() bool { return c.member != nil && c.member.Role() == consensus.Leader }
 
-func (x *Exchange) leader() string {
-	if x.member != nil {
-		return x.member.Leader()
+func (c *Controller) leader() string {
+	if c.member != nil {
+		return c.member.Leader()
 	}
-	if len(x.members) > 0 {
-		for _, ip := range x.members {
-			if x.peers[ip] != nil {
+	if len(c.members) > 0 {
+		for _, ip := range c.members {
+			if c.peers[ip] != nil {
 				return ip
 			}
 		}
@@ -121,7 +121,7 @@
 	err     error
 }
 
-func (x *Exchange) change(w http.ResponseWriter, r *http.Request, patch bool) {
+func (c *Controller) change(w http.ResponseWriter, r *http.Request, patch bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err != nil {
 		kind := apierror.Malformed
@@ -142,14 +142,14 @@
 			return
 		}
 	}
-	c := statemachine.Change{Base: uint64(base), Patch: patch, Body: body}
+	change := statemachine.Change{Base: uint64(base), Patch: patch, Body: body}
 	done := make(chan answered, 1)
-	x.do(func() { x.propose(c, done) })
+	c.do(func() { c.propose(change, done) })
 	select {
 	case a := <-done:
 		switch {
 		case a.leader != "":
-			x.elsewhere(w, r, a.leader)
+			c.elsewhere(w, r, a.leader)
 		case a.err != nil:
 			refuse(w, a.err)
 		default:
@@ -160,9 +160,9 @@
 }
 
 // propose puts a change into the history, if this planner leads.
-func (x *Exchange) propose(c statemachine.Change, done chan answered) {
-	if !x.leads() {
-		if leader := x.leader(); leader != "" && leader != x.set.IP {
+func (c *Controller) propose(change statemachine.Change, done chan answered) {
+	if !c.leads() {
+		if leader := c.leader(); leader != "" && leader != c.set.IP {
 			done <- answered{leader: leader}
 		} else {
 			done <- answered{err: apierror.NoLeader.New("nobody leads now")}
@@ -170,135 +170,135 @@
 		return
 	}
 	// What is plainly wrong needs no entry: whether it is stale or invalid, it is refused either way.
-	if !x.state.Knows(c) && len(x.waiters) == 0 && c.Base == x.state.Version() {
-		if _, err := x.state.Check(c); err != nil {
+	if !c.state.Knows(change) && len(c.waiters) == 0 && change.Base == c.state.Version() {
+		if _, err := c.state.Check(change); err != nil {
 			done <- answered{err: err}
 			return
 		}
 	}
-	data, err := cbor.Marshal(c)
+	data, err := cbor.Marshal(change)
 	if err != nil {
 		done <- answered{err: apierror.Malformed.Wrap(err, "change")}
 		return
 	}
-	index, term, _ := x.member.Propose(data, x.now())
-	x.waiters[index] = waiter{term: term, until: x.now() + callLimit, answer: func(version uint64, err error) {
+	index, term, _ := c.member.Propose(data, c.now())
+	c.waiters[index] = waiter{term: term, until: c.now() + callLimit, answer: func(version uint64, err error) {
 		done <- answered{version: version, err: err}
 	}}
 }
 
-// apply takes what the agreement committed.
-func (x *Exchange) apply(out consensus.Output) {
-	before, booked := x.state.Version(), x.state.Book.Version
+// apply takes what the consensus committed.
+func (c *Controller) apply(out consensus.Output) {
+	before, booked := c.state.Version(), c.state.Book.Version
 	var last *statemachine.Change
 	steps := 0
 	if out.Install != nil {
-		if err := x.state.Restore(*out.Install); err != nil {
-			_ = x.logger.Log("event", "snapshot can't be read", "cause", err)
+		if err := c.state.Restore(*out.Install); err != nil {
+			_ = c.logger.Log("event", "snapshot can't be read", "cause", err)
 			return
 		}
 		steps = 2
 	}
 	for _, e := range out.Committed {
-		c, err := x.state.Apply(e)
-		if c != nil {
-			last, steps = c, steps+1
-			_ = x.logger.Log("event", "configuration", "version", config.Version(x.state.Version()), "index", e.Index, "term", e.Term, "routes", len(x.state.Config.Routes))
+		change, err := c.state.Apply(e)
+		if change != nil {
+			last, steps = change, steps+1
+			_ = c.logger.Log("event", "configuration", "version", config.Version(c.state.Version()), "index", e.Index, "term", e.Term, "routes", len(c.state.Config.Routes))
 		}
-		if w, ok := x.waiters[e.Index]; ok {
-			delete(x.waiters, e.Index)
+		if w, ok := c.waiters[e.Index]; ok {
+			delete(c.waiters, e.Index)
 			if w.term != e.Term {
 				err = apierror.Unconfirmed.New("another change took its place")
 			}
-			w.answer(x.state.Version(), err)
+			w.answer(c.state.Version(), err)
 		}
 	}
-	if v := x.state.Book.Version; v != booked {
-		_ = x.logger.Log("event", "bookings", "version", v, "held", len(x.state.Book.All))
+	if v := c.state.Book.Version; v != booked {
+		_ = c.logger.Log("event", "bookings", "version", v, "held", len(c.state.Book.All))
 	}
-	if x.state.Version() != before {
-		f := &peer.Config{Version: x.state.Version()}
+	if c.state.Version() != before {
+		f := &peer.Config{Version: c.state.Version()}
 		if steps == 1 && last.Patch {
 			f.Base, f.Change = before, last.Body
-		} else if whole, err := json.Marshal(x.state.Config); err == nil {
+		} else if whole, err := json.Marshal(c.state.Config); err == nil {
 			f.Whole = whole
 		}
-		x.pushConfig(f)
+		c.pushConfig(f)
 	}
-	if x.state.Since > compactAfter {
-		if data, err := x.state.Save(); err == nil {
-			x.member.Compact(x.state.Index, data)
-			x.state.Since = 0
+	if c.state.Since > compactAfter {
+		if data, err := c.state.Save(); err == nil {
+			c.member.Compact(c.state.Index, data)
+			c.state.Since = 0
 		}
 	}
 }
 
 // pushConfig sends a configuration to the edges, and to controllers without a vote.
-func (x *Exchange) pushConfig(f *peer.Config) {
-	for _, e := range x.edges {
+func (c *Controller) pushConfig(f *peer.Config) {
+	for _, e := range c.edges {
 		e.link.Send(&peer.Frame{Config: f})
 	}
-	for ip, p := range x.peers {
-		if x.leads() && !slices.Contains(x.members, ip) {
+	for ip, p := range c.peers {
+		if c.leads() && !slices.Contains(c.members, ip) {
 			p.link.Send(&peer.Frame{Config: f})
 		}
 	}
-	x.tables.Configured(x.state.Config)
+	c.tables.Configured(c.state.Config)
 }
 
 // whole is the configuration for one who has none, or another.
-func (x *Exchange) whole() *peer.Config {
-	if x.state.Config == nil {
+func (c *Controller) whole() *peer.Config {
+	if c.state.Config == nil {
 		return nil
 	}
-	body, err := json.Marshal(x.state.Config)
+	body, err := json.Marshal(c.state.Config)
 	if err != nil {
 		return nil
 	}
-	return &peer.Config{Version: x.state.Version(), Whole: body}
+	return &peer.Config{Version: c.state.Version(), Whole: body}
 }
 
 // observed takes a configuration that a controller without a vote was sent.
-func (x *Exchange) observed(c *peer.Config) (whole bool) {
-	if x.member != nil || c.Version <= x.state.Version() {
+func (c *Controller) observed(told *peer.Config) (whole bool) {
+	if c.member != nil || told.Version <= c.state.Version() {
 		return true
 	}
 	var next *config.Config
 	var err error
-	if c.Whole != nil {
-		next, err = config.Parse(c.Whole)
-	} else if x.state.Config == nil || c.Base != x.state.Version() {
+	if told.Whole != nil {
+		next, err = config.Parse(told.Whole)
+	} else if c.state.Config == nil || told.Base != c.state.Version() {
 		return false
 	} else {
-		next, err = x.state.Config.Patch(c.Change)
+		next, err = c.state.Config.Patch(told.Change)
 	}
 	if err != nil {
-		_ = x.logger.Log("event", "configuration can't be read", "cause", err)
+		_ = c.logger.Log("event", "configuration can't be read", "cause", err)
 		return false
 	}
-	x.state.Config = next
-	x.pushConfig(x.whole())
+	c.state.Config = next
+	c.pushConfig(c.whole())
 	return true
 }
 
 // newest is the configuration.
-func (x *Exchange) newest() ([]byte, error) {
-	if x.state.Config == nil {
+func (c *Controller) newest() ([]byte, error) {
+	if c.state.Config == nil {
 		return []byte(`{}`), nil
 	}
-	return json.Marshal(x.state.Config)
+	return json.Marshal(c.state.Config)
 }
 
 // readWith answers with what holds now, once it is sure that this planner still leads.
-func (x *Exchange) readWith(w http.ResponseWriter, r *http.Request, render func() ([]byte, error)) {
+func (c *Controller) readWith(w http.ResponseWriter, r *http.Request, render func() ([]byte, error)) {
 	done := make(chan answered, 1)
-	x.do(func() {
-		if !x.leads() {
-			done <- answered{leader: x.leader()}
+	c.do(func() {
+		if !c.leads() {
+			done <- answered{leader: c.leader()}
 			return
 		}
-		round := x.member.Confirm(x.now())
-		x.reads = append(x.reads, read{round, x.now() + callLimit, render, func(body []byte, err error) { done <- answered{body: body, err: err} }})
+		round := c.member.Confirm(c.now())
+		c.reads = append(c.reads, read{round, c.now() + callLimit, render, func(body []byte, err error) { done <- answered{body: body, err: err} }})
 	})
 	select {
 	case a := <-done:
@@ -306,7 +306,7 @@
 		case a.err != nil:
 			refuse(w, a.err)
 		case a.body == nil:
-			x.elsewhere(w, r, a.leader)
+			c.elsewhere(w, r, a.leader)
 		default:
 			w.Header().Set("Content-Type", "application/json")
 			w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -316,12 +316,12 @@
 	}
 }
 
-func (x *Exchange) answerReads() {
-	x.reads = slices.DeleteFunc(x.reads, func(r read) bool {
+func (c *Controller) answerReads() {
+	c.reads = slices.DeleteFunc(c.reads, func(r read) bool {
 		switch {
-		case x.leads() && x.member.Confirmed(r.round):
+		case c.leads() && c.member.Confirmed(r.round):
 			r.answer(r.body())
-		case !x.leads() || x.now() > r.until:
+		case !c.leads() || c.now() > r.until:
 			r.answer(nil, apierror.NoLeader.New("it could not be confirmed that this planner leads"))
 		default:
 			return false
@@ -331,28 +331,28 @@
 }
 
 // overdue answers calls that waited for too long, and drops fetches that nobody answers.
-func (x *Exchange) overdue(now time.Duration) {
-	for index, w := range x.waiters {
-		if now > w.until || !x.leads() {
-			delete(x.waiters, index)
+func (c *Controller) overdue(now time.Duration) {
+	for index, w := range c.waiters {
+		if now > w.until || !c.leads() {
+			delete(c.waiters, index)
 			w.answer(0, apierror.Unconfirmed.New("no agreement in time: the change may still be taken"))
 		}
 	}
-	for token, f := range x.fetches {
+	for token, f := range c.fetches {
 		if now > f.until {
-			delete(x.fetches, token)
+			delete(c.fetches, token)
 			f.do(nil)
 		}
 	}
 }
 
 // pastVersions tells which versions were taken, newest first.
-func (x *Exchange) pastVersions(w http.ResponseWriter, _ *http.Request) {
+func (c *Controller) pastVersions(w http.ResponseWriter, _ *http.Request) {
 	type past struct{ Version, Digest string }
 	done := make(chan []past, 1)
-	x.do(func() {
+	c.do(func() {
 		all := []past{}
-		for _, t := range slices.Backward(x.state.Taken) {
+		for _, t := range slices.Backward(c.state.Taken) {
 			all = append(all, past{config.Version(t.Version).String(), hex.EncodeToString(t.Digest[:8])})
 		}
 		done <- all
@@ -361,27 +361,27 @@
 }
 
 // status tells operators how this planner sees the system.
-func (x *Exchange) status(w http.ResponseWriter, _ *http.Request) {
+func (c *Controller) status(w http.ResponseWriter, _ *http.Request) {
 	done := make(chan operator.View, 1)
-	x.do(func() {
-		v := operator.View{Node: x.set.Node, IP: x.set.IP, Zone: x.set.Zone, Attached: x.attached(), Version: config.Version(x.state.Version()).String(),
-			Leader: x.leader(), Members: x.members, Keys: x.ledger.Len(), LedgerBlank: x.ledger.Blank(), DiskRefuses: x.store.failing, DiskMs: x.store.took()}
-		for _, e := range x.edges {
+	c.do(func() {
+		v := operator.View{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Attached: c.attached(), Version: config.Version(c.state.Version()).String(),
+			Leader: c.leader(), Members: c.members, Keys: c.claimStore.Len(), LedgerBlank: c.claimStore.Blank(), DiskRefuses: c.store.failing, DiskMs: c.store.took()}
+		for _, e := range c.edges {
 			v.Edges = append(v.Edges, e.node)
 		}
-		for ip := range x.peers {
-			v.Exchanges, v.Control = append(v.Exchanges, ip), append(v.Control, x.controlOf(ip))
+		for ip := range c.peers {
+			v.Controllers, v.Control = append(v.Controllers, ip), append(v.Control, c.controlOf(ip))
 		}
 		slices.Sort(v.Edges)
-		slices.Sort(v.Exchanges)
+		slices.Sort(v.Controllers)
 		slices.Sort(v.Control)
-		for _, e := range x.dir.All(x.now()) {
+		for _, e := range c.registry.All(c.now()) {
 			v.Servers = append(v.Servers, operator.Server{ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Address,
-				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: x.tables.Weight(e.ID)})
+				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: c.tables.Weight(e.ID)})
 		}
-		v.Endangered = x.endangered()
-		if x.member != nil {
-			v.Term, v.Commit, v.Last, v.Blank = x.member.Term(), x.member.Commit(), x.member.Last(), x.member.Blank()
+		v.Endangered = c.endangered()
+		if c.member != nil {
+			v.Term, v.Commit, v.Last, v.Blank = c.member.Term(), c.member.Commit(), c.member.Last(), c.member.Blank()
 		}
 		done <- v
 	})
--- a/internal/control/controller/registrar.go
+++ b/internal/control/controller/registrar.go
@@ -9,8 +9,8 @@
 	"mulleinwood/internal/platform/apierror"
 )
 
-// beatBody is what a server says of itself.
-type beatBody struct {
+// heartbeatBody is what a server says of itself.
+type heartbeatBody struct {
 	Service  string  `json:"service"`
 	Address  string  `json:"address"`
 	Zone     string  `json:"zone"`
@@ -28,13 +28,13 @@
 )
 
 // beat takes a server's call. That a server is leaving is acknowledged once those who could send to it know.
-func (x *Exchange) beat(w http.ResponseWriter, r *http.Request) {
+func (c *Controller) beat(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatMost))
 	if err != nil {
 		refuse(w, apierror.Malformed.Wrap(err, "body"))
 		return
 	}
-	var b beatBody
+	var b heartbeatBody
 	if err := json.Unmarshal(text, &b); err != nil {
 		refuse(w, apierror.Malformed.New("body: %s", err))
 		return
@@ -44,16 +44,16 @@
 		return
 	}
 	e := registry.Entry{ID: r.PathValue("id"), Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version,
-		Capacity: min(max(1, b.Capacity), slotsMost), Warmup: min(max(0, b.Warmup), warmupMost), Seq: b.Seq, Owner: x.set.IP}
+		Capacity: min(max(1, b.Capacity), slotsMost), Warmup: min(max(0, b.Warmup), warmupMost), Seq: b.Seq, Owner: c.set.IP}
 	if b.State == "draining" {
 		e.State = registry.Draining
 	}
-	x.register(w, r, e)
+	c.register(w, r, e)
 }
 
 // leave takes a server's last call.
-func (x *Exchange) leave(w http.ResponseWriter, r *http.Request) {
-	x.register(w, r, registry.Entry{ID: r.PathValue("id"), State: registry.Gone, Owner: x.set.IP})
+func (c *Controller) leave(w http.ResponseWriter, r *http.Request) {
+	c.register(w, r, registry.Entry{ID: r.PathValue("id"), State: registry.Gone, Owner: c.set.IP})
 }
 
 type registered struct {
@@ -61,9 +61,9 @@
 	err    error
 }
 
-func (x *Exchange) register(w http.ResponseWriter, r *http.Request, e registry.Entry) {
+func (c *Controller) register(w http.ResponseWriter, r *http.Request, e registry.Entry) {
 	done := make(chan registered, 1)
-	x.do(func() { x.registerNow(e, done) })
+	c.do(func() { c.registerNow(e, done) })
 	select {
 	case a := <-done:
 		switch {
@@ -78,29 +78,29 @@
 	}
 }
 
-func (x *Exchange) registerNow(e registry.Entry, done chan registered) {
-	if e.State > registry.Ready && len(x.members) > 0 && !x.attached() {
+func (c *Controller) registerNow(e registry.Entry, done chan registered) {
+	if e.State > registry.Ready && len(c.members) > 0 && !c.attached() {
 		// Cut off from the others, this planner can't let them know; another can.
 		done <- registered{err: apierror.NoLeader.New("cut off from the other planners")}
 		return
 	}
-	x.nextCall++
-	answer := registered{target: x.beatTarget(e.Zone)}
-	x.calls[x.nextCall] = func() { done <- answer }
-	if changed, first := x.board.Call(e, x.nextCall, x.now()); first {
-		_ = x.logger.Log("event", "server", "server", changed.ID, "service", changed.Service, "zone", changed.Zone,
+	c.nextCall++
+	answer := registered{target: c.beatTarget(e.Zone)}
+	c.calls[c.nextCall] = func() { done <- answer }
+	if changed, first := c.broadcaster.Call(e, c.nextCall, c.now()); first {
+		_ = c.logger.Log("event", "server", "server", changed.ID, "service", changed.Service, "zone", changed.Zone,
 			"address", changed.Address, "state", changed.State, "seq", changed.Seq)
 	}
 }
 
 // beatTarget is the controller of the server's zone, so that beats don't cross zones.
-func (x *Exchange) beatTarget(zone string) string {
-	if zone == "" || zone == x.set.Zone {
+func (c *Controller) beatTarget(zone string) string {
+	if zone == "" || zone == c.set.Zone {
 		return ""
 	}
-	for ip, p := range x.peers {
+	for ip, p := range c.peers {
 		if p.zone == zone && p.attached {
-			return x.controlOf(ip)
+			return c.controlOf(ip)
 		}
 	}
 	return ""
--- a/internal/control/controller/store.go
+++ b/internal/control/controller/store.go
@@ -10,7 +10,7 @@
 
 // store gathers what has to become durable while the disk is at work, so that one sync serves all of it.
 type store struct {
-	pending []*storage.Batch // of the agreement, in order
+	pending []*storage.Batch // of the consensus, in order
 	after   []func(bool)
 	records []idempotency.Record
 	servers []registry.Entry
@@ -25,7 +25,7 @@
 // took is how many milliseconds a write takes lately.
 func (s *store) took() float64 { return s.mean }
 
-// idleAgree tells that nothing of the agreement waits for the disk.
+// idleAgree tells that nothing of the consensus waits for the disk.
 func (s *store) idleAgree() bool { return !s.busy && len(s.pending) == 0 }
 
 func (s *store) agree(b *storage.Batch, done func(bool)) {
@@ -33,7 +33,7 @@
 	s.after = append(s.after, done)
 }
 
-// record makes a line of the ledger durable; done hears whether it is. A line that nobody waits for rides along with
+// record makes a record of the claim store durable; done hears whether it is. A line that nobody waits for rides along with
 // the next sync, or with one of its own a little later: syncs are what the disk and the processor spend.
 func (s *store) record(r idempotency.Record, now time.Duration, done func(bool)) {
 	s.records = append(s.records, r)
@@ -58,20 +58,20 @@
 	return len(s.pending) > 0 || len(s.claimed) > 0 || len(s.records)+len(s.servers) > 0 && now-s.lazy >= lazyMost
 }
 
-func (x *Exchange) put(b *storage.Batch, done func(bool)) {
+func (c *Controller) put(b *storage.Batch, done func(bool)) {
 	if done == nil {
 		done = func(bool) {}
 	}
-	x.store.agree(b, done)
+	c.store.agree(b, done)
 }
 
-// run hands the disk what has gathered, if it is free. A disk that refuses keeps the agreement's part waiting: nothing
-// of it may be told or dropped. Claims are refused at once: other ledgers can take them.
-func (s *store) run(x *Exchange) {
-	if s.busy || !s.due(x.now()) || x.now() < s.again && len(s.records) == 0 {
+// run hands the disk what has gathered, if it is free. A disk that refuses keeps the consensus's part waiting: nothing
+// of it may be told or dropped. Claims are refused at once: other claim stores can take them.
+func (s *store) run(c *Controller) {
+	if s.busy || !s.due(c.now()) || c.now() < s.again && len(s.records) == 0 {
 		return
 	}
-	if s.failing && x.now() < s.again {
+	if s.failing && c.now() < s.again {
 		claimed := s.claimed
 		s.records, s.claimed, s.lazy = nil, nil, 0
 		for _, done := range claimed {
@@ -86,24 +86,24 @@
 	if len(records)+len(servers) > 0 {
 		batches = append(batches[:len(batches):len(batches)], &storage.Batch{Records: records, Servers: servers})
 	}
-	began := x.now()
+	began := c.now()
 	go func() {
-		err := x.archive.Commit(batches)
-		spent := x.now() - began
-		x.tally.Syncs.Observe(spent.Seconds())
-		x.do(func() {
+		err := c.storage.Commit(batches)
+		spent := c.now() - began
+		c.metrics.Syncs.Observe(spent.Seconds())
+		c.do(func() {
 			s.busy = false
 			s.mean += 0.2 * (float64(spent.Microseconds())/1000 - s.mean)
 			if err != nil {
 				if !s.failing {
-					_ = x.logger.Log("event", "disk refuses", "cause", err)
+					_ = c.logger.Log("event", "disk refuses", "cause", err)
 				}
-				s.failing, s.again = true, x.now()+storeAgain
+				s.failing, s.again = true, c.now()+storeAgain
 				s.pending, s.after = append(pending, s.pending...), append(after, s.after...)
 				s.servers = append(servers, s.servers...)
 			} else {
 				if s.failing {
-					_ = x.logger.Log("event", "disk takes writes again")
+					_ = c.logger.Log("event", "disk takes writes again")
 				}
 				s.failing = false
 				for _, done := range after {
--- a/internal/control/idempotency/idempotency.go
+++ b/internal/control/idempotency/idempotency.go
@@ -1,8 +1,8 @@
-// Package idempotency is the ledger of operations that may run only once. Each controller that counts holds a Ledger of
-// claims; an Office beside it collects enough of them for a claim to stand. Both are values fed with events.
+// Package idempotency is the claim store of operations that may run only once. Each controller that counts holds a Store of
+// claims; a Coordinator beside it collects enough of them for a claim to stand. Both are values fed with events.
 //
-// A claim stands once more than half of the ledgers hold it durably. A ledger whose disk came back empty grants nothing
-// before it has copied what every other ledger holds, so any two claims that stand have a ledger in common that
+// A claim stands once more than half of the claim stores hold it durably. A claim store whose disk came back empty grants nothing
+// before it has copied what every other claim store holds, so any two claims that stand have a claim store in common that
 // remembers. A claim is withdrawn only while it is certain that nothing was run under it.
 package idempotency
 
@@ -37,31 +37,31 @@
 	Body    []byte            `cbor:"3,keyasint,omitempty"`
 }
 
-// Record is a line of the ledger.
+// Record is a record of the claim store.
 type Record struct {
 	Key    Key     `cbor:"1,keyasint"`
 	Token  Token   `cbor:"2,keyasint"`
 	Home   string  `cbor:"3,keyasint,omitempty"` // the planner that will hold the answer
 	Void   bool    `cbor:"4,keyasint,omitempty"` // withdrawn: nothing was run under it
 	Answer *Answer `cbor:"5,keyasint,omitempty"`
-	Copied bool    `cbor:"6,keyasint,omitempty"` // from another ledger: nobody is granted it here
+	Copied bool    `cbor:"6,keyasint,omitempty"` // from another claim store: nobody is granted it here
 	// Contested: copied for two tokens. Which of them stood is not known, so neither can be withdrawn, here or where it
 	// is copied to.
 	Contested bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Verdict of one ledger on a claim.
+// Verdict of one claim store on a claim.
 type Verdict uint8
 
 // The verdicts.
 const (
-	Unable  Verdict = iota // the ledger can't tell now: its disk is ill, or not restored yet
+	Unable  Verdict = iota // the claim store can't tell now: its disk is ill, or not restored yet
 	Granted                // it holds the claim, durably
 	Held                   // another token holds the key
 )
 
-// Ledger holds the claims of one planner.
-type Ledger struct {
+// Store holds the claims of one planner.
+type Store struct {
 	window time.Duration
 	claims map[Key]*claim
 	ages   []aged
@@ -90,125 +90,125 @@
 	born time.Duration
 }
 
-// NewLedger makes a ledger. A blank one grants nothing before Restored.
-func NewLedger(window time.Duration, blank bool) *Ledger {
-	return &Ledger{window: window, claims: map[Key]*claim{}, voided: map[Token]time.Duration{}, blank: blank}
+// NewStore makes a claim store. A blank one grants nothing before Restored.
+func NewStore(window time.Duration, blank bool) *Store {
+	return &Store{window: window, claims: map[Key]*claim{}, voided: map[Token]time.Duration{}, blank: blank}
 }
 
 // Bound sets how many bytes the bodies of answers may take. The oldest go first: a repeat comes soon or never, and one
 // that comes late is told that the operation is at work.
-func (l *Ledger) Bound(bytes int64) { l.most = bytes }
+func (s *Store) Bound(bytes int64) { s.most = bytes }
 
 // keep holds an answer of a claim.
-func (l *Ledger) keep(c *claim, a *Answer) {
+func (s *Store) keep(c *claim, a *Answer) {
 	if c.ran || a == nil {
 		return
 	}
 	c.Answer, c.ran = a, true
-	l.bytes += int64(len(a.Body))
-	l.answered = append(l.answered, answered{c.Key, c.Token})
+	s.bytes += int64(len(a.Body))
+	s.answered = append(s.answered, answered{c.Key, c.Token})
 	n := 0
-	for ; l.most > 0 && l.bytes > l.most; n++ {
-		if old := l.claims[l.answered[n].key]; old != nil && old.Token == l.answered[n].token {
-			l.forget(old)
+	for ; s.most > 0 && s.bytes > s.most; n++ {
+		if old := s.claims[s.answered[n].key]; old != nil && old.Token == s.answered[n].token {
+			s.forget(old)
 		}
 	}
-	l.answered = l.answered[n:]
+	s.answered = s.answered[n:]
 }
 
-func (l *Ledger) forget(c *claim) {
+func (s *Store) forget(c *claim) {
 	if c.Answer != nil {
-		l.bytes -= int64(len(c.Answer.Body))
+		s.bytes -= int64(len(c.Answer.Body))
 		c.Answer = nil
 	}
 }
 
 // drop takes a claim out.
-func (l *Ledger) drop(c *claim) {
-	l.forget(c)
-	delete(l.claims, c.Key)
+func (s *Store) drop(c *claim) {
+	s.forget(c)
+	delete(s.claims, c.Key)
 	n := 0
-	for ; n < len(l.answered); n++ {
-		if c := l.claims[l.answered[n].key]; c != nil && c.Token == l.answered[n].token && c.Answer != nil {
+	for ; n < len(s.answered); n++ {
+		if c := s.claims[s.answered[n].key]; c != nil && c.Token == s.answered[n].token && c.Answer != nil {
 			break
 		}
 	}
-	l.answered = l.answered[n:]
+	s.answered = s.answered[n:]
 }
 
 // Load takes over a line that the disk held. Its age is not known: it counts from now.
-func (l *Ledger) Load(r Record, now time.Duration) {
-	c := l.claims[r.Key]
+func (s *Store) Load(r Record, now time.Duration) {
+	c := s.claims[r.Key]
 	switch {
 	case r.Void:
 		if c != nil && c.Token == r.Token {
-			l.drop(c)
+			s.drop(c)
 		}
 	case c == nil || c.Token != r.Token:
-		l.add(r, now).durable = true
+		s.add(r, now).durable = true
 	default:
 		c.Copied, c.Contested = c.Copied || r.Copied, c.Contested || r.Contested
-		l.keep(c, r.Answer)
+		s.keep(c, r.Answer)
 	}
 }
 
-// Copy takes over a line of another ledger, while this one is blank. What this ledger granted itself before it lost its
-// disk is not known, so nobody is granted a copied key: two ledgers may hold two claims of one key, of which one stood
+// Copy takes over a record of another claim store, while this one is blank. What this claim store granted itself before it lost its
+// disk is not known, so nobody is granted a copied key: two claim stores may hold two claims of one key, of which one stood
 // with the grant that is lost here, and to grant the other would let both stand.
-func (l *Ledger) Copy(r Record, now time.Duration) Record {
-	if c := l.claims[r.Key]; c != nil {
+func (s *Store) Copy(r Record, now time.Duration) Record {
+	if c := s.claims[r.Key]; c != nil {
 		c.Copied, c.Contested = true, c.Contested || r.Contested || c.Token != r.Token
 		return c.Record
 	}
 	r.Copied = true
-	c := l.add(r, now)
+	c := s.add(r, now)
 	c.durable = true
 	return c.Record
 }
 
-func (l *Ledger) add(r Record, now time.Duration) *claim {
+func (s *Store) add(r Record, now time.Duration) *claim {
 	a := r.Answer
 	r.Answer = nil
 	c := &claim{Record: r, born: now}
-	if old := l.claims[r.Key]; old != nil {
-		l.forget(old)
+	if old := s.claims[r.Key]; old != nil {
+		s.forget(old)
 	}
-	l.claims[r.Key] = c
-	l.keep(c, a)
-	l.ages = append(l.ages, aged{r.Key, now})
+	s.claims[r.Key] = c
+	s.keep(c, a)
+	s.ages = append(s.ages, aged{r.Key, now})
 	return c
 }
 
-// Restored ends the time in which a blank ledger grants nothing.
-func (l *Ledger) Restored() { l.blank = false }
+// Restored ends the time in which a blank claim store grants nothing.
+func (s *Store) Restored() { s.blank = false }
 
-// Blank tells whether the ledger still grants nothing.
-func (l *Ledger) Blank() bool { return l.blank }
+// Blank tells whether the claim store still grants nothing.
+func (s *Store) Blank() bool { return s.blank }
 
 // Len is how many claims are held.
-func (l *Ledger) Len() int { return len(l.claims) }
+func (s *Store) Len() int { return len(s.claims) }
 
 // Claim takes a claim. If it is granted and store says so, it has to be durable before that is told: Stored or Failed
 // tells how it went.
-func (l *Ledger) Claim(r Record, now time.Duration) (v Verdict, holder Record, store bool) {
-	if l.blank {
+func (s *Store) Claim(r Record, now time.Duration) (v Verdict, holder Record, store bool) {
+	if s.blank {
 		return Unable, Record{}, false
 	}
-	if c := l.claims[r.Key]; c != nil {
+	if c := s.claims[r.Key]; c != nil {
 		if c.Token == r.Token && !c.Copied {
 			return Granted, c.Record, !c.durable
 		}
 		return Held, Record{Key: c.Key, Token: c.Token, Home: c.Home}, false
 	}
-	if _, late := l.voided[r.Token]; late {
+	if _, late := s.voided[r.Token]; late {
 		return Unable, Record{}, false
 	}
-	return Granted, l.add(r, now).Record, true
+	return Granted, s.add(r, now).Record, true
 }
 
 // Stored tells that a claim is durable, and answers whether it may be granted: it may have been withdrawn meanwhile.
-func (l *Ledger) Stored(key Key, token Token) bool {
-	c := l.claims[key]
+func (s *Store) Stored(key Key, token Token) bool {
+	c := s.claims[key]
 	if c == nil || c.Token != token {
 		return false
 	}
@@ -217,62 +217,62 @@
 }
 
 // Failed tells that a claim could not be stored. One that was durable before stays.
-func (l *Ledger) Failed(key Key, token Token) {
-	if c := l.claims[key]; c != nil && c.Token == token && !c.durable {
-		l.drop(c)
+func (s *Store) Failed(key Key, token Token) {
+	if c := s.claims[key]; c != nil && c.Token == token && !c.durable {
+		s.drop(c)
 	}
 }
 
 // Void withdraws a claim under which nothing was run, or ever will be.
-func (l *Ledger) Void(key Key, token Token, now time.Duration) (r Record, store bool) {
-	l.voided[token] = now
-	if c := l.claims[key]; c != nil && c.Token == token && !c.ran && !c.Contested {
-		l.drop(c)
+func (s *Store) Void(key Key, token Token, now time.Duration) (r Record, store bool) {
+	s.voided[token] = now
+	if c := s.claims[key]; c != nil && c.Token == token && !c.ran && !c.Contested {
+		s.drop(c)
 		return Record{Key: key, Token: token, Void: true}, true
 	}
 	return Record{}, false
 }
 
 // Done keeps the answer of a claim's run.
-func (l *Ledger) Done(r Record, now time.Duration) {
-	if c := l.claims[r.Key]; c != nil {
+func (s *Store) Done(r Record, now time.Duration) {
+	if c := s.claims[r.Key]; c != nil {
 		if c.Token == r.Token {
-			l.keep(c, r.Answer)
+			s.keep(c, r.Answer)
 		}
 		return
 	}
-	l.add(r, now)
+	s.add(r, now)
 }
 
 // Answer finds the answer of a claim's run.
-func (l *Ledger) Answer(key Key, token Token) *Answer {
-	if c := l.claims[key]; c != nil && c.Token == token {
+func (s *Store) Answer(key Key, token Token) *Answer {
+	if c := s.claims[key]; c != nil && c.Token == token {
 		return c.Answer
 	}
 	return nil
 }
 
-// Each hands out every line without its answer, for a ledger that copies.
-func (l *Ledger) Each(do func(Record)) {
-	for _, c := range l.claims {
+// Each hands out every line without its answer, for a claim store that copies.
+func (s *Store) Each(do func(Record)) {
+	for _, c := range s.claims {
 		do(Record{Key: c.Key, Token: c.Token, Home: c.Home, Contested: c.Contested})
 	}
 }
 
 // Expire forgets claims whose window is over.
-func (l *Ledger) Expire(now time.Duration) {
+func (s *Store) Expire(now time.Duration) {
 	n := 0
-	for ; n < len(l.ages) && now-l.ages[n].born > l.window; n++ {
-		if c := l.claims[l.ages[n].key]; c != nil && now-c.born > l.window {
-			l.drop(c)
+	for ; n < len(s.ages) && now-s.ages[n].born > s.window; n++ {
+		if c := s.claims[s.ages[n].key]; c != nil && now-c.born > s.window {
+			s.drop(c)
 		}
 	}
 	if n > 0 {
-		l.ages = append([]aged(nil), l.ages[n:]...)
+		s.ages = append([]aged(nil), s.ages[n:]...)
 	}
-	for t, at := range l.voided {
+	for t, at := range s.voided {
 		if now-at > 10*time.Second {
-			delete(l.voided, t)
+			delete(s.voided, t)
 		}
 	}
 }
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -58,8 +58,8 @@
 	return newer
 }
 
-// Directory holds all lives that are known, tombstones included.
-type Directory struct {
+// Registry holds all lives that are known, tombstones included.
+type Registry struct {
 	entries map[string]*held
 	cells   map[string]uint64 // sums by zone, without lives that are gone: those are forgotten at different times
 	hold    time.Duration     // how long a life that is gone is remembered
@@ -74,20 +74,20 @@
 }
 
 // New makes an empty registry that remembers lives that are gone for a time.
-func New(hold time.Duration) *Directory {
-	return &Directory{entries: map[string]*held{}, cells: map[string]uint64{}, hold: hold}
+func New(hold time.Duration) *Registry {
+	return &Registry{entries: map[string]*held{}, cells: map[string]uint64{}, hold: hold}
 }
 
 // Take merges an account heard at now and tells whether anything changed that others have to know.
-func (d *Directory) Take(e Entry, now time.Duration) (changed Entry, news bool) {
-	h := d.entries[e.ID]
+func (r *Registry) Take(e Entry, now time.Duration) (changed Entry, news bool) {
+	h := r.entries[e.ID]
 	if h == nil {
 		if e.State == Gone && e.Address == "" && e.Service == "" && e.Seq == 0 {
 			e.Seq = 1
 		}
 		h = &held{Entry: e, heard: now, warm: now + time.Duration(e.Warmup*float64(time.Second))}
-		d.entries[e.ID] = h
-		d.count(h)
+		r.entries[e.ID] = h
+		r.count(h)
 		return h.Entry, true
 	}
 	merged := Merge(h.Entry, e)
@@ -101,24 +101,24 @@
 	}
 	h.Entry = merged
 	if news {
-		d.count(h)
+		r.count(h)
 	}
 	return h.Entry, news
 }
 
 // count brings the sum of a life's cell up to date.
-func (d *Directory) count(h *held) {
-	d.cells[h.cell] ^= h.sum
+func (r *Registry) count(h *held) {
+	r.cells[h.cell] ^= h.sum
 	h.cell, h.sum = h.Zone, 0
 	if h.State != Gone {
 		h.sum = xxh3.HashString(fmt.Sprint(h.ID, "\x00", h.Service, "\x00", h.Address, "\x00", h.Owner, "\x00", h.State, h.Silent, h.Capacity))
 	}
-	d.cells[h.cell] ^= h.sum
+	r.cells[h.cell] ^= h.sum
 }
 
 // Sum is that of all cells.
-func (d *Directory) Sum() (all uint64) {
-	for zone, sum := range d.cells {
+func (r *Registry) Sum() (all uint64) {
+	for zone, sum := range r.cells {
 		if sum != 0 {
 			all ^= xxh3.HashStringSeed(zone, sum)
 		}
@@ -127,16 +127,16 @@
 }
 
 // Sums are those of the cells, by zone.
-func (d *Directory) Sums() map[string]uint64 { return maps.Clone(d.cells) }
+func (r *Registry) Sums() map[string]uint64 { return maps.Clone(r.cells) }
 
 // In gives the lives of some cells.
-func (d *Directory) In(zones map[string]bool, now time.Duration) []Entry {
-	return slices.DeleteFunc(d.All(now), func(e Entry) bool { return !zones[e.Zone] })
+func (r *Registry) In(zones map[string]bool, now time.Duration) []Entry {
+	return slices.DeleteFunc(r.All(now), func(e Entry) bool { return !zones[e.Zone] })
 }
 
 // Get finds a life.
-func (d *Directory) Get(id string) (Entry, bool) {
-	if h := d.entries[id]; h != nil {
+func (r *Registry) Get(id string) (Entry, bool) {
+	if h := r.entries[id]; h != nil {
 		return h.Entry, true
 	}
 	return Entry{}, false
@@ -144,19 +144,19 @@
 
 // Silence marks the lives whose beats stopped: those of this owner, and of owners that are lost. It also forgets lives
 // that are long gone. It returns what others have to know.
-func (d *Directory) Silence(owner string, lost func(owner string) bool, after, now time.Duration) (changed []Entry) {
-	d.Forget(now)
-	for _, h := range d.entries {
+func (r *Registry) Silence(owner string, lost func(owner string) bool, after, now time.Duration) (changed []Entry) {
+	r.Forget(now)
+	for _, h := range r.entries {
 		if h.State == Gone {
 			continue
 		}
 		if !h.Silent && now-h.heard > after && (h.Owner == owner || lost(h.Owner)) {
 			h.Silent, h.heard = true, now
-			d.count(h)
+			r.count(h)
 			changed = append(changed, h.Entry)
-		} else if h.Silent && now-h.heard > d.hold {
+		} else if h.Silent && now-h.heard > r.hold {
 			h.State, h.heard = Gone, now
-			d.count(h)
+			r.count(h)
 			changed = append(changed, h.Entry)
 		}
 	}
@@ -165,18 +165,18 @@
 }
 
 // Forget drops lives that are long gone.
-func (d *Directory) Forget(now time.Duration) {
-	for id, h := range d.entries {
-		if h.State == Gone && now-h.heard > d.hold {
-			delete(d.entries, id)
+func (r *Registry) Forget(now time.Duration) {
+	for id, h := range r.entries {
+		if h.State == Gone && now-h.heard > r.hold {
+			delete(r.entries, id)
 		}
 	}
 }
 
 // All gives every life that is known, in order, with the warm-up that is left now.
-func (d *Directory) All(now time.Duration) []Entry {
-	all := make([]Entry, 0, len(d.entries))
-	for _, h := range d.entries {
+func (r *Registry) All(now time.Duration) []Entry {
+	all := make([]Entry, 0, len(r.entries))
+	for _, h := range r.entries {
 		e := h.Entry
 		e.Warmup = max(0, (h.warm - now).Seconds())
 		all = append(all, e)
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -12,7 +12,7 @@
 	"mulleinwood/internal/control/registry"
 )
 
-func TestDirectory(t *testing.T) {
+func TestRegistry(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "registry")
 }
@@ -27,45 +27,45 @@
 
 var _ = Describe("a registry", func() {
 	It("keeps a server draining when a late beat says ready", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Draining), 0)
-		now, news := d.Take(entry(4, registry.Ready), 1)
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Draining), 0)
+		now, news := r.Take(entry(4, registry.Ready), 1)
 		Expect(now.State).To(Equal(registry.Draining))
 		Expect(news).To(BeFalse())
-		now, _ = d.Take(entry(6, registry.Ready), 2)
+		now, _ = r.Take(entry(6, registry.Ready), 2)
 		Expect(now.State).To(Equal(registry.Draining))
 	})
 	It("keeps a life gone when a snapshot of one who missed that comes", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Gone), 0)
-		now, news := d.Take(entry(9, registry.Ready), 1)
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Gone), 0)
+		now, news := r.Take(entry(9, registry.Ready), 1)
 		Expect(now.State).To(Equal(registry.Gone))
 		Expect(news).To(BeFalse())
 	})
 	It("takes an address given to another service for another life", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Gone), 0)
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Gone), 0)
 		next := registry.Entry{ID: "i-2", Service: "tags", Address: "10.0.0.9:80", Capacity: 2, Seq: 1}
-		now, news := d.Take(next, 1)
+		now, news := r.Take(next, 1)
 		Expect(news).To(BeTrue())
 		Expect(now.Service).To(Equal("tags"))
-		old, _ := d.Get("i-1")
+		old, _ := r.Get("i-1")
 		Expect(old.State).To(Equal(registry.Gone))
 	})
 	It("marks silent whose beats stop, and takes the next beat back", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Ready), 0)
-		Expect(d.Silence("x", never, 3*beat, 3*beat)).To(BeEmpty())
-		Expect(d.Silence("x", never, 3*beat, 3*beat+1)).To(HaveLen(1))
-		now, news := d.Take(entry(6, registry.Ready), 4*beat)
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Ready), 0)
+		Expect(r.Silence("x", never, 3*beat, 3*beat)).To(BeEmpty())
+		Expect(r.Silence("x", never, 3*beat, 3*beat+1)).To(HaveLen(1))
+		now, news := r.Take(entry(6, registry.Ready), 4*beat)
 		Expect(now.Silent).To(BeFalse())
 		Expect(news).To(BeTrue())
 	})
 	It("leaves the beats of others alone, while those are heard", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Ready), 0)
-		Expect(d.Silence("y", never, 3*beat, 9*beat)).To(BeEmpty())
-		Expect(d.Silence("y", func(string) bool { return true }, 3*beat, 9*beat)).To(HaveLen(1))
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Ready), 0)
+		Expect(r.Silence("y", never, 3*beat, 9*beat)).To(BeEmpty())
+		Expect(r.Silence("y", func(string) bool { return true }, 3*beat, 9*beat)).To(HaveLen(1))
 	})
 	It("comes to the same, whatever the order of what it hears", func() {
 		rng := rand.New(rand.NewPCG(1, 1))
@@ -123,11 +123,11 @@
 		}
 	})
 	It("forgets what is long gone", func() {
-		d := registry.New(time.Minute)
-		d.Take(entry(5, registry.Gone), 0)
-		d.Forget(time.Minute)
-		Expect(d.All(0)).To(HaveLen(1))
-		d.Forget(time.Minute + 1)
-		Expect(d.All(0)).To(BeEmpty())
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Gone), 0)
+		r.Forget(time.Minute)
+		Expect(r.All(0)).To(HaveLen(1))
+		r.Forget(time.Minute + 1)
+		Expect(r.All(0)).To(BeEmpty())
 	})
 })
--- a/internal/control/reservation/book.go
+++ b/internal/control/reservation/book.go
@@ -1,5 +1,5 @@
 // Package reservation keeps capacity that is booked ahead for a tenant's busy hours. The Book is the lasting part, agreed
-// by the controllers like a configuration; a Dealer deals a booking's room to the edges, by leases; a Gate at each edge lets
+// by the controllers like a configuration; a Dealer deals a booking's slots to the edges, by leases; a Gate at each edge lets
 // requests in and lends what is idle. All are values fed with events; time is handed in, and the core says what time it is.
 package reservation
 
@@ -31,7 +31,7 @@
 	Work    float64 `cbor:"14,keyasint,omitempty" json:"work_s,omitempty"` // seconds that one of them takes
 }
 
-// Whole gives a booking whose room is told by its rate the slots that it needs.
+// Whole gives a booking whose reservation is told by its rate the slots that it needs.
 func (b Booking) Whole() Booking {
 	if b.Slots == 0 {
 		b.Slots = b.Rate * b.Work
@@ -256,13 +256,13 @@
 	return short
 }
 
-// ahead is how long before its time a booking's room is held: parts are dealt by then, and a core that is lost just before
+// ahead is how long before its time a booking's slots are held: parts are dealt by then, and a core that is lost just before
 // changes nothing.
 const ahead = 5.0
 
-// Rooms are those that are held at a time, with one of all others at each service that has any. What can't be kept of a
+// Reservations are those that are held at a time, with one of all others at each service that has any. What can't be kept of a
 // booking is not dealt.
-func (k *Book) Rooms(carry map[string]Carry, at float64) (rooms []Room) {
+func (k *Book) Reservations(carry map[string]Carry, at float64) (reservations []Reservation) {
 	taken := map[string]float64{}
 	for _, b := range k.list(func(b *Booking) bool { return b.holds(at) > 0 || b.holds(at+ahead) > 0 }) {
 		whole := 0.0
@@ -271,16 +271,16 @@
 		}
 		slots := math.Floor(max(0, min(max(b.holds(at), b.holds(at+ahead)), whole-taken[b.Service])))
 		taken[b.Service] += slots
-		rooms = append(rooms, Room{ID: b.ID, Tenant: b.Tenant, Service: b.Service, Route: b.Route, Zone: b.Zone, Slots: int(slots)})
+		reservations = append(reservations, Reservation{ID: b.ID, Tenant: b.Tenant, Service: b.Service, Route: b.Route, Zone: b.Zone, Slots: int(slots)})
 	}
 	for _, service := range slices.Sorted(maps.Keys(taken)) {
 		whole := 0.0
 		for _, x := range carry[service] {
 			whole += x
 		}
-		rooms = append(rooms, Room{ID: Rest(service), Service: service, Slots: int(max(0, whole-taken[service]))})
+		reservations = append(reservations, Reservation{ID: Rest(service), Service: service, Slots: int(max(0, whole-taken[service]))})
 	}
-	return rooms
+	return reservations
 }
 
 // holds is Wants in whole slots, at least one while there is any.
--- a/internal/control/reservation/gate.go
+++ b/internal/control/reservation/gate.go
@@ -69,12 +69,12 @@
 	return g.rest.out == 0
 }
 
-// lendable is the share of idle booked room that may be lent: what is given back by itself in time. A request in work ends
+// lendable is the share of idle booked slots that may be lent: what is given back by itself in time. A request in work ends
 // within a time t with a chance of 1 - exp(-t/work), if works are as spread as those of the field are; those that are
 // less spread end sooner.
 func (g *Gate) lendable() float64 { return 1 - math.Exp(-backWithin.Seconds()/g.work) }
 
-// lent is the booked room that others may use now.
+// lent is how many of the booked slots others may use now.
 func (g *Gate) lent() int {
 	idle := 0
 	for _, s := range g.booked {
--- a/internal/control/reservation/reservation_test.go
+++ b/internal/control/reservation/reservation_test.go
@@ -86,7 +86,7 @@
 
 // edge is a process with a clock of its own.
 type edge struct {
-	held   reservation.Held
+	held   reservation.Holding
 	offset time.Duration
 	frozen time.Duration
 	dead   bool // and never comes back
@@ -107,12 +107,12 @@
 	for seed := range uint64(120) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		whole, rest := 1+rng.IntN(40), rng.IntN(30)
-		rooms := []reservation.Room{{ID: "b", Service: "s", Slots: whole}, {ID: reservation.Rest("s"), Service: "s", Slots: rest}}
+		reservations := []reservation.Reservation{{ID: "b", Service: "s", Slots: whole}, {ID: reservation.Rest("s"), Service: "s", Slots: rest}}
 		leaders := []*leader{{reservation.NewDealer(1, 0), 1 << 60}}
-		leaders[0].Plan(rooms, 0)
+		leaders[0].Plan(reservations, 0)
 		edges := make([]*edge, 2+rng.IntN(8))
 		for i := range edges {
-			edges[i] = &edge{held: reservation.Held{Life: uint64(i + 1)}, offset: time.Duration(rng.IntN(7200)) * time.Second, load: rng.IntN(8)}
+			edges[i] = &edge{held: reservation.Holding{Life: uint64(i + 1)}, offset: time.Duration(rng.IntN(7200)) * time.Second, load: rng.IntN(8)}
 		}
 		type letter struct {
 			at time.Duration
@@ -142,7 +142,7 @@
 				last := leaders[len(leaders)-1]
 				last.until = now + time.Duration(rng.Int64N(int64(reservation.Confirmed)))
 				next := &leader{reservation.NewDealer(last.Term()+1, now), 1 << 60}
-				next.Plan(rooms, now)
+				next.Plan(reservations, now)
 				leaders = append(leaders, next)
 			}
 			for i, e := range edges {
@@ -155,7 +155,7 @@
 						e.frozen = now + time.Duration(rng.IntN(5000))*time.Millisecond
 						continue
 					case 1:
-						e.held, e.offset = reservation.Held{Life: e.held.Life + 100}, time.Duration(rng.IntN(7200))*time.Second
+						e.held, e.offset = reservation.Holding{Life: e.held.Life + 100}, time.Duration(rng.IntN(7200))*time.Second
 					case 2:
 						e.load = rng.IntN(60)
 					case 3:
@@ -163,12 +163,12 @@
 					}
 				}
 				if now%(250*time.Millisecond) == 0 && (calm || rng.IntN(4) > 0) {
-					term := leaders[max(0, len(leaders)-1-btoi(!calm && rng.IntN(3) == 0))].Term() // as its home knows it
+					term := leaders[max(0, len(leaders)-1-btoi(!calm && rng.IntN(3) == 0))].Term() // as its controller knows it
 					e.held.Follow(term)
-					word := e.held.Word(map[string]int{"b": e.load, reservation.Rest("s"): e.load / 2}, now+e.offset)
+					demand := e.held.Demand(map[string]int{"b": e.load, reservation.Rest("s"): e.load / 2}, now+e.offset)
 					for _, d := range leaders {
 						at := now + delay()
-						mail = append(mail, letter{at, -1, func() { d.Heard(fmt.Sprint(i), word, at) }})
+						mail = append(mail, letter{at, -1, func() { d.Heard(fmt.Sprint(i), demand, at) }})
 					}
 				}
 			}
@@ -184,13 +184,13 @@
 					}
 				}
 			}
-			for _, room := range rooms {
+			for _, one := range reservations {
 				sum := 0
 				for _, e := range edges {
-					part, _, _ := e.held.Part(room.ID, now+e.offset)
+					part, _, _ := e.held.Part(one.ID, now+e.offset)
 					sum += part
 				}
-				g.Expect(sum).To(BeNumerically("<=", room.Slots), "seed %d at %s: %s", seed, now, room.ID)
+				g.Expect(sum).To(BeNumerically("<=", one.Slots), "seed %d at %s: %s", seed, now, one.ID)
 			}
 		}
 		load, used, sum := 0, 0, 0
@@ -217,8 +217,8 @@
 func TestPartsFollowTheTraffic(t *testing.T) {
 	g := NewWithT(t)
 	d := reservation.NewDealer(1, -time.Minute)
-	d.Plan([]reservation.Room{{ID: "b", Service: "s", Slots: 20}}, 0)
-	edges := make([]reservation.Held, 10)
+	d.Plan([]reservation.Reservation{{ID: "b", Service: "s", Slots: 20}}, 0)
+	edges := make([]reservation.Holding, 10)
 	load := 2
 	for now := time.Duration(0); now <= 5*time.Second; now += 250 * time.Millisecond {
 		for i := range edges {
@@ -228,7 +228,7 @@
 			if i == 0 {
 				want = load
 			}
-			d.Heard(fmt.Sprint(i), edges[i].Word(map[string]int{"b": want}, now), now)
+			d.Heard(fmt.Sprint(i), edges[i].Demand(map[string]int{"b": want}, now), now)
 		}
 		for name, lease := range d.Deal(now) {
 			var i int
@@ -256,14 +256,14 @@
 // an edge holds that was not heard yet isn't dealt again.
 func TestANewDealerTakesNothingAway(t *testing.T) {
 	g := NewWithT(t)
-	rooms := []reservation.Room{{ID: "b", Service: "s", Slots: 20}}
-	edges := make([]reservation.Held, 4)
+	reservations := []reservation.Reservation{{ID: "b", Service: "s", Slots: 20}}
+	edges := make([]reservation.Holding, 4)
 	wants := []int{5, 5, 5, 5}
 	turn := func(d *reservation.Dealer, now time.Duration, heard int) (parts []int) {
 		for i := range edges[:heard] {
 			edges[i].Life = uint64(i + 1)
 			edges[i].Follow(d.Term())
-			d.Heard(fmt.Sprint(i), edges[i].Word(map[string]int{"b": wants[i]}, now), now)
+			d.Heard(fmt.Sprint(i), edges[i].Demand(map[string]int{"b": wants[i]}, now), now)
 		}
 		for name, lease := range d.Deal(now) {
 			var i int
@@ -277,10 +277,10 @@
 		return parts
 	}
 	first := reservation.NewDealer(1, -time.Minute)
-	first.Plan(rooms, 0)
+	first.Plan(reservations, 0)
 	g.Expect(turn(first, 0, 4)).To(Equal([]int{5, 5, 5, 5}))
 	second := reservation.NewDealer(2, time.Second)
-	second.Plan(rooms, time.Second)
+	second.Plan(reservations, time.Second)
 	wants = []int{15, 0, 0, 0}
 	g.Expect(turn(second, time.Second, 3)).To(Equal([]int{5, 0, 0, 5}), "two give theirs up")
 	g.Expect(turn(second, 1250*time.Millisecond, 3)).To(Equal([]int{15, 0, 0, 5}), "and one has it; the fourth was not heard")
@@ -302,8 +302,8 @@
 	g.Expect(c.Now(15*time.Second)).To(Equal(1005.5), "between the two in the middle")
 }
 
-// Rooms open ahead of their time, in whole slots, and never hold more than there is; what gives way is decided by rank.
-func TestRoomsAsTheyAreHeld(t *testing.T) {
+// Reservations open ahead of their time, in whole slots, and never hold more than there is; what gives way is decided by rank.
+func TestReservationsAsTheyAreHeld(t *testing.T) {
 	g := NewWithT(t)
 	k := reservation.NewBook()
 	low := room("low", 100, 200, 12)
@@ -311,17 +311,17 @@
 	g.Expect(k.Apply(put(low, 0, 0))).To(Succeed())
 	g.Expect(k.Apply(put(room("high", 100, 200, 12), 1, 0))).To(Succeed())
 	carry := map[string]reservation.Carry{"ledger": {"x": 10, "y": 8}}
-	g.Expect(k.Rooms(carry, 94)).To(BeEmpty())
+	g.Expect(k.Reservations(carry, 94)).To(BeEmpty())
 	slots := map[string]int{}
-	for _, r := range k.Rooms(carry, 96) {
+	for _, r := range k.Reservations(carry, 96) {
 		slots[r.ID] = r.Slots
 	}
 	g.Expect(slots).To(Equal(map[string]int{"high": 12, "low": 6, reservation.Rest("ledger"): 0}))
-	g.Expect(k.Rooms(carry, 201)).To(BeEmpty())
+	g.Expect(k.Reservations(carry, 201)).To(BeEmpty())
 }
 
 // Lent room comes back in time: others fill an edge ten times over while the booking is idle, and then its traffic comes.
-func TestLentRoomComesBackInTime(t *testing.T) {
+func TestLentReservationComesBackInTime(t *testing.T) {
 	g := NewWithT(t)
 	for _, work := range []float64{0.08, 0.2, 0.3, 0.8} {
 		over, asked, lent := 0, 0, 0
--- a/internal/control/statemachine/statemachine.go
+++ b/internal/control/statemachine/statemachine.go
@@ -16,7 +16,7 @@
 	"mulleinwood/internal/platform/apierror"
 )
 
-// Change is a call of an operator, as the agreement's history holds it.
+// Change is a call of an operator, as the consensus's history holds it.
 type Change struct {
 	Base  uint64 `cbor:"1,keyasint"`
 	Patch bool   `cbor:"2,keyasint,omitempty"`
@@ -46,8 +46,8 @@
 
 const takenKept = 256
 
-// Daybook is the state after some entries. Its fields are to be read.
-type Daybook struct {
+// StateMachine is the state after some entries. Its fields are to be read.
+type StateMachine struct {
 	Config *config.Config // nil before the first
 	Book   *reservation.Book
 	Taken  []Taken // oldest first
@@ -56,26 +56,26 @@
 }
 
 // New makes an empty one.
-func New() *Daybook { return &Daybook{Book: reservation.NewBook()} }
+func New() *StateMachine { return &StateMachine{Book: reservation.NewBook()} }
 
 // Version is that of the configuration; 0: there is none yet.
-func (h *Daybook) Version() uint64 {
-	if h.Config == nil {
+func (m *StateMachine) Version() uint64 {
+	if m.Config == nil {
 		return 0
 	}
-	return uint64(h.Config.Version)
+	return uint64(m.Config.Version)
 }
 
 // Knows tells whether a call was taken lately.
-func (h *Daybook) Knows(c Change) bool {
+func (m *StateMachine) Knows(c Change) bool {
 	digest := c.digest()
-	return slices.ContainsFunc(h.Taken, func(t Taken) bool { return t.Digest == digest })
+	return slices.ContainsFunc(m.Taken, func(t Taken) bool { return t.Digest == digest })
 }
 
 // Apply takes an entry. Every planner comes to the same outcome, so that a refused change is refused everywhere.
-func (h *Daybook) Apply(e consensus.Entry) (applied *Change, err error) {
-	h.Index = e.Index
-	h.Since++
+func (m *StateMachine) Apply(e consensus.Entry) (applied *Change, err error) {
+	m.Index = e.Index
+	m.Since++
 	if len(e.Data) == 0 {
 		return nil, nil
 	}
@@ -84,35 +84,35 @@
 		return nil, apierror.Invalid.Wrap(err, "entry %d", e.Index)
 	}
 	if c.Book != nil {
-		return nil, h.Book.Apply(*c.Book)
+		return nil, m.Book.Apply(*c.Book)
 	}
-	if h.Knows(c) {
+	if m.Knows(c) {
 		return nil, nil // the same call again, after an answer that was lost
 	}
-	if c.Base != h.Version() {
-		return nil, apierror.Stale.New("built on %s, current is %s", config.Version(c.Base), config.Version(h.Version()))
+	if c.Base != m.Version() {
+		return nil, apierror.Stale.New("built on %s, current is %s", config.Version(c.Base), config.Version(m.Version()))
 	}
-	next, err := h.Check(c)
+	next, err := m.Check(c)
 	if err != nil {
 		return nil, err
 	}
-	h.Config = next
-	h.Taken = append(h.Taken, Taken{Version: uint64(next.Version), Digest: c.digest()})
-	h.Taken = h.Taken[max(0, len(h.Taken)-takenKept):]
+	m.Config = next
+	m.Taken = append(m.Taken, Taken{Version: uint64(next.Version), Digest: c.digest()})
+	m.Taken = m.Taken[max(0, len(m.Taken)-takenKept):]
 	return &c, nil
 }
 
 // Check gives the configuration that a change would lead to.
-func (h *Daybook) Check(c Change) (*config.Config, error) {
+func (m *StateMachine) Check(c Change) (*config.Config, error) {
 	if c.Patch {
-		if h.Config == nil {
+		if m.Config == nil {
 			return nil, apierror.Stale.New("there is no configuration to change")
 		}
-		return h.Config.Patch(c.Body)
+		return m.Config.Patch(c.Body)
 	}
 	next, err := config.Parse(c.Body)
-	if err == nil && uint64(next.Version) <= h.Version() {
-		err = apierror.Invalid.New("version %s is not above %s", next.Version, config.Version(h.Version()))
+	if err == nil && uint64(next.Version) <= m.Version() {
+		err = apierror.Invalid.New("version %s is not above %s", next.Version, config.Version(m.Version()))
 	}
 	return next, err
 }
@@ -125,14 +125,14 @@
 }
 
 // Save is the snapshot of a history.
-func (h *Daybook) Save() ([]byte, error) {
-	s := savedHistory{Taken: h.Taken}
-	if h.Book.Version > 0 {
-		s.Book = h.Book
+func (m *StateMachine) Save() ([]byte, error) {
+	s := savedHistory{Taken: m.Taken}
+	if m.Book.Version > 0 {
+		s.Book = m.Book
 	}
-	if h.Config != nil {
+	if m.Config != nil {
 		var err error
-		if s.Config, err = json.Marshal(h.Config); err != nil {
+		if s.Config, err = json.Marshal(m.Config); err != nil {
 			return nil, err
 		}
 	}
@@ -140,12 +140,12 @@
 }
 
 // Restore takes a snapshot over.
-func (h *Daybook) Restore(s consensus.Snapshot) error {
+func (m *StateMachine) Restore(s consensus.Snapshot) error {
 	var saved savedHistory
 	if err := cbor.Unmarshal(s.Data, &saved); err != nil {
 		return err
 	}
-	next := Daybook{Taken: saved.Taken, Index: s.Index, Book: reservation.NewBook()}
+	next := StateMachine{Taken: saved.Taken, Index: s.Index, Book: reservation.NewBook()}
 	if saved.Book != nil {
 		next.Book = saved.Book
 	}
@@ -156,6 +156,6 @@
 		}
 		next.Config = config
 	}
-	*h = next
+	*m = next
 	return nil
 }
--- a/internal/control/statemachine/statemachine_test.go
+++ b/internal/control/statemachine/statemachine_test.go
@@ -14,7 +14,7 @@
 	"mulleinwood/internal/platform/apierror"
 )
 
-func TestDaybook(t *testing.T) {
+func TestStateMachine(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "statemachine")
 }
@@ -27,9 +27,9 @@
 	return fmt.Appendf(nil, `{"version":"r%d","upsert":{"services":[{"name":%q}]},"remove":{}}`, version, name)
 }
 
-// feeder numbers entries as the agreement does.
+// feeder numbers entries as the consensus does.
 type feeder struct {
-	h     *Daybook
+	h     *StateMachine
 	index uint64
 }
 
--- a/internal/control/weights/weights.go
+++ b/internal/control/weights/weights.go
@@ -16,8 +16,8 @@
 	"mulleinwood/rules"
 )
 
-// Groups are all services' tables, for the edges whose home one planner is.
-type Groups struct {
+// Tables are all services' tables, for the edges whose controller one planner is.
+type Tables struct {
 	zone      string
 	zones     []string
 	seed      uint64
@@ -59,9 +59,9 @@
 	tableLook     = 250 * time.Millisecond
 )
 
-// New makes the groups of a planner in a zone. Instances is how many planners there are, as known when a service is met.
-func New(zone string, zones []string, seed uint64, instances func() int, log func(service, note string)) *Groups {
-	t := &Groups{zone: zone, zones: slices.Sorted(slices.Values(zones)), seed: seed, instances: instances, log: log,
+// New makes the tables of a planner in a zone. Instances is how many planners there are, as known when a service is met.
+func New(zone string, zones []string, seed uint64, instances func() int, log func(service, note string)) *Tables {
+	t := &Tables{zone: zone, zones: slices.Sorted(slices.Values(zones)), seed: seed, instances: instances, log: log,
 		edges: map[string]string{}, servers: map[string]registry.Entry{}, services: map[string]*table{}}
 	if len(t.zones) == 0 {
 		t.zones = []string{zone}
@@ -69,10 +69,10 @@
 	return t
 }
 
-func (t *Groups) at(zone string) int { return max(0, slices.Index(t.zones, zone)) }
+func (t *Tables) at(zone string) int { return max(0, slices.Index(t.zones, zone)) }
 
 // of finds a service's table, or makes it.
-func (t *Groups) of(service string) *table {
+func (t *Tables) of(service string) *table {
 	s := t.services[service]
 	if s != nil {
 		return s
@@ -106,7 +106,7 @@
 	return s
 }
 
-func (s *table) join(t *Groups, edge string) {
+func (s *table) join(t *Tables, edge string) {
 	id, ok := s.edges[edge]
 	if !ok {
 		s.nextEdge++
@@ -120,7 +120,7 @@
 }
 
 // Join takes an edge in. It holds no table yet.
-func (t *Groups) Join(edge, zone string) {
+func (t *Tables) Join(edge, zone string) {
 	t.edges[edge] = zone
 	for _, s := range t.services {
 		s.join(t, edge)
@@ -128,7 +128,7 @@
 }
 
 // Leave drops an edge.
-func (t *Groups) Leave(edge string) {
+func (t *Tables) Leave(edge string) {
 	delete(t.edges, edge)
 	for _, s := range t.services {
 		if id, ok := s.edges[edge]; ok {
@@ -138,7 +138,7 @@
 }
 
 // Changed takes news of servers.
-func (t *Groups) Changed(news []registry.Entry, now time.Duration) {
+func (t *Tables) Changed(news []registry.Entry, now time.Duration) {
 	for _, e := range news {
 		if e.Service == "" {
 			continue
@@ -151,7 +151,7 @@
 	}
 }
 
-func (s *table) changed(t *Groups, e registry.Entry, now time.Duration) {
+func (s *table) changed(t *Tables, e registry.Entry, now time.Duration) {
 	id, ok := s.ids[e.ID]
 	if !ok {
 		if e.State == registry.Gone {
@@ -185,7 +185,7 @@
 }
 
 // Configured follows a new configuration: services that it doesn't know any more are forgotten.
-func (t *Groups) Configured(c *config.Config) {
+func (t *Tables) Configured(c *config.Config) {
 	t.config = c
 	for name := range t.services {
 		if !slices.ContainsFunc(c.Services, func(s *config.Service) bool { return s.Name == name }) {
@@ -195,7 +195,7 @@
 }
 
 // Report takes what an edge saw. Service names the service of a server that is known.
-func (t *Groups) Report(edge string, r *peer.Report, service func(server string) (string, bool)) {
+func (t *Tables) Report(edge string, r *peer.Report, service func(server string) (string, bool)) {
 	period := max(1, r.Period*1000)
 	for _, m := range r.Met {
 		name, known := service(m.Server)
@@ -235,7 +235,7 @@
 	tokenMask = 1<<markShift - 1
 )
 
-func (t *Groups) names() []string {
+func (t *Tables) names() []string {
 	names := make([]string, 0, len(t.services))
 	for name := range t.services {
 		names = append(names, name)
@@ -245,7 +245,7 @@
 }
 
 // Mine is what this planner's edges bring, by service and zone.
-func (t *Groups) Mine() (all []peer.Zoned) {
+func (t *Tables) Mine() (all []peer.Zoned) {
 	for _, name := range t.names() {
 		own, _ := t.services[name].control.Mine()
 		for z, rate := range own.Usual {
@@ -258,7 +258,7 @@
 }
 
 // Tick lets the controllers look, if it is time, and gives what they order, by edge. Others are told by those who know them.
-func (t *Groups) Tick(now time.Duration, others func() []Others) map[string]*peer.Weights {
+func (t *Tables) Tick(now time.Duration, others func() []Others) map[string]*peer.Weights {
 	if now < t.nextLook {
 		return nil
 	}
@@ -289,7 +289,7 @@
 }
 
 // follow turns a controller's actions into what edges are sent.
-func (s *table) follow(t *Groups, actions []rules.Action, orders map[string]*peer.Weights) {
+func (s *table) follow(t *Tables, actions []rules.Action, orders map[string]*peer.Weights) {
 	touched := map[string]bool{}
 	to := func(id rules.ProxyID) *peer.Weights {
 		ip := s.ips[id]
@@ -329,8 +329,8 @@
 	}
 }
 
-// Ordered is the table of a service as it was ordered for an edge. It stays the groups'.
-func (t *Groups) Ordered(edge, service string) map[string]float64 {
+// Ordered is the table of a service as it was ordered for an edge. It stays the tables'.
+func (t *Tables) Ordered(edge, service string) map[string]float64 {
 	if s := t.services[service]; s != nil {
 		return s.weights[edge]
 	}
@@ -338,7 +338,7 @@
 }
 
 // Weight is what some edge was last sent for a server.
-func (t *Groups) Weight(server string) float64 {
+func (t *Tables) Weight(server string) float64 {
 	for _, s := range t.services {
 		for _, held := range s.weights {
 			if w, ok := held[server]; ok && w > 0 {
--- a/internal/control/weights/weights_test.go
+++ b/internal/control/weights/weights_test.go
@@ -15,9 +15,9 @@
 
 const step = 250 * time.Millisecond
 
-// planner plays the groups' owner: it passes orders on to edges that answer at once, and asks as edges do.
+// planner plays the tables' owner: it passes orders on to edges that answer at once, and asks as edges do.
 type planner struct {
-	*weights.Groups
+	*weights.Tables
 	now  time.Duration
 	held map[string]map[string]float64
 	of   map[string]string
@@ -25,7 +25,7 @@
 
 func newPlanner() *planner {
 	p := &planner{held: map[string]map[string]float64{}, of: map[string]string{}}
-	p.Groups = weights.New("a", []string{"a", "b"}, 1, func() int { return 3 }, func(string, string) {})
+	p.Tables = weights.New("a", []string{"a", "b"}, 1, func() int { return 3 }, func(string, string) {})
 	return p
 }
 
@@ -93,7 +93,7 @@
 	g.Expect(p.held["e-1"]["tags-0"]).To(BeZero(), "it leaves, and is out of the table")
 }
 
-// An edge whose process or link ended comes back to its home: the whole table follows, without what is gone.
+// An edge whose process or link ended comes back to its controller: the whole table follows, without what is gone.
 func TestAnEdgeThatComesBackGetsItsTable(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner()
--- a/internal/demo/book.go
+++ b/internal/demo/book.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// booking calls a controller on booked room, and another one while it can't answer; a client follows to the leader.
-func (d *Desk) booking(method, path, match, body string) (status int, said map[string]any, err error) {
+// booking calls a controller on booked slots, and another one while it can't answer; a client follows to the leader.
+func (d *Demo) booking(method, path, match, body string) (status int, said map[string]any, err error) {
 	for _, at := range d.seeds {
 		var req *http.Request
 		if req, err = http.NewRequest(method, "http://"+at+path, bytes.NewReader([]byte(body))); err != nil {
@@ -31,8 +31,8 @@
 	return status, nil, err
 }
 
-// Book books room for the tenant, repeats the call, asks for more than there is, and sees the room held and then gone.
-func (d *Desk) Book() error {
+// Book books room for the tenant, repeats the call, asks for more than there is, and sees the slots held and then gone.
+func (d *Demo) Book() error {
 	now := float64(time.Now().UnixNano()) / 1e9
 	room := func(slots int) string {
 		return fmt.Sprintf(`{"tenant":"toll.example","service":"ledger","start":%f,"end":%f,"slots":%d,"owner":"the desk"}`, now+1, now+60, slots)
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// held waits until so many slots are held for the desk's booking.
-func (d *Desk) held(slots int) error {
+// held waits until so many slots are held for the demo's booking.
+func (d *Demo) held(slots int) error {
 	for end := time.Now().Add(calm); ; time.Sleep(50 * time.Millisecond) {
 		_, said, err := d.booking("GET", "/bookings", "", "")
 		held := 0
--- a/internal/demo/desk.go
+++ b/internal/demo/demo.go
@@ -19,8 +19,8 @@
 	"mulleinwood/internal/platform/nodesettings"
 )
 
-// Desk is a gateway of three controllers and two edges, each a process of its own on its own loopback address.
-type Desk struct {
+// Demo is a gateway of three controllers and two edges, each a process of its own on its own loopback address.
+type Demo struct {
 	Dir  string // holds settings, disks and logs
 	Bin  string // holds the programs
 	Out  io.Writer
@@ -46,10 +46,10 @@
 	comeBack      = 5 // times that a request which was refused is sent again
 )
 
-func (d *Desk) settings(name, role, ip string, first bool) string {
-	exchange := role == "controller"
+func (d *Demo) settings(name, role, ip string, first bool) string {
+	controller := role == "controller"
 	data, listen := "null", fmt.Sprintf("  front: %q\n  readiness: %q\n", address(ip, frontPort), address(ip, readinessPort))
-	if exchange {
+	if controller {
 		data, listen = fmt.Sprintf("%q", filepath.Join(d.Dir, name)), fmt.Sprintf("  control: %q\n", address(ip, controlPort))
 	}
 	seeds := ""
@@ -63,12 +63,12 @@
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
 // Start starts all programs and stand-in servers, and puts a configuration.
-func (d *Desk) Start(ctx context.Context) error {
-	exchanges := []string{"127.0.61.1", "127.0.61.2", "127.0.61.3"}
-	for _, ip := range exchanges {
+func (d *Demo) Start(ctx context.Context) error {
+	controllers := []string{"127.0.61.1", "127.0.61.2", "127.0.61.3"}
+	for _, ip := range controllers {
 		d.seeds = append(d.seeds, address(ip, controlPort))
 	}
-	for i, ip := range exchanges {
+	for i, ip := range controllers {
 		if err := d.launch(fmt.Sprintf("controller-%d", i+1), "controller", ip); err != nil {
 			return err
 		}
@@ -79,7 +79,7 @@
 		}
 	}
 	for i, service := range []string{"tags", "tags", "ledger", "ledger"} {
-		s := &Server{ID: fmt.Sprintf("i-%s-%d", service, i+1), Service: service, Zone: "hall", Work: 20 * time.Millisecond, Beat: 500 * time.Millisecond, Exchanges: d.seeds}
+		s := &Server{ID: fmt.Sprintf("i-%s-%d", service, i+1), Service: service, Zone: "hall", Work: 20 * time.Millisecond, Beat: 500 * time.Millisecond, Controllers: d.seeds}
 		if err := s.Start("127.0.61.20:0"); err != nil {
 			return err
 		}
@@ -104,7 +104,7 @@
 }
 
 // until asks again until something holds or its time is over.
-func (d *Desk) until(ctx context.Context, what string, holds func() error) error {
+func (d *Demo) until(ctx context.Context, what string, holds func() error) error {
 	deadline := time.Now().Add(calm)
 	for {
 		err := holds()
@@ -122,7 +122,7 @@
 	}
 }
 
-func (d *Desk) launch(name, role, ip string) error {
+func (d *Demo) launch(name, role, ip string) error {
 	path := filepath.Join(d.Dir, name+".yaml")
 	if err := os.WriteFile(path, []byte(d.settings(name, role, ip, true)), 0o600); err != nil {
 		return err
@@ -152,7 +152,7 @@
 	`{"name":"note","path_prefix":"/notes/","kind":"unsafe","deadline_s":2,"setpoint_s":0.5,"priority":1,"service":"ledger","tries":2},` +
 	`{"name":"posting","path_prefix":"/crossings/","kind":"keyed","deadline_s":2,"setpoint_s":0.5,"priority":0,"service":"ledger","tries":2}]}]}`
 
-func (d *Desk) put() error {
+func (d *Demo) put() error {
 	req, err := http.NewRequest(http.MethodPut, "http://"+d.seeds[0]+"/config", bytes.NewReader([]byte(plan)))
 	if err != nil {
 		return err
@@ -171,7 +171,7 @@
 }
 
 // Ask sends a request through an edge, and again when it is refused and told when to come back, as clients do.
-func (d *Desk) Ask(edge int, method, path, body string, headers ...string) (status int, text string, err error) {
+func (d *Demo) Ask(edge int, method, path, body string, headers ...string) (status int, text string, err error) {
 	for range comeBack {
 		var after string
 		if status, text, after, err = d.once(edge, method, path, body, headers...); err != nil || after == "" {
@@ -184,7 +184,7 @@
 	return status, text, err
 }
 
-func (d *Desk) once(edge int, method, path, body string, headers ...string) (status int, answer, retryAfter string, err error) {
+func (d *Demo) once(edge int, method, path, body string, headers ...string) (status int, answer, retryAfter string, err error) {
 	req, err := http.NewRequest(method, "http://"+address(fmt.Sprintf("127.0.61.1%d", edge), frontPort)+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", "", err
@@ -205,7 +205,7 @@
 }
 
 // Try sends a request of each kind and shows what comes back; a repeat of the operation goes through the other edge.
-func (d *Desk) Try() error {
+func (d *Demo) Try() error {
 	answers := map[string]string{}
 	for _, r := range []struct {
 		name, method, path, body, key string
@@ -251,7 +251,7 @@
 }
 
 // Reload tells all programs that their settings files have changed, and makes sure that they live on.
-func (d *Desk) Reload() error {
+func (d *Demo) Reload() error {
 	for _, p := range d.procs {
 		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			return fmt.Errorf("%s: %w", p.name, err)
@@ -274,7 +274,7 @@
 }
 
 // Status reads a controller's view.
-func (d *Desk) Status() (map[string]any, error) {
+func (d *Demo) Status() (map[string]any, error) {
 	resp, err := http.Get("http://" + d.seeds[0] + "/status")
 	if err != nil {
 		return nil, err
@@ -285,7 +285,7 @@
 }
 
 // Stop ends all in order: edges, servers, controllers; each program has to end with code 0.
-func (d *Desk) Stop() error {
+func (d *Demo) Stop() error {
 	var first error
 	for i := len(d.procs) - 1; i >= 0; i-- {
 		p := d.procs[i]
--- a/internal/demo/server.go
+++ b/internal/demo/server.go
@@ -21,7 +21,7 @@
 	ID, Service, Zone string
 	Work              time.Duration
 	Beat              time.Duration
-	Exchanges         []string // control addresses
+	Controllers       []string // control addresses
 
 	listener net.Listener
 	http     *http.Server
@@ -76,7 +76,7 @@
 	if err != nil {
 		return false
 	}
-	targets := s.Exchanges
+	targets := s.Controllers
 	if t := s.target.Load(); t != nil {
 		targets = append([]string{*t}, targets...)
 	}
--- a/internal/edge/attempt/attempt.go
+++ b/internal/edge/attempt/attempt.go
@@ -59,8 +59,8 @@
 // mostTried bounds the servers that are tried, reached or not.
 const mostTried = 6
 
-// Cord is one request's way.
-type Cord struct {
+// Attempt is one request's way.
+type Attempt struct {
 	Safe  bool // it may run more than once
 	Most  int  // servers that it may reach
 	Sent  int  // tries that reached a server
@@ -69,17 +69,17 @@
 }
 
 // Ended takes the ending of a try. Held tells whether all of it can be sent again.
-func (c *Cord) Ended(e Ending, status int, held bool) Next {
-	c.Tried++
+func (a *Attempt) Ended(e Ending, status int, held bool) Next {
+	a.Tried++
 	if e != NotSent {
-		c.Sent++
-		c.Paid = false
+		a.Sent++
+		a.Paid = false
 	}
-	again := e == NotSent || e == NotRun || c.Safe && (e == Perhaps || e == Ran && status >= failed)
+	again := e == NotSent || e == NotRun || a.Safe && (e == Perhaps || e == Ran && status >= failed)
 	switch {
-	case !again || !held || c.Sent >= c.Most || c.Tried > mostTried:
+	case !again || !held || a.Sent >= a.Most || a.Tried > mostTried:
 		return Stop
-	case c.Sent > 0 && !c.Paid: // the next server may be the second that it reaches
+	case a.Sent > 0 && !a.Paid: // the next server may be the second that it reaches
 		return Pay
 	default:
 		return Again
--- a/internal/edge/attempt/attempt_test.go
+++ b/internal/edge/attempt/attempt_test.go
@@ -25,25 +25,25 @@
 // more servers than its route allows, and each further server is paid for.
 func TestEveryWayOfARequest(t *testing.T) {
 	g := NewWithT(t)
-	var walk func(c attempt.Cord, ran int, paid int)
+	var walk func(a attempt.Attempt, ran int, paid int)
 	ways := 0
-	walk = func(c attempt.Cord, ran, paid int) {
+	walk = func(a attempt.Attempt, ran, paid int) {
 		ways++
-		g.Expect(c.Sent).To(BeNumerically("<=", c.Most))
-		g.Expect(max(0, c.Sent-1)).To(BeNumerically("<=", paid))
-		if c.Tried == 5 {
+		g.Expect(a.Sent).To(BeNumerically("<=", a.Most))
+		g.Expect(max(0, a.Sent-1)).To(BeNumerically("<=", paid))
+		if a.Tried == 5 {
 			return
 		}
 		for _, e := range []attempt.Ending{attempt.NotSent, attempt.NotRun, attempt.Ran, attempt.Perhaps} {
 			for _, status := range []int{200, 404, 500} {
-				next := c
+				next := a
 				held := status != 404 || e != attempt.Ran // a long body, say
 				may := ran
 				if e == attempt.Ran || e == attempt.Perhaps {
 					may++
 				}
-				if !c.Safe {
-					g.Expect(may).To(BeNumerically("<=", 1), "%+v", c)
+				if !a.Safe {
+					g.Expect(may).To(BeNumerically("<=", 1), "%+v", a)
 				}
 				switch next.Ended(e, status, held) {
 				case attempt.Again:
@@ -57,7 +57,7 @@
 	}
 	for _, safe := range []bool{true, false} {
 		for most := 1; most <= 3; most++ {
-			walk(attempt.Cord{Safe: safe, Most: most}, 0, 0)
+			walk(attempt.Attempt{Safe: safe, Most: most}, 0, 0)
 		}
 	}
 	g.Expect(ways).To(BeNumerically(">", 500))
--- a/internal/edge/picker/picker_test.go
+++ b/internal/edge/picker/picker_test.go
@@ -11,28 +11,28 @@
 	"mulleinwood/internal/edge/picker"
 )
 
-func nobody(*picker.Line) bool { return false }
+func nobody(*picker.Upstream) bool { return false }
 
-func hall(edges int, self uint32, servers, slots int) *picker.Finder {
+func hall(edges int, self uint32, servers, slots int) *picker.Picker {
 	rng := rand.New(rand.NewPCG(uint64(self), 1))
-	f := picker.New("hall", rng.Float64)
+	p := picker.New("hall", rng.Float64)
 	for i := range servers {
-		f.Add(&picker.Line{ID: fmt.Sprint("i-", i), Service: "tags", Zone: "hall", Capacity: slots})
+		p.Add(&picker.Upstream{ID: fmt.Sprint("i-", i), Service: "tags", Zone: "hall", Capacity: slots})
 	}
 	var roster []uint32
 	for e := range edges {
 		roster = append(roster, uint32(e))
 	}
-	f.Deal(roster, self)
-	return f
+	p.Deal(roster, self)
+	return p
 }
 
 // take books places until the picker has used what is dealt to it, and tells how many it took where.
-func take(f *picker.Finder, n int) map[string]int {
+func take(p *picker.Picker, n int) map[string]int {
 	at := map[string]int{}
 	for range n {
-		if l := f.Pick("tags", nobody, 0); l != nil {
-			at[l.ID]++
+		if u := p.Pick("tags", nobody, 0); u != nil {
+			at[u.ID]++
 		}
 	}
 	return at
@@ -44,10 +44,10 @@
 	for _, c := range []struct{ edges, servers, slots int }{{3, 7, 2}, {10, 15, 2}, {23, 42, 2}, {4, 6, 4}, {2, 5, 5}, {1, 3, 2}, {9, 2, 4}} {
 		whole, parts := map[string]int{}, 0
 		for e := range c.edges {
-			f := hall(c.edges, uint32(e), c.servers, c.slots)
-			own := f.Dealt("tags")
+			p := hall(c.edges, uint32(e), c.servers, c.slots)
+			own := p.Dealt("tags")
 			parts += own
-			for id, n := range take(f, own) {
+			for id, n := range take(p, own) {
 				whole[id] += n
 			}
 		}
@@ -76,8 +76,8 @@
 // What is dealt is no fence: an edge with all the traffic uses every slot.
 func TestUnusedPartsAreUsedByOthers(t *testing.T) {
 	g := NewWithT(t)
-	f := hall(10, 3, 6, 2)
-	at := take(f, 12)
+	p := hall(10, 3, 6, 2)
+	at := take(p, 12)
 	g.Expect(at).To(HaveLen(6))
 	for id, n := range at {
 		g.Expect(n).To(Equal(2), id)
@@ -86,21 +86,21 @@
 
 func TestPicksKeepToWhatIsKnown(t *testing.T) {
 	g := NewWithT(t)
-	f := hall(1, 0, 3, 2)
-	f.End("i-0")
-	f.Weigh("i-1", 0)
-	g.Expect(take(f, 2)).To(Equal(map[string]int{"i-2": 2}), "not at one that leaves, nor at one that the tables took out while others have room")
-	g.Expect(take(f, 2)).To(Equal(map[string]int{"i-1": 2}), "which helps out where nobody else can")
+	p := hall(1, 0, 3, 2)
+	p.End("i-0")
+	p.Weigh("i-1", 0)
+	g.Expect(take(p, 2)).To(Equal(map[string]int{"i-2": 2}), "not at one that leaves, nor at one that the tables took out while others have room")
+	g.Expect(take(p, 2)).To(Equal(map[string]int{"i-1": 2}), "which helps out where nobody else can")
 
-	f = hall(1, 0, 2, 1)
-	l := f.Pick("tags", nobody, 0)
-	f.Done(l, 0, false, false, 0)
+	p = hall(1, 0, 2, 1)
+	u := p.Pick("tags", nobody, 0)
+	p.Done(u, 0, false, false, 0)
 	for range 5 {
-		o := f.Pick("tags", nobody, time.Millisecond)
-		g.Expect(o).NotTo(BeIdenticalTo(l), "a server that could not be reached is in doubt")
-		f.Done(o, time.Millisecond, true, true, time.Millisecond)
+		o := p.Pick("tags", nobody, time.Millisecond)
+		g.Expect(o).NotTo(BeIdenticalTo(u), "a server that could not be reached is in doubt")
+		p.Done(o, time.Millisecond, true, true, time.Millisecond)
 	}
-	f.Told(f.Line("i-0"), 1, 3, time.Second)
-	f.Told(f.Line("i-1"), 0, 0, time.Second)
-	g.Expect(f.Pick("tags", nobody, time.Second).ID).To(Equal("i-1"), "what a server says of others' requests counts")
+	p.Told(p.Upstream("i-0"), 1, 3, time.Second)
+	p.Told(p.Upstream("i-1"), 0, 0, time.Second)
+	g.Expect(p.Pick("tags", nobody, time.Second).ID).To(Equal("i-1"), "what a server says of others' requests counts")
 }
--- a/internal/edge/proxy/bodies_test.go
+++ b/internal/edge/proxy/bodies_test.go
@@ -62,7 +62,7 @@
 		h.allow(2, `{"max_body_bytes":1000000}`)
 		h.serve("i-1", cut)
 		h.serve("i-2", cut)
-		for range 4 { // fills the purse
+		for range 4 { // fills the budget
 			h.asks("tags")
 		}
 		long := strings.Repeat("0123456789", 50_000)
@@ -142,7 +142,7 @@
 						h.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 					}
 					synctest.Wait()
-					h.g.Expect(h.lines.Line("i-1").Out()).To(Equal(0), "its place is given back")
+					h.g.Expect(h.upstreams.Upstream("i-1").Out()).To(Equal(0), "its place is given back")
 				})
 			})
 		})
--- a/internal/edge/proxy/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -14,7 +14,7 @@
 	mu    sync.Mutex
 	next  uint64
 	open  map[idempotency.Token]*claim
-	kept  []keptAnswer // of the last window, oldest first: a home that loses its disk is given them again
+	kept  []keptAnswer // of the last window, oldest first: a controller that loses its disk is given them again
 	size  int          // bytes of their bodies
 	voids []keptAnswer // claims that were withdrawn lately
 }
@@ -36,13 +36,13 @@
 	done   chan peer.Ruling
 }
 
-// claimHurry is how long the home controller has before another is asked, too: it may have died, and a cut is heard
+// claimHedge is how long the controller has before another is asked, too: it may have died, and a cut is heard
 // only by its silence.
-const claimHurry = 60 * time.Millisecond
+const claimHedge = 60 * time.Millisecond
 
 // claim asks for the right to run a key's operation. If no controller can be reached early, or none answers clearly in
 // time, it is withdrawn: nothing was run under it, and nothing ever will be.
-func (c *Crossbar) claim(key idempotency.Key, early, limit time.Duration) (idempotency.Token, peer.Ruling) {
+func (c *Proxy) claim(key idempotency.Key, early, limit time.Duration) (idempotency.Token, peer.Ruling) {
 	k := &c.claims
 	k.mu.Lock()
 	k.next++
@@ -50,11 +50,11 @@
 	one := &claim{record: r, done: make(chan peer.Ruling, 1)}
 	k.open[r.Token] = one
 	k.mu.Unlock()
-	hurry := claimHurry
-	if !k.put(c.home.send, one) {
-		hurry = 0
+	hedge := claimHedge
+	if !k.put(c.controller.send, one) {
+		hedge = 0
 	}
-	second := time.AfterFunc(hurry, func() { k.put(c.home.sendElsewhere(c), one) })
+	second := time.AfterFunc(hedge, func() { k.put(c.controller.sendElsewhere(c), one) })
 	defer second.Stop()
 	defer func() {
 		k.mu.Lock()
@@ -72,7 +72,7 @@
 			}
 			return r.Token, ruling
 		case <-timer.C:
-			if gone := c.now() - began; gone < limit && c.home.reaches() {
+			if gone := c.now() - began; gone < limit && c.controller.reaches() {
 				timer.Reset(limit - gone) // somebody is at it
 				continue
 			}
@@ -84,16 +84,16 @@
 
 // withdraw voids a claim under which nothing was run. It is said again for a while: a core that could not rule on the
 // claim may not hear of its end either, and whoever holds it would turn away the client's next try.
-func (c *Crossbar) withdraw(key idempotency.Key, token idempotency.Token) {
+func (c *Proxy) withdraw(key idempotency.Key, token idempotency.Token) {
 	r := idempotency.Record{Key: key, Token: token}
-	c.home.sendBoth(&peer.Frame{Voids: []idempotency.Record{r}})
+	c.controller.sendBoth(&peer.Frame{Voids: []idempotency.Record{r}})
 	c.claims.mu.Lock()
 	defer c.claims.mu.Unlock()
 	c.claims.voids = append(c.claims.voids, keptAnswer{c.now(), r})
 }
 
 // sayAgain repeats what was withdrawn lately.
-func (k *claims) sayAgain(c *Crossbar) {
+func (k *claims) sayAgain(c *Proxy) {
 	k.mu.Lock()
 	now := c.now()
 	k.voids = slices.DeleteFunc(k.voids, func(v keptAnswer) bool { return now-v.at > voidFor })
@@ -103,14 +103,14 @@
 	}
 	k.mu.Unlock()
 	if len(f.Voids) > 0 {
-		c.home.sendBoth(f)
+		c.controller.sendBoth(f)
 	}
 }
 
 // finish has the answer of a claim's run kept, for repeats.
-func (c *Crossbar) finish(key idempotency.Key, token idempotency.Token, a *idempotency.Answer) {
+func (c *Proxy) finish(key idempotency.Key, token idempotency.Token, a *idempotency.Answer) {
 	r := idempotency.Record{Key: key, Token: token, Answer: a}
-	c.home.send(&peer.Frame{Done: []idempotency.Record{r}})
+	c.controller.send(&peer.Frame{Done: []idempotency.Record{r}})
 	k, now, window := &c.claims, c.now(), c.set.Seconds("key_window_s", 60)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -124,7 +124,7 @@
 	}
 }
 
-// restore gives a home whose disk came back empty the answers that this edge still holds.
+// restore gives a controller whose disk came back empty the answers that this edge still holds.
 func (k *claims) restore(link *peer.Link) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -172,8 +172,8 @@
 	one.done <- r // it has room for the one ruling
 }
 
-// again puts open claims to a new home: the former may have died with them.
-func (k *claims) again(c *Crossbar) {
+// again puts open claims to a new controller: the former may have died with them.
+func (k *claims) again(c *Proxy) {
 	k.sayAgain(c)
 	k.mu.Lock()
 	var all []*claim
@@ -182,6 +182,6 @@
 	}
 	k.mu.Unlock()
 	for _, one := range all {
-		k.put(c.home.send, one)
+		k.put(c.controller.send, one)
 	}
 }
--- a/internal/edge/proxy/home.go
+++ b/internal/edge/proxy/controllerlink.go
@@ -13,25 +13,25 @@
 	"mulleinwood/internal/platform/peer"
 )
 
-// home is the controller that an edge belongs to: of its zone, if one there hears the rest of the core.
-type home struct {
+// controllerLink is the link to the controller that an edge belongs to: of its zone, if one there hears the rest of the core.
+type controllerLink struct {
 	mu    sync.Mutex
 	link  *peer.Link
 	ip    string
 	zones map[string]string // of controllers, by IP
 	known map[string]bool
-	guest *peer.Link    // at another controller, for claims that home doesn't rule on
+	guest *peer.Link    // at another controller, for claims that its own doesn't rule on
 	calls chan struct{} // held by who dials for it
 }
 
 const guestQuiet = 3 * time.Second // without a claim, after which the edge leaves that other controller
 
 const (
-	homeDial    = 400 * time.Millisecond
-	lookAgain   = 3 * time.Second // for a controller of the own zone, while home is elsewhere
-	lookPause   = 50 * time.Millisecond
-	looksInVain = 20                    // before the settings file is read again
-	lookMore    = 60 * time.Millisecond // for further answers after the first
+	controllerDial = 400 * time.Millisecond
+	lookAgain      = 3 * time.Second // for a controller of the own zone, while the edge's is elsewhere
+	lookPause      = 50 * time.Millisecond
+	looksInVain    = 20                    // before the settings file is read again
+	lookMore       = 60 * time.Millisecond // for further answers after the first
 )
 
 // found is a controller that answered.
@@ -41,13 +41,13 @@
 	attached bool
 }
 
-// run keeps a home, for as long as the process lives.
-func (h *home) run(c *Crossbar) {
+// run keeps a controller, for as long as the process lives.
+func (l *controllerLink) run(c *Proxy) {
 	for failed := 0; ; time.Sleep(lookPause) {
-		best, ok := h.look(c)
+		best, ok := l.look(c)
 		if ok {
 			failed = 0
-			h.stay(c, best)
+			l.stay(c, best)
 		} else if failed++; failed%looksInVain == 0 { // the file may have changed without a signal
 			c.reload()
 		}
@@ -55,23 +55,23 @@
 }
 
 // learn adds controllers that may be asked.
-func (h *home) learn(ips []string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func (l *controllerLink) learn(ips []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, ip := range ips {
-		h.known[ip] = true
+		l.known[ip] = true
 	}
 }
 
 // look asks all controllers that are known how they see the core, and takes the best: one that hears more than half of
 // it, then one of the own zone, then the one that rendezvous hashing names.
-func (h *home) look(c *Crossbar) (best found, ok bool) {
-	h.mu.Lock()
-	ips := make([]string, 0, len(h.known))
-	for ip := range h.known {
+func (l *controllerLink) look(c *Proxy) (best found, ok bool) {
+	l.mu.Lock()
+	ips := make([]string, 0, len(l.known))
+	for ip := range l.known {
 		ips = append(ips, ip)
 	}
-	h.mu.Unlock()
+	l.mu.Unlock()
 	answers := make(chan *found, len(ips))
 	for _, ip := range ips {
 		go func() { answers <- c.glance(ip) }()
@@ -93,9 +93,9 @@
 			if f == nil {
 				continue
 			}
-			h.mu.Lock()
-			h.zones[f.ip] = f.zone
-			h.mu.Unlock()
+			l.mu.Lock()
+			l.zones[f.ip] = f.zone
+			l.mu.Unlock()
 			if !ok || score(*f) > score(best) {
 				best, ok = *f, true
 			}
@@ -110,25 +110,25 @@
 }
 
 // glance asks one controller how it is.
-func (c *Crossbar) glance(ip string) (f *found) {
-	conn, err := c.security.Dial(c.set.Inner(ip), homeDial)
+func (c *Proxy) glance(ip string) (f *found) {
+	conn, err := c.security.Dial(c.set.Inner(ip), controllerDial)
 	if err != nil {
 		return nil
 	}
 	link := peer.NewLink(conn)
 	link.Send(&peer.Frame{Hello: &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Edge: true, Life: c.life, Look: true}})
 	_ = link.Read(func(got *peer.Frame) { // no answer is an answer
-		if got.Hello != nil && got.Pulse != nil {
-			f = &found{ip: ip, zone: got.Hello.Zone, attached: got.Pulse.Attached}
+		if got.Hello != nil && got.Summary != nil {
+			f = &found{ip: ip, zone: got.Hello.Zone, attached: got.Summary.Attached}
 		}
 		link.Close()
 	})
 	return f
 }
 
-// stay is at home until the link ends, or the controller is cut off from the core, or one of the own zone is back.
-func (h *home) stay(c *Crossbar, at found) {
-	conn, err := c.security.Dial(c.set.Inner(at.ip), homeDial)
+// stay is at its controller until the link ends, or the controller is cut off from the core, or one of the own zone is back.
+func (l *controllerLink) stay(c *Proxy, at found) {
+	conn, err := c.security.Dial(c.set.Inner(at.ip), controllerDial)
 	if err != nil {
 		return
 	}
@@ -139,34 +139,34 @@
 	}
 	link.Send(&peer.Frame{Hello: hello})
 	c.mu.Lock()
-	entries := c.dir.All(c.now())
+	entries := c.registry.All(c.now())
 	c.mu.Unlock()
 	if len(entries) > 0 { // a controller that starts anew knows no server
 		link.Send(&peer.Frame{Entries: entries})
 	}
-	h.mu.Lock()
-	h.link, h.ip = link, at.ip
-	h.mu.Unlock()
+	l.mu.Lock()
+	l.link, l.ip = link, at.ip
+	l.mu.Unlock()
 	c.claims.again(c)
 	_ = c.logger.Log("event", "home", "controller", at.ip, "zone", at.zone, "attached", at.attached)
 	var looked time.Duration
 	var cells peer.Comparing
 	detached := time.Duration(0)
 	_ = link.Read(func(f *peer.Frame) { // its end is logged below
-		if p := f.Pulse; p != nil {
+		if p := f.Summary; p != nil {
 			c.edges.Store(int32(p.Fleet))
-			h.learn(p.Exchanges)
+			l.learn(p.Controllers)
 			if p.Roster != nil {
-				c.lines.mu.Lock()
-				c.lines.Deal(p.Roster, peer.Badge(c.set.Node))
-				c.lines.mu.Unlock()
+				c.upstreams.mu.Lock()
+				c.upstreams.Deal(p.Roster, peer.Badge(c.set.Node))
+				c.upstreams.mu.Unlock()
 			}
-			link.Send(&peer.Frame{Pulse: &peer.Pulse{}})
+			link.Send(&peer.Frame{Summary: &peer.Summary{}})
 			now := c.now()
 			if p.Full {
 				c.mu.Lock()
-				if cells.Due(p.Sum, c.dir.Sum(), now) {
-					link.Send(&peer.Frame{Cells: &peer.Cells{Sums: c.dir.Sums()}})
+				if cells.Due(p.Sum, c.registry.Sum(), now) {
+					link.Send(&peer.Frame{Cells: &peer.Cells{Sums: c.registry.Sums()}})
 				}
 				c.mu.Unlock()
 			}
@@ -176,15 +176,15 @@
 				}
 				if now-looked > 2*lookPause && now-detached > lookPause {
 					looked = now
-					if best, ok := h.look(c); ok && best.attached && best.ip != at.ip {
+					if best, ok := l.look(c); ok && best.attached && best.ip != at.ip {
 						link.Close()
 					}
 				}
 			} else {
 				detached = 0
-				if at.zone != c.set.Zone && now-looked > lookAgain && h.localExists(c) {
+				if at.zone != c.set.Zone && now-looked > lookAgain && l.localExists(c) {
 					looked = now
-					if best, ok := h.look(c); ok && best.attached && best.zone == c.set.Zone {
+					if best, ok := l.look(c); ok && best.attached && best.zone == c.set.Zone {
 						link.Close()
 					}
 				}
@@ -192,28 +192,28 @@
 		}
 		c.frame(link, f)
 	})
-	h.mu.Lock()
-	h.link = nil
-	h.mu.Unlock()
+	l.mu.Lock()
+	l.link = nil
+	l.mu.Unlock()
 	_ = c.logger.Log("event", "home lost", "controller", at.ip)
 }
 
 // localExists tells whether any controller of the own zone was ever seen.
-func (h *home) localExists(c *Crossbar) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func (l *controllerLink) localExists(c *Proxy) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	zones := []string{}
-	for _, z := range h.zones {
+	for _, z := range l.zones {
 		zones = append(zones, z)
 	}
-	return len(h.zones) < len(h.known) || slices.Contains(zones, c.set.Zone)
+	return len(l.zones) < len(l.known) || slices.Contains(zones, c.set.Zone)
 }
 
-// send hands a frame to the home controller, if there is one.
-func (h *home) send(f *peer.Frame) bool {
-	h.mu.Lock()
-	link := h.link
-	h.mu.Unlock()
+// send hands a frame to the controller, if there is one.
+func (l *controllerLink) send(f *peer.Frame) bool {
+	l.mu.Lock()
+	link := l.link
+	l.mu.Unlock()
 	if link == nil {
 		return false
 	}
@@ -221,49 +221,49 @@
 	return true
 }
 
-// sendBoth hands a frame to home and to the other controller that claims went to, if there is one: home may have died without
+// sendBoth hands a frame to the controller and to the other one that claims went to, if there is one: the own may have died without
 // a sign, and what is sent to it until its silence is heard is lost.
-func (h *home) sendBoth(f *peer.Frame) {
-	h.send(f)
-	h.mu.Lock()
-	guest := h.guest
-	h.mu.Unlock()
+func (l *controllerLink) sendBoth(f *peer.Frame) {
+	l.send(f)
+	l.mu.Lock()
+	guest := l.guest
+	l.mu.Unlock()
 	if guest != nil {
 		guest.Send(f)
 	}
 }
 
 // reaches tells whether any controller can be asked now.
-func (h *home) reaches() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.link != nil || h.guest != nil
+func (l *controllerLink) reaches() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.link != nil || l.guest != nil
 }
 
-// sendElsewhere hands a frame to a controller that is not home.
-func (h *home) sendElsewhere(c *Crossbar) func(*peer.Frame) bool {
+// sendElsewhere hands a frame to a controller that is not its own.
+func (l *controllerLink) sendElsewhere(c *Proxy) func(*peer.Frame) bool {
 	return func(f *peer.Frame) bool {
-		h.calls <- struct{}{}
-		defer func() { <-h.calls }()
-		h.mu.Lock()
-		link, home := h.guest, h.ip
-		if h.link == nil {
-			home = ""
+		l.calls <- struct{}{}
+		defer func() { <-l.calls }()
+		l.mu.Lock()
+		link, own := l.guest, l.ip
+		if l.link == nil {
+			own = ""
 		}
-		ips := make([]string, 0, len(h.known))
-		for ip := range h.known {
-			if ip != home {
+		ips := make([]string, 0, len(l.known))
+		for ip := range l.known {
+			if ip != own {
 				ips = append(ips, ip)
 			}
 		}
-		h.mu.Unlock()
+		l.mu.Unlock()
 		if link == nil {
 			if link = c.visit(ips); link == nil {
 				return false
 			}
-			h.mu.Lock()
-			h.guest = link
-			h.mu.Unlock()
+			l.mu.Lock()
+			l.guest = link
+			l.mu.Unlock()
 		}
 		link.Send(f)
 		return true
@@ -271,14 +271,14 @@
 }
 
 // visit links to the first of these controllers that answers.
-func (c *Crossbar) visit(ips []string) *peer.Link {
+func (c *Proxy) visit(ips []string) *peer.Link {
 	slices.SortFunc(ips, func(a, b string) int {
 		return cmp.Compare(xxh3.HashString(c.set.Node+"\x00"+a), xxh3.HashString(c.set.Node+"\x00"+b))
 	})
 	conns := make(chan net.Conn, len(ips))
 	for _, ip := range ips {
 		go func() {
-			conn, err := c.security.Dial(c.set.Inner(ip), homeDial)
+			conn, err := c.security.Dial(c.set.Inner(ip), controllerDial)
 			if err != nil {
 				conn = nil
 			}
@@ -312,30 +312,30 @@
 					c.claims.ruled(r)
 				}
 			}
-			if f.Pulse != nil {
-				link.Send(&peer.Frame{Pulse: &peer.Pulse{}})
+			if f.Summary != nil {
+				link.Send(&peer.Frame{Summary: &peer.Summary{}})
 			}
 			if c.now()-last > guestQuiet {
 				link.Close()
 			}
 		})
-		c.home.mu.Lock()
-		if c.home.guest == link {
-			c.home.guest = nil
+		c.controller.mu.Lock()
+		if c.controller.guest == link {
+			c.controller.guest = nil
 		}
-		c.home.mu.Unlock()
+		c.controller.mu.Unlock()
 	}()
 	return link
 }
 
-// frame takes what the home controller sends.
-func (c *Crossbar) frame(link *peer.Link, f *peer.Frame) {
+// frame takes what the controller sends.
+func (c *Proxy) frame(link *peer.Link, f *peer.Frame) {
 	if len(f.Entries) > 0 {
 		c.heard(f.Entries)
 	}
 	if f.Cells != nil {
 		c.mu.Lock()
-		answer := f.Cells.Compare(c.dir, c.now())
+		answer := f.Cells.Compare(c.registry, c.now())
 		c.mu.Unlock()
 		if answer != nil {
 			link.Send(answer)
@@ -359,16 +359,16 @@
 	for _, r := range f.Rulings {
 		c.claims.ruled(r)
 	}
-	if f.Rooms != nil {
-		c.rooms.take(c, f.Rooms)
+	if f.Reservations != nil {
+		c.reservations.take(c, f.Reservations)
 	}
 	for _, l := range f.Leases {
-		c.rooms.lease(c, l.Lease)
+		c.reservations.lease(c, l.Lease)
 	}
 }
 
 // configure takes a configuration over, unless it is older than the one in force: within a life nothing goes back.
-func (c *Crossbar) configure(f *peer.Config) (ok bool) {
+func (c *Proxy) configure(f *peer.Config) (ok bool) {
 	tree := c.tree.Load()
 	if tree != nil && f.Version <= uint64(tree.Config.Version) {
 		return true
--- a/internal/edge/proxy/forward.go
+++ b/internal/edge/proxy/forward.go
@@ -45,7 +45,7 @@
 }
 
 // ServeHTTP takes a client's request.
-func (c *Crossbar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
 	now := c.now()
@@ -96,14 +96,14 @@
 	until   time.Duration
 	aim     time.Duration
 	began   time.Duration
-	tried   []*line
-	way     attempt.Cord
+	tried   []*upstream
+	way     attempt.Attempt
 	pass    *pass
 	stale   bool // the client has waited for longer than the aim: what is fresh is worth more
 }
 
 // take reads a request whole and checks what its route needs.
-func (c *Crossbar) take(w http.ResponseWriter, r *http.Request, tree *config.Tree, route *config.Route, now time.Duration) (*task, error) {
+func (c *Proxy) take(w http.ResponseWriter, r *http.Request, tree *config.Tree, route *config.Route, now time.Duration) (*task, error) {
 	t := &task{r: r, id: r.Header.Get("X-Attempt-Id"), route: route, began: now, aim: time.Duration(route.Setpoint * float64(time.Second))}
 	if t.id == "" {
 		return nil, apierror.Malformed.New("X-Attempt-Id is missing")
@@ -146,7 +146,7 @@
 }
 
 // keyed runs an operation at most once: claimed before the first byte leaves, kept once it is answered.
-func (c *Crossbar) keyed(w http.ResponseWriter, t *task) {
+func (c *Proxy) keyed(w http.ResponseWriter, t *task) {
 	key := idempotency.KeyOf(strings.ToLower(t.r.Host), t.r.Header.Get("X-Operation-Key"))
 	left := t.until - c.now()
 	token, ruling := c.claim(key, time.Duration(float64(t.aim)*waitShare), min(claimMost, time.Duration(float64(left)*claimShare)))
@@ -186,11 +186,11 @@
 }
 
 // run sends a request to servers until one answers, or no further try is allowed.
-func (c *Crossbar) run(t *task) (out outcome) {
-	m := c.asks(t.service)
+func (c *Proxy) run(t *task) (out outcome) {
+	budget := c.asks(t.service)
 	out = outcome{ending: attempt.NotSent, err: apierror.NoServer.New("no server of %s", t.service)}
-	t.pass = c.rooms.enter(c, t)
-	defer c.rooms.leave(c, t.pass, t.service)
+	t.pass = c.reservations.enter(c, t)
+	defer c.reservations.leave(c, t.pass, t.service)
 	way := &t.way
 	way.Safe, way.Most = t.route.Kind == config.Safe, t.route.Tries
 	for {
@@ -200,19 +200,19 @@
 			}
 			return out
 		}
-		l := c.seize(t, way.Sent > 0)
-		if l == nil {
+		u := c.seize(t, way.Sent > 0)
+		if u == nil {
 			if way.Sent == 0 && out.ending == attempt.NotSent {
 				out.err = apierror.Busy.New("no room at %s", t.service)
 			}
 			if way.Paid {
-				c.back(m)
+				c.back(budget)
 			}
 			return out
 		}
-		t.tried = append(t.tried, l)
-		out = c.try(t, l)
-		c.tally.Tries.WithLabelValues(out.ending.String()).Inc()
+		t.tried = append(t.tried, u)
+		out = c.try(t, u)
+		c.metrics.Tries.WithLabelValues(out.ending.String()).Inc()
 		c.waiting.wake(t.service)
 		held := out.rest == nil && (t.rest == nil || !t.rest.touched.Load())
 		next := way.Ended(out.ending, out.status, held)
@@ -220,7 +220,7 @@
 			return out
 		}
 		if next == attempt.Pay {
-			if !c.spend(m, t.pass) {
+			if !c.spend(budget, t.pass) {
 				return out
 			}
 			way.Paid = true
@@ -229,15 +229,15 @@
 }
 
 // seize finds a server with room, waiting a little for one.
-func (c *Crossbar) seize(t *task, further bool) *line {
-	if l := c.place(t); l != nil || further || !c.serves(t.service) {
-		return l // without any server there is nothing to wait for
+func (c *Proxy) seize(t *task, further bool) *upstream {
+	if u := c.place(t); u != nil || further || !c.serves(t.service) {
+		return u // without any server there is nothing to wait for
 	}
 	limit, rank := min(time.Duration(float64(t.aim)*waitShare), (t.until-c.now())/4), t.route.Priority
 	if t.stale { // it comes after all that can still be in time, and has nothing to lose by waiting
 		limit, rank = (t.until-c.now())/3, rank+staleRank
 	}
-	if c.rooms.first(t.pass) {
+	if c.reservations.first(t.pass) {
 		rank -= bookedRank
 	}
 	w := c.waiting.wait(t.service, rank, c.now())
@@ -247,8 +247,8 @@
 	for {
 		select {
 		case <-w.wake:
-			if l := c.place(t); l != nil {
-				return l
+			if u := c.place(t); u != nil {
+				return u
 			}
 		case <-timer.C:
 			return c.place(t)
@@ -257,15 +257,15 @@
 }
 
 // place picks a server, if the request may have room at its service.
-func (c *Crossbar) place(t *task) *line {
-	if !c.rooms.admit(t.pass, c.now()) {
+func (c *Proxy) place(t *task) *upstream {
+	if !c.reservations.admit(t.pass, c.now()) {
 		return nil
 	}
-	l := c.pick(t.service, t.tried)
-	if l == nil && t.way.Sent == 0 {
-		c.rooms.back(t.pass)
+	u := c.pick(t.service, t.tried)
+	if u == nil && t.way.Sent == 0 {
+		c.reservations.back(t.pass)
 	}
-	return l
+	return u
 }
 
 // hop are the headers that concern one connection. Expect is among them: what it asks for was granted here, and a server
@@ -291,7 +291,7 @@
 }
 
 // try sends the request to one server.
-func (c *Crossbar) try(t *task, l *line) (out outcome) {
+func (c *Proxy) try(t *task, u *upstream) (out outcome) {
 	began := c.now()
 	left := t.until - began - wayBack
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.r.Context()), left)
@@ -301,21 +301,21 @@
 		}
 	}()
 	dialCtx, dialDone := context.WithTimeout(ctx, dialLimit)
-	k, err := c.connect(dialCtx, l, t.rest != nil || t.route.Kind != config.Safe && c.distrusts(l.Service))
+	k, err := c.connect(dialCtx, u, t.rest != nil || t.route.Kind != config.Safe && c.distrusts(u.Service))
 	dialDone()
 	if err != nil {
-		c.done(l, 0, false, false)
+		c.done(u, 0, false, false)
 		return outcome{ending: attempt.NotSent, err: apierror.NoServer.Wrap(err, "dial")}
 	}
-	l.mu.Lock()
-	dead := l.dead
-	l.mu.Unlock()
+	u.mu.Lock()
+	dead := u.dead
+	u.mu.Unlock()
 	if dead { // it began to leave while we dialled
 		k.conn.Close()
-		c.done(l, 0, false, false)
+		c.done(u, 0, false, false)
 		return outcome{ending: attempt.NotSent, err: apierror.NoServer.New("server left")}
 	}
-	req := c.request(ctx, t, l)
+	req := c.request(ctx, t, u)
 	sent := c.now()
 	resp, err := k.conn.RoundTrip(req)
 	if err != nil {
@@ -324,29 +324,29 @@
 		if ctx.Err() != nil {
 			kind = apierror.TimedOut
 		} else if t.rest != nil && t.rest.failed.Load() != nil { // the client broke off, or was too slow: not the server's doing
-			c.done(l, 0, true, true)
+			c.done(u, 0, true, true)
 			return outcome{ending: attempt.Perhaps, err: kind.Wrap(*t.rest.failed.Load(), "body")}
 		} else if k.used {
-			c.distrust(l.Service)
+			c.distrust(u.Service)
 		}
-		c.done(l, 0, true, false)
-		return outcome{ending: attempt.Perhaps, err: kind.Wrap(err, "server %s", l.ID)}
+		c.done(u, 0, true, false)
+		return outcome{ending: attempt.Perhaps, err: kind.Wrap(err, "server %s", u.ID)}
 	}
-	out = c.read(t, l, resp)
+	out = c.read(t, u, resp)
 	now := c.now()
 	answered := out.ending == attempt.Ran && out.status < 500
 	if out.ending == attempt.Perhaps {
-		c.distrust(l.Service)
+		c.distrust(u.Service)
 	} else {
-		c.tell(l, resp.Header)
+		c.tell(u, resp.Header)
 	}
 	end := func(whole bool) {
 		if !whole || resp.Close || t.rest != nil { // after a long body it isn't known whether all of it was taken
 			k.conn.Close()
 		} else {
-			l.free(k, c.now(), resp.Header)
+			u.free(k, c.now(), resp.Header)
 		}
-		c.done(l, now-sent, true, answered)
+		c.done(u, now-sent, true, answered)
 	}
 	if out.rest == nil {
 		end(out.ending != attempt.Perhaps)
@@ -364,34 +364,34 @@
 // distrust notes that a service's connections can't be reused safely for now: servers drop them, or send on them what
 // belongs to no request. What must not run twice then goes on new ones, where nothing is left over; a new connection
 // costs little beside an operation whose outcome nobody knows.
-func (c *Crossbar) distrust(service string) {
+func (c *Proxy) distrust(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.doubted[service] = c.now() + distrustFor
 }
 
-func (c *Crossbar) distrusts(service string) bool {
+func (c *Proxy) distrusts(service string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.now() < c.doubted[service]
 }
 
 // request makes what is sent to the server.
-func (c *Crossbar) request(ctx context.Context, t *task, l *line) *http.Request {
+func (c *Proxy) request(ctx context.Context, t *task, u *upstream) *http.Request {
 	header := endToEnd(t.r.Header)
 	left := max(1, (t.until - c.now() - wayBack).Milliseconds())
 	header["X-Deadline-Ms"] = []string{strconv.FormatInt(left, 10)}
-	header["X-Expected-Instance"] = []string{l.ID}
+	header["X-Expected-Instance"] = []string{u.ID}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // so that none is added
 	}
-	u := &url.URL{Scheme: "http", Host: l.address, Opaque: t.r.RequestURI}
+	target := &url.URL{Scheme: "http", Host: u.address, Opaque: t.r.RequestURI}
 	if strings.HasPrefix(t.r.RequestURI, "//") || !strings.HasPrefix(t.r.RequestURI, "/") {
 		copied := *t.r.URL
-		u = &copied
-		u.Scheme, u.Host = "http", l.address
+		target = &copied
+		target.Scheme, target.Host = "http", u.address
 	}
-	req := (&http.Request{Method: t.r.Method, URL: u, Host: t.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	req := (&http.Request{Method: t.r.Method, URL: target, Host: t.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	switch {
 	case t.rest != nil:
 		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(t.body), t.rest))
@@ -407,7 +407,7 @@
 
 // read takes a server's answer: whole if it is short, else its beginning. It is this try's only if it carries its id,
 // and has to tell its end.
-func (c *Crossbar) read(t *task, l *line, resp *http.Response) (out outcome) {
+func (c *Proxy) read(t *task, u *upstream, resp *http.Response) (out outcome) {
 	defer func() {
 		if out.rest == nil {
 			resp.Body.Close()
@@ -432,7 +432,7 @@
 	}
 	switch a.Ending() {
 	case attempt.Perhaps:
-		why := "answer of server " + l.ID
+		why := "answer of server " + u.ID
 		switch {
 		case !a.Ours:
 			why += " belongs to another try: " + strconv.Quote(resp.Header.Get("X-Attempt-Id"))
@@ -448,7 +448,7 @@
 		return outcome{ending: attempt.Perhaps, err: apierror.PerhapsRun.New("%s", why)}
 	case attempt.NotRun:
 		return outcome{ending: attempt.NotRun, status: resp.StatusCode, header: resp.Header, body: body,
-			err: apierror.NotRun.New("server %s turned it away with %d", l.ID, resp.StatusCode)}
+			err: apierror.NotRun.New("server %s turned it away with %d", u.ID, resp.StatusCode)}
 	}
 	out = outcome{ending: attempt.Ran, status: resp.StatusCode, header: resp.Header, body: body}
 	if !whole {
@@ -458,7 +458,7 @@
 }
 
 // answer passes on what a server said, or says why nobody did.
-func (c *Crossbar) answer(w http.ResponseWriter, t *task, out outcome) {
+func (c *Proxy) answer(w http.ResponseWriter, t *task, out outcome) {
 	if out.ending != attempt.Ran {
 		err := out.err
 		if out.ending == attempt.NotSent || out.ending == attempt.NotRun {
@@ -484,7 +484,7 @@
 	case out.length >= 0:
 		h["Content-Length"] = []string{strconv.FormatInt(out.length, 10)}
 	}
-	c.tally.Requests.WithLabelValues(string(t.route.Kind), strconv.Itoa(out.status)).Inc()
+	c.metrics.Requests.WithLabelValues(string(t.route.Kind), strconv.Itoa(out.status)).Inc()
 	w.WriteHeader(out.status)
 	_, gone := w.Write(out.body) // a client that is gone has given up
 	if out.rest == nil {
@@ -496,14 +496,14 @@
 	}
 	out.end(broken == nil && gone == nil)
 	if broken != nil { // what was cut short must not look whole
-		c.tally.GivenUp.WithLabelValues(apierror.Kind(apierror.PerhapsRun.New("broken off"))).Inc()
+		c.metrics.GivenUp.WithLabelValues(apierror.Kind(apierror.PerhapsRun.New("broken off"))).Inc()
 		c.note(apierror.PerhapsRun.Wrap(broken, "answer breaks off"), t.r)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // refuse answers an error as the table of kinds says.
-func (c *Crossbar) refuse(w http.ResponseWriter, r *http.Request, err error) {
+func (c *Proxy) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	a := apierror.For(err)
 	h := w.Header()
 	if id := r.Header.Get("X-Attempt-Id"); id != "" {
@@ -517,13 +517,13 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(a.Status)
 	_, _ = io.WriteString(w, body) // a client that is gone has given up
-	c.tally.GivenUp.WithLabelValues(apierror.Kind(err)).Inc()
+	c.metrics.GivenUp.WithLabelValues(apierror.Kind(err)).Inc()
 	c.note(err, r)
 }
 
 // note logs what was given up, with its cause: a few lines a second of each kind, since a flood of refusals should not
 // cost more than the requests did. The counters tell all.
-func (c *Crossbar) note(err error, r *http.Request) {
+func (c *Proxy) note(err error, r *http.Request) {
 	kind, second := apierror.Kind(err), int64(c.now()/time.Second)
 	c.mu.Lock()
 	if c.noted.second != second {
@@ -538,35 +538,35 @@
 }
 
 // asks counts a request for a service and gives the service's retry budget.
-func (c *Crossbar) asks(service string) *retrybudget.Meter {
+func (c *Proxy) asks(service string) *retrybudget.Budget {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.meters[service]
+	budget := c.budgets[service]
 	slack := c.set.Bound("retry_slack", 0)
-	if m == nil {
-		m = retrybudget.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
-		c.meters[service] = m
+	if budget == nil {
+		budget = retrybudget.New(c.set.Bound("retry_ratio", 0), slack, int(c.edges.Load()))
+		c.budgets[service] = budget
 	}
-	m.Share(slack, int(c.edges.Load()))
-	m.Request()
+	budget.Share(slack, int(c.edges.Load()))
+	budget.Request()
 	a := c.asked[service]
 	if a == nil {
 		a = &peer.Asked{Service: service}
 		c.asked[service] = a
 	}
 	a.Requests++
-	return m
+	return budget
 }
 
-// spend takes a further try out of the purse. While room is booked at the service, one try is kept for those who booked.
-func (c *Crossbar) spend(m *retrybudget.Meter, p *pass) bool {
+// spend takes a further try out of the budget. While room is booked at the service, one try is kept for those who booked.
+func (c *Proxy) spend(budget *retrybudget.Budget, p *pass) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return m.Spend(p != nil && p.under == "")
+	return budget.Spend(p != nil && p.under == "")
 }
 
-func (c *Crossbar) back(m *retrybudget.Meter) {
+func (c *Proxy) back(budget *retrybudget.Budget) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m.Back()
+	budget.Back()
 }
--- a/internal/edge/proxy/holding.go
+++ b/internal/edge/proxy/holding.go
@@ -75,7 +75,7 @@
 // takeBody reads a request's body: whole if it is short, so that it can be sent again. Of a longer one the beginning is
 // held and the rest goes straight on, to one server. It has to come while the client still waits: one that sends slowly
 // holds a connection and what it sent, no longer than that.
-func (c *Crossbar) takeBody(w http.ResponseWriter, t *task, limit int64) error {
+func (c *Proxy) takeBody(w http.ResponseWriter, t *task, limit int64) error {
 	r := t.r
 	if limit <= 0 {
 		limit = 64 << 20
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -36,8 +36,8 @@
 	leaveQuiet  = 700 * time.Millisecond  // without any request
 )
 
-// Crossbar is one edge.
-type Crossbar struct {
+// Proxy is one edge.
+type Proxy struct {
 	set      *nodesettings.Settings
 	security *peer.Security
 	logger   log.Logger
@@ -45,48 +45,48 @@
 	life     uint64
 
 	tree  atomic.Pointer[config.Tree]
-	edges atomic.Int32 // in the whole fleet, as the home controller last told
+	edges atomic.Int32 // in the whole fleet, as the controller last told
 
-	mu     sync.Mutex
-	dir    *registry.Directory
-	meters map[string]*retrybudget.Meter
-	asked  map[string]*peer.Asked
+	mu       sync.Mutex
+	registry *registry.Registry
+	budgets  map[string]*retrybudget.Budget
+	asked    map[string]*peer.Asked
 
 	doubted map[string]time.Duration // services whose connections are not reused for what must not run twice, until when
 	noted   struct {                 // under mu
 		second int64
 		lines  map[string]int
 	}
-	lines    lines
-	tally    *metrics.Tally
-	home     home
-	claims   claims
-	rooms    rooms
-	conns    conns
-	door     door
-	held     account
-	dialer   *http.Transport
-	waiting  queue
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	lastSeen atomic.Int64 // when a request last came, on the steady clock
+	upstreams    upstreams
+	metrics      *metrics.Metrics
+	controller   controllerLink
+	claims       claims
+	reservations reservations
+	conns        conns
+	door         door
+	held         account
+	dialer       *http.Transport
+	waiting      queue
+	leaving      atomic.Bool
+	inFlight     atomic.Int64
+	lastSeen     atomic.Int64 // when a request last came, on the steady clock
 }
 
 // New makes an edge that holds nothing yet.
-func New(set *nodesettings.Settings, logger log.Logger) *Crossbar {
-	c := &Crossbar{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1,
-		meters: map[string]*retrybudget.Meter{}, asked: map[string]*peer.Asked{}}
-	c.dir = registry.New(tombstones)
-	c.tally = metrics.New(metrics.Edge)
-	c.lines.Finder = picker.New(set.Zone, rand.Float64)
-	c.home.known, c.home.zones, c.home.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
+func New(set *nodesettings.Settings, logger log.Logger) *Proxy {
+	c := &Proxy{set: set, logger: logger, began: time.Now(), life: rand.Uint64() | 1,
+		budgets: map[string]*retrybudget.Budget{}, asked: map[string]*peer.Asked{}}
+	c.registry = registry.New(tombstones)
+	c.metrics = metrics.New(metrics.Edge)
+	c.upstreams.Picker = picker.New(set.Zone, rand.Float64)
+	c.controller.known, c.controller.zones, c.controller.calls = map[string]bool{}, map[string]string{}, make(chan struct{}, 1)
 	for _, ip := range set.SeedIPs() {
-		c.home.known[ip] = true
+		c.controller.known[ip] = true
 	}
 	c.doubted = map[string]time.Duration{}
 	c.noted.lines = map[string]int{}
-	c.rooms.held.Life, c.rooms.gates, c.rooms.wants = c.life, map[string]*reservation.Gate{}, map[string]int{}
-	c.rooms.kick = make(chan struct{}, 1)
+	c.reservations.held.Life, c.reservations.gates, c.reservations.wants = c.life, map[string]*reservation.Gate{}, map[string]int{}
+	c.reservations.kick = make(chan struct{}, 1)
 	c.claims.open = map[idempotency.Token]*claim{}
 	c.conns.all, c.conns.most = map[net.Conn]*use{}, max(16, int(clientShare*float64(set.Limits.FileHandles-keptHandles)))
 	c.door = door{handler: c, conns: &c.conns}
@@ -120,8 +120,8 @@
 		}()
 	}
 	_ = logger.Log("event", "edge starts", "node", set.Node, "zone", set.Zone)
-	go c.home.run(c)
-	go c.rooms.run(ctx, c)
+	go c.controller.run(c)
+	go c.reservations.run(ctx, c)
 	go func() {
 		for range reloads {
 			c.reload()
@@ -135,7 +135,7 @@
 
 // reload takes the settings file's seeds over: the only part of it that a running edge has use for. A file that is wrong
 // changes nothing.
-func (c *Crossbar) reload() {
+func (c *Proxy) reload() {
 	if err := c.security.Reload(); err != nil {
 		_ = c.logger.Log("event", "inner TLS not taken over", "cause", err)
 	}
@@ -144,17 +144,17 @@
 		_ = c.logger.Log("event", "settings not taken over", "cause", err)
 		return
 	}
-	c.home.learn(set.SeedIPs())
+	c.controller.learn(set.SeedIPs())
 	_ = c.logger.Log("event", "settings read again", "seeds", strings.Join(set.Seeds, " "))
 }
 
 // now is the steady time since the process began.
-func (c *Crossbar) now() time.Duration { return time.Since(c.began) }
+func (c *Proxy) now() time.Duration { return time.Since(c.began) }
 
 // ready tells the platform whether to send clients here.
-func (c *Crossbar) ready(w http.ResponseWriter, r *http.Request) {
+func (c *Proxy) ready(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/metrics" {
-		c.tally.Handler().ServeHTTP(w, r)
+		c.metrics.Handler().ServeHTTP(w, r)
 		return
 	}
 	if r.URL.Path != "/readiness" {
@@ -168,14 +168,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (c *Crossbar) knowsServers() bool {
-	c.lines.mu.Lock()
-	defer c.lines.mu.Unlock()
-	return c.lines.Len() > 0
+func (c *Proxy) knowsServers() bool {
+	c.upstreams.mu.Lock()
+	defer c.upstreams.mu.Unlock()
+	return c.upstreams.Len() > 0
 }
 
 // work does what is due by the clock.
-func (c *Crossbar) work(ctx context.Context) {
+func (c *Proxy) work(ctx context.Context) {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
 	for {
@@ -192,7 +192,7 @@
 
 // leave ends in order: not ready at once, and serving until nothing comes any more or the time that is granted is
 // nearly over. It guards against breaking off what runs and against closing doors that clients still come to.
-func (c *Crossbar) leave(front net.Listener) {
+func (c *Proxy) leave(front net.Listener) {
 	c.leaving.Store(true)
 	_ = c.logger.Log("event", "told to end", "in_flight", c.inFlight.Load())
 	start := c.now()
@@ -217,7 +217,7 @@
 }
 
 // sweep closes what has been idle for too long, on both sides.
-func (c *Crossbar) sweep() {
+func (c *Proxy) sweep() {
 	if tree := c.tree.Load(); tree != nil && tree.Config.Limits.Idle > 0 {
 		idle, longest := time.Duration((tree.Config.Limits.Idle+0.5)*float64(time.Second)), 0.0
 		for _, r := range tree.Config.Routes {
@@ -226,26 +226,26 @@
 		c.conns.sweep(idle, idle+time.Duration(longest*float64(time.Second))+activeBeyond)
 	}
 	c.mu.Lock()
-	c.dir.Forget(c.now())
+	c.registry.Forget(c.now())
 	c.mu.Unlock()
-	c.lines.mu.Lock()
-	lines := c.lines.All()
-	c.lines.mu.Unlock()
-	for _, l := range lines {
-		l.Host.(*line).sweep(c.now())
+	c.upstreams.mu.Lock()
+	upstreams := c.upstreams.All()
+	c.upstreams.mu.Unlock()
+	for _, u := range upstreams {
+		u.Host.(*upstream).sweep(c.now())
 	}
 }
 
-// report tells the home controller what was met since the last report.
-func (c *Crossbar) report() {
+// report tells the controller what was met since the last report.
+func (c *Proxy) report() {
 	r := &peer.Report{Period: reportEvery.Seconds()}
-	c.lines.mu.Lock()
-	for _, l := range c.lines.All() {
-		if m := c.lines.Met(l); m.Tries > 0 {
-			r.Met = append(r.Met, peer.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
+	c.upstreams.mu.Lock()
+	for _, u := range c.upstreams.All() {
+		if m := c.upstreams.Met(u); m.Tries > 0 {
+			r.Met = append(r.Met, peer.Met{Server: u.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
 		}
 	}
-	c.lines.mu.Unlock()
+	c.upstreams.mu.Unlock()
 	c.mu.Lock()
 	for _, a := range c.asked {
 		r.Asked = append(r.Asked, *a)
@@ -253,6 +253,6 @@
 	clear(c.asked)
 	c.mu.Unlock()
 	if len(r.Met)+len(r.Asked) > 0 {
-		c.home.send(&peer.Frame{Report: r})
+		c.controller.send(&peer.Frame{Report: r})
 	}
 }
--- a/internal/edge/proxy/proxy_test.go
+++ b/internal/edge/proxy/proxy_test.go
@@ -41,17 +41,17 @@
 
 // hall is an edge among scripted peers, on a fake clock.
 type hall struct {
-	*Crossbar
-	g        *WithT
-	mu       sync.Mutex
-	servers  map[string]func(*http.Request) string // by address: the bytes of an answer; none hangs
-	got      []*http.Request                       // what servers were sent
-	bodies   []string
-	dials    int
-	rule     func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer)
-	voids    []idempotency.Record
-	kept     []idempotency.Record
-	exchange *peer.Link
+	*Proxy
+	g             *WithT
+	mu            sync.Mutex
+	servers       map[string]func(*http.Request) string // by address: the bytes of an answer; none hangs
+	got           []*http.Request                       // what servers were sent
+	bodies        []string
+	dials         int
+	rule          func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer)
+	voids         []idempotency.Record
+	kept          []idempotency.Record
+	controllerEnd *peer.Link
 }
 
 func in(t *testing.T, play func(*hall)) {
@@ -59,20 +59,20 @@
 		g := NewWithT(t)
 		set, err := nodesettings.Parse("test", []byte(settings))
 		g.Expect(err).NotTo(HaveOccurred())
-		h := &hall{Crossbar: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
+		h := &hall{Proxy: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
 		h.dialer.DialContext = h.dial
 		g.Expect(h.configure(&peer.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
 		near, far := net.Pipe()
 		link := peer.NewLink(near)
-		h.home.link = link
-		h.exchange = peer.NewLink(far)
+		h.controller.link = link
+		h.controllerEnd = peer.NewLink(far)
 		go func() { _ = link.Read(func(f *peer.Frame) { h.frame(link, f) }) }()
-		go func() { _ = h.exchange.Read(h.frameAtExchange) }()
+		go func() { _ = h.controllerEnd.Read(h.frameAtController) }()
 		defer func() {
 			link.Close()
-			h.exchange.Close()
-			for _, l := range h.lines.All() {
-				l.Host.(*line).end()
+			h.controllerEnd.Close()
+			for _, u := range h.upstreams.All() {
+				u.Host.(*upstream).end()
 			}
 			synctest.Wait()
 		}()
@@ -80,13 +80,13 @@
 	})
 }
 
-func (h *hall) frameAtExchange(f *peer.Frame) {
+func (h *hall) frameAtController(f *peer.Frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range f.Claims {
 		if h.rule != nil {
 			ruling, answer := h.rule(r)
-			h.exchange.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: r.Token, Ruling: ruling, Answer: answer}}})
+			h.controllerEnd.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: r.Token, Ruling: ruling, Answer: answer}}})
 		}
 	}
 	h.voids = append(h.voids, f.Voids...)
@@ -226,7 +226,7 @@
 				}
 				h.serve("i-1", script)
 				h.serve("i-2", script)
-				for range 4 { // fills the purse
+				for range 4 { // fills the budget
 					h.asks("tags")
 				}
 				w := h.ask("POST", c.path, "x")
@@ -340,14 +340,14 @@
 	t.Run("are refused early while no controller can be reached, and withdrawn once one can", func(t *testing.T) {
 		in(t, func(h *hall) {
 			h.serve("i-1", good)
-			link := h.home.link
-			h.home.link, h.home.known = nil, map[string]bool{}
+			link := h.controller.link
+			h.controller.link, h.controller.known = nil, map[string]bool{}
 			w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k")
 			h.g.Expect(w.Code).To(Equal(503))
 			h.g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
 			h.g.Expect(h.now()).To(BeNumerically("<=", 100*time.Millisecond), "a fifth of the aim and a little")
-			h.home.link = link
-			h.claims.again(h.Crossbar)
+			h.controller.link = link
+			h.claims.again(h.Proxy)
 			synctest.Wait()
 			h.g.Expect(h.voids).To(HaveLen(1))
 			h.g.Expect(h.got).To(BeEmpty())
@@ -363,7 +363,7 @@
 			go func() {
 				_ = other.Read(func(f *peer.Frame) { claims, voids = claims+len(f.Claims), voids+len(f.Voids) })
 			}()
-			h.home.guest = guest
+			h.controller.guest = guest
 			h.g.Expect(h.ask("POST", "/k/x", "x", "X-Operation-Key", "k").Code).To(Equal(503))
 			h.g.Expect(claims).To(Equal(1))
 			h.g.Expect(voids).To(Equal(1))
--- a/internal/edge/proxy/rooms_test.go
+++ b/internal/edge/proxy/reservations_test.go
@@ -50,20 +50,20 @@
 	`{"name":"s","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]},{"plant":"b.example","channels":[` +
 	`{"name":"t","path_prefix":"/s/","kind":"safe","deadline_s":2,"setpoint_s":0.4,"service":"tags","tries":2}]}]}`
 
-// hold gives the edge rooms and its parts of them.
-func (h *hall) hold(rooms []reservation.Room, parts map[string]int, full map[string]bool) {
-	h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3, List: rooms})
-	h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 1, For: 10 * time.Second, Parts: parts, Full: full})
+// hold gives the edge reservations and its parts of them.
+func (h *hall) hold(list []reservation.Reservation, parts map[string]int, full map[string]bool) {
+	h.reservations.take(h.Proxy, &peer.Reservations{Term: 3, List: list})
+	h.reservations.lease(h.Proxy, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 1, For: 10 * time.Second, Parts: parts, Full: full})
 }
 
-func TestOthersDoNotTakeBookedRoom(t *testing.T) {
+func TestOthersDoNotTakeAReservation(t *testing.T) {
 	in(t, func(h *hall) {
 		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 { // eight slots
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []reservation.Room{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
-		h.hold(rooms, map[string]int{"flyer": 6, reservation.Rest("tags"): 2}, map[string]bool{reservation.Rest("tags"): true})
+		list := []reservation.Reservation{{ID: "flyer", Tenant: "A.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(list, map[string]int{"flyer": 6, reservation.Rest("tags"): 2}, map[string]bool{reservation.Rest("tags"): true})
 		others := h.flood(30, "b.example")
 		time.Sleep(20 * time.Millisecond)
 		booked := h.flood(4, "a.example")
@@ -71,35 +71,35 @@
 		got := others()
 		h.g.Expect(got[200]).To(BeNumerically("<=", 6), "their own, what is lent, and what came free in a fifth of the aim")
 		h.g.Expect(got[503]).To(Equal(30 - got[200]))
-		h.g.Expect(h.rooms.gates["tags"].Idle()).To(BeTrue(), "all room is given back")
+		h.g.Expect(h.reservations.gates["tags"].Idle()).To(BeTrue(), "all room is given back")
 
 		// The booking ends: nobody is held any more.
-		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3})
-		h.g.Expect(h.rooms.on.Load()).To(BeFalse())
+		h.reservations.take(h.Proxy, &peer.Reservations{Term: 3})
+		h.g.Expect(h.reservations.on.Load()).To(BeFalse())
 		h.g.Expect(h.flood(8, "b.example")()).To(Equal(map[int]int{200: 8}))
 	})
 }
 
-// The booking is cancelled while others run in its room: they run on, nobody is held any more, and every slot is given back.
-func TestABookingEndsWhileItsRoomIsLent(t *testing.T) {
+// The booking is cancelled while others run under its reservation: they run on, nobody is held any more, and every slot is given back.
+func TestABookingEndsWhileItsReservationIsLent(t *testing.T) {
 	in(t, func(h *hall) {
 		h.g.Expect(h.configure(&peer.Config{Version: 2, Whole: []byte(twoTenants)})).To(BeTrue())
 		for i := range 4 {
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 7}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 1}}
-		h.hold(rooms, map[string]int{"flyer": 7, reservation.Rest("tags"): 1}, map[string]bool{reservation.Rest("tags"): true})
+		list := []reservation.Reservation{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 7}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 1}}
+		h.hold(list, map[string]int{"flyer": 7, reservation.Rest("tags"): 1}, map[string]bool{reservation.Rest("tags"): true})
 		lent := h.flood(3, "b.example")
 		booked := h.flood(1, "a.example")
-		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 3})
-		h.g.Expect(h.rooms.gates).To(HaveLen(1), "requests still run under it")
+		h.reservations.take(h.Proxy, &peer.Reservations{Term: 3})
+		h.g.Expect(h.reservations.gates).To(HaveLen(1), "requests still run under it")
 		more := h.flood(4, "b.example")
 		h.g.Expect(lent()).To(Equal(map[int]int{200: 3}))
 		h.g.Expect(booked()).To(Equal(map[int]int{200: 1}))
 		h.g.Expect(more()).To(Equal(map[int]int{200: 4}))
-		h.rooms.say(h.Crossbar)
-		h.g.Expect(h.rooms.gates).To(BeEmpty())
-		h.g.Expect(h.rooms.on.Load()).To(BeFalse())
+		h.reservations.say(h.Proxy)
+		h.g.Expect(h.reservations.gates).To(BeEmpty())
+		h.g.Expect(h.reservations.on.Load()).To(BeFalse())
 	})
 }
 
@@ -111,10 +111,10 @@
 		for i := range 4 {
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
-		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
-		h.hold(rooms, map[string]int{"flyer": 1, reservation.Rest("tags"): 0}, nil)
+		list := []reservation.Reservation{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 6}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 2}}
+		h.hold(list, map[string]int{"flyer": 1, reservation.Rest("tags"): 0}, nil)
 		h.g.Expect(h.flood(6, "a.example")()).To(Equal(map[int]int{200: 6}))
-		h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
+		h.reservations.lease(h.Proxy, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 2, For: 10 * time.Second,
 			Parts: map[string]int{"flyer": 1, reservation.Rest("tags"): 2}, Full: map[string]bool{"flyer": true, reservation.Rest("tags"): true}})
 		h.g.Expect(h.flood(8, "a.example")()[200]).To(Equal(3), "one booked, two as everybody")
 	})
@@ -129,12 +129,12 @@
 			h.serve(fmt.Sprint("i-", i), works(h, 300*time.Millisecond))
 		}
 		h.edges.Store(2)
-		rooms := []reservation.Room{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 4}}
-		h.hold(rooms, map[string]int{"flyer": 4, reservation.Rest("tags"): 4}, map[string]bool{reservation.Rest("tags"): true})
+		list := []reservation.Reservation{{ID: "flyer", Tenant: "a.example", Service: "tags", Slots: 4}, {ID: reservation.Rest("tags"), Service: "tags", Slots: 4}}
+		h.hold(list, map[string]int{"flyer": 4, reservation.Rest("tags"): 4}, map[string]bool{reservation.Rest("tags"): true})
 		time.Sleep(11 * time.Second)
-		h.rooms.say(h.Crossbar)
-		h.rooms.take(h.Crossbar, &peer.Rooms{Term: 4, List: rooms})
-		h.rooms.lease(h.Crossbar, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 9, For: 10 * time.Second, Parts: map[string]int{reservation.Rest("tags"): 8}})
+		h.reservations.say(h.Proxy)
+		h.reservations.take(h.Proxy, &peer.Reservations{Term: 4, List: list})
+		h.reservations.lease(h.Proxy, reservation.Lease{Life: h.life, Stamp: h.now(), Term: 3, Seq: 9, For: 10 * time.Second, Parts: map[string]int{reservation.Rest("tags"): 8}})
 		others := h.flood(10, "b.example")
 		booked := h.flood(4, "a.example")
 		h.g.Expect(booked()).To(Equal(map[int]int{200: 4}))
--- a/internal/edge/retrybudget/retrybudget_test.go
+++ b/internal/edge/retrybudget/retrybudget_test.go
@@ -10,7 +10,7 @@
 	"mulleinwood/internal/edge/retrybudget"
 )
 
-func TestMeter(t *testing.T) {
+func TestBudget(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "retrybudget")
 }
@@ -22,7 +22,7 @@
 	// largest excess over the budget in any window.
 	play := func(seed uint64, refill bool) (worst float64) {
 		rng := rand.New(rand.NewPCG(seed, 5))
-		edges := make([]*retrybudget.Meter, 10)
+		edges := make([]*retrybudget.Budget, 10)
 		for i := range edges {
 			edges[i] = retrybudget.New(ratio, slack, len(edges))
 		}
--- a/internal/operator/bookings.go
+++ b/internal/operator/bookings.go
@@ -12,9 +12,9 @@
 	Use      []Use                 `json:"use"`
 }
 
-// Use is a room that is held now and how much of it is wanted, in work or waiting.
+// Use is a reservation that is held now and how much of it is wanted, in work or waiting.
 type Use struct {
-	reservation.Room
+	reservation.Reservation
 	Wanted int `json:"wanted"`
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -150,7 +150,7 @@
 	DiskRefuses bool     `json:"disk_refuses"`
 	DiskMs      float64  `json:"disk_ms"`
 	Edges       []string `json:"edges"`
-	Exchanges   []string `json:"exchanges"`
+	Controllers []string `json:"exchanges"`
 	Control     []string `json:"control"`
 	Servers     []Server `json:"servers"`
 	Endangered  []string `json:"endangered,omitempty"` // bookings that can't be kept, as the leader sees it
--- a/internal/operator/plot.go
+++ b/internal/operator/plot.go
@@ -11,13 +11,13 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Noted is how a room was at a time.
+// Noted is how a reservation was at a time.
 type Noted struct {
 	At float64
 	Use
 }
 
-// PlotUse draws each room, and what was wanted of it, over time.
+// PlotUse draws each reservation, and what was wanted of it, over time.
 func PlotUse(path string, uses []Noted) error {
 	if len(uses) == 0 {
 		return errors.New("no room was held: there is nothing to draw")
--- a/internal/platform/metrics/metrics.go
+++ b/internal/platform/metrics/metrics.go
@@ -14,8 +14,8 @@
 	Edge       = "edge"
 )
 
-// Tally is one process's counters.
-type Tally struct {
+// Metrics is one process's counters.
+type Metrics struct {
 	registry *prometheus.Registry
 	Requests *prometheus.CounterVec // by route kind and status
 	GivenUp  *prometheus.CounterVec // by error kind
@@ -25,7 +25,7 @@
 }
 
 // New makes counters for a process of a role.
-func New(role string) *Tally {
+func New(role string) *Metrics {
 	r := prometheus.NewRegistry()
 	labels := prometheus.Labels{"role": role}
 	vec := func(name, help string, by ...string) *prometheus.CounterVec {
@@ -33,7 +33,7 @@
 		r.MustRegister(c)
 		return c
 	}
-	t := &Tally{registry: r,
+	m := &Metrics{registry: r,
 		Requests: vec("requests_total", "Requests answered.", "kind", "status"),
 		GivenUp:  vec("given_up_total", "Requests and calls given up, by kind of error.", "error"),
 		Tries:    vec("tries_total", "Tries at servers, by how they ended.", "ending"),
@@ -42,12 +42,12 @@
 			ConstLabels: labels, Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .25, 1, 4}}),
 	}
 	if role == Controller {
-		r.MustRegister(t.Syncs)
+		r.MustRegister(m.Syncs)
 	}
-	return t
+	return m
 }
 
 // Handler tells the counters.
-func (t *Tally) Handler() http.Handler {
-	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/platform/peer/compare.go
+++ b/internal/platform/peer/compare.go
@@ -6,7 +6,7 @@
 	"mulleinwood/internal/control/registry"
 )
 
-// Comparing tells when to ask the other end of a link which cells differ: once two of its full pulses in a row had
+// Comparing tells when to ask the other end of a link which cells differ: once two of its full summaries in a row had
 // another sum, since news may be on its way, and not again for a while.
 type Comparing struct {
 	differed int
@@ -16,7 +16,7 @@
 
 const compareAgain = 4 * time.Second
 
-// Due takes a full pulse's sum.
+// Due takes a full summary's sum.
 func (c *Comparing) Due(theirs, ours uint64, now time.Duration) bool {
 	if theirs == ours {
 		c.differed = 0
@@ -33,7 +33,7 @@
 // Compare answers what the other end says of its cells, after its Entries were taken: whoever is asked sends its lives of
 // the cells that differ, and whoever asked sends its own of those that still do. It guards against news that was missed
 // while links came and went, however that happened.
-func (c *Cells) Compare(d *registry.Directory, now time.Duration) *Frame {
+func (c *Cells) Compare(d *registry.Registry, now time.Duration) *Frame {
 	ours, zones, here := d.Sums(), map[string]bool{}, map[string]uint64{}
 	for zone, sum := range c.Sums {
 		if ours[zone] != sum {
--- a/internal/platform/peer/compare_test.go
+++ b/internal/platform/peer/compare_test.go
@@ -31,7 +31,7 @@
 				b.Take(e, 0)
 			}
 		}
-		take := func(d *registry.Directory, f *peer.Frame) {
+		take := func(d *registry.Registry, f *peer.Frame) {
 			for _, e := range f.Entries {
 				d.Take(e, 0)
 			}
