--- a/internal/platform/peer/frame.go
+++ b/internal/platform/peer/frame.go
@@ -1,5 +1,5 @@
 // Package peer is the links between the gateway's own processes: frames of CBOR, each after its length, over one TCP
-// connection a pair. Both ends send pulses, so that a cut, which is silent, is heard within a second.
+// connection a pair. Both ends send summaries, so that a cut, which is silent, is heard within a second.
 package peer
 
 import (
@@ -13,46 +13,46 @@
 
 // Frame is one message. Most have one field set; what is said together travels together.
 type Frame struct {
-	Hello    *Hello               `cbor:"1,keyasint,omitempty"`
-	Pulse    *Pulse               `cbor:"2,keyasint,omitempty"`
-	Agree    []consensus.Message  `cbor:"3,keyasint,omitempty"`
-	Entries  []registry.Entry     `cbor:"4,keyasint,omitempty"`
-	Receipt  uint64               `cbor:"5,keyasint,omitempty"` // to be sent back once Entries are in force
-	Received uint64               `cbor:"6,keyasint,omitempty"`
-	Config   *Config              `cbor:"7,keyasint,omitempty"`
-	Weights  *Weights             `cbor:"8,keyasint,omitempty"`
-	Report   *Report              `cbor:"9,keyasint,omitempty"`
-	Claims   []idempotency.Record `cbor:"10,keyasint,omitempty"` // edge to its controller
-	Rulings  []Ruling             `cbor:"11,keyasint,omitempty"` // and back
-	Asks     []idempotency.Record `cbor:"12,keyasint,omitempty"` // office to ledger
-	Verdicts []Verdict            `cbor:"13,keyasint,omitempty"` // and back
-	Voids    []idempotency.Record `cbor:"14,keyasint,omitempty"`
-	Done     []idempotency.Record `cbor:"15,keyasint,omitempty"`
-	Fetch    []idempotency.Record `cbor:"16,keyasint,omitempty"` // an answer that another controller holds
-	Fetched  []idempotency.Record `cbor:"17,keyasint,omitempty"`
-	Copy     bool                 `cbor:"18,keyasint,omitempty"` // the whole ledger is wanted
-	Copied   *Copied              `cbor:"19,keyasint,omitempty"`
-	NeedAll  bool                 `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
-	Cells    *Cells               `cbor:"21,keyasint,omitempty"`
-	Rooms    *Rooms               `cbor:"22,keyasint,omitempty"`
-	Words    []Worded             `cbor:"23,keyasint,omitempty"` // edge to its controller, and on to the dealer
-	Leases   []Leased             `cbor:"24,keyasint,omitempty"` // and back
-}
-
-// Rooms are all that are held, as the leader of a term says.
-type Rooms struct {
-	Term uint64             `cbor:"1,keyasint"`
-	List []reservation.Room `cbor:"2,keyasint,omitempty"`
-}
-
-// Worded is an edge's word on its rooms.
-type Worded struct {
-	Edge string           `cbor:"1,keyasint"` // IP
-	Word reservation.Word `cbor:"2,keyasint"`
-}
-
-// Leased is an edge's parts of the rooms.
-type Leased struct {
+	Hello        *Hello               `cbor:"1,keyasint,omitempty"`
+	Summary      *Summary             `cbor:"2,keyasint,omitempty"`
+	Agree        []consensus.Message  `cbor:"3,keyasint,omitempty"`
+	Entries      []registry.Entry     `cbor:"4,keyasint,omitempty"`
+	Receipt      uint64               `cbor:"5,keyasint,omitempty"` // to be sent back once Entries are in force
+	Received     uint64               `cbor:"6,keyasint,omitempty"`
+	Config       *Config              `cbor:"7,keyasint,omitempty"`
+	Weights      *Weights             `cbor:"8,keyasint,omitempty"`
+	Report       *Report              `cbor:"9,keyasint,omitempty"`
+	Claims       []idempotency.Record `cbor:"10,keyasint,omitempty"` // edge to its controller
+	Rulings      []Ruling             `cbor:"11,keyasint,omitempty"` // and back
+	Asks         []idempotency.Record `cbor:"12,keyasint,omitempty"` // coordinator to claim store
+	Verdicts     []Verdict            `cbor:"13,keyasint,omitempty"` // and back
+	Voids        []idempotency.Record `cbor:"14,keyasint,omitempty"`
+	Done         []idempotency.Record `cbor:"15,keyasint,omitempty"`
+	Fetch        []idempotency.Record `cbor:"16,keyasint,omitempty"` // an answer that another controller holds
+	Fetched      []idempotency.Record `cbor:"17,keyasint,omitempty"`
+	Copy         bool                 `cbor:"18,keyasint,omitempty"` // the whole claim store is wanted
+	Copied       *Copied              `cbor:"19,keyasint,omitempty"`
+	NeedAll      bool                 `cbor:"20,keyasint,omitempty"` // a whole configuration is wanted
+	Cells        *Cells               `cbor:"21,keyasint,omitempty"`
+	Reservations *Reservations        `cbor:"22,keyasint,omitempty"`
+	Demands      []EdgeDemand         `cbor:"23,keyasint,omitempty"` // edge to its controller, and on to the dealer
+	Leases       []EdgeLease          `cbor:"24,keyasint,omitempty"` // and back
+}
+
+// Reservations are all that are held, as the leader of a term says.
+type Reservations struct {
+	Term uint64                    `cbor:"1,keyasint"`
+	List []reservation.Reservation `cbor:"2,keyasint,omitempty"`
+}
+
+// EdgeDemand is an edge's word on its reservations.
+type EdgeDemand struct {
+	Edge   string             `cbor:"1,keyasint"` // IP
+	Demand reservation.Demand `cbor:"2,keyasint"`
+}
+
+// EdgeLease is an edge's parts of the reservations.
+type EdgeLease struct {
 	Edge  string            `cbor:"1,keyasint"`
 	Lease reservation.Lease `cbor:"2,keyasint"`
 }
@@ -72,23 +72,23 @@
 	Edge    bool     `cbor:"4,keyasint,omitempty"`
 	Life    uint64   `cbor:"5,keyasint"`
 	Version uint64   `cbor:"6,keyasint,omitempty"`  // of the configuration held
-	Members []string `cbor:"7,keyasint,omitempty"`  // of the agreement, as a controller knows them
+	Members []string `cbor:"7,keyasint,omitempty"`  // of the consensus, as a controller knows them
 	Look    bool     `cbor:"8,keyasint,omitempty"`  // only to see how a controller is
 	Blank   bool     `cbor:"9,keyasint,omitempty"`  // the disk came back empty: answers that others still hold are wanted
 	Counted bool     `cbor:"10,keyasint,omitempty"` // a controller that the platform counts, and that may be a member
 }
 
-// Pulse says that the sender lives. Attached: a controller that hears more than half of the core. Every few pulses are
+// Summary says that the sender lives. Attached: a controller that hears more than half of the core. Every few summaries are
 // full: with the controllers that the sender is linked to, and the traffic of its edges.
-type Pulse struct {
-	Attached  bool     `cbor:"1,keyasint,omitempty"`
-	Version   uint64   `cbor:"2,keyasint,omitempty"`
-	Edges     int      `cbor:"3,keyasint,omitempty"` // whose home the sender is
-	Fleet     int      `cbor:"7,keyasint,omitempty"` // edges of all controllers
-	Full      bool     `cbor:"6,keyasint,omitempty"`
-	Exchanges []string `cbor:"4,keyasint,omitempty"`
-	Usual     []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
-	Sum       uint64   `cbor:"8,keyasint,omitempty"` // of the servers that the sender knows, in full pulses
+type Summary struct {
+	Attached    bool     `cbor:"1,keyasint,omitempty"`
+	Version     uint64   `cbor:"2,keyasint,omitempty"`
+	Edges       int      `cbor:"3,keyasint,omitempty"` // whose controller the sender is
+	Fleet       int      `cbor:"7,keyasint,omitempty"` // edges of all controllers
+	Full        bool     `cbor:"6,keyasint,omitempty"`
+	Controllers []string `cbor:"4,keyasint,omitempty"`
+	Usual       []Zoned  `cbor:"5,keyasint,omitempty"` // requests a second that the sender's edges bring
+	Sum         uint64   `cbor:"8,keyasint,omitempty"` // of the servers that the sender knows, in full summaries
 
 	Crew   map[string][]uint32 `cbor:"9,keyasint,omitempty"`  // to controllers: the sender's edges, by zone
 	Roster []uint32            `cbor:"10,keyasint,omitempty"` // to an edge: all of its zone, once it has changed
@@ -160,14 +160,14 @@
 	Answer *idempotency.Answer `cbor:"3,keyasint,omitempty"` // of the first run
 }
 
-// Verdict tells an office what a ledger says.
+// Verdict tells a coordinator what a claim store says.
 type Verdict struct {
 	Token   idempotency.Token   `cbor:"1,keyasint"`
 	Verdict idempotency.Verdict `cbor:"2,keyasint"`
 	Holder  *idempotency.Record `cbor:"3,keyasint,omitempty"`
 }
 
-// Copied is a part of a ledger, for one that copies.
+// Copied is a part of a claim store, for one that copies.
 type Copied struct {
 	Records []idempotency.Record `cbor:"1,keyasint,omitempty"`
 	Last    bool                 `cbor:"2,keyasint,omitempty"`
--- a/internal/platform/peer/link.go
+++ b/internal/platform/peer/link.go
@@ -12,12 +12,12 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Spans of a link. Both ends pulse; a peer that is silent for longer than Silence is taken to be cut off.
+// Spans of a link. Both ends send summaries; a peer that is silent for longer than Silence is taken to be cut off.
 const (
-	PulseEvery = 250 * time.Millisecond
-	Silence    = 800 * time.Millisecond
-	frameMost  = 16 << 20
-	queueMost  = 64 << 20
+	SummaryEvery = 250 * time.Millisecond
+	Silence      = 800 * time.Millisecond
+	frameMost    = 16 << 20
+	queueMost    = 64 << 20
 )
 
 var decoding = func() cbor.DecMode {
@@ -134,7 +134,7 @@
 		if n > frameMost {
 			return errFrame
 		}
-		if n > 64<<10 { // large ones may take longer than a pulse
+		if n > 64<<10 { // large ones may take longer than a summary
 			if err := l.conn.SetReadDeadline(time.Now().Add(4 * Silence)); err != nil {
 				return err
 			}
--- a/internal/platform/storage/growth_test.go
+++ b/internal/platform/storage/growth_test.go
@@ -22,7 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		dir := t.TempDir()
-		a, _, err := storage.Open(dir, window, 64<<20)
+		st, _, err := storage.Open(dir, window, 64<<20)
 		g.Expect(err).NotTo(HaveOccurred())
 		size := func() int64 {
 			info, err := os.Stat(filepath.Join(dir, "exchange.db"))
@@ -44,21 +44,21 @@
 				b.Entries, b.Snapshot = nil, &consensus.Snapshot{Term: 1, Index: index, Data: make([]byte, 50_000)}
 			}
 			b.Servers = []registry.Entry{{ID: fmt.Sprint("i-", index), Address: "x:1"}, {ID: fmt.Sprint("i-", index-min(index, 20)), State: registry.Gone}}
-			g.Expect(a.Commit([]*storage.Batch{b})).To(Succeed())
+			g.Expect(st.Commit([]*storage.Batch{b})).To(Succeed())
 			if second == 600 {
 				early = size()
 			}
 			time.Sleep(5 * time.Second)
 		}
 		g.Expect(size()).To(BeNumerically("<=", early+16<<20), "bbolt makes a file longer by 16 MB at a time")
-		g.Expect(a.Close()).To(Succeed())
-		a, s, err := storage.Open(dir, window, 64<<20)
+		g.Expect(st.Close()).To(Succeed())
+		st, s, err := storage.Open(dir, window, 64<<20)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(s.Spoilt).NotTo(HaveOccurred())
 		g.Expect(len(s.Records)).To(BeNumerically("<=", 100*24), "eight spans, each of which ends with the first write after ten seconds")
 		g.Expect(len(s.Records)).To(BeNumerically(">=", 100*12))
 		g.Expect(len(s.Entries)).To(BeNumerically("<", 64))
 		g.Expect(len(s.Servers)).To(BeNumerically("<=", 21))
-		g.Expect(a.Close()).To(Succeed())
+		g.Expect(st.Close()).To(Succeed())
 	})
 }
--- a/internal/platform/storage/open.go
+++ b/internal/platform/storage/open.go
@@ -64,7 +64,7 @@
 // A file that can't be believed is worth as much as an empty disk, and no more: it is put aside, and State.Spoilt says
 // why. It is read through once before it is opened for writing, since a torn or spoilt page makes bbolt panic, some of it
 // where nobody can recover.
-func Open(dir string, window time.Duration, answers int64) (*Archive, *State, error) {
+func Open(dir string, window time.Duration, answers int64) (*Storage, *State, error) {
 	path := filepath.Join(dir, fileName)
 	tries := path + ".opening"
 	spoilt := crashLoop(tries)
@@ -88,15 +88,15 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("open %s: %w", path, err)
 	}
-	a := &Archive{db: db, span: window / 6, answers: answers, spans: spans{from: time.Now()}}
-	s, err := a.load()
+	st := &Storage{db: db, span: window / 6, answers: answers, spans: spans{from: time.Now()}}
+	s, err := st.load()
 	if err != nil {
 		db.Close()
 		return nil, nil, fmt.Errorf("read %s: %w", path, err)
 	}
 	s.Spoilt = spoilt
 	_ = os.Remove(tries) // one that stays is counted from the next time on
-	return a, s, nil
+	return st, s, nil
 }
 
 // openDB opens a file for writing. bbolt looks for free pages then, and panics where pages contradict each other.
@@ -142,14 +142,14 @@
 		return err
 	}
 	defer db.Close()
-	_, err = (&Archive{db: db}).load()
+	_, err = (&Storage{db: db}).load()
 	return err
 }
 
 // load reads all that the file holds, and makes what a new one lacks.
-func (a *Archive) load() (*State, error) {
+func (st *Storage) load() (*State, error) {
 	s := &State{}
-	err := a.db.View(func(tx *bolt.Tx) error {
+	err := st.db.View(func(tx *bolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		if meta == nil {
 			s.New = true
@@ -171,12 +171,12 @@
 		}); err != nil {
 			return err
 		}
-		return a.readLedger(tx.Bucket(ledgerBucket), s)
+		return st.readClaims(tx.Bucket(ledgerBucket), s)
 	})
-	if err != nil || !s.New || a.db.IsReadOnly() {
+	if err != nil || !s.New || st.db.IsReadOnly() {
 		return s, err
 	}
-	return s, a.db.Update(func(tx *bolt.Tx) error {
+	return s, st.db.Update(func(tx *bolt.Tx) error {
 		for _, name := range [][]byte{metaBucket, logBucket, ledgerBucket, serversBucket} {
 			if _, err := tx.CreateBucket(name); err != nil {
 				return err
@@ -246,24 +246,24 @@
 	})
 }
 
-func (a *Archive) readLedger(ledger *bolt.Bucket, s *State) error {
+func (st *Storage) readClaims(ledger *bolt.Bucket, s *State) error {
 	if ledger == nil {
 		return errBucket
 	}
 	return ledger.ForEachBucket(func(name []byte) error {
-		a.gens, a.bytes = append(a.gens, binary.BigEndian.Uint64(name)), append(a.bytes, 0)
+		st.gens, st.bytes = append(st.gens, binary.BigEndian.Uint64(name)), append(st.bytes, 0)
 		return ledger.Bucket(name).ForEach(func(k, v []byte) error {
 			var r idempotency.Record
 			if err := get(k, v, &r); err != nil {
 				return fmt.Errorf("ledger: %w", err)
 			}
 			n := binary.BigEndian.Uint64(k)
-			if a.seq != 0 && n != a.seq+1 {
-				return fmt.Errorf("ledger: line %d after line %d", n, a.seq)
+			if st.seq != 0 && n != st.seq+1 {
+				return fmt.Errorf("ledger: line %d after line %d", n, st.seq)
 			}
-			a.seq = n
+			st.seq = n
 			if r.Answer != nil {
-				a.bytes[len(a.bytes)-1] += int64(len(r.Answer.Body))
+				st.bytes[len(st.bytes)-1] += int64(len(r.Answer.Body))
 			}
 			s.Records = append(s.Records, r)
 			return nil
--- a/internal/platform/storage/storage.go
+++ b/internal/platform/storage/storage.go
@@ -1,4 +1,4 @@
-// Package storage keeps a controller's lasting state on disk: its part of the consensus and its ledger of claims, in one
+// Package storage keeps a controller's lasting state on disk: its part of the consensus and its claim store, in one
 // bbolt file. What is handed over together becomes durable together.
 package storage
 
@@ -35,8 +35,8 @@
 type State struct {
 	New         bool     // nothing was there
 	Spoilt      error    // what was there could not be believed, and was put aside: this disk has told what it doesn't know
-	Members     []string // of the agreement
-	Hard        consensus.Hard
+	Members     []string // of the consensus
+	Hard        consensus.HardState
 	Snapshot    consensus.Snapshot
 	Entries     []consensus.Entry
 	Records     []idempotency.Record // in the order they were written
@@ -47,7 +47,7 @@
 // Batch is what becomes durable together.
 type Batch struct {
 	Members     []string
-	Hard        *consensus.Hard
+	Hard        *consensus.HardState
 	Snapshot    *consensus.Snapshot
 	Truncate    uint64
 	Entries     []consensus.Entry
@@ -56,15 +56,15 @@
 	LedgerBlank *bool
 }
 
-// Archive is an open file.
-type Archive struct {
+// Storage is an open file.
+type Storage struct {
 	db      *bolt.DB
 	span    time.Duration
 	answers int64 // bytes that answers may take
 	spans
 }
 
-// spans are the buckets of the ledger: each holds the claims of one span of time and is dropped whole.
+// spans are the buckets of the claim store: each holds the claims of one span of time and is dropped whole.
 type spans struct {
 	gens  []uint64 // oldest first
 	bytes []int64  // of the answers in each
@@ -87,7 +87,7 @@
 const spansKept = 8
 
 // Close closes the file.
-func (a *Archive) Close() error { return a.db.Close() }
+func (st *Storage) Close() error { return st.db.Close() }
 
 func key(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
@@ -100,14 +100,14 @@
 }
 
 // Commit makes batches durable, in order, or nothing of them.
-func (a *Archive) Commit(batches []*Batch) error {
-	spans := a.clone()
-	err := a.db.Update(func(tx *bolt.Tx) error {
+func (st *Storage) Commit(batches []*Batch) error {
+	spans := st.clone()
+	err := st.db.Update(func(tx *bolt.Tx) error {
 		for _, b := range batches {
 			if err := b.agree(tx); err != nil {
 				return err
 			}
-			if err := a.claims(tx, b, &spans); err != nil {
+			if err := st.claims(tx, b, &spans); err != nil {
 				return err
 			}
 			if err := b.servers(tx); err != nil {
@@ -117,12 +117,12 @@
 		return nil
 	})
 	if err == nil {
-		a.spans = spans
+		st.spans = spans
 	}
 	return err
 }
 
-// agree writes the agreement's part of a batch.
+// agree writes the consensus's part of a batch.
 func (b *Batch) agree(tx *bolt.Tx) error {
 	meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
 	if b.Hard != nil {
@@ -178,8 +178,8 @@
 	return nil
 }
 
-// claims writes a batch's lines of the ledger, and drops spans whose claims are all out of their window.
-func (a *Archive) claims(tx *bolt.Tx, b *Batch, s *spans) error {
+// claims writes a batch's claims, and drops spans whose claims are all out of their window.
+func (st *Storage) claims(tx *bolt.Tx, b *Batch, s *spans) error {
 	if b.LedgerBlank != nil {
 		flag := []byte{}
 		if *b.LedgerBlank {
@@ -193,7 +193,7 @@
 		return nil
 	}
 	ledger := tx.Bucket(ledgerBucket)
-	if len(s.gens) == 0 || time.Since(s.from) > a.span {
+	if len(s.gens) == 0 || time.Since(s.from) > st.span {
 		gen := uint64(1)
 		if len(s.gens) > 0 {
 			gen = s.gens[len(s.gens)-1] + 1
@@ -213,7 +213,7 @@
 	span.FillPercent = 1
 	for _, r := range b.Records {
 		if r.Answer != nil { // the disk's growth is bounded: repeats of an operation whose answer isn't here are told to wait
-			if s.answers()+int64(len(r.Answer.Body)) > a.answers {
+			if s.answers()+int64(len(r.Answer.Body)) > st.answers {
 				continue
 			}
 			s.bytes[len(s.bytes)-1] += int64(len(r.Answer.Body))
--- a/internal/platform/storage/storage_test.go
+++ b/internal/platform/storage/storage_test.go
@@ -19,17 +19,17 @@
 	"mulleinwood/internal/platform/storage"
 )
 
-func TestArchive(t *testing.T) {
+func TestStorage(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "storage")
 }
 
 const window = time.Minute
 
-func open(dir string) (*storage.Archive, *storage.State) {
-	a, s, err := storage.Open(dir, window, 64<<20)
+func open(dir string) (*storage.Storage, *storage.State) {
+	st, s, err := storage.Open(dir, window, 64<<20)
 	Expect(err).NotTo(HaveOccurred())
-	return a, s
+	return st, s
 }
 
 func record(n uint64) idempotency.Record {
@@ -39,65 +39,65 @@
 var _ = Describe("a storage file", func() {
 	It("tells a new disk from one that was used", func() {
 		dir := GinkgoT().TempDir()
-		a, s := open(dir)
+		st, s := open(dir)
 		Expect(s.New).To(BeTrue())
-		Expect(a.Close()).To(Succeed())
-		a, s = open(dir)
+		Expect(st.Close()).To(Succeed())
+		st, s = open(dir)
 		Expect(s.New).To(BeFalse())
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 	It("gives back what was made durable, in order", func() {
 		dir := GinkgoT().TempDir()
-		a, _ := open(dir)
-		hard := consensus.Hard{Term: 4, Vote: "b", Commit: 2}
-		Expect(a.Commit([]*storage.Batch{
+		st, _ := open(dir)
+		hard := consensus.HardState{Term: 4, Vote: "b", Commit: 2}
+		Expect(st.Commit([]*storage.Batch{
 			{Members: []string{"a", "b", "c"}, Hard: &hard, Entries: []consensus.Entry{{Term: 3, Index: 1}, {Term: 3, Index: 2}, {Term: 3, Index: 3}}},
 			{Truncate: 3, Entries: []consensus.Entry{{Term: 4, Index: 3, Data: []byte("x")}}},
 			{Records: []idempotency.Record{record(1), record(2)}},
 		})).To(Succeed())
-		Expect(a.Close()).To(Succeed())
-		a, s := open(dir)
+		Expect(st.Close()).To(Succeed())
+		st, s := open(dir)
 		Expect(s.Hard).To(Equal(hard))
 		Expect(s.Members).To(Equal([]string{"a", "b", "c"}))
 		Expect(s.Entries).To(HaveLen(3))
 		Expect(s.Entries[2]).To(Equal(consensus.Entry{Term: 4, Index: 3, Data: []byte("x")}))
 		Expect(s.Records).To(Equal([]idempotency.Record{record(1), record(2)}))
-		Expect(a.Commit([]*storage.Batch{{Snapshot: &consensus.Snapshot{Term: 4, Index: 3, Data: []byte("s")}}, {Records: []idempotency.Record{record(3)}}})).To(Succeed())
-		Expect(a.Close()).To(Succeed())
-		a, s = open(dir)
+		Expect(st.Commit([]*storage.Batch{{Snapshot: &consensus.Snapshot{Term: 4, Index: 3, Data: []byte("s")}}, {Records: []idempotency.Record{record(3)}}})).To(Succeed())
+		Expect(st.Close()).To(Succeed())
+		st, s = open(dir)
 		Expect(s.Entries).To(BeEmpty())
 		Expect(s.Snapshot.Data).To(Equal([]byte("s")))
 		Expect(s.Records).To(HaveLen(3))
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 	It("keeps servers until they are gone", func() {
 		dir := GinkgoT().TempDir()
-		a, _ := open(dir)
+		st, _ := open(dir)
 		one, two := registry.Entry{ID: "i-1", Service: "tags", Address: "x:1", Seq: 3}, registry.Entry{ID: "i-2", Service: "tags", Address: "x:2", Seq: 4}
-		Expect(a.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
+		Expect(st.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
 		one.State = registry.Draining
 		two.State = registry.Gone
-		Expect(a.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
-		Expect(a.Close()).To(Succeed())
-		a, s := open(dir)
+		Expect(st.Commit([]*storage.Batch{{Servers: []registry.Entry{one, two}}})).To(Succeed())
+		Expect(st.Close()).To(Succeed())
+		st, s := open(dir)
 		Expect(s.Servers).To(Equal([]registry.Entry{one}))
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 	It("puts a file aside that is none, and starts new", func() {
 		dir := GinkgoT().TempDir()
 		Expect(os.WriteFile(filepath.Join(dir, "exchange.db"), []byte("this is no database, whatever it says"), 0o600)).To(Succeed())
-		a, s := open(dir)
+		st, s := open(dir)
 		Expect(s.New).To(BeTrue())
 		Expect(filepath.Join(dir, "exchange.db.spoilt")).To(BeAnExistingFile())
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 	It("gives the last whole write or the one before when a head is torn", func() {
 		dir := GinkgoT().TempDir()
-		a, _ := open(dir)
+		st, _ := open(dir)
 		for n := range uint64(20) {
-			Expect(a.Commit([]*storage.Batch{{Hard: &consensus.Hard{Term: n + 1}, Records: []idempotency.Record{record(n)}}})).To(Succeed())
+			Expect(st.Commit([]*storage.Batch{{Hard: &consensus.HardState{Term: n + 1}, Records: []idempotency.Record{record(n)}}})).To(Succeed())
 		}
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 		whole, err := os.ReadFile(filepath.Join(dir, "exchange.db"))
 		Expect(err).NotTo(HaveOccurred())
 		rng := rand.New(rand.NewPCG(1, 1))
@@ -109,27 +109,27 @@
 				text[i] ^= byte(1 + rng.IntN(255))
 			}
 			Expect(os.WriteFile(filepath.Join(cut, "exchange.db"), text, 0o600)).To(Succeed())
-			b, s, err := storage.Open(cut, window, 64<<20)
+			other, s, err := storage.Open(cut, window, 64<<20)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(s.Hard.Term).To(BeElementOf(uint64(19), uint64(20)))
 			Expect(len(s.Records)).To(BeElementOf(19, 20))
-			Expect(b.Close()).To(Succeed())
+			Expect(other.Close()).To(Succeed())
 		}
 	})
 	It("believes nothing of a file that was cut or in which a bit flipped, or all of it", func() {
 		dir := GinkgoT().TempDir()
-		a, _ := open(dir)
+		st, _ := open(dir)
 		for n := range uint64(60) {
-			Expect(a.Commit([]*storage.Batch{{Members: []string{"a", "b", "c"}, Hard: &consensus.Hard{Term: n + 1},
+			Expect(st.Commit([]*storage.Batch{{Members: []string{"a", "b", "c"}, Hard: &consensus.HardState{Term: n + 1},
 				Entries: []consensus.Entry{{Term: n + 1, Index: n + 1, Data: []byte("change")}}, Servers: []registry.Entry{{ID: fmt.Sprint("i-", n%9), Service: "tags", Address: "x:1", Seq: n}},
 				Records: []idempotency.Record{record(n), {Key: idempotency.Key{byte(n)}, Token: idempotency.Token{Life: 1, N: n}, Answer: &idempotency.Answer{Status: 200, Body: make([]byte, 300)}}}}})).To(Succeed())
 		}
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 		whole, err := os.ReadFile(filepath.Join(dir, "exchange.db"))
 		Expect(err).NotTo(HaveOccurred())
 		used := len(bytes.TrimRight(whole, "\x00")) // the file is made longer than what is in it
-		a, good := open(dir)
-		Expect(a.Close()).To(Succeed())
+		st, good := open(dir)
+		Expect(st.Close()).To(Succeed())
 		Expect(good.Records).To(HaveLen(120))
 		rng := rand.New(rand.NewPCG(2, 2))
 		spoilt, same := 0, 0
@@ -146,7 +146,7 @@
 			}
 			touched := GinkgoT().TempDir()
 			Expect(os.WriteFile(filepath.Join(touched, "exchange.db"), text, 0o600)).To(Succeed())
-			b, s, err := storage.Open(touched, window, 64<<20)
+			other, s, err := storage.Open(touched, window, 64<<20)
 			Expect(err).NotTo(HaveOccurred(), what)
 			if s.Spoilt != nil || s.New {
 				spoilt++
@@ -156,28 +156,28 @@
 				same++
 				Expect(s).To(Equal(good), what)
 			}
-			Expect(b.Commit([]*storage.Batch{{Records: []idempotency.Record{record(1)}}})).To(Succeed(), what)
-			Expect(b.Close()).To(Succeed())
+			Expect(other.Commit([]*storage.Batch{{Records: []idempotency.Record{record(1)}}})).To(Succeed(), what)
+			Expect(other.Close()).To(Succeed())
 		}
 		Expect(spoilt).To(BeNumerically(">", 30))
 		Expect(same).To(BeNumerically(">", 30), "free pages are spoilt, too, and don't matter")
 	})
 	It("is put aside when its opening ends the process again and again", func() {
 		dir := GinkgoT().TempDir()
-		a, _ := open(dir)
-		Expect(a.Commit([]*storage.Batch{{Members: []string{"a"}, Hard: &consensus.Hard{Term: 7}}})).To(Succeed())
-		Expect(a.Close()).To(Succeed())
+		st, _ := open(dir)
+		Expect(st.Commit([]*storage.Batch{{Members: []string{"a"}, Hard: &consensus.HardState{Term: 7}}})).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 		tries := filepath.Join(dir, "exchange.db.opening")
 		Expect(os.WriteFile(tries, []byte("...."), 0o600)).To(Succeed())
-		a, s := open(dir)
+		st, s := open(dir)
 		Expect(s.Hard.Term).To(BeEquivalentTo(7), "four may be chance")
 		Expect(tries).NotTo(BeAnExistingFile())
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 		Expect(os.WriteFile(tries, []byte("....."), 0o600)).To(Succeed())
-		a, s = open(dir)
+		st, s = open(dir)
 		Expect(s.New).To(BeTrue())
 		Expect(s.Spoilt).To(MatchError(ContainSubstring("5 starts in a row")))
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 	It("leaves a file of another format alone", func() {
 		dir := GinkgoT().TempDir()
@@ -195,16 +195,16 @@
 	})
 	It("bounds what answers take", func() {
 		dir := GinkgoT().TempDir()
-		a, _, err := storage.Open(dir, window, 1000)
+		st, _, err := storage.Open(dir, window, 1000)
 		Expect(err).NotTo(HaveOccurred())
 		for n := range uint64(9) {
 			r := record(n)
 			r.Answer = &idempotency.Answer{Status: 200, Body: make([]byte, 300)}
-			Expect(a.Commit([]*storage.Batch{{Records: []idempotency.Record{record(n), r}}})).To(Succeed())
+			Expect(st.Commit([]*storage.Batch{{Records: []idempotency.Record{record(n), r}}})).To(Succeed())
 		}
-		Expect(a.Close()).To(Succeed())
-		a, s := open(dir)
+		Expect(st.Close()).To(Succeed())
+		st, s := open(dir)
 		Expect(s.Records).To(HaveLen(9+3), "all claims, and as many answers as there is room for")
-		Expect(a.Close()).To(Succeed())
+		Expect(st.Close()).To(Succeed())
 	})
 })
--- a/internal/simulation/bookings.go
+++ b/internal/simulation/bookings.go
@@ -53,23 +53,23 @@
 	return d
 }
 
-// nodeRooms is a controller's part of booked room.
-type nodeRooms struct {
+// nodeReservations is a controller's part of booked slots.
+type nodeReservations struct {
 	clock  *reservation.Clock
 	dealer *reservation.Dealer
 	round  uint64
 	asked  time.Duration
 	proven time.Duration
 	next   time.Duration
-	told   []reservation.Room
+	told   []reservation.Reservation
 	term   uint64
 	from   int
 }
 
-// edgeRooms is an edge's.
-type edgeRooms struct {
-	held  reservation.Held
-	told  []reservation.Room
+// edgeReservations is an edge's.
+type edgeReservations struct {
+	held  reservation.Holding
+	told  []reservation.Reservation
 	gate  *reservation.Gate
 	wants map[string]int
 	next  time.Duration
@@ -77,13 +77,15 @@
 
 // pass is what a request holds of a gate.
 type pass struct {
-	gate        *reservation.Gate
-	room, under string
-	at          time.Duration
-	in          bool
+	gate               *reservation.Gate
+	reservation, under string
+	at                 time.Duration
+	in                 bool
 }
 
-func (w *world) newRooms(n *node) { n.rooms = nodeRooms{clock: reservation.NewClock(), from: n.n} }
+func (w *world) newReservations(n *node) {
+	n.reservations = nodeReservations{clock: reservation.NewClock(), from: n.n}
+}
 
 // wallOf is a controller's time of day: the first's is hours off.
 func (w *world) wallOf(n *node) float64 {
@@ -94,7 +96,7 @@
 	return wall.Seconds() + 1e6
 }
 
-// book has an operator book the tenant's room, until it is acknowledged.
+// book has an operator book the tenant's slots, until it is acknowledged.
 func (w *world) book() {
 	busy := w.day.Busy
 	if busy.Booked == 0 || w.now < time.Second || w.bookAcked || w.now%(200*time.Millisecond) != 0 {
@@ -111,7 +113,7 @@
 		}
 	}
 	b := reservation.Booking{ID: "busy", Tenant: "tenant", Service: w.services[0], Start: 1e6 + bookedFrom.Seconds(), End: 2e6, Slots: float64(int(whole * busy.Booked)), Owner: "hall"}
-	data, err := cbor.Marshal(statemachine.Change{Book: &reservation.Op{Call: "busy", Base: n.state.Book.Version, Puts: []reservation.Booking{b}, Now: n.rooms.clock.Now(w.now)}})
+	data, err := cbor.Marshal(statemachine.Change{Book: &reservation.Op{Call: "busy", Base: n.state.Book.Version, Puts: []reservation.Booking{b}, Now: n.reservations.clock.Now(w.now)}})
 	if err != nil {
 		panic(err) // plain values
 	}
@@ -126,9 +128,9 @@
 	w.settle(n)
 }
 
-// dealRooms is what a controller does for booked room: as the program does.
-func (w *world) dealRooms(n *node) {
-	r := &n.rooms
+// dealReservations is what a controller does for booked slots: as the program does.
+func (w *world) dealReservations(n *node) {
+	r := &n.reservations
 	if w.now < r.next || n.member.Role() != consensus.Leader || n.state.Book.Version == 0 {
 		return
 	}
@@ -148,7 +150,7 @@
 		return
 	}
 	carry := map[string]reservation.Carry{}
-	for _, e := range n.dir.All(w.now) {
+	for _, e := range n.registry.All(w.now) {
 		if e.State == registry.Ready && !e.Silent {
 			if carry[e.Service] == nil {
 				carry[e.Service] = reservation.Carry{}
@@ -156,13 +158,13 @@
 			carry[e.Service][e.Zone] += float64(e.Capacity)
 		}
 	}
-	r.told, r.term, r.from = n.state.Book.Rooms(carry, r.clock.Now(w.now)), n.member.Term(), n.n
+	r.told, r.term, r.from = n.state.Book.Reservations(carry, r.clock.Now(w.now)), n.member.Term(), n.n
 	told, term := r.told, r.term
 	for _, o := range w.nodes {
 		if k := w.between(n.n, o.n); o != n && k != nil {
 			w.wired(k, n.n, func() {
-				if term >= o.rooms.term {
-					o.rooms.told, o.rooms.term, o.rooms.from = told, term, n.n
+				if term >= o.reservations.term {
+					o.reservations.told, o.reservations.term, o.reservations.from = told, term, n.n
 				}
 			})
 		}
@@ -177,87 +179,87 @@
 		if !ok {
 			continue
 		}
-		w.relay(n.n, w.edges[i].home, i, func(e *edge) { e.rooms.held.Take(lease) })
+		w.relay(n.n, w.edges[i].controller, i, func(e *edge) { e.reservations.held.Take(lease) })
 	}
 }
 
 // relay brings something from a controller to an edge, by the edge's home.
-func (w *world) relay(from, home, edge int, do func(*edge)) {
+func (w *world) relay(from, controller, edge int, do func(*edge)) {
 	last := func() {
-		if k := w.between(home, -1-edge); k != nil {
-			w.wired(k, home, func() { do(w.edges[edge]) })
+		if k := w.between(controller, -1-edge); k != nil {
+			w.wired(k, controller, func() { do(w.edges[edge]) })
 		}
 	}
-	if from == home {
+	if from == controller {
 		last()
-	} else if k := w.between(from, home); home != nowhere && k != nil {
+	} else if k := w.between(from, controller); controller != nowhere && k != nil {
 		w.wired(k, from, last)
 	}
 }
 
-// say has an edge take its home's word on rooms, and say what it wants.
+// say has an edge take its controller's word on reservations, and say what it wants.
 func (w *world) say(e *edge) {
-	r := &e.rooms
+	r := &e.reservations
 	if w.day.Busy.Booked == 0 || w.now < r.next || e.frozen > w.now {
 		return
 	}
 	r.next = w.now + dealOf
-	if k := w.between(e.home, -1-e.n); e.home != nowhere && k != nil {
-		home := w.nodes[e.home]
-		if home.rooms.term > 0 {
-			r.told = home.rooms.told
-			r.held.Follow(home.rooms.term)
+	if k := w.between(e.controller, -1-e.n); e.controller != nowhere && k != nil {
+		controller := w.nodes[e.controller]
+		if controller.reservations.term > 0 {
+			r.told = controller.reservations.told
+			r.held.Follow(controller.reservations.term)
 		}
 		if len(r.told) > 0 {
 			wants := map[string]int{}
 			for room, n := range r.wants {
 				wants[room] = n
 			}
-			word := r.held.Word(wants, w.now)
+			demand := r.held.Demand(wants, w.now)
 			w.wired(k, -1-e.n, func() {
 				hand := func() {
-					if d := w.nodes[home.rooms.from].rooms.dealer; d != nil {
-						d.Heard(linkName(-1-e.n), word, w.now)
+					if d := w.nodes[controller.reservations.from].reservations.dealer; d != nil {
+						d.Heard(linkName(-1-e.n), demand, w.now)
 					}
 				}
-				if home.rooms.from == home.n {
+				if controller.reservations.from == controller.n {
 					hand()
-				} else if k := w.between(home.n, home.rooms.from); k != nil {
-					w.wired(k, home.n, hand)
+				} else if k := w.between(controller.n, controller.reservations.from); k != nil {
+					w.wired(k, controller.n, hand)
 				}
 			})
 		}
 	}
 	r.gate.Keep(func(id string) bool {
-		return slices.ContainsFunc(r.told, func(o reservation.Room) bool { return o.ID == id })
+		return slices.ContainsFunc(r.told, func(o reservation.Reservation) bool { return o.ID == id })
 	})
 	if len(r.told) == 0 {
 		r.gate.Free()
 	}
-	for _, room := range r.told {
-		part, full, known := r.held.Part(room.ID, w.now)
+	for _, one := range r.told {
+		part, full, known := r.held.Part(one.ID, w.now)
 		switch {
-		case room.ID != reservation.Rest(room.Service):
-			r.gate.Part(room.ID, part, room.Slots, full)
+		case one.ID != reservation.Rest(one.Service):
+			r.gate.Part(one.ID, part, one.Slots, full)
 		case known:
-			r.gate.Others(part, room.Slots, full)
+			r.gate.Others(part, one.Slots, full)
 		default:
-			r.gate.Others((room.Slots+len(w.edges)-1)/len(w.edges), room.Slots, true)
+			r.gate.Others((one.Slots+len(w.edges)-1)/len(w.edges), one.Slots, true)
 		}
 	}
 }
 
-// auditRooms holds the parts of a room at all edges against the most that was dealt while their leases may last.
-func (w *world) auditRooms() {
+// auditReservations holds the parts of a reservation at all edges against the most that was dealt while their leases may last.
+func (w *world) auditReservations() {
 	if w.day.Busy.Booked == 0 || w.now%dealOf != 0 {
 		return
 	}
 	whole, sum := 0, 0
 	for _, n := range w.nodes {
-		if n.member.Role() == consensus.Leader && n.rooms.proven > 0 && w.now-n.rooms.proven <= reservation.Confirmed {
-			for _, room := range n.rooms.told {
-				if room.ID == "busy" {
-					whole = room.Slots
+		if n.member.Role() == consensus.Leader && n.reservations.proven > 0 && w.now-n.reservations.proven <= reservation.Confirmed {
+			for _, one := range n.reservations.told {
+				if one.ID == "busy" {
+					whole = one.Slots
 				}
 			}
 		}
@@ -266,7 +268,7 @@
 	const lasts = 44 // of these looks: a lease and the time that a proof is good for
 	most := slices.Max(w.wholes[max(0, len(w.wholes)-lasts):])
 	for _, e := range w.edges {
-		part, _, _ := e.rooms.held.Part("busy", w.now)
+		part, _, _ := e.reservations.held.Part("busy", w.now)
 		sum += part
 	}
 	if sum > most {
@@ -310,40 +312,40 @@
 	if q.counts {
 		q.side.Asked++
 	}
-	q.way = attempt.Cord{Safe: true, Most: triesMost}
+	q.way = attempt.Attempt{Safe: true, Most: triesMost}
 	w.result.Requests++
 	w.asked[q.service] = append(w.asked[q.service], w.now)
 	e.asked[q.service]++
-	e.meter(q.service, len(w.edges)).Request()
-	if len(e.rooms.told) > 0 {
-		q.pass = &pass{gate: e.rooms.gate, room: reservation.Rest(q.service)}
+	e.budget(q.service, len(w.edges)).Request()
+	if len(e.reservations.told) > 0 {
+		q.pass = &pass{gate: e.reservations.gate, reservation: reservation.Rest(q.service)}
 		if tenant {
-			q.pass.room = "busy"
+			q.pass.reservation = "busy"
 		}
-		e.rooms.wants[q.pass.room]++
+		e.reservations.wants[q.pass.reservation]++
 	}
 	w.seek(q)
 }
 
 // place picks a server, if the request may have room.
-func (w *world) place(e *edge, q *request) (l *picker.Line) {
+func (w *world) place(e *edge, q *request) (u *picker.Upstream) {
 	if p := q.pass; p != nil && !p.in {
-		if p.under, p.in = p.gate.Admit(p.room); !p.in {
+		if p.under, p.in = p.gate.Admit(p.reservation); !p.in {
 			return nil
 		}
 		p.at = w.now
 	}
-	if l = w.pick(e, q); l == nil && q.pass != nil && q.way.Sent == 0 {
+	if u = w.pick(e, q); u == nil && q.pass != nil && q.way.Sent == 0 {
 		q.pass.gate.Done(q.pass.under, 0)
 		q.pass.in = false
 	}
-	return l
+	return u
 }
 
 // leaves ends a busy day's request.
 func (w *world) leaves(q *request, served, refused bool) {
 	if p := q.pass; p != nil {
-		if q.edge.rooms.wants[p.room]--; p.in {
+		if q.edge.reservations.wants[p.reservation]--; p.in {
 			p.gate.Done(p.under, max(1, w.now-p.at))
 		}
 	}
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -9,28 +9,28 @@
 	"mulleinwood/internal/control/idempotency"
 )
 
-// inOrder makes what comes out of an office's map the same again from the same seed.
+// inOrder makes what comes out of a coordinator's map the same again from the same seed.
 func inOrder(asks []idempotency.Ask, done []idempotency.Outcome) {
 	slices.SortStableFunc(asks, func(a, b idempotency.Ask) int { return cmp.Compare(a.Record.Token.N, b.Record.Token.N) })
 	slices.SortFunc(done, func(a, b idempotency.Outcome) int { return cmp.Compare(a.Token.N, b.Token.N) })
 }
 
-// judge puts a claim to a node's ledger; a grant is told once it is durable.
+// judge puts a claim to a node's claim store; a grant is told once it is durable.
 func (w *world) judge(n *node, r idempotency.Record, tell func(idempotency.Verdict, idempotency.Record)) {
-	v, holder, store := n.ledger.Claim(r, w.now)
+	v, holder, store := n.claimStore.Claim(r, w.now)
 	if !store {
 		tell(v, holder)
 		return
 	}
-	ledger := n.ledger
+	claimStore := n.claimStore
 	if w.day.Fault == "grants before storing" {
 		tell(v, holder)
 	}
 	w.persist(n, func(d *disk) { d.records = append(d.records, r) }, func(ok bool) {
 		if !ok {
-			ledger.Failed(r.Key, r.Token)
+			claimStore.Failed(r.Key, r.Token)
 		}
-		if !ok || !ledger.Stored(r.Key, r.Token) {
+		if !ok || !claimStore.Stored(r.Key, r.Token) {
 			v = idempotency.Unable
 		}
 		if w.day.Fault != "grants before storing" {
@@ -39,13 +39,13 @@
 	})
 }
 
-// ask puts claims to ledgers.
+// ask puts claims to claim stores.
 func (w *world) ask(n *node, asks []idempotency.Ask) {
 	for _, a := range asks {
 		to := slices.Index(w.names, a.To)
 		r := a.Record
 		verdict := func(v idempotency.Verdict, holder idempotency.Record) {
-			more, done := n.office.Verdict(a.To, r.Token, v, holder, w.now)
+			more, done := n.coordinator.Verdict(a.To, r.Token, v, holder, w.now)
 			w.ask(n, more)
 			if done != nil {
 				w.ruled(n, *done)
@@ -70,23 +70,23 @@
 	}
 }
 
-// copyLedgers asks the others for what they hold, while a node's ledger is blank.
-func (w *world) copyLedgers(n *node) {
+// copyStores asks the others for what they hold, while a node's claim store is blank.
+func (w *world) copyStores(n *node) {
 	for _, o := range w.nodes {
 		if o == n {
 			continue
 		}
 		w.send(n.n, o.n, func() {
-			blank := o.ledger.Blank()
+			blank := o.claimStore.Blank()
 			var all []idempotency.Record
-			o.ledger.Each(func(r idempotency.Record) { all = append(all, r) })
+			o.claimStore.Each(func(r idempotency.Record) { all = append(all, r) })
 			w.send(o.n, n.n, func() {
-				if !n.ledger.Blank() {
+				if !n.claimStore.Blank() {
 					return
 				}
 				var kept []idempotency.Record
 				for _, r := range all {
-					kept = append(kept, n.ledger.Copy(r, w.now))
+					kept = append(kept, n.claimStore.Copy(r, w.now))
 				}
 				n.copies[o.n] = blank
 				sound := 0
@@ -99,7 +99,7 @@
 				if w.day.Fault == "restored from one" {
 					enough = sound >= 1
 				}
-				ledger := n.ledger
+				claimStore := n.claimStore
 				w.persist(n, func(d *disk) {
 					d.records = append(d.records, kept...)
 					if enough {
@@ -107,7 +107,7 @@
 					}
 				}, func(ok bool) {
 					if ok && enough {
-						ledger.Restored()
+						claimStore.Restored()
 					}
 				})
 			})
@@ -129,7 +129,7 @@
 		w.next++
 		r := idempotency.Record{Key: key, Token: idempotency.Token{Life: uint64(e.n + 1), N: w.next}}
 		e.open[r.Token] = &claim{record: r, since: w.now}
-		w.claim(e, r, w.homeOr(e, w.rng.IntN(len(w.nodes))))
+		w.claim(e, r, w.controllerOr(e, w.rng.IntN(len(w.nodes))))
 	}
 	var open []*claim
 	for _, c := range e.open {
@@ -142,7 +142,7 @@
 			w.withdraw(e, c)
 		case age > edgeFor && !c.second:
 			c.second = true
-			w.claim(e, c.record, (w.homeOr(e, 0)+1+w.rng.IntN(len(w.nodes)-1))%len(w.nodes))
+			w.claim(e, c.record, (w.controllerOr(e, 0)+1+w.rng.IntN(len(w.nodes)-1))%len(w.nodes))
 		}
 	}
 	e.voids = slices.DeleteFunc(e.voids, func(v void) bool { return w.now-v.at > voidFor })
@@ -155,11 +155,11 @@
 }
 
 // homeOr is the controller that an edge asks first.
-func (w *world) homeOr(e *edge, otherwise int) int {
-	if e.home == nowhere {
+func (w *world) controllerOr(e *edge, otherwise int) int {
+	if e.controller == nowhere {
 		return otherwise
 	}
-	return e.home
+	return e.controller
 }
 
 // claim asks a controller for the right to run a key's operation.
@@ -175,7 +175,7 @@
 				}
 			})
 		}
-		w.ask(n, n.office.Open(idempotency.Record{Key: r.Key, Token: r.Token, Home: n.name}, w.now))
+		w.ask(n, n.coordinator.Open(idempotency.Record{Key: r.Key, Token: r.Token, Home: n.name}, w.now))
 	})
 }
 
@@ -214,7 +214,7 @@
 func (w *world) sayVoid(e *edge, r idempotency.Record) {
 	for _, n := range w.nodes {
 		w.send(-1-e.n, n.n, func() {
-			if line, store := n.ledger.Void(r.Key, r.Token, w.now); store {
+			if line, store := n.claimStore.Void(r.Key, r.Token, w.now); store {
 				w.persist(n, func(d *disk) { d.records = append(d.records, line) }, func(bool) {})
 			}
 		})
--- a/internal/simulation/explore.go
+++ b/internal/simulation/explore.go
@@ -23,7 +23,7 @@
 	Fault                              string
 }
 
-// small is a core of three ledgers and two edges that claim one key, each at another office. All messages between two
+// small is a core of three claim stores and two edges that claim one key, each at another coordinator. All messages between two
 // processes keep their order; else anything may come next.
 type small struct {
 	Nodes    [3]smallNode
@@ -37,8 +37,8 @@
 }
 
 type smallNode struct {
-	Ledger  *idempotency.Ledger
-	Office  *idempotency.Office
+	Ledger  *idempotency.Store
+	Office  *idempotency.Coordinator
 	Records []idempotency.Record // on disk
 	Blank   bool                 // on disk
 	Writes  []smallWrite
@@ -58,7 +58,7 @@
 	Began, Over bool
 }
 
-// note is a message: of an edge (3 and 4) to an office, between nodes, and back.
+// note is a message: of an edge (3 and 4) to a coordinator, between nodes, and back.
 type note struct {
 	Kind    string
 	From    int
@@ -85,12 +85,12 @@
 
 func (s *small) boot(i int) {
 	n := &s.Nodes[i]
-	n.Ledger = idempotency.NewLedger(window, n.Blank)
+	n.Ledger = idempotency.NewStore(window, n.Blank)
 	for _, r := range n.Records {
 		n.Ledger.Load(r, 0)
 	}
 	names := []string{"0", "1", "2"}
-	n.Office = idempotency.NewOffice(append(slices.Clone(names[i:]), names[:i]...), hurry, limit)
+	n.Office = idempotency.NewCoordinator(append(slices.Clone(names[i:]), names[:i]...), hedge, limit)
 	n.Writes, n.Copied, n.Asked = nil, [3]int{}, false
 	for j := range places {
 		s.Messages[i*places+j], s.Messages[j*places+i] = nil, nil
--- a/internal/simulation/growth_test.go
+++ b/internal/simulation/growth_test.go
@@ -42,7 +42,7 @@
 		Address: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200), Version: "v1", Capacity: 2, Seq: seq, Owner: "a"}
 }
 
-func known(f fleet) *registry.Directory {
+func known(f fleet) *registry.Registry {
 	d := registry.New(time.Minute)
 	for n := range f.servers {
 		d.Take(entry(n, 1), 0)
@@ -62,15 +62,15 @@
 func BenchmarkGrowthBeat(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
 		d := known(f)
-		board := broadcast.New(d)
+		broadcaster := broadcast.New(d)
 		for n := range f.edges / halls {
-			board.Join(fmt.Sprint("edge ", n), true)
+			broadcaster.Join(fmt.Sprint("edge ", n), true)
 		}
 		seq, sends := uint64(1), 0
 		for b.Loop() {
 			seq++
-			board.Call(entry(int(seq)%f.servers, seq), seq, time.Duration(seq))
-			sends += len(board.Take().Sends)
+			broadcaster.Call(entry(int(seq)%f.servers, seq), seq, time.Duration(seq))
+			sends += len(broadcaster.Take().Sends)
 		}
 		b.ReportMetric(float64(sends)/float64(b.N), "sends/op")
 	})
@@ -78,15 +78,15 @@
 
 func BenchmarkGrowthNewServer(b *testing.B) {
 	grow(b, func(b *testing.B, f fleet) {
-		board := broadcast.New(known(f))
+		broadcaster := broadcast.New(known(f))
 		for n := range f.edges / halls {
-			board.Join(fmt.Sprint("edge ", n), true)
+			broadcaster.Join(fmt.Sprint("edge ", n), true)
 		}
 		n, sends, bytes := f.servers, 0, 0.0
 		for b.Loop() {
 			n++
-			board.Call(entry(n, 1), uint64(n), time.Duration(n))
-			for _, s := range board.Take().Sends {
+			broadcaster.Call(entry(n, 1), uint64(n), time.Duration(n))
+			for _, s := range broadcaster.Take().Sends {
 				sends++
 				if n == f.servers+1 {
 					bytes += size(b, &peer.Frame{Entries: s.Entries, Receipt: s.Receipt})
@@ -184,7 +184,7 @@
 		x := picker.New("z0", rand.New(rand.NewPCG(1, 1)).Float64)
 		for n := range f.servers {
 			e := entry(n, 1)
-			x.Add(&picker.Line{ID: e.ID, Service: e.Service, Zone: e.Zone, Capacity: e.Capacity})
+			x.Add(&picker.Upstream{ID: e.ID, Service: e.Service, Zone: e.Zone, Capacity: e.Capacity})
 		}
 		roster := make([]uint32, f.edges/halls)
 		for i := range roster {
@@ -194,8 +194,8 @@
 		now := time.Duration(0)
 		for b.Loop() {
 			now += time.Millisecond
-			if l := x.Pick("service-0", func(*picker.Line) bool { return false }, now); l != nil {
-				x.Done(l, 0, true, true, now)
+			if u := x.Pick("service-0", func(*picker.Upstream) bool { return false }, now); u != nil {
+				x.Done(u, 0, true, true, now)
 			}
 		}
 	})
@@ -204,18 +204,18 @@
 func BenchmarkGrowthClaim(b *testing.B) {
 	for _, held := range []int{1000, 10000, 100000} {
 		b.Run(fmt.Sprint(held, " keys held"), func(b *testing.B) {
-			office := idempotency.NewOffice([]string{"a", "b", "c"}, time.Second, time.Second)
-			ledgers := map[string]*idempotency.Ledger{"a": idempotency.NewLedger(time.Minute, false), "b": idempotency.NewLedger(time.Minute, false), "c": idempotency.NewLedger(time.Minute, false)}
+			coordinator := idempotency.NewCoordinator([]string{"a", "b", "c"}, time.Second, time.Second)
+			stores := map[string]*idempotency.Store{"a": idempotency.NewStore(time.Minute, false), "b": idempotency.NewStore(time.Minute, false), "c": idempotency.NewStore(time.Minute, false)}
 			n := uint64(0)
 			claim := func() {
 				n++
 				r := idempotency.Record{Key: idempotency.KeyOf("t", fmt.Sprint(n)), Token: idempotency.Token{Life: 1, N: n}}
-				for asks := office.Open(r, 0); len(asks) > 0; {
+				for asks := coordinator.Open(r, 0); len(asks) > 0; {
 					a := asks[0]
 					asks = asks[1:]
-					v, holder, _ := ledgers[a.To].Claim(a.Record, 0)
-					ledgers[a.To].Stored(a.Record.Key, a.Record.Token)
-					more, _ := office.Verdict(a.To, a.Record.Token, v, holder, 0)
+					v, holder, _ := stores[a.To].Claim(a.Record, 0)
+					stores[a.To].Stored(a.Record.Key, a.Record.Token)
+					more, _ := coordinator.Verdict(a.To, a.Record.Token, v, holder, 0)
 					asks = append(asks, more...)
 				}
 			}
--- a/internal/simulation/policies.go
+++ b/internal/simulation/policies.go
@@ -11,46 +11,46 @@
 var Policies = []string{"", "tables", "round robin", "least outstanding", "two choices", "oracle"}
 
 // pick chooses a server for a request.
-func (w *world) pick(e *edge, q *request) *picker.Line {
-	not := func(l *picker.Line) bool { return slices.Contains(q.tried, l) }
+func (w *world) pick(e *edge, q *request) *picker.Upstream {
+	not := func(u *picker.Upstream) bool { return slices.Contains(q.tried, u) }
 	if w.day.Policy == "" || w.day.Policy == "tables" { // the latter without parts: nothing is dealt
-		return e.finder.Pick(q.service, not, w.now)
+		return e.picker.Pick(q.service, not, w.now)
 	}
-	var fit []*picker.Line
-	for _, l := range e.finder.Lines(q.service) {
-		if !not(l) {
-			fit = append(fit, l)
+	var fit []*picker.Upstream
+	for _, u := range e.picker.Upstreams(q.service) {
+		if !not(u) {
+			fit = append(fit, u)
 		}
 	}
 	if len(fit) == 0 {
 		return nil
 	}
-	least := func(of func(*picker.Line) float64) *picker.Line {
-		return slices.MinFunc(fit, func(a, b *picker.Line) int { return cmp.Compare(of(a), of(b)) })
+	least := func(of func(*picker.Upstream) float64) *picker.Upstream {
+		return slices.MinFunc(fit, func(a, b *picker.Upstream) int { return cmp.Compare(of(a), of(b)) })
 	}
-	var l *picker.Line
+	var u *picker.Upstream
 	switch w.day.Policy {
 	case "round robin":
 		e.turn[q.service]++
-		l = fit[e.turn[q.service]%len(fit)]
+		u = fit[e.turn[q.service]%len(fit)]
 	case "least outstanding":
-		l = least(func(l *picker.Line) float64 { return float64(l.Out()) / float64(l.Capacity) })
+		u = least(func(u *picker.Upstream) float64 { return float64(u.Out()) / float64(u.Capacity) })
 	case "two choices":
 		a, b := fit[w.rng.IntN(len(fit))], fit[w.rng.IntN(len(fit))]
-		if l = a; b.Out()*a.Capacity < a.Out()*b.Capacity {
-			l = b
+		if u = a; b.Out()*a.Capacity < a.Out()*b.Capacity {
+			u = b
 		}
 	default:
-		l = least(w.trulyTakes)
+		u = least(w.trulyTakes)
 	}
-	e.finder.Book(l)
-	return l
+	e.picker.Book(u)
+	return u
 }
 
 // trulyTakes is how long a request would take at a server, in units of its usual work: what an oracle sees.
-func (w *world) trulyTakes(l *picker.Line) float64 {
-	s := w.at[l.Host.(string)]
-	if s == nil || s.ended || s.id != l.ID {
+func (w *world) trulyTakes(u *picker.Upstream) float64 {
+	s := w.at[u.Host.(string)]
+	if s == nil || s.ended || s.id != u.ID {
 		return 1e9
 	}
 	pace := s.speed * w.slowness(s)
--- a/internal/simulation/requests.go
+++ b/internal/simulation/requests.go
@@ -31,8 +31,8 @@
 	life    int
 	began   time.Duration
 	calm    bool // the edge was in touch when it came
-	way     attempt.Cord
-	tried   []*picker.Line
+	way     attempt.Attempt
+	tried   []*picker.Upstream
 	over    bool
 
 	pass   *pass // of busy days
@@ -44,17 +44,17 @@
 // edgeHears takes news of servers.
 func (w *world) edgeHears(e *edge, entries []registry.Entry) {
 	for _, entry := range entries {
-		now, _ := e.dir.Take(entry, w.now)
+		now, _ := e.registry.Take(entry, w.now)
 		if w.day.Fault == "a late beat undoes a drain" {
 			now = entry
 		}
 		switch {
 		case now.State != registry.Ready:
-			e.finder.End(now.ID)
-		case e.finder.Line(now.ID) == nil && now.Address != "":
-			e.finder.Add(&picker.Line{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: now.Address})
+			e.picker.End(now.ID)
+		case e.picker.Upstream(now.ID) == nil && now.Address != "":
+			e.picker.Add(&picker.Upstream{ID: now.ID, Service: now.Service, Zone: now.Zone, Capacity: now.Capacity, Host: now.Address})
 		}
-		e.finder.Silent(now.ID, now.Silent)
+		e.picker.Silent(now.ID, now.Silent)
 	}
 }
 
@@ -73,24 +73,24 @@
 	w.next++
 	q := &request{id: w.next, safe: w.rng.IntN(2) == 0, service: w.services[w.rng.IntN(len(w.services))], edge: e, life: e.life, began: w.now,
 		calm: w.calm() && e.calm <= w.now}
-	q.way = attempt.Cord{Safe: q.safe, Most: triesMost}
+	q.way = attempt.Attempt{Safe: q.safe, Most: triesMost}
 	w.result.Requests++
 	w.asked[q.service] = append(w.asked[q.service], w.now)
 	e.asked[q.service]++
 	w.auditVersion(e, q.calm)
 	w.auditTables(e)
-	m := e.meter(q.service, len(w.edges))
-	m.Request()
+	budget := e.budget(q.service, len(w.edges))
+	budget.Request()
 	w.seek(q)
 }
 
-func (e *edge) meter(service string, edges int) *retrybudget.Meter {
-	m := e.meters[service]
-	if m == nil {
-		m = retrybudget.New(earnRatio, slack, edges)
-		e.meters[service] = m
+func (e *edge) budget(service string, edges int) *retrybudget.Budget {
+	budget := e.budgets[service]
+	if budget == nil {
+		budget = retrybudget.New(earnRatio, slack, edges)
+		e.budgets[service] = budget
 	}
-	return m
+	return budget
 }
 
 // seek finds a server with room for a request, waiting a little for one.
@@ -107,11 +107,11 @@
 		w.finish(q, attempt.NotSent, 0)
 		return
 	}
-	l := w.place(e, q)
-	if l == nil {
-		if q.way.Sent > 0 || w.now-q.began >= waitFor || !e.finder.Serves(q.service) {
+	u := w.place(e, q)
+	if u == nil {
+		if q.way.Sent > 0 || w.now-q.began >= waitFor || !e.picker.Serves(q.service) {
 			if q.way.Paid {
-				e.meter(q.service, len(w.edges)).Back()
+				e.budget(q.service, len(w.edges)).Back()
 			}
 			w.finish(q, attempt.NotSent, 0)
 			return
@@ -119,13 +119,13 @@
 		w.after(10, func() { w.seek(q) })
 		return
 	}
-	q.tried = append(q.tried, l)
-	t := &try{q: q, l: l, expect: l.ID, sent: w.now}
+	q.tried = append(q.tried, u)
+	t := &try{q: q, l: u, expect: u.ID, sent: w.now}
 	if w.day.Fault == "connections belong to an address" {
 		t.expect = ""
 	}
-	met := e.met[l.ID]
-	e.met[l.ID] = true
+	met := e.met[u.ID]
+	e.met[u.ID] = true
 	onPool := met && w.rng.IntN(10) < pooled
 	t.answer = func(a attempt.Answer, status int, load [2]float64) {
 		if t.over || e.life != q.life {
@@ -138,15 +138,15 @@
 		t.over = true
 		w.ended(q, t, a, status, load, onPool)
 	}
-	w.after(1+w.rng.IntN(4), func() { w.arrive(t, l.Host.(string)) })
+	w.after(1+w.rng.IntN(4), func() { w.arrive(t, u.Host.(string)) })
 	limit := q.began + patient - w.now
 	if !onPool { // nobody takes the connection at an address that is silent
-		if s := w.at[l.Host.(string)]; s != nil && s.ended && s.silent {
+		if s := w.at[u.Host.(string)]; s != nil && s.ended && s.silent {
 			limit = min(limit, dialFor)
 		}
 	}
 	w.after(int(limit/time.Millisecond), func() {
-		if s := w.at[l.Host.(string)]; !onPool && s != nil && s.ended && s.silent {
+		if s := w.at[u.Host.(string)]; !onPool && s != nil && s.ended && s.silent {
 			t.answer(attempt.Answer{}, 0, [2]float64{})
 			return
 		}
@@ -167,9 +167,9 @@
 	if w.day.Fault == "what broke off is tried again" && ending == attempt.Perhaps {
 		ending = attempt.NotRun
 	}
-	e.finder.Done(t.l, w.now-t.sent, ending != attempt.NotSent, ending == attempt.Ran, w.now)
+	e.picker.Done(t.l, w.now-t.sent, ending != attempt.NotSent, ending == attempt.Ran, w.now)
 	if a.Came && a.Ours {
-		e.finder.Told(t.l, load[0], load[1], w.now)
+		e.picker.Told(t.l, load[0], load[1], w.now)
 	}
 	switch q.way.Ended(ending, status, true) {
 	case attempt.Stop:
@@ -178,7 +178,7 @@
 		}
 		w.finish(q, ending, status)
 	case attempt.Pay:
-		if w.day.Fault != "tries cost nothing" && !e.meter(q.service, len(w.edges)).Spend(false) {
+		if w.day.Fault != "tries cost nothing" && !e.budget(q.service, len(w.edges)).Spend(false) {
 			w.finish(q, ending, status)
 			return
 		}
--- a/internal/simulation/script.go
+++ b/internal/simulation/script.go
@@ -1,5 +1,5 @@
 // Package simulation plays the controllers of the gateway and its edges in simulated time from one seed: the real deciders
-// (consensus, ledgers, offices) over modelled messages, disks and losses. An auditor that knows nothing of their books
+// (consensus, claim stores, coordinators) over modelled messages, disks and losses. An auditor that knows nothing of their books
 // holds what servers ran and what operators were told against the rules. What goes wrong in a day is a script, so that a
 // bad day can be cut down to the few troubles that it needs.
 package simulation
--- a/internal/simulation/servers.go
+++ b/internal/simulation/servers.go
@@ -45,7 +45,7 @@
 // try is a request at a server.
 type try struct {
 	q      *request
-	l      *picker.Line
+	l      *picker.Upstream
 	expect string
 	sent   time.Duration
 	answer func(attempt.Answer, int, [2]float64)
@@ -123,7 +123,7 @@
 			delete(n.calls, n.nextCall)
 			return
 		}
-		n.board.Call(e, n.nextCall, w.now)
+		n.broadcaster.Call(e, n.nextCall, w.now)
 		w.flush(n)
 	})
 	w.after(int(callWait/time.Millisecond), func() {
@@ -136,21 +136,21 @@
 
 // undo has a controller forget that a server leaves.
 func (w *world) undo(n *node, id string) {
-	if e, known := n.dir.Get(id); !known || e.State != registry.Draining {
+	if e, known := n.registry.Get(id); !known || e.State != registry.Draining {
 		return
 	}
-	all := n.dir.All(w.now)
-	n.dir = registry.New(90 * time.Second)
-	n.board, n.calls = broadcast.New(n.dir), map[uint64]func(){}
+	all := n.registry.All(w.now)
+	n.registry = registry.New(90 * time.Second)
+	n.broadcaster, n.calls = broadcast.New(n.registry), map[uint64]func(){}
 	for _, e := range all {
 		if e.ID != id {
-			n.dir.Take(e, w.now)
+			n.registry.Take(e, w.now)
 		}
 	}
 	for _, k := range w.wires {
 		if k.up && (k.a == n.n || k.b == n.n) {
 			other := k.a + k.b - n.n
-			n.board.Join(linkName(other), other < 0)
+			n.broadcaster.Join(linkName(other), other < 0)
 		}
 	}
 }
--- a/internal/simulation/tables.go
+++ b/internal/simulation/tables.go
@@ -12,25 +12,25 @@
 
 const (
 	reportOf  = time.Second
-	tableWait = 3 * time.Second // in which an edge at its home has a table
+	tableWait = 3 * time.Second // in which an edge at its controller has a table
 )
 
 // newGroups gives a controller's life its tables, which hold nothing yet.
-func (w *world) newGroups(n *node) {
+func (w *world) newTables(n *node) {
 	var zones []string
 	for i := range w.nodes {
 		zones = append(zones, fmt.Sprint("z", i))
 	}
-	n.groups = weights.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
+	n.tables = weights.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
 	n.others = map[int]weights.Others{}
-	if n.dir != nil {
-		n.groups.Changed(n.dir.All(w.now), w.now)
+	if n.registry != nil {
+		n.tables.Changed(n.registry.All(w.now), w.now)
 	}
 }
 
 // weigh sends a controller's edges what its tables order.
 func (w *world) weigh(n *node) {
-	orders := n.groups.Tick(w.now, func() (all []weights.Others) {
+	orders := n.tables.Tick(w.now, func() (all []weights.Others) {
 		for i := range w.nodes {
 			if o, heard := n.others[i]; heard {
 				all = append(all, o)
@@ -46,13 +46,13 @@
 		}
 		w.wired(k, n.n, func() {
 			for _, service := range order.Whole {
-				e.finder.Unweigh(service)
+				e.picker.Unweigh(service)
 			}
 			for _, l := range order.Lines {
-				e.finder.Weigh(l.Server, l.Weight)
+				e.picker.Weigh(l.Server, l.Weight)
 			}
 			if len(order.Marks) > 0 {
-				w.wired(k, -1-i, func() { n.groups.Report(name, &peer.Report{Applied: order.Marks}, nil) })
+				w.wired(k, -1-i, func() { n.tables.Report(name, &peer.Report{Applied: order.Marks}, nil) })
 			}
 		})
 	}
@@ -60,19 +60,19 @@
 
 // report has an edge say what it met, once a second.
 func (w *world) report(e *edge) {
-	if w.now < e.reports || e.frozen > w.now || e.home == nowhere {
+	if w.now < e.reports || e.frozen > w.now || e.controller == nowhere {
 		return
 	}
 	e.reports = w.now + reportOf
-	k := w.between(e.home, -1-e.n)
+	k := w.between(e.controller, -1-e.n)
 	if k == nil {
 		return
 	}
 	r := &peer.Report{Period: reportOf.Seconds()}
 	for _, service := range w.services {
-		for _, l := range e.finder.Lines(service) {
-			if m := e.finder.Met(l); m.Tries > 0 {
-				r.Met = append(r.Met, peer.Met{Server: l.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
+		for _, u := range e.picker.Upstreams(service) {
+			if m := e.picker.Met(u); m.Tries > 0 {
+				r.Met = append(r.Met, peer.Met{Server: u.ID, Tries: m.Tries, Failed: m.Failed, Time: m.Time})
 			}
 		}
 		if n := e.asked[service]; n > 0 {
@@ -80,27 +80,27 @@
 		}
 	}
 	clear(e.asked)
-	n := w.nodes[e.home]
+	n := w.nodes[e.controller]
 	w.wired(k, -1-e.n, func() {
-		n.groups.Report(linkName(-1-e.n), r, func(server string) (string, bool) {
-			entry, known := n.dir.Get(server)
+		n.tables.Report(linkName(-1-e.n), r, func(server string) (string, bool) {
+			entry, known := n.registry.Get(server)
 			return entry.Service, known
 		})
 	})
 }
 
-// auditTables holds an edge that has been at its home, and in touch, for a while against what its home ordered for it: of
+// auditTables holds an edge that has been at its controller, and in touch, for a while against what its controller ordered for it: of
 // each service's lines it knows, a table has spoken.
 func (w *world) auditTables(e *edge) {
-	if !w.calm() || e.calm > w.now || e.home == nowhere || w.now < e.arrived+tableWait {
+	if !w.calm() || e.calm > w.now || e.controller == nowhere || w.now < e.arrived+tableWait {
 		return
 	}
-	n := w.nodes[e.home]
+	n := w.nodes[e.controller]
 	for _, service := range w.services {
-		ordered := n.groups.Ordered(linkName(-1-e.n), service)
-		lines := e.finder.Lines(service)
-		meant := slices.ContainsFunc(lines, func(l *picker.Line) bool { return ordered[l.ID] > 0 })
-		if !meant || slices.ContainsFunc(lines, (*picker.Line).Weighed) {
+		ordered := n.tables.Ordered(linkName(-1-e.n), service)
+		upstreams := e.picker.Upstreams(service)
+		meant := slices.ContainsFunc(upstreams, func(u *picker.Upstream) bool { return ordered[u.ID] > 0 })
+		if !meant || slices.ContainsFunc(upstreams, (*picker.Upstream).Weighed) {
 			delete(e.bare, service)
 			continue
 		}
--- a/internal/simulation/wires.go
+++ b/internal/simulation/wires.go
@@ -11,12 +11,12 @@
 	"mulleinwood/internal/platform/peer"
 )
 
-// Spans of links and homes, as the programs have them.
+// Spans of links and controllers, as the programs have them.
 const (
 	silence   = 800 * time.Millisecond
 	redial    = 300 * time.Millisecond
-	pulseOf   = 250 * time.Millisecond
-	fullOf    = 4 // pulses, of which one is full
+	summaryOf = 250 * time.Millisecond
+	fullOf    = 4 // summaries, of which one is full
 	lookAfter = 60 * time.Millisecond
 )
 
@@ -64,7 +64,7 @@
 	for _, k := range w.wires {
 		alive := [2]int{w.life(k.a), w.life(k.b)}
 		passes := w.passes(k.a, k.b) && w.passes(k.b, k.a) && w.running(k.a) && w.running(k.b)
-		wanted := k.a >= 0 || w.edges[-1-k.a].home == k.b
+		wanted := k.a >= 0 || w.edges[-1-k.a].controller == k.b
 		switch {
 		case k.up && alive != k.lives, k.up && !wanted:
 			w.snap(k)
@@ -90,17 +90,17 @@
 		other := []int{k.b, k.a}[i]
 		if who >= 0 && w.life(who) == k.lives[i] {
 			n := w.nodes[who]
-			n.board.Left(linkName(other))
+			n.broadcaster.Left(linkName(other))
 			delete(n.others, other)
 			if other < 0 {
-				n.groups.Leave(linkName(other))
+				n.tables.Leave(linkName(other))
 			}
 			n.gone[other] = w.now
 			w.flush(n)
 		}
 	}
-	if k.a < 0 && w.edges[-1-k.a].home == k.b {
-		w.edges[-1-k.a].home, w.edges[-1-k.a].look = nowhere, w.now+lookAfter
+	if k.a < 0 && w.edges[-1-k.a].controller == k.b {
+		w.edges[-1-k.a].controller, w.edges[-1-k.a].look = nowhere, w.now+lookAfter
 	}
 }
 
@@ -113,22 +113,22 @@
 		other := []int{k.b, k.a}[i]
 		if who < 0 {
 			e := w.edges[-1-who]
-			if all := e.dir.All(w.now); len(all) > 0 {
+			if all := e.registry.All(w.now); len(all) > 0 {
 				w.wired(k, who, func() { w.tell(w.nodes[other], who, all, 0) })
 			}
 			continue
 		}
 		n := w.nodes[who]
-		n.board.Join(linkName(other), other < 0)
+		n.broadcaster.Join(linkName(other), other < 0)
 		delete(n.gone, other)
-		all, version := n.dir.All(w.now), n.state.Version()
-		if w.day.Fault == "an edge takes any version" { // and its home lags behind at first
+		all, version := n.registry.All(w.now), n.state.Version()
+		if w.day.Fault == "an edge takes any version" { // and its controller lags behind at first
 			if version = 0; n.disk.snap.Index > 0 {
 				version = w.forceAt[n.disk.snap.Index-1]
 			}
 		}
 		if other < 0 {
-			n.groups.Join(linkName(other), fmt.Sprint("z", w.edges[-1-other].zone()))
+			n.tables.Join(linkName(other), fmt.Sprint("z", w.edges[-1-other].zone()))
 			w.edges[-1-other].arrived = w.now
 			w.wired(k, who, func() {
 				w.edgeHears(w.edges[-1-other], all)
@@ -143,12 +143,12 @@
 
 // wired sends over a wire.
 func (w *world) wired(k *wire, from int, do func()) {
-	dir := 0
+	servers := 0
 	if from == k.b {
-		dir = 1
+		servers = 1
 	}
-	at := max(k.free[dir], w.now+time.Duration(1+w.rng.IntN(5))*time.Millisecond)
-	k.free[dir] = at
+	at := max(k.free[servers], w.now+time.Duration(1+w.rng.IntN(5))*time.Millisecond)
+	k.free[servers] = at
 	to := k.a + k.b - from
 	w.mail = append(w.mail, letter{at: at, from: from, to: to, lives: [2]int{w.life(from), w.life(to)}, do: do, wire: k, epoch: k.epoch})
 }
@@ -166,16 +166,16 @@
 
 // tell hands a controller what another process knows of servers.
 func (w *world) tell(n *node, from int, entries []registry.Entry, receipt uint64) {
-	n.board.Heard(linkName(from), entries, receipt, w.now)
+	n.broadcaster.Heard(linkName(from), entries, receipt, w.now)
 	w.flush(n)
 }
 
-// flush sends what a controller's broadcast board wants told.
+// flush sends what a controller's broadcaster wants told.
 func (w *world) flush(n *node) {
-	out := n.board.Take()
+	out := n.broadcaster.Take()
 	if len(out.News) > 0 {
 		news := out.News
-		n.groups.Changed(news, w.now)
+		n.tables.Changed(news, w.now)
 		w.persist(n, func(d *disk) {
 			for _, e := range news {
 				d.servers[e.ID] = e
@@ -199,7 +199,7 @@
 			w.wired(k, n.n, func() {
 				o := w.nodes[num]
 				if s.Received != 0 {
-					o.board.Received(linkName(n.n), s.Received)
+					o.broadcaster.Received(linkName(n.n), s.Received)
 				}
 				w.tell(o, n.n, s.Entries, s.Receipt)
 			})
@@ -209,7 +209,7 @@
 			w.edgeHears(w.edges[-1-num], s.Entries)
 			if s.Receipt != 0 {
 				w.wired(k, num, func() {
-					n.board.Received(linkName(num), s.Receipt)
+					n.broadcaster.Received(linkName(num), s.Receipt)
 					w.flush(n)
 				})
 			}
@@ -223,11 +223,11 @@
 	}
 }
 
-// pulse lets a controller's links know how it is.
-func (w *world) pulse(n *node) {
-	n.pulses++
-	full := n.pulses%fullOf == 0
-	attached, sum := n.member.Attached(w.now), n.dir.Sum()
+// summarize lets a controller's links know how it is.
+func (w *world) summarize(n *node) {
+	n.summaries++
+	full := n.summaries%fullOf == 0
+	attached, sum := n.member.Attached(w.now), n.registry.Sum()
 	var hears []string
 	for _, k := range w.wires {
 		if k.up && k.a >= 0 && (k.a == n.n || k.b == n.n) {
@@ -235,8 +235,8 @@
 		}
 	}
 	wall := w.wallOf(n)
-	n.rooms.clock.Heard(n.name, wall, w.now)
-	mine := weights.Others{Usual: n.groups.Mine()}
+	n.reservations.clock.Heard(n.name, wall, w.now)
+	mine := weights.Others{Usual: n.tables.Mine()}
 	for _, k := range w.wires {
 		mine.Edges += btoi(k.up && k.a < 0 && k.b == n.n)
 	}
@@ -249,26 +249,26 @@
 			if other >= 0 {
 				if o := w.nodes[other]; full {
 					o.others[n.n] = mine
-					o.rooms.clock.Heard(n.name, wall, w.now)
-					o.board.Hears(linkName(n.n), hears)
-					if k.cells[btoi(other == k.b)].Due(sum, o.dir.Sum(), w.now) {
-						w.compare(k, other, n.n, &peer.Cells{Sums: o.dir.Sums()})
+					o.reservations.clock.Heard(n.name, wall, w.now)
+					o.broadcaster.Hears(linkName(n.n), hears)
+					if k.cells[btoi(other == k.b)].Due(sum, o.registry.Sum(), w.now) {
+						w.compare(k, other, n.n, &peer.Cells{Sums: o.registry.Sums()})
 					}
 				}
 				return
 			}
 			e := w.edges[-1-other]
 			if w.day.Policy == "" {
-				e.finder.Deal(w.roster(e.zone()), uint32(e.n))
+				e.picker.Deal(w.roster(e.zone()), uint32(e.n))
 			}
 			if e.attached = attached; !attached && w.now > e.look {
 				e.look = w.now + 2*lookAfter
-				if to := w.bestHome(e); to != nowhere && to != e.home && w.nodes[to].member.Attached(w.now) {
-					e.home = to
+				if to := w.bestController(e); to != nowhere && to != e.controller && w.nodes[to].member.Attached(w.now) {
+					e.controller = to
 				}
 			}
-			if full && k.cells[0].Due(sum, e.dir.Sum(), w.now) {
-				w.compare(k, other, n.n, &peer.Cells{Sums: e.dir.Sums()})
+			if full && k.cells[0].Due(sum, e.registry.Sum(), w.now) {
+				w.compare(k, other, n.n, &peer.Cells{Sums: e.registry.Sums()})
 			}
 		})
 	}
@@ -280,7 +280,7 @@
 // roster is the edges of a zone, as the controllers that are in touch know them.
 func (w *world) roster(zone int) (all []uint32) {
 	for _, e := range w.edges {
-		if e.zone() == zone && e.home != nowhere {
+		if e.zone() == zone && e.controller != nowhere {
 			all = append(all, uint32(e.n))
 		}
 	}
@@ -290,8 +290,8 @@
 // compare carries one step of comparing cells.
 func (w *world) compare(k *wire, from, to int, cells *peer.Cells) {
 	w.wired(k, from, func() {
-		dir := w.dirOf(to)
-		answer := cells.Compare(dir, w.now)
+		servers := w.registryOf(to)
+		answer := cells.Compare(servers, w.now)
 		if answer == nil {
 			return
 		}
@@ -302,7 +302,7 @@
 				w.tell(w.nodes[from], to, answer.Entries, 0)
 			}
 			if answer.Cells != nil {
-				if last := answer.Cells.Compare(w.dirOf(from), w.now); last != nil {
+				if last := answer.Cells.Compare(w.registryOf(from), w.now); last != nil {
 					w.wired(k, from, func() {
 						if to >= 0 {
 							w.tell(w.nodes[to], from, last.Entries, 0)
@@ -314,17 +314,17 @@
 	})
 }
 
-func (w *world) dirOf(who int) *registry.Directory {
+func (w *world) registryOf(who int) *registry.Registry {
 	if who < 0 {
-		return w.edges[-1-who].dir
+		return w.edges[-1-who].registry
 	}
-	return w.nodes[who].dir
+	return w.nodes[who].registry
 }
 
 const nowhere = -1000
 
 // bestHome is where an edge would belong: a controller that it reaches and that hears more than half of the core.
-func (w *world) bestHome(e *edge) int {
+func (w *world) bestController(e *edge) int {
 	best, score := nowhere, -1
 	for i := range w.nodes {
 		n := w.nodes[(e.n+i)%len(w.nodes)]
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -61,7 +61,7 @@
 const (
 	step    = 5 * time.Millisecond
 	window  = time.Minute
-	hurry   = 20 * time.Millisecond
+	hedge   = 20 * time.Millisecond
 	limit   = 900 * time.Millisecond
 	edgeFor = 60 * time.Millisecond // until an edge asks a second controller
 	giveUp  = 400 * time.Millisecond
@@ -137,7 +137,7 @@
 }
 
 type disk struct {
-	hard    consensus.Hard
+	hard    consensus.HardState
 	snap    consensus.Snapshot
 	log     []consensus.Entry
 	records []idempotency.Record
@@ -146,60 +146,60 @@
 }
 
 type node struct {
-	n       int
-	name    string
-	life    int
-	up      time.Duration // down until
-	cutOut  time.Duration // until when nothing of it reaches other controllers
-	cutIn   time.Duration // and nothing of theirs it
-	slow    time.Duration
-	full    time.Duration
-	disk    disk
-	queue   []write
-	member  *consensus.Member
-	ledger  *idempotency.Ledger
-	office  *idempotency.Office
-	copies  map[int]bool
-	askedAt time.Duration
-	state   *statemachine.Daybook
-	waiting map[uint64]waiter
-	claims  map[idempotency.Token]func(idempotency.Ruling)
-
-	frozen   time.Duration
-	rooms    nodeRooms
-	groups   *weights.Groups
-	others   map[int]weights.Others // what other controllers' edges bring, as last told
-	dir      *registry.Directory
-	board    *broadcast.Board
-	calls    map[uint64]func()
-	nextCall uint64
-	gone     map[int]time.Duration // controllers out of reach, since when
-	pulses   int
-	pulsed   time.Duration
+	n           int
+	name        string
+	life        int
+	up          time.Duration // down until
+	cutOut      time.Duration // until when nothing of it reaches other controllers
+	cutIn       time.Duration // and nothing of theirs it
+	slow        time.Duration
+	full        time.Duration
+	disk        disk
+	queue       []write
+	member      *consensus.Replica
+	claimStore  *idempotency.Store
+	coordinator *idempotency.Coordinator
+	copies      map[int]bool
+	askedAt     time.Duration
+	state       *statemachine.StateMachine
+	waiting     map[uint64]waiter
+	claims      map[idempotency.Token]func(idempotency.Ruling)
+
+	frozen       time.Duration
+	reservations nodeReservations
+	tables       *weights.Tables
+	others       map[int]weights.Others // what other controllers' edges bring, as last told
+	registry     *registry.Registry
+	broadcaster  *broadcast.Broadcaster
+	calls        map[uint64]func()
+	nextCall     uint64
+	gone         map[int]time.Duration // controllers out of reach, since when
+	summaries    int
+	summarized   time.Duration
 }
 
 type edge struct {
-	n, life int
-	home    int
-	open    map[idempotency.Token]*claim
-	voids   []void
-
-	frozen, cut time.Duration
-	calm        time.Duration // from when it has been without trouble for long enough
-	look        time.Duration
-	attached    bool
-	version     uint64
-	dir         *registry.Directory
-	finder      *picker.Finder
-	meters      map[string]*retrybudget.Meter
-	met         map[string]bool
-	zones       int
-	turn        map[string]int // of a policy that goes round
-	asked       map[string]int // requests for a service since the last report
-	reports     time.Duration  // when the next one is due
-	arrived     time.Duration  // at its home
-	rooms       edgeRooms
-	bare        map[string]time.Duration // services without a table, since when
+	n, life    int
+	controller int
+	open       map[idempotency.Token]*claim
+	voids      []void
+
+	frozen, cut  time.Duration
+	calm         time.Duration // from when it has been without trouble for long enough
+	look         time.Duration
+	attached     bool
+	version      uint64
+	registry     *registry.Registry
+	picker       *picker.Picker
+	budgets      map[string]*retrybudget.Budget
+	met          map[string]bool
+	zones        int
+	turn         map[string]int // of a policy that goes round
+	asked        map[string]int // requests for a service since the last report
+	reports      time.Duration  // when the next one is due
+	arrived      time.Duration  // at its controller
+	reservations edgeReservations
+	bare         map[string]time.Duration // services without a table, since when
 }
 
 type claim struct {
@@ -239,7 +239,7 @@
 		w.start(n)
 	}
 	for i := range d.Edges {
-		w.edges = append(w.edges, &edge{n: i, home: i % d.Members, zones: d.Members, turn: map[string]int{}})
+		w.edges = append(w.edges, &edge{n: i, controller: i % d.Members, zones: d.Members, turn: map[string]int{}})
 		w.restart(w.edges[i])
 	}
 	for i := range writers {
@@ -274,8 +274,8 @@
 			w.serve(s)
 		}
 		for _, e := range w.edges {
-			if e.home == nowhere && w.now >= e.look && e.frozen <= w.now {
-				e.home, e.look = w.bestHome(e), w.now+lookAfter
+			if e.controller == nowhere && w.now >= e.look && e.frozen <= w.now {
+				e.controller, e.look = w.bestController(e), w.now+lookAfter
 			}
 			w.clients(e)
 			if len(w.services) > 0 {
@@ -289,7 +289,7 @@
 			w.write(o)
 		}
 		w.book()
-		w.auditRooms()
+		w.auditReservations()
 		if d.Latency {
 			w.weighIdle()
 		}
@@ -309,11 +309,11 @@
 func (w *world) restart(e *edge) {
 	e.life++
 	e.open, e.voids = map[idempotency.Token]*claim{}, nil
-	e.dir, e.asked, e.bare = registry.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
-	e.rooms = edgeRooms{held: reservation.Held{Life: uint64(e.life)}, gate: reservation.NewGate(), wants: map[string]int{}}
+	e.registry, e.asked, e.bare = registry.New(90*time.Second), map[string]int{}, map[string]time.Duration{}
+	e.reservations = edgeReservations{held: reservation.Holding{Life: uint64(e.life)}, gate: reservation.NewGate(), wants: map[string]int{}}
 	e.arrived = w.now // as a new life, which holds nothing
-	e.finder = picker.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
-	e.meters, e.met, e.version = map[string]*retrybudget.Meter{}, map[string]bool{}, 0
+	e.picker = picker.New(fmt.Sprint("z", e.n%len(w.nodes)), w.rng.Float64)
+	e.budgets, e.met, e.version = map[string]*retrybudget.Budget{}, map[string]bool{}, 0
 }
 
 // after has something happen some milliseconds from now.
@@ -404,7 +404,7 @@
 	n.life++
 	n.up, n.queue = w.now+down, nil
 	if wipe {
-		n.disk = disk{hard: consensus.Hard{Blank: w.day.Fault != "votes with an empty disk"}, blank: w.day.Fault != "grants with an empty disk",
+		n.disk = disk{hard: consensus.HardState{Blank: w.day.Fault != "votes with an empty disk"}, blank: w.day.Fault != "grants with an empty disk",
 			servers: map[string]registry.Entry{}}
 	}
 	w.start(n)
@@ -412,34 +412,34 @@
 
 // start gives a node what its disk held.
 func (w *world) start(n *node) {
-	n.member = consensus.New(n.name, w.names, consensus.Timing{Beat: 50 * time.Millisecond, Patience: 150 * time.Millisecond, Lost: w.day.Lost},
+	n.member = consensus.New(n.name, w.names, consensus.Timing{Heartbeat: 50 * time.Millisecond, ElectionTimeout: 150 * time.Millisecond, Lost: w.day.Lost},
 		w.rng.Uint64(), n.disk.hard, n.disk.snap, slices.Clone(n.disk.log), w.now)
-	n.ledger = idempotency.NewLedger(window, n.disk.blank)
+	n.claimStore = idempotency.NewStore(window, n.disk.blank)
 	for _, r := range n.disk.records {
-		n.ledger.Load(r, w.now)
+		n.claimStore.Load(r, w.now)
 	}
 	order := append(slices.Clone(w.names[n.n:]), w.names[:n.n]...)
-	n.office = idempotency.NewOffice(order, hurry, limit)
+	n.coordinator = idempotency.NewCoordinator(order, hedge, limit)
 	n.copies, n.waiting, n.state = map[int]bool{}, map[uint64]waiter{}, statemachine.New()
 	if n.disk.snap.Index > 0 {
 		w.restores(n, n.disk.snap)
 	}
 	n.claims = map[idempotency.Token]func(idempotency.Ruling){}
 	if w.day.Fault == "one ledger is enough" {
-		n.office = idempotency.NewOffice(w.names[n.n:n.n+1], hurry, limit)
+		n.coordinator = idempotency.NewCoordinator(w.names[n.n:n.n+1], hedge, limit)
 	}
-	n.dir = registry.New(90 * time.Second)
-	n.board, n.calls, n.gone, n.frozen = broadcast.New(n.dir), map[uint64]func(){}, map[int]time.Duration{}, 0
+	n.registry = registry.New(90 * time.Second)
+	n.broadcaster, n.calls, n.gone, n.frozen = broadcast.New(n.registry), map[uint64]func(){}, map[int]time.Duration{}, 0
 	for _, id := range slices.Sorted(maps.Keys(n.disk.servers)) {
 		e := n.disk.servers[id]
 		e.Owner = n.name
-		n.dir.Take(e, w.now)
+		n.registry.Take(e, w.now)
 	}
-	w.newGroups(n)
-	w.newRooms(n)
+	w.newTables(n)
+	w.newReservations(n)
 	for _, o := range w.nodes {
-		if o != n && o.office != nil { // the others hear of the new life before it asks them for anything
-			forgotten := o.office.Forget(n.name)
+		if o != n && o.coordinator != nil { // the others hear of the new life before it asks them for anything
+			forgotten := o.coordinator.Forget(n.name)
 			inOrder(nil, forgotten)
 			for _, done := range forgotten {
 				w.ruled(o, done)
@@ -511,7 +511,7 @@
 		one := n.queue[0]
 		n.queue = n.queue[1:]
 		if n.full > w.now {
-			if one.done == nil { // the agreement's part waits until the disk takes it
+			if one.done == nil { // the consensus's part waits until the disk takes it
 				n.queue = append([]write{{w.now + 100*time.Millisecond, one.store, nil}}, n.queue...)
 				break
 			}
@@ -526,34 +526,34 @@
 	n.member.Tick(w.now)
 	w.overdue(n)
 	w.settle(n)
-	asks, done := n.office.Tick(w.now)
+	asks, done := n.coordinator.Tick(w.now)
 	inOrder(asks, done)
 	w.ask(n, asks)
 	for _, o := range done {
 		w.ruled(n, o)
 	}
-	n.board.Tick(w.now)
+	n.broadcaster.Tick(w.now)
 	lost := func(owner string) bool {
 		since, gone := n.gone[slices.Index(w.names, owner)]
 		return gone && w.now-since > 2500*time.Millisecond
 	}
-	if changed := n.dir.Silence(n.name, lost, 5*beatOf/2, w.now); len(changed) > 0 {
-		n.board.Changed(changed, w.now)
+	if changed := n.registry.Silence(n.name, lost, 5*beatOf/2, w.now); len(changed) > 0 {
+		n.broadcaster.Changed(changed, w.now)
 	}
 	w.flush(n)
 	w.weigh(n)
-	w.dealRooms(n)
-	if w.now >= n.pulsed {
-		n.pulsed = w.now + pulseOf
-		w.pulse(n)
+	w.dealReservations(n)
+	if w.now >= n.summarized {
+		n.summarized = w.now + summaryOf
+		w.summarize(n)
 	}
-	if n.ledger.Blank() && w.now >= n.askedAt {
+	if n.claimStore.Blank() && w.now >= n.askedAt {
 		n.askedAt = w.now + 200*time.Millisecond
-		w.copyLedgers(n)
+		w.copyStores(n)
 	}
 }
 
-// settle does what the agreement wants done.
+// settle does what the consensus wants done.
 func (w *world) settle(n *node) {
 	out := n.member.Take()
 	post := func(ms []consensus.Message) {
