--- /dev/null
+++ b/internal/control/consensus/membership.go
@@ -0,0 +1,226 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Membership says which replicas vote. While a change is under way it is joint: Next holds the voters after the change,
+// and every decision needs a majority of Voters and a majority of Next.
+type Membership struct {
+	Epoch   uint64   `cbor:"1,keyasint"`           // rises by one with each membership entry; 0: none is known
+	Cluster uint64   `cbor:"2,keyasint,omitempty"` // names the cluster, chosen by its first leader; 0: not chosen yet
+	Voters  []string `cbor:"3,keyasint"`
+	Next    []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Joint tells whether a change is under way.
+func (m Membership) Joint() bool { return len(m.Next) > 0 }
+
+// Contains tells whether a replica votes, before or after the change under way.
+func (m Membership) Contains(id string) bool {
+	return slices.Contains(m.Voters, id) || slices.Contains(m.Next, id)
+}
+
+// All lists every replica that votes before or after the change under way, sorted.
+func (m Membership) All() []string {
+	all := slices.Concat(m.Voters, m.Next)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// Quorum tells whether those for whom holds is true decide: a majority of Voters and, in a joint membership, of Next.
+func (m Membership) Quorum(holds func(id string) bool) bool {
+	return len(m.Voters) > 0 && majority(m.Voters, holds) && (!m.Joint() || majority(m.Next, holds))
+}
+
+// Equal compares two memberships.
+func (m Membership) Equal(o Membership) bool {
+	return m.Epoch == o.Epoch && m.Cluster == o.Cluster && slices.Equal(m.Voters, o.Voters) && slices.Equal(m.Next, o.Next)
+}
+
+// Validate says why a membership that was read or received can't be one.
+func (m Membership) Validate() error {
+	for _, set := range [][]string{m.Voters, m.Next} {
+		sorted := slices.Sorted(slices.Values(set))
+		if len(slices.Compact(sorted)) != len(set) || slices.Contains(set, "") {
+			return fmt.Errorf("membership %d names a voter twice or without a name: %q", m.Epoch, set)
+		}
+	}
+	if m.Epoch > 0 && len(m.Voters) == 0 {
+		return fmt.Errorf("membership %d has no voters", m.Epoch)
+	}
+	return nil
+}
+
+func majority(ids []string, holds func(id string) bool) bool {
+	count := 0
+	for _, id := range ids {
+		if holds(id) {
+			count++
+		}
+	}
+	return count > len(ids)/2
+}
+
+// located is a membership and the log entry that brought it; index 0 is the membership that the cluster started with.
+type located struct {
+	index      uint64
+	membership Membership
+}
+
+// Membership is the newest in the log, committed or not.
+func (r *Replica) Membership() Membership { return r.memberships[len(r.memberships)-1].membership }
+
+// MembershipCommitted tells whether the newest membership in the log is committed.
+func (r *Replica) MembershipCommitted() bool {
+	return r.memberships[len(r.memberships)-1].index <= r.commit
+}
+
+// membershipAt is the membership that was in force after an entry.
+func (r *Replica) membershipAt(index uint64) Membership {
+	for _, l := range slices.Backward(r.memberships) {
+		if l.index <= index {
+			return l.membership
+		}
+	}
+	return Membership{}
+}
+
+// followMembership takes a log entry's membership into force as soon as it is appended.
+func (r *Replica) followMembership(e Entry) {
+	if e.Membership != nil {
+		r.memberships = append(r.memberships, located{e.Index, *e.Membership})
+	}
+}
+
+// dropMembership goes back to the membership before an entry that is cut off the log.
+func (r *Replica) dropMembership(from uint64) {
+	for len(r.memberships) > 1 && r.memberships[len(r.memberships)-1].index >= from {
+		r.memberships = r.memberships[:len(r.memberships)-1]
+	}
+}
+
+// Bootstrap sets the voters of a cluster that starts for the first time. It changes nothing on a replica that has a
+// membership or a log.
+func (r *Replica) Bootstrap(voters []string) bool {
+	if r.Membership().Epoch > 0 || r.last() > 0 {
+		return false
+	}
+	r.memberships = []located{{0, Membership{Epoch: 1, Voters: slices.Sorted(slices.Values(voters))}}}
+	return true
+}
+
+// SetLearners names the replicas that a leader sends the log to although they don't vote.
+func (r *Replica) SetLearners(ids []string) {
+	r.learners = slices.Clone(ids)
+	r.followPeers()
+}
+
+// followPeers keeps a leader's record of progress to those whom it sends the log to.
+func (r *Replica) followPeers() {
+	if r.role != Leader {
+		return
+	}
+	targets := r.targets()
+	for _, id := range targets {
+		if r.peers[id] == nil {
+			r.peers[id] = &progress{next: r.last() + 1, heard: r.now}
+		}
+	}
+	for id := range r.peers {
+		if !slices.Contains(targets, id) {
+			delete(r.peers, id)
+		}
+	}
+}
+
+// targets are all other replicas that a leader sends the log to: voters, then learners.
+func (r *Replica) targets() []string {
+	membership := r.Membership()
+	targets := slices.DeleteFunc(membership.All(), func(id string) bool { return id == r.id })
+	for _, id := range r.learners {
+		if id != r.id && !membership.Contains(id) {
+			targets = append(targets, id)
+		}
+	}
+	return targets
+}
+
+// ChangeError says why a membership can't be changed now.
+type ChangeError string
+
+func (e ChangeError) Error() string { return string(e) }
+
+// The reasons.
+const (
+	ErrNotLeader    ChangeError = "this replica does not lead"
+	ErrOwnTerm      ChangeError = "no entry of the leader's own term is committed yet"
+	ErrChanging     ChangeError = "another change of the membership is under way"
+	ErrNotChanging  ChangeError = "no change of the membership is under way"
+	ErrNothing      ChangeError = "the change leads to no other voters"
+	ErrLeaderLeaves ChangeError = "the leader itself would leave: leadership is passed on first"
+)
+
+// BeginChange appends a joint membership that leads to the voters next. It takes effect at once and has to be finished
+// by FinishChange once it is committed and the new voters are ready.
+func (r *Replica) BeginChange(next []string, now time.Duration) error {
+	r.now = now
+	if err := r.mayChange(); err != nil {
+		return err
+	}
+	current := r.Membership()
+	next = slices.Sorted(slices.Values(next))
+	switch {
+	case current.Joint():
+		return ErrChanging
+	case slices.Equal(next, current.Voters) || len(next) == 0:
+		return ErrNothing
+	case !slices.Contains(next, r.id):
+		return ErrLeaderLeaves
+	}
+	joint := Membership{Epoch: current.Epoch + 1, Cluster: current.Cluster, Voters: current.Voters, Next: next}
+	if err := joint.Validate(); err != nil {
+		return err
+	}
+	r.appendMembership(joint)
+	return nil
+}
+
+// FinishChange ends the change under way: with adopt the new voters remain, without it the former ones.
+func (r *Replica) FinishChange(adopt bool, now time.Duration) error {
+	r.now = now
+	if err := r.mayChange(); err != nil {
+		return err
+	}
+	current := r.Membership()
+	if !current.Joint() {
+		return ErrNotChanging
+	}
+	final := Membership{Epoch: current.Epoch + 1, Cluster: current.Cluster, Voters: current.Voters}
+	if adopt {
+		final.Voters = current.Next
+	}
+	r.appendMembership(final)
+	return nil
+}
+
+// mayChange guards every membership entry: the one before it is committed, and so is an entry of the leader's own term.
+// Without the latter a change that a former leader left uncommitted could overlap with this one.
+func (r *Replica) mayChange() error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	if term, ok := r.termAt(r.commit); !ok || term != r.hard.Term {
+		return ErrOwnTerm
+	}
+	if !r.MembershipCommitted() {
+		return ErrChanging
+	}
+	return nil
+}
+
+func (r *Replica) appendMembership(m Membership) {
+	r.append(Entry{Membership: &m})
+}
--- /dev/null
+++ b/internal/control/consensus/message.go
@@ -0,0 +1,107 @@
+package consensus
+
+import "time"
+
+// Entry is one change of the log. A leader's first entry of a term has neither data nor, in most cases, a membership.
+type Entry struct {
+	Term       uint64      `cbor:"1,keyasint"`
+	Index      uint64      `cbor:"2,keyasint"`
+	Data       []byte      `cbor:"3,keyasint,omitempty"`
+	Membership *Membership `cbor:"4,keyasint,omitempty"`
+}
+
+// Snapshot stands for all entries up to Index, and for the membership in force there.
+type Snapshot struct {
+	Term       uint64     `cbor:"1,keyasint"`
+	Index      uint64     `cbor:"2,keyasint"`
+	Data       []byte     `cbor:"3,keyasint,omitempty"`
+	Membership Membership `cbor:"4,keyasint"`
+}
+
+// Kind of a message.
+type Kind uint8
+
+// The kinds. Their numbers are sent between processes: 6 and 7 are retired.
+const (
+	Append         Kind = 0
+	AppendReply    Kind = 1
+	VoteRequest    Kind = 2
+	VoteReply      Kind = 3
+	PreVoteRequest Kind = 4
+	PreVoteReply   Kind = 5
+	StandNow       Kind = 8 // from a leader that leaves, to the replica that is to follow it
+)
+
+// Message goes from one replica to another, named by their identities.
+type Message struct {
+	Kind    Kind    `cbor:"1,keyasint"`
+	From    string  `cbor:"2,keyasint"`
+	To      string  `cbor:"3,keyasint"`
+	Term    uint64  `cbor:"4,keyasint,omitempty"`
+	Index   uint64  `cbor:"5,keyasint,omitempty"` // Append: the entry before Entries; replies: what matches; votes: last
+	LogTerm uint64  `cbor:"6,keyasint,omitempty"` // its term
+	Entries []Entry `cbor:"7,keyasint,omitempty"`
+	Commit  uint64  `cbor:"8,keyasint,omitempty"`
+	OK      bool    `cbor:"11,keyasint,omitempty"`
+	Round   uint64  `cbor:"12,keyasint,omitempty"` // of the leader, for reads
+	Heard   bool    `cbor:"14,keyasint,omitempty"` // Append: the leader lately heard the receiver
+	Chunk   *Chunk  `cbor:"15,keyasint,omitempty"` // Append: a part of a snapshot; AppendReply: how much of it is held
+}
+
+// Chunk is a part of a snapshot on its way. In a reply only Index, Sum and Offset are set.
+type Chunk struct {
+	Term       uint64     `cbor:"1,keyasint,omitempty"`
+	Index      uint64     `cbor:"2,keyasint"`
+	Membership Membership `cbor:"3,keyasint,omitempty"`
+	Sum        uint64     `cbor:"4,keyasint"` // of the whole snapshot's data
+	Size       int        `cbor:"5,keyasint,omitempty"`
+	Offset     int        `cbor:"6,keyasint,omitempty"` // of Data in the whole, in bytes; in a reply, the bytes held
+	Data       []byte     `cbor:"7,keyasint,omitempty"`
+}
+
+// HardState is what must be durable before messages that tell of it leave.
+type HardState struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Vote string `cbor:"2,keyasint"`
+	// Lost is written by earlier versions only: the disk came back empty and what it held was not restored. Such a file is
+	// treated like an empty disk.
+	Lost bool `cbor:"3,keyasint,omitempty"`
+	// Commit is what was known to be committed: a replica that starts again goes by it at once, before anyone leads.
+	Commit uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Output is what has to be done after events. Now goes at once; After goes once the rest is stored.
+type Output struct {
+	Hard      *HardState
+	Snapshot  *Snapshot // replaces log and snapshot on disk
+	Truncate  uint64    // entries from this index on are dropped first; 0: none
+	Entries   []Entry   // then these are added
+	Now       []Message
+	After     []Message
+	Committed []Entry   // to be applied, in order
+	Install   *Snapshot // to be taken over before Committed
+}
+
+// Empty tells that nothing has to be stored.
+func (o *Output) Empty() bool {
+	return o.Hard == nil && o.Snapshot == nil && o.Truncate == 0 && len(o.Entries) == 0
+}
+
+// Timing holds a replica's time spans.
+type Timing struct {
+	Heartbeat       time.Duration // between two of a leader's messages
+	ElectionTimeout time.Duration // without a leader, before asking for votes; up to twice that by chance
+}
+
+// attachedSpan is how old contact may be for a replica to count as in contact with a majority.
+func (t Timing) attachedSpan() time.Duration { return 2 * t.ElectionTimeout }
+
+// Role of a replica.
+type Role uint8
+
+// The roles. A learner is a follower that has no vote.
+const (
+	Follower Role = iota
+	Candidate
+	Leader
+)
--- /dev/null
+++ b/internal/control/consensus/replica.go
@@ -0,0 +1,337 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Config is what a replica starts with.
+type Config struct {
+	ID         string
+	Timing     Timing
+	Seed       uint64     // of its random election timeouts
+	Membership Membership // that the cluster started with; none: the replica learns it from the log
+	Hard       HardState
+	Snapshot   Snapshot
+	Log        []Entry // after the snapshot
+	Now        time.Duration
+}
+
+// Replica is one controller's part in the consensus.
+type Replica struct {
+	id     string
+	timing Timing
+	rng    *rand.Rand
+	now    time.Duration
+
+	hard        HardState
+	snapshot    Snapshot
+	log         []Entry   // after snapshot
+	memberships []located // of snapshot first, then those of log
+	stored      uint64    // last entry that is durable here
+	commit      uint64
+	applied     uint64
+
+	role            Role
+	leader          string
+	heard           time.Duration // from a leader
+	heardByLeader   bool
+	electionTimeout time.Duration // point in time
+	votes           map[string]bool
+	preVote         bool
+	incoming        *assembly
+
+	learners []string
+	peers    map[string]*progress // of a leader
+	round    uint64
+	out      Output
+}
+
+// progress is what a leader knows of a peer.
+type progress struct {
+	match, next uint64
+	heard       time.Duration
+	round       uint64 // the newest that was answered
+	sentAt      time.Duration
+	transfer    *transfer
+}
+
+// New makes a replica from what its disk held.
+func New(c Config) *Replica {
+	r := &Replica{id: c.ID, timing: c.Timing, rng: rand.New(rand.NewPCG(c.Seed, 2)), now: c.Now, hard: c.Hard, snapshot: c.Snapshot,
+		log: c.Log, commit: c.Snapshot.Index, applied: c.Snapshot.Index, heard: c.Now}
+	r.memberships = []located{{0, c.Membership}}
+	if c.Snapshot.Index > 0 {
+		r.memberships = []located{{c.Snapshot.Index, c.Snapshot.Membership}}
+		s := c.Snapshot
+		r.out.Install = &s
+	}
+	for _, e := range c.Log {
+		r.followMembership(e)
+	}
+	r.stored = r.last()
+	r.commit = max(r.commit, min(c.Hard.Commit, r.stored))
+	r.resetElectionTimer()
+	return r
+}
+
+// ID is the replica's identity.
+func (r *Replica) ID() string { return r.id }
+
+// Rename gives a replica that has no vote another identity, under which it may be voted in.
+func (r *Replica) Rename(id string) {
+	if !r.Votes() && r.role == Follower {
+		r.id = id
+	}
+}
+
+// Role is the replica's role.
+func (r *Replica) Role() Role { return r.role }
+
+// Leader is the identity of the leader, as far as it is known.
+func (r *Replica) Leader() string { return r.leader }
+
+// Term is the newest term that was seen.
+func (r *Replica) Term() uint64 { return r.hard.Term }
+
+// Commit is the index of the last entry that is known to be committed.
+func (r *Replica) Commit() uint64 { return r.commit }
+
+// Last is the index of the last entry of the log.
+func (r *Replica) Last() uint64 { return r.last() }
+
+// Votes tells whether the replica has a vote.
+func (r *Replica) Votes() bool { return r.Membership().Contains(r.id) }
+
+// Match is how far a peer's durable log is known to agree with the leader's, and when the peer was last heard.
+func (r *Replica) Match(id string) (index uint64, heard time.Duration, ok bool) {
+	if id == r.id {
+		return r.stored, r.now, true
+	}
+	p := r.peers[id]
+	if p == nil {
+		return 0, 0, false
+	}
+	return p.match, p.heard, true
+}
+
+func (r *Replica) last() uint64 {
+	if n := len(r.log); n > 0 {
+		return r.log[n-1].Index
+	}
+	return r.snapshot.Index
+}
+
+// termAt gives the term of an entry, and whether it is known.
+func (r *Replica) termAt(index uint64) (uint64, bool) {
+	if index == r.snapshot.Index {
+		return r.snapshot.Term, true
+	}
+	if index < r.snapshot.Index || index > r.last() {
+		return 0, false
+	}
+	return r.log[index-r.snapshot.Index-1].Term, true
+}
+
+// entriesFrom is the part of the log from an index on.
+func (r *Replica) entriesFrom(index uint64) []Entry { return r.log[index-r.snapshot.Index-1:] }
+
+func (r *Replica) persistHardState() {
+	hard := r.hard
+	r.out.Hard = &hard
+}
+
+func (r *Replica) sendNow(msg Message) { r.out.Now = append(r.out.Now, r.addressed(msg)) }
+
+// sendStored sends a message once all that was changed before is durable.
+func (r *Replica) sendStored(msg Message) { r.out.After = append(r.out.After, r.addressed(msg)) }
+
+func (r *Replica) addressed(msg Message) Message {
+	msg.From = r.id
+	if msg.Term == 0 {
+		msg.Term = r.hard.Term
+	}
+	return msg
+}
+
+// Take hands out what has to be done and starts collecting anew.
+func (r *Replica) Take() Output {
+	if r.applied < r.commit {
+		for i := r.applied + 1; i <= r.commit; i++ {
+			r.out.Committed = append(r.out.Committed, r.log[i-r.snapshot.Index-1])
+		}
+		r.applied, r.hard.Commit = r.commit, r.commit
+		r.persistHardState()
+	}
+	out := r.out
+	r.out = Output{}
+	return out
+}
+
+// Stored tells that an output's entries up to this index are durable.
+func (r *Replica) Stored(index uint64, now time.Duration) {
+	r.now = now
+	r.stored = max(r.stored, min(index, r.last()))
+	if r.role == Leader {
+		r.advance()
+	}
+}
+
+// Tick lets time pass.
+func (r *Replica) Tick(now time.Duration) {
+	r.now = now
+	if r.role == Leader {
+		r.lead()
+		return
+	}
+	if now >= r.electionTimeout && r.Votes() {
+		r.stand(true)
+	}
+}
+
+// lead sends heartbeats, and steps down when no majority was heard for long: whoever is asked should ask another.
+func (r *Replica) lead() {
+	for _, id := range r.targets() {
+		if r.now-r.peers[id].sentAt >= r.timing.Heartbeat {
+			r.push(id)
+		}
+	}
+	if !r.Attached(r.now) && r.now-r.heard > r.timing.attachedSpan() {
+		r.follow(r.hard.Term, "")
+	}
+}
+
+// Attached tells whether the replica was lately in contact with a majority: a leader heard one, any other heard a leader
+// that had heard it too.
+func (r *Replica) Attached(now time.Duration) bool {
+	span := r.timing.attachedSpan()
+	if r.role != Leader {
+		return r.leader != "" && now-r.heard < span && r.heardByLeader
+	}
+	return r.Membership().Quorum(func(id string) bool { return id == r.id || now-r.peers[id].heard < span })
+}
+
+// Propose appends a change; only a leader can. It returns the change's place.
+func (r *Replica) Propose(data []byte, now time.Duration) (index, term uint64, ok bool) {
+	r.now = now
+	if r.role != Leader {
+		return 0, 0, false
+	}
+	r.append(Entry{Data: data})
+	return r.last(), r.hard.Term, true
+}
+
+// append adds an entry to a leader's log and sends it.
+func (r *Replica) append(e Entry) {
+	e.Term, e.Index = r.hard.Term, r.last()+1
+	r.log = append(r.log, e)
+	r.out.Entries = append(r.out.Entries, e)
+	r.followMembership(e)
+	r.followPeers()
+	r.pushAll()
+	r.advance()
+}
+
+// advance commits what a majority holds durably. Only entries of the own term commit by counting.
+func (r *Replica) advance() {
+	index := r.last()
+	for ; index > r.commit; index-- {
+		if term, _ := r.termAt(index); term != r.hard.Term {
+			return
+		}
+		if r.heldByQuorum(index) {
+			break
+		}
+	}
+	if index > r.commit {
+		r.commit = index
+		r.pushAll()
+	}
+}
+
+func (r *Replica) heldByQuorum(index uint64) bool {
+	return r.Membership().Quorum(func(id string) bool {
+		if id == r.id {
+			return r.stored >= index
+		}
+		return r.peers[id].match >= index
+	})
+}
+
+// Confirm starts a round that shows whether the replica still leads; Confirmed tells.
+func (r *Replica) Confirm(now time.Duration) uint64 {
+	r.now = now
+	r.round++
+	if r.role == Leader {
+		r.pushAll()
+	}
+	return r.round
+}
+
+// Confirmed tells whether a majority answered a round, and all that was committed when it began is known here.
+func (r *Replica) Confirmed(round uint64) bool {
+	if r.role != Leader {
+		return false
+	}
+	if term, ok := r.termAt(r.commit); !ok || term != r.hard.Term {
+		return false // nothing of this term is committed: former leaders' changes may not be
+	}
+	return r.Membership().Quorum(func(id string) bool { return id == r.id || r.peers[id].round >= round })
+}
+
+// Compact replaces the log up to an applied entry by a snapshot.
+func (r *Replica) Compact(index uint64, data []byte) {
+	term, ok := r.termAt(index)
+	if !ok || index <= r.snapshot.Index || index > r.applied {
+		return
+	}
+	membership := r.membershipAt(index)
+	kept := []located{{index, membership}}
+	for _, l := range r.memberships {
+		if l.index > index {
+			kept = append(kept, l)
+		}
+	}
+	r.log = append([]Entry(nil), r.log[index-r.snapshot.Index:]...)
+	r.memberships = kept
+	r.snapshot = Snapshot{Term: term, Index: index, Data: data, Membership: membership}
+	s := r.snapshot
+	r.out.Snapshot, r.out.Truncate, r.out.Entries = &s, 0, append([]Entry(nil), r.log...)
+}
+
+// Step takes a message.
+func (r *Replica) Step(msg Message, now time.Duration) {
+	r.now = now
+	if msg.To != r.id || msg.From == r.id {
+		return
+	}
+	switch msg.Kind {
+	case PreVoteRequest:
+		r.answerPreVote(msg)
+		return
+	case PreVoteReply:
+		r.countPreVote(msg)
+		return
+	}
+	if msg.Term > r.hard.Term {
+		r.follow(msg.Term, "")
+	}
+	if msg.Term < r.hard.Term {
+		if msg.Kind == Append { // tells a former leader
+			r.sendStored(Message{Kind: AppendReply, To: msg.From})
+		}
+		return
+	}
+	switch msg.Kind {
+	case VoteRequest:
+		r.answerVote(msg)
+	case VoteReply:
+		r.countVote(msg)
+	case Append:
+		r.appended(msg)
+	case AppendReply:
+		r.replied(msg)
+	case StandNow:
+		r.standAtOnce(msg)
+	}
+}
--- a/internal/control/controller/bookings.go
+++ b/internal/control/controller/bookings.go
@@ -70,13 +70,13 @@
 		return
 	}
 	r.next = now + dealEvery
-	if r.dealer == nil || r.dealer.Term() != c.member.Term() {
-		r.dealer, r.round, r.proven, r.again, r.controllers = reservation.NewDealer(c.member.Term(), now), 0, 0, 0, map[string]string{}
+	if r.dealer == nil || r.dealer.Term() != c.replica.Term() {
+		r.dealer, r.round, r.proven, r.again, r.controllers = reservation.NewDealer(c.replica.Term(), now), 0, 0, 0, map[string]string{}
 	}
-	if r.round > 0 && c.member.Confirmed(r.round) {
+	if r.round > 0 && c.replica.Confirmed(r.round) {
 		r.proven = r.asked
 	}
-	r.round, r.asked = c.member.Confirm(now), now
+	r.round, r.asked = c.replica.Confirm(now), now
 	if r.proven == 0 || now-r.proven > reservation.Confirmed {
 		return
 	}
@@ -121,7 +121,7 @@
 
 // tellReservations tells one who joins. A leader tells that nothing is held, too: the other may have missed an end.
 func (c *Controller) tellReservations(p *remote) {
-	if told := c.reservations.told; told != nil && (p.edge || c.leads() && told.Term == c.member.Term()) {
+	if told := c.reservations.told; told != nil && (p.edge || c.leads() && told.Term == c.replica.Term()) {
 		p.link.Send(&peer.Frame{Reservations: told})
 	}
 }
@@ -334,9 +334,9 @@
 		done <- booked{err: apierror.Malformed.Wrap(err, "booking")}
 		return
 	}
-	index, term, _ := c.member.Propose(data, c.now())
-	c.waiters[index] = waiter{term: term, until: c.now() + callLimit, answer: func(_ uint64, err error) {
+	index, term, _ := c.replica.Propose(data, c.now())
+	c.wait(index, waiter{term: term, until: c.now() + callLimit, answer: func(_ uint64, err error) {
 		out.version, out.err = c.state.Book.Version, err
 		done <- out
-	}}
+	}})
 }
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -4,7 +4,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -14,6 +13,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,6 +21,7 @@
 	"mulleinwood/internal/control/broadcast"
 	"mulleinwood/internal/control/consensus"
 	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/control/registry"
 	"mulleinwood/internal/control/reservation"
 	"mulleinwood/internal/control/statemachine"
@@ -68,16 +69,22 @@
 	metrics               *metrics.Metrics
 	storage               *storage.Storage
 	store                 store
-	members               []string
-	member                *consensus.Replica // nil in a controller that has no vote
-	blank                 bool               // an empty disk, and the members aren't known yet
+	first                 bool     // the whole system starts for the first time, and this disk is empty
+	members               []string // the voters that the cluster started with, where this disk knows them
+	identity              string
+	cluster               atomic.Uint64 // 0: not known yet
+	replica               *consensus.Replica
+	membership            consensus.Membership // the newest that was applied
+	epoch                 uint64               // of the newest that was applied durably
+	manager               membership.Manager
+	met                   map[string]membership.Controller // replicas that were linked at some time
 	state                 *statemachine.StateMachine
 	waiters               map[uint64]waiter
 	reads                 []read
 	registry              *registry.Registry
 	claimStore            *idempotency.Store
 	coordinator           *idempotency.Coordinator
-	copies                map[string]bool    // claim stores that were copied while ours is blank, and whether they were blank too
+	copied                map[string]bool    // replicas whose claims were copied for the change under way
 	peers                 map[string]*remote // controllers by IP
 	edges                 map[string]*remote // by IP
 	guests                map[*remote]bool
@@ -87,30 +94,29 @@
 	fetches               map[idempotency.Token]*fetch
 	tables                *weights.Tables
 	reservations          reservations
-	known                 map[string]bool   // IPs of controllers
-	founder               bool              // names the members, once there are enough
-	fresh                 bool              // the whole system starts for the first time
-	lives                 map[string]uint64 // of controllers, when last met
+	known                 map[string]bool // IPs of controllers
 	claimers              map[idempotency.Token]*remote
 	goneSince             map[string]time.Duration // controllers out of reach
 	nextSummary, nextCopy time.Duration
 	summaries             int
-	draining              bool   // told to end
+	leaving               bool // told to end
+	retired               bool // voted out since its start
+	departure             departure
 	said                  string // role last logged
 }
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, set *nodesettings.Settings, security *peer.Security, logger log.Logger) error {
 	c := &Controller{set: set, security: security, logger: logger, began: time.Now(), life: rand.Uint64() | 1, inbox: make(chan func(), 1024),
-		waiters: map[uint64]waiter{}, state: statemachine.New(), copies: map[string]bool{},
+		waiters: map[uint64]waiter{}, state: statemachine.New(), copied: map[string]bool{}, met: map[string]membership.Controller{},
 		peers: map[string]*remote{}, edges: map[string]*remote{}, guests: map[*remote]bool{}, calls: map[uint64]func(){},
 		fetches: map[idempotency.Token]*fetch{}, known: map[string]bool{}, claimers: map[idempotency.Token]*remote{},
-		goneSince: map[string]time.Duration{}, lives: map[string]uint64{}}
+		goneSince: map[string]time.Duration{}}
 	reloads := lifecycle.Reloads()
 	c.registry = registry.New(tombstones)
 	c.broadcaster = broadcast.New(c.registry)
 	c.metrics = metrics.New(metrics.Controller)
-	c.tables = weights.New(set.Zone, slices.Collect(maps.Keys(set.Zones)), c.life, func() int { return len(c.members) }, func(service, note string) {
+	c.tables = weights.New(set.Zone, slices.Collect(maps.Keys(set.Zones)), c.life, func() int { return len(c.membership.Voters) }, func(service, note string) {
 		_ = logger.Log("event", "table", "service", service, "note", note)
 	})
 	c.reservations.clock = reservation.NewClock()
@@ -134,15 +140,16 @@
 			_ = logger.Log("event", "control calls end", "cause", err)
 		}
 	}()
-	defer server.Close()
+	defer shutdown(server)
 	go c.accept(listener)
-	_ = logger.Log("event", "controller starts", "node", set.Node, "zone", set.Zone, "members", strings.Join(c.members, " "), "blank", c.blank)
+	_ = logger.Log("event", "controller starts", "node", set.Node, "zone", set.Zone, "identity", c.identity, "epoch", c.membership.Epoch, "voters", strings.Join(c.membership.Voters, " "))
 	go func() {
 		for range reloads {
 			c.do(c.reload)
 		}
 	}()
 	c.loop(ctx)
+	c.drainLinks()
 	_ = logger.Log("event", "controller ends", "node", set.Node)
 	return nil
 }
@@ -192,21 +199,12 @@
 		c.known[ip] = true
 	}
 	delete(c.known, c.set.IP)
-	c.members = state.Members
-	// A disk without members never held a vote or a claim, or lost them: the file alone may be there since a start that was
-	// cut short right after the loss.
-	first := c.set.FirstStart && state.Spoilt == nil
-	blank := len(state.Members) == 0 && !first
-	seeds := c.set.SeedIPs()
-	slices.Sort(seeds)
-	c.founder = len(c.members) == 0 && first && c.set.Counted && len(seeds) > 0 && seeds[0] == c.set.IP
-	if len(c.members) == 0 && first && slices.Contains(seeds, c.set.IP) && len(seeds) >= c.wanted() {
-		c.members = seeds
-		if err := a.Commit([]*storage.Batch{{Members: c.members, Hard: &state.Hard}}); err != nil {
-			return err
-		}
+	if err := c.drawIdentity(state); err != nil {
+		return err
 	}
-	c.claimStore = idempotency.NewStore(window, blank || state.LedgerBlank)
+	c.first = c.set.FirstStart && c.identity == membership.Identity(c.set.IP, 0)
+	c.members = state.Members
+	c.claimStore = idempotency.NewStore(window, state.LedgerBlank)
 	c.claimStore.Bound(answers)
 	for _, r := range state.Records {
 		c.claimStore.Load(r, c.now())
@@ -217,105 +215,50 @@
 			c.tables.Changed([]registry.Entry{now}, c.now())
 		}
 	}
-	c.blank = blank
-	c.fresh = len(state.Members) == 0 && first
-	if len(c.members) > 0 {
-		return c.join(state)
-	}
+	c.join(state)
 	return nil
 }
 
-// answersMost is how many bytes the answers of keyed operations may take, in memory and on disk.
-func (c *Controller) answersMost() int64 {
-	most := memoryShare * c.set.Limits.MemoryMB
-	if disk := c.set.Limits.DiskMB; disk > 0 {
-		most = min(most, diskShare*disk)
-	}
-	return int64(most * (1 << 20))
-}
-
-// wanted is how many members the consensus needs, so that more than half remain when as many as are borne are lost.
-func (c *Controller) wanted() int { return 2*c.set.Tolerance.Machines + 1 }
-
-// found names the members of a system that starts for the first time, where the seeds are too few to be all of them. One
-// alone decides, the first of the seeds; the others learn it from each other.
-func (c *Controller) found() {
-	if !c.founder || len(c.members) > 0 {
-		return
-	}
-	members := []string{c.set.IP}
-	for ip, p := range c.peers {
-		if p.counted {
-			members = append(members, ip)
-		}
-	}
-	slices.Sort(members)
-	seeds := c.set.SeedIPs()
-	slices.SortStableFunc(members, func(a, b string) int { // the seeds are surely meant
-		return cmp.Compare(btoi(!slices.Contains(seeds, a)), btoi(!slices.Contains(seeds, b)))
-	})
-	if len(members) < c.wanted() {
-		return
-	}
-	c.invited(members[:c.wanted()])
-	for _, p := range c.peers {
-		hello := c.hello()
-		hello.Members = c.members
-		p.link.Send(&peer.Frame{Hello: hello})
-	}
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// join starts this planner's part in the consensus.
-func (c *Controller) join(state *storage.State) error {
-	for _, ip := range c.members {
+// join starts this controller's part in the consensus, with what its disk held.
+func (c *Controller) join(state *storage.State) {
+	started := consensus.Membership{}
+	if len(state.Members) > 0 {
+		started = consensus.Membership{Epoch: 1, Voters: state.Members}
+	}
+	c.replica = consensus.New(consensus.Config{ID: c.identity, Timing: consensus.Timing{Heartbeat: heartbeatEvery, ElectionTimeout: electionTimeout},
+		Seed: c.life, Membership: started, Hard: state.Hard, Snapshot: state.Snapshot, Log: state.Entries, Now: c.now()})
+	c.coordinator = idempotency.NewCoordinator(nil, claimHedge, claimLimit)
+	c.membership, c.epoch = state.Membership, state.Membership.Epoch
+	if c.membership.Epoch == 0 {
+		c.membership, c.epoch = started, started.Epoch
+	}
+	c.cluster.Store(c.membership.Cluster)
+	c.setStores()
+	for _, ip := range membership.Addresses(c.membership.All()) {
 		if ip != c.set.IP {
 			c.known[ip] = true
 		}
 	}
-	if !slices.Contains(c.members, c.set.IP) {
-		return nil
-	}
-	c.member = consensus.New(c.set.IP, c.members, consensus.Timing{Heartbeat: heartbeatEvery, ElectionTimeout: electionTimeout, Lost: c.set.Tolerance.Machines}, c.life,
-		state.Hard, state.Snapshot, state.Entries, c.now())
-	at := slices.Index(c.members, c.set.IP)
-	order := append(slices.Clone(c.members[at:]), c.members[:at]...)
-	c.coordinator = idempotency.NewCoordinator(order, claimHedge, claimLimit)
-	return nil
 }
 
-// invited makes a planner with an empty disk a member again, once another says who the members are.
-func (c *Controller) invited(members []string) {
-	if len(c.members) > 0 || len(members) == 0 {
-		return
-	}
-	c.members = slices.Clone(members)
-	slices.Sort(c.members)
-	hard := consensus.HardState{Blank: slices.Contains(members, c.set.IP) && !c.fresh}
-	yes := hard.Blank
-	if !yes {
-		c.claimStore.Restored() // it never granted anything, or is asked by nobody
-	}
-	c.put(&storage.Batch{Members: c.members, Hard: &hard, LedgerBlank: &yes}, nil)
-	if err := c.join(&storage.State{Hard: hard}); err != nil {
-		_ = c.logger.Log("event", "can't join", "cause", err)
+// answersMost is how many bytes the answers of keyed operations may take, in memory and on disk.
+func (c *Controller) answersMost() int64 {
+	most := memoryShare * c.set.Limits.MemoryMB
+	if disk := c.set.Limits.DiskMB; disk > 0 {
+		most = min(most, diskShare*disk)
 	}
-	_ = c.logger.Log("event", "members learnt", "members", strings.Join(c.members, " "), "vote", c.member != nil)
+	return int64(most * (1 << 20))
 }
 
 func (c *Controller) loop(ctx context.Context) {
 	tick := time.NewTimer(tickEvery)
 	defer tick.Stop()
-	for {
+	told := ctx.Done()
+	for !c.departed() {
 		select {
-		case <-ctx.Done():
-			return
+		case <-told:
+			told = nil
+			c.beginLeaving()
 		case f := <-c.inbox:
 			f()
 			for more := true; more; { // what came in together is decided and stored together
@@ -329,7 +272,7 @@
 		case <-tick.C:
 			c.tick()
 			next := tickEvery
-			if c.coordinator != nil && c.coordinator.Busy() {
+			if c.coordinator.Busy() {
 				next = busyTick
 			}
 			tick.Reset(next)
@@ -340,17 +283,17 @@
 
 func (c *Controller) tick() {
 	now := c.now()
-	if c.member != nil {
-		c.member.Tick(now)
-		asks, done := c.coordinator.Tick(now)
-		c.askStores(asks)
-		for _, o := range done {
-			c.ruled(o)
-		}
+	c.replica.Tick(now)
+	asks, done := c.coordinator.Tick(now)
+	c.askStores(asks)
+	for _, o := range done {
+		c.ruled(o)
 	}
 	c.claimStore.Expire(now)
 	c.found()
+	c.manage(now)
 	c.askCopies(now)
+	c.depart(now)
 	c.summarize(now)
 	c.overdue(now)
 	c.broadcaster.Tick(now)
@@ -367,67 +310,60 @@
 
 // settle does what the consensus wants done after the events of a turn, and hands the disk what has gathered.
 func (c *Controller) settle() {
-	if c.member != nil {
-		out := c.member.Take()
-		for _, m := range out.Now {
-			c.sendAgree(m)
+	out := c.replica.Take()
+	for _, m := range out.Now {
+		c.sendAgree(m)
+	}
+	if !out.Empty() || len(out.After) > 0 {
+		last := uint64(0)
+		if n := len(out.Entries); n > 0 {
+			last = out.Entries[n-1].Index
+		} else if out.Snapshot != nil {
+			last = out.Snapshot.Index
 		}
-		if !out.Empty() || len(out.After) > 0 {
-			last := uint64(0)
-			if n := len(out.Entries); n > 0 {
-				last = out.Entries[n-1].Index
-			} else if out.Snapshot != nil {
-				last = out.Snapshot.Index
+		after := out.After
+		done := func(bool) {
+			for _, m := range after {
+				c.sendAgree(m)
 			}
-			after := out.After
-			done := func(bool) {
-				for _, m := range after {
-					c.sendAgree(m)
-				}
-				if last > 0 {
-					c.member.Stored(last, c.now())
-				}
-			}
-			if out.Empty() && c.store.idleAgree() {
-				done(true)
-			} else {
-				c.store.agree(&storage.Batch{Hard: out.Hard, Snapshot: out.Snapshot, Truncate: out.Truncate, Entries: out.Entries}, done)
+			if last > 0 {
+				c.replica.Stored(last, c.now())
 			}
 		}
-		c.apply(out)
-		c.answerReads()
-		c.sayRole()
+		if out.Empty() && c.store.idleAgree() {
+			done(true)
+		} else {
+			c.store.agree(&storage.Batch{Hard: out.Hard, Snapshot: out.Snapshot, Truncate: out.Truncate, Entries: out.Entries}, done)
+		}
 	}
+	c.apply(out)
+	c.answerReads()
+	c.sayRole()
 	c.tell()
 	c.store.run(c)
 }
 
 func (c *Controller) sayRole() {
-	role := "follower of " + c.member.Leader()
-	if c.member.Role() == consensus.Leader {
+	role := "follower of " + c.replica.Leader()
+	if c.replica.Role() == consensus.Leader {
 		role = "leader"
-	} else if c.member.Leader() == "" {
+	} else if c.replica.Leader() == "" {
 		role = "no leader"
 	}
-	if c.member.Blank() {
-		role += ", disk not restored"
+	if !c.replica.Votes() {
+		role += ", no vote"
 	}
 	if role != c.said {
 		c.said = role
-		_ = c.logger.Log("event", "role", "role", role, "term", c.member.Term(), "commit", c.member.Commit())
+		_ = c.logger.Log("event", "role", "role", role, "term", c.replica.Term(), "commit", c.replica.Commit())
 	}
 }
 
 func (c *Controller) sendAgree(m consensus.Message) {
-	if p := c.peers[m.To]; p != nil {
+	if p := c.replicaAt(m.To); p != nil {
 		p.link.Send(&peer.Frame{Agree: []consensus.Message{m}})
 	}
 }
 
-// attached tells whether this planner hears more than half of the core.
-func (c *Controller) attached() bool {
-	if c.member != nil {
-		return c.member.Attached(c.now())
-	}
-	return len(c.members) > 0 && len(c.peers) > len(c.members)/2
-}
+// attached tells whether this planner is in contact with a majority of the voters.
+func (c *Controller) attached() bool { return c.replica.Attached(c.now()) }
--- a/internal/control/controller/keys.go
+++ b/internal/control/controller/keys.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"mulleinwood/internal/control/consensus"
 	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/platform/peer"
 	"mulleinwood/internal/platform/storage"
 )
@@ -16,12 +18,10 @@
 	do    func(*idempotency.Answer)
 }
 
-const copyChunk = 2000
-
 // claimed takes the claims of an edge.
 func (c *Controller) claimed(p *remote, f *peer.Frame) {
 	for _, r := range f.Claims {
-		if c.coordinator == nil || c.draining {
+		if len(c.membership.Voters) == 0 {
 			p.link.Send(&peer.Frame{Rulings: []peer.Ruling{{Token: r.Token, Ruling: idempotency.Refused}}})
 			continue
 		}
@@ -36,7 +36,7 @@
 	now := c.now()
 	c.claimed(p, f)
 	for _, r := range f.Asks {
-		c.judge(r, func(v idempotency.Verdict, holder idempotency.Record) {
+		c.judge(r, f.Epoch, func(v idempotency.Verdict, holder idempotency.Record) {
 			answer := peer.Verdict{Token: r.Token, Verdict: v}
 			if v == idempotency.Held {
 				answer.Holder = &holder
@@ -49,11 +49,11 @@
 		if v.Holder != nil {
 			holder = *v.Holder
 		}
-		c.verdict(p.ip, v.Token, v.Verdict, holder)
+		c.verdict(p.standing.Identity, v.Token, v.Verdict, holder)
 	}
 	for _, r := range f.Voids {
 		if p.edge { // an edge's claim was put to all
-			c.void(r, c.members)
+			c.void(r)
 		} else {
 			c.voidHere(r)
 		}
@@ -78,15 +78,27 @@
 		}
 	}
 	if f.Copy {
-		c.sendCopy(p)
+		c.sendCopy(p, f.Epoch)
 	}
 	if f.Copied != nil {
-		c.copied(p, f.Copied)
+		c.takeCopy(p, f.Copied, f.Epoch)
+	}
+	if f.Sync != 0 {
+		c.put(&storage.Batch{}, func(bool) { p.link.Send(&peer.Frame{Synced: f.Sync}) })
+	}
+	if f.Synced != 0 {
+		c.departure.synced = true
 	}
 }
 
-// judge puts a claim to the claim store here; a grant is told once it is durable.
-func (c *Controller) judge(r idempotency.Record, tell func(idempotency.Verdict, idempotency.Record)) {
+// judge puts a claim to the claim store here; a grant is told once it is durable. One that is asked under a membership
+// older than the newest that is durable here is granted nothing: the entrants have copied, or are copying, what this store
+// held before.
+func (c *Controller) judge(r idempotency.Record, epoch uint64, tell func(idempotency.Verdict, idempotency.Record)) {
+	if epoch < c.epoch {
+		tell(idempotency.Behind, idempotency.Record{})
+		return
+	}
 	v, holder, store := c.claimStore.Claim(r, c.now())
 	if !store {
 		tell(v, holder)
@@ -106,11 +118,11 @@
 // askStores puts claims to claim stores.
 func (c *Controller) askStores(asks []idempotency.Ask) {
 	for _, a := range asks {
-		if a.To == c.set.IP {
+		if a.To == c.identity {
 			r := a.Record
-			c.judge(r, func(v idempotency.Verdict, holder idempotency.Record) { c.verdict(c.set.IP, r.Token, v, holder) })
-		} else if p := c.peers[a.To]; p != nil {
-			p.link.Send(&peer.Frame{Asks: []idempotency.Record{a.Record}})
+			c.judge(r, c.membership.Epoch, func(v idempotency.Verdict, holder idempotency.Record) { c.verdict(a.To, r.Token, v, holder) })
+		} else if p := c.replicaAt(a.To); p != nil {
+			p.link.Send(&peer.Frame{Asks: []idempotency.Record{a.Record}, Epoch: c.membership.Epoch})
 		} else {
 			c.verdict(a.To, a.Record.Token, idempotency.Unable, idempotency.Record{})
 		}
@@ -118,9 +130,6 @@
 }
 
 func (c *Controller) verdict(from string, token idempotency.Token, v idempotency.Verdict, holder idempotency.Record) {
-	if c.coordinator == nil {
-		return
-	}
 	asks, done := c.coordinator.Verdict(from, token, v, holder, c.now())
 	c.askStores(asks)
 	if done != nil {
@@ -171,8 +180,8 @@
 }
 
 // void withdraws a claim under which nothing was run, or ever will be.
-func (c *Controller) void(r idempotency.Record, at []string) {
-	for _, ip := range at {
+func (c *Controller) void(r idempotency.Record) {
+	for _, ip := range membership.Addresses(c.membership.All()) {
 		if ip == c.set.IP {
 			c.voidHere(r)
 		} else if p := c.peers[ip]; p != nil {
@@ -187,59 +196,49 @@
 	}
 }
 
-// sendCopy hands a blank claim store all that this one holds.
-func (c *Controller) sendCopy(p *remote) {
+// sendCopy hands an entrant all claims that this store holds, once it grants nothing under the former membership.
+func (c *Controller) sendCopy(p *remote, epoch uint64) {
+	if c.membership.Epoch != epoch || c.epoch < epoch {
+		return // it asks again
+	}
+	if c.claimStore.Blank() || !slices.Contains(c.membership.Voters, c.identity) {
+		return
+	}
 	var part []idempotency.Record
 	c.claimStore.Each(func(r idempotency.Record) {
 		if part = append(part, r); len(part) == copyChunk {
-			p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part}})
+			p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part}, Epoch: epoch})
 			part = nil
 		}
 	})
-	p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part, Last: true, Blank: c.claimStore.Blank()}})
+	p.link.Send(&peer.Frame{Copied: &peer.Copied{Records: part, Last: true}, Epoch: epoch})
 }
 
-// copied takes a part of another claim store. Once enough of them are here and durable, this claim store grants again.
-func (c *Controller) copied(p *remote, copied *peer.Copied) {
-	if !c.claimStore.Blank() || c.member == nil {
+// takeCopy takes a part of another store. Once a majority of the former voters is here and durable, this one grants.
+func (c *Controller) takeCopy(p *remote, part *peer.Copied, epoch uint64) {
+	if !c.entering() || epoch != c.membership.Epoch || part.Blank {
 		return
 	}
-	for _, r := range copied.Records {
-		c.store.record(c.claimStore.Copy(r, c.now()), c.now(), nil)
+	records := make([]idempotency.Record, len(part.Records))
+	for i, r := range part.Records {
+		records[i] = c.claimStore.Copy(r, c.now())
 	}
-	if !copied.Last {
+	c.put(&storage.Batch{Records: records}, nil) // kept until the disk takes it, before what says that the store is whole
+	if !part.Last {
 		return
 	}
-	c.copies[p.ip] = copied.Blank
-	sound := 0
-	for _, blank := range c.copies {
-		if !blank {
-			sound++
-		}
-	}
-	// Enough are all that can have kept their disks when as many as are borne lost theirs: any claim that stands is held
-	// by one of them. Where all are blank, no claim ever stood.
-	if sound < len(c.members)-c.set.Tolerance.Machines && (sound > 0 || len(c.copies) < len(c.members)-1) {
+	c.copied[p.standing.Identity] = true
+	former := consensus.Membership{Voters: c.membership.Voters}
+	if !former.Quorum(func(id string) bool { return c.copied[id] }) {
 		return
 	}
 	no := false
-	c.put(&storage.Batch{LedgerBlank: &no}, func(ok bool) {
-		if ok && c.claimStore.Blank() {
-			c.claimStore.Restored()
-			_ = c.logger.Log("event", "ledger restored", "keys", c.claimStore.Len())
+	c.put(&storage.Batch{LedgerBlank: &no}, func(bool) {
+		if c.membership.Epoch != epoch || !c.claimStore.Blank() {
+			return // the change is over meanwhile, or this was said before
 		}
+		c.claimStore.Restored()
+		_ = c.logger.Log("event", "claims copied", "keys", c.claimStore.Len(), "epoch", epoch)
+		c.tellStanding()
 	})
 }
-
-// askCopies asks the other claim stores for what they hold, while this one is blank.
-func (c *Controller) askCopies(now time.Duration) {
-	if c.member == nil || !c.claimStore.Blank() || now < c.nextCopy {
-		return
-	}
-	c.nextCopy = now + time.Second
-	for ip, p := range c.peers {
-		if blank, copied := c.copies[ip]; slices.Contains(c.members, ip) && (!copied || blank) {
-			p.link.Send(&peer.Frame{Copy: true})
-		}
-	}
-}
--- a/internal/control/controller/links.go
+++ b/internal/control/controller/links.go
@@ -27,6 +27,7 @@
 	crew     map[string][]uint32 // a controller's edges, by zone
 	roster   []uint32            // as an edge was last told
 	usual    []peer.Zoned
+	standing peer.Standing // of a controller
 }
 
 // name is how the broadcaster knows a peer.
@@ -127,7 +128,7 @@
 
 // hello is only what never changes: it is sent from outside the owner, too.
 func (c *Controller) hello() *peer.Hello {
-	return &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Life: c.life, Counted: c.set.Counted}
+	return &peer.Hello{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Life: c.life, Counted: c.set.Counted, Cluster: c.cluster.Load()}
 }
 
 // joined takes a peer in and brings it up to date: a snapshot, then changes.
@@ -137,6 +138,11 @@
 		c.guests[p] = true
 		return
 	}
+	if mine := c.cluster.Load(); mine != 0 && h.Cluster != 0 && h.Cluster != mine {
+		_ = c.logger.Log("event", "stranger", "node", p.node, "ip", p.ip, "cause", "it belongs to another cluster", "cluster", h.Cluster)
+		p.link.Close()
+		return
+	}
 	if p.edge {
 		if old := c.edges[p.ip]; old != nil {
 			old.link.Close()
@@ -153,12 +159,6 @@
 		}
 		c.peers[p.ip] = p
 		p.counted = h.Counted
-		if before, met := c.lives[p.ip]; met && before != h.Life && c.coordinator != nil {
-			for _, o := range c.coordinator.Forget(p.ip) {
-				c.ruled(o)
-			}
-		}
-		c.lives[p.ip] = h.Life
 		delete(c.goneSince, p.ip)
 		c.meet(p.ip)
 	}
@@ -169,7 +169,9 @@
 	answer.Blank = c.claimStore.Blank()
 	answer.Members = c.members
 	f := &peer.Frame{Hello: answer, Entries: c.registry.All(c.now()), Summary: c.makeSummary(true)}
-	if (p.edge || !slices.Contains(c.members, p.ip)) && h.Version < c.state.Version() {
+	if !p.edge {
+		f.Standing = c.standing()
+	} else if h.Version < c.state.Version() {
 		f.Config = c.whole()
 	}
 	p.link.Send(f)
@@ -208,7 +210,7 @@
 	if p.look {
 		c.claimed(p, f)
 		for _, r := range f.Voids {
-			c.void(r, c.members)
+			c.void(r)
 		}
 		return
 	}
@@ -216,7 +218,7 @@
 		return // superseded
 	}
 	if f.Hello != nil && len(f.Hello.Members) > 0 {
-		c.invited(f.Hello.Members)
+		c.bootstrap(f.Hello.Members)
 	}
 	if f.Summary != nil {
 		p.attached, p.fleet = f.Summary.Attached, f.Summary.Edges
@@ -239,10 +241,11 @@
 			c.meet(ip)
 		}
 	}
-	if c.member != nil {
-		for _, m := range f.Agree {
-			c.member.Step(m, c.now())
-		}
+	if f.Standing != nil && !p.edge {
+		c.heardStanding(p, f.Standing)
+	}
+	for _, m := range f.Agree {
+		c.replica.Step(m, c.now())
 	}
 	if len(f.Entries) > 0 {
 		c.broadcaster.Heard(p.name(), f.Entries, f.Receipt, c.now())
@@ -255,9 +258,6 @@
 	if f.Received != 0 {
 		c.broadcaster.Received(p.name(), f.Received)
 	}
-	if f.Config != nil && !c.observed(f.Config) {
-		p.link.Send(&peer.Frame{NeedAll: true})
-	}
 	if f.NeedAll {
 		p.link.Send(&peer.Frame{Config: c.whole()})
 	}
@@ -308,7 +308,7 @@
 
 // makePulse says how this planner sees the system.
 func (c *Controller) makeSummary(full bool) *peer.Summary {
-	p := &peer.Summary{Attached: c.attached() && !c.draining, Version: c.state.Version(), Edges: len(c.edges), Fleet: len(c.edges), Full: full}
+	p := &peer.Summary{Attached: c.attached() && !c.leaving, Version: c.state.Version(), Edges: len(c.edges), Fleet: len(c.edges), Full: full}
 	for _, other := range c.peers {
 		p.Fleet += other.fleet
 	}
--- /dev/null
+++ b/internal/control/controller/membership.go
@@ -0,0 +1,302 @@
+package controller
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/membership"
+	"mulleinwood/internal/operator"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
+)
+
+const (
+	copyEvery   = 200 * time.Millisecond // between two requests for the claims of other stores
+	caughtUpLag = 16                     // entries by which a controller may lag and still count as level with the log
+	copyChunk   = 2000                   // claims in one frame
+)
+
+// drawIdentity gives a disk that has no identity yet its own, before anything else is written to it.
+func (c *Controller) drawIdentity(state *storage.State) error {
+	first := c.set.FirstStart && state.Spoilt == nil
+	blank := true
+	switch {
+	case state.Identity != "":
+		c.identity = state.Identity
+		return nil
+	case len(state.Members) > 0 && !state.Hard.Lost: // a file of an earlier version
+		c.identity, blank = membership.Identity(c.set.IP, 0), state.LedgerBlank
+	case first:
+		c.identity = membership.Identity(c.set.IP, 0)
+	default: // the disk was lost: what it voted and granted is not known
+		c.identity, state.Members = newIdentity(c.set.IP), nil
+	}
+	state.LedgerBlank = blank
+	batch := &storage.Batch{Identity: c.identity, LedgerBlank: &blank}
+	if seeds := c.founders(); first && len(state.Members) == 0 && slices.Contains(seeds, c.set.IP) && len(seeds) >= c.wanted() {
+		blank = false // it never granted anything
+		state.Members, state.LedgerBlank = seeds, false
+		batch.Members, batch.Hard = seeds, &state.Hard
+	}
+	return c.storage.Commit([]*storage.Batch{batch})
+}
+
+func newIdentity(ip string) string { return membership.Identity(ip, rand.Uint64()|1) }
+
+// founders are the voters of a first start whose seeds are enough of them.
+func (c *Controller) founders() []string {
+	seeds := c.set.SeedIPs()
+	slices.Sort(seeds)
+	return seeds
+}
+
+// wanted is how many voters the consensus needs, so that a majority remains when as many as are tolerated are lost.
+func (c *Controller) wanted() int {
+	return 2*max(c.set.Tolerance.Machines, min(1, c.set.Tolerance.Zones+c.set.Tolerance.Regions)) + 1
+}
+
+// found names the voters of a system that starts for the first time, where the seeds are too few to be all of them. One
+// alone decides, the first of the seeds; the others learn it from each other.
+func (c *Controller) found() {
+	seeds := c.founders()
+	if !c.first || len(c.members) > 0 || !c.set.Counted || len(seeds) == 0 || seeds[0] != c.set.IP {
+		return
+	}
+	voters := []string{c.set.IP}
+	for ip, p := range c.peers {
+		if p.counted {
+			voters = append(voters, ip)
+		}
+	}
+	slices.Sort(voters)
+	slices.SortStableFunc(voters, func(a, b string) int { // the seeds are surely meant
+		return cmp.Compare(btoi(!slices.Contains(seeds, a)), btoi(!slices.Contains(seeds, b)))
+	})
+	if len(voters) < c.wanted() {
+		return
+	}
+	c.bootstrap(voters[:c.wanted()])
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// bootstrap takes the voters of a first start over, and tells all peers once that is durable.
+func (c *Controller) bootstrap(voters []string) {
+	if !c.first || len(c.members) > 0 || !c.replica.Bootstrap(voters) {
+		return
+	}
+	c.members = slices.Sorted(slices.Values(voters))
+	c.put(&storage.Batch{Members: c.members, Hard: &consensus.HardState{}}, func(bool) {
+		for _, p := range c.peers {
+			hello := c.hello()
+			hello.Members = c.members
+			p.link.Send(&peer.Frame{Hello: hello})
+		}
+	})
+	c.applyMembership(c.replica.Membership())
+}
+
+// applyMembership takes over a membership that is committed. From when it is durable, this store of claims grants nothing
+// that is asked under an older one.
+func (c *Controller) applyMembership(m consensus.Membership) {
+	if m.Epoch <= c.membership.Epoch {
+		return // the log is applied again after a start
+	}
+	former := c.membership
+	c.membership = m
+	c.cluster.Store(m.Cluster)
+	batch := &storage.Batch{Membership: &m}
+	identity := c.identity
+	switch {
+	case former.Contains(identity) && !m.Contains(identity):
+		identity = c.retire(batch)
+	case m.Contains(identity) && c.claimStore.Blank():
+		c.copied, c.nextCopy = map[string]bool{}, 0
+		c.foundStore()
+	}
+	c.put(batch, func(bool) {
+		c.epoch = max(c.epoch, m.Epoch)
+		if identity != c.identity {
+			c.identity = identity
+			c.replica.Rename(identity)
+		}
+		c.tellStanding()
+	})
+	for _, ip := range membership.Addresses(m.All()) {
+		c.meet(ip)
+	}
+	c.setStores()
+	_ = c.logger.Log("event", "membership", "epoch", m.Epoch, "cluster", m.Cluster, "voters", strings.Join(m.Voters, " "),
+		"next", strings.Join(m.Next, " "), "votes", m.Contains(c.identity))
+}
+
+// setStores lets the coordinator ask the stores of the membership in force.
+func (c *Controller) setStores() {
+	asks, done := c.coordinator.SetStores(c.identity, c.membership.Voters, c.membership.Next)
+	c.askStores(asks)
+	for _, o := range done {
+		c.ruled(o)
+	}
+}
+
+// retire ends the part of an identity that was voted out: its claims count for nothing any more, and a new identity may be
+// voted in later.
+func (c *Controller) retire(batch *storage.Batch) (identity string) {
+	c.claimStore.Revoke()
+	c.retired = true
+	yes := true
+	batch.Identity, batch.LedgerBlank = newIdentity(c.set.IP), &yes
+	return batch.Identity
+}
+
+// foundStore lets the store of a founder grant: under the identity of a first start it never granted anything before.
+func (c *Controller) foundStore() {
+	if c.identity != membership.Identity(c.set.IP, 0) || !slices.Contains(c.membership.Voters, c.identity) {
+		return
+	}
+	no := false
+	c.claimStore.Restored()
+	c.put(&storage.Batch{LedgerBlank: &no}, nil)
+}
+
+// standing is what this controller says of its part in the consensus.
+func (c *Controller) standing() *peer.Standing {
+	return &peer.Standing{Identity: c.identity, Cluster: c.membership.Cluster, Epoch: c.epoch, Ready: !c.claimStore.Blank(), Leaving: c.leaving}
+}
+
+// tellStanding tells it to all controllers.
+func (c *Controller) tellStanding() {
+	f := &peer.Frame{Standing: c.standing()}
+	for _, p := range c.peers {
+		p.link.Send(f)
+	}
+}
+
+// heardStanding takes a peer's word. Another identity at its address means that its disk was lost, or that it was voted
+// out: what it granted to claims that are still open is not relied on.
+func (c *Controller) heardStanding(p *remote, s *peer.Standing) {
+	if former := p.standing.Identity; former != "" && former != s.Identity {
+		c.forgetGrants(former)
+	}
+	p.standing = *s
+	c.known[p.ip] = true
+	for id := range c.met {
+		if membership.Address(id) == p.ip && id != s.Identity {
+			c.forgetGrants(id)
+			met := c.met[id]
+			met.Linked = false
+			c.met[id] = met
+		}
+	}
+	c.met[s.Identity] = membership.Controller{ID: s.Identity, Zone: p.zone, Counted: p.counted}
+}
+
+func (c *Controller) forgetGrants(identity string) {
+	for _, o := range c.coordinator.Forget(identity) {
+		c.ruled(o)
+	}
+}
+
+// replicaAt finds the link to a replica; nil while another one, or none, runs at its address.
+func (c *Controller) replicaAt(identity string) *remote {
+	if p := c.peers[membership.Address(identity)]; p != nil && p.standing.Identity == identity {
+		return p
+	}
+	return nil
+}
+
+// manage lets a leader change the membership.
+func (c *Controller) manage(now time.Duration) {
+	var linked []string
+	for _, p := range c.peers {
+		if p.standing.Identity != "" {
+			linked = append(linked, p.standing.Identity)
+		}
+	}
+	slices.Sort(linked)
+	c.replica.SetLearners(linked)
+	if !c.leads() {
+		return
+	}
+	d := c.manager.Decide(c.view(), now)
+	var err error
+	switch d.Action {
+	case membership.None:
+		return
+	case membership.Begin:
+		err = c.replica.BeginChange(d.Next, now)
+	case membership.Adopt, membership.Abandon:
+		err = c.replica.FinishChange(d.Action == membership.Adopt, now)
+	case membership.PassLeadership:
+		c.replica.PassLeadership(d.To, now)
+	}
+	_ = c.logger.Log("event", "membership change", "action", d.Action, "cause", d.Cause, "next", strings.Join(d.Next, " "), "to", d.To, "error", err)
+}
+
+// view is what the membership manager decides by.
+func (c *Controller) view() membership.View {
+	v := membership.View{Self: c.identity, Term: c.replica.Term(), Membership: c.replica.Membership(), Committed: c.replica.MembershipCommitted(), Wanted: c.wanted()}
+	v.Controllers = append(v.Controllers, membership.Controller{ID: c.identity, Zone: c.set.Zone, Counted: c.set.Counted, Linked: true, CaughtUp: true,
+		Leaving: c.leaving, Epoch: c.epoch, Ready: !c.claimStore.Blank()})
+	for id, met := range c.met {
+		if p := c.replicaAt(id); p != nil {
+			met.Linked, met.Leaving, met.Epoch, met.Ready = true, p.standing.Leaving, p.standing.Epoch, p.standing.Ready
+			match, _, known := c.replica.Match(id)
+			met.CaughtUp = known && match+caughtUpLag >= c.replica.Commit()
+		} else if !v.Membership.Contains(id) {
+			continue
+		}
+		v.Controllers = append(v.Controllers, met)
+	}
+	return v
+}
+
+// entering tells that this replica is an entrant of the change under way whose store doesn't hold the others' claims yet.
+func (c *Controller) entering() bool {
+	return c.claimStore.Blank() && c.membership.Joint() && slices.Contains(c.membership.Next, c.identity) && !slices.Contains(c.membership.Voters, c.identity)
+}
+
+// askCopies asks the former voters' stores for what they hold, while this replica enters.
+func (c *Controller) askCopies(now time.Duration) {
+	if !c.entering() || now < c.nextCopy {
+		return
+	}
+	c.nextCopy = now + copyEvery
+	for _, id := range c.membership.Voters {
+		if p := c.replicaAt(id); p != nil && !c.copied[id] {
+			p.link.Send(&peer.Frame{Copy: true, Epoch: c.membership.Epoch})
+		}
+	}
+}
+
+// membershipView is what operators are told of who votes.
+func (c *Controller) membershipView() operator.Membership {
+	m := c.membership
+	view := operator.Membership{Identity: c.identity, Cluster: fmt.Sprintf("%016x", m.Cluster), Epoch: m.Epoch, Voters: m.Voters, Next: m.Next,
+		Votes: m.Contains(c.identity), Leaving: c.leaving}
+	if !c.leads() {
+		return view
+	}
+	for _, r := range c.view().Controllers {
+		if r.ID == c.identity {
+			continue
+		}
+		one := operator.Replica{Identity: r.ID, Votes: m.Contains(r.ID), Linked: r.Linked, Ready: r.Ready, Leaving: r.Leaving, Epoch: r.Epoch}
+		if match, _, known := c.replica.Match(r.ID); known {
+			one.Behind = c.replica.Commit() - min(match, c.replica.Commit())
+		}
+		view.Replicas = append(view.Replicas, one)
+	}
+	slices.SortFunc(view.Replicas, func(a, b operator.Replica) int { return cmp.Compare(a.Identity, b.Identity) })
+	return view
+}
--- a/internal/control/controller/operator.go
+++ b/internal/control/controller/operator.go
@@ -15,6 +15,7 @@
 
 	"mulleinwood/internal/config"
 	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/control/statemachine"
 	"mulleinwood/internal/operator"
 	"mulleinwood/internal/platform/apierror"
@@ -98,21 +99,10 @@
 	return net.JoinHostPort(ip, port)
 }
 
-func (c *Controller) leads() bool { return c.member != nil && c.member.Role() == consensus.Leader }
+func (c *Controller) leads() bool { return c.replica != nil && c.replica.Role() == consensus.Leader }
 
-func (c *Controller) leader() string {
-	if c.member != nil {
-		return c.member.Leader()
-	}
-	if len(c.members) > 0 {
-		for _, ip := range c.members {
-			if c.peers[ip] != nil {
-				return ip
-			}
-		}
-	}
-	return ""
-}
+// leader is the address of the leader, as far as it is known.
+func (c *Controller) leader() string { return membership.Address(c.replica.Leader()) }
 
 type answered struct {
 	version uint64
@@ -181,10 +171,18 @@
 		done <- answered{err: apierror.Malformed.Wrap(err, "change")}
 		return
 	}
-	index, term, _ := c.member.Propose(data, c.now())
-	c.waiters[index] = waiter{term: term, until: c.now() + callLimit, answer: func(version uint64, err error) {
+	index, term, _ := c.replica.Propose(data, c.now())
+	c.wait(index, waiter{term: term, until: c.now() + callLimit, answer: func(version uint64, err error) {
 		done <- answered{version: version, err: err}
-	}}
+	}})
+}
+
+// wait has a call wait for the entry at an index. Whoever waited there before waits for an entry that was cut off the log.
+func (c *Controller) wait(index uint64, w waiter) {
+	if former, ok := c.waiters[index]; ok {
+		former.answer(0, apierror.Unconfirmed.New("another change took its place"))
+	}
+	c.waiters[index] = w
 }
 
 // apply takes what the consensus committed.
@@ -197,9 +195,13 @@
 			_ = c.logger.Log("event", "snapshot can't be read", "cause", err)
 			return
 		}
+		c.applyMembership(out.Install.Membership)
 		steps = 2
 	}
 	for _, e := range out.Committed {
+		if e.Membership != nil {
+			c.applyMembership(*e.Membership)
+		}
 		change, err := c.state.Apply(e)
 		if change != nil {
 			last, steps = change, steps+1
@@ -227,22 +229,17 @@
 	}
 	if c.state.Since > compactAfter {
 		if data, err := c.state.Save(); err == nil {
-			c.member.Compact(c.state.Index, data)
+			c.replica.Compact(c.state.Index, data)
 			c.state.Since = 0
 		}
 	}
 }
 
-// pushConfig sends a configuration to the edges, and to controllers without a vote.
+// pushConfig sends a configuration to the edges.
 func (c *Controller) pushConfig(f *peer.Config) {
 	for _, e := range c.edges {
 		e.link.Send(&peer.Frame{Config: f})
 	}
-	for ip, p := range c.peers {
-		if c.leads() && !slices.Contains(c.members, ip) {
-			p.link.Send(&peer.Frame{Config: f})
-		}
-	}
 	c.tables.Configured(c.state.Config)
 }
 
@@ -258,29 +255,6 @@
 	return &peer.Config{Version: c.state.Version(), Whole: body}
 }
 
-// observed takes a configuration that a controller without a vote was sent.
-func (c *Controller) observed(told *peer.Config) (whole bool) {
-	if c.member != nil || told.Version <= c.state.Version() {
-		return true
-	}
-	var next *config.Config
-	var err error
-	if told.Whole != nil {
-		next, err = config.Parse(told.Whole)
-	} else if c.state.Config == nil || told.Base != c.state.Version() {
-		return false
-	} else {
-		next, err = c.state.Config.Patch(told.Change)
-	}
-	if err != nil {
-		_ = c.logger.Log("event", "configuration can't be read", "cause", err)
-		return false
-	}
-	c.state.Config = next
-	c.pushConfig(c.whole())
-	return true
-}
-
 // newest is the configuration.
 func (c *Controller) newest() ([]byte, error) {
 	if c.state.Config == nil {
@@ -297,7 +271,7 @@
 			done <- answered{leader: c.leader()}
 			return
 		}
-		round := c.member.Confirm(c.now())
+		round := c.replica.Confirm(c.now())
 		c.reads = append(c.reads, read{round, c.now() + callLimit, render, func(body []byte, err error) { done <- answered{body: body, err: err} }})
 	})
 	select {
@@ -319,7 +293,7 @@
 func (c *Controller) answerReads() {
 	c.reads = slices.DeleteFunc(c.reads, func(r read) bool {
 		switch {
-		case c.leads() && c.member.Confirmed(r.round):
+		case c.leads() && c.replica.Confirmed(r.round):
 			r.answer(r.body())
 		case !c.leads() || c.now() > r.until:
 			r.answer(nil, apierror.NoLeader.New("it could not be confirmed that this planner leads"))
@@ -365,7 +339,7 @@
 	done := make(chan operator.View, 1)
 	c.do(func() {
 		v := operator.View{Node: c.set.Node, IP: c.set.IP, Zone: c.set.Zone, Attached: c.attached(), Version: config.Version(c.state.Version()).String(),
-			Leader: c.leader(), Members: c.members, Keys: c.claimStore.Len(), LedgerBlank: c.claimStore.Blank(), DiskRefuses: c.store.failing, DiskMs: c.store.took()}
+			Leader: c.leader(), Members: c.membership.Voters, Keys: c.claimStore.Len(), LedgerBlank: c.claimStore.Blank(), DiskRefuses: c.store.failing, DiskMs: c.store.took()}
 		for _, e := range c.edges {
 			v.Edges = append(v.Edges, e.node)
 		}
@@ -380,9 +354,8 @@
 				State: e.State.String(), Silent: e.Silent, Capacity: e.Capacity, Weight: c.tables.Weight(e.ID)})
 		}
 		v.Endangered = c.endangered()
-		if c.member != nil {
-			v.Term, v.Commit, v.Last, v.Blank = c.member.Term(), c.member.Commit(), c.member.Last(), c.member.Blank()
-		}
+		v.Term, v.Commit, v.Last = c.replica.Term(), c.replica.Commit(), c.replica.Last()
+		v.Membership = c.membershipView()
 		done <- v
 	})
 	reply(w, http.StatusOK, <-done)
--- a/internal/control/controller/registrar.go
+++ b/internal/control/controller/registrar.go
@@ -79,7 +79,7 @@
 }
 
 func (c *Controller) registerNow(e registry.Entry, done chan registered) {
-	if e.State > registry.Ready && len(c.members) > 0 && !c.attached() {
+	if e.State > registry.Ready && !c.attached() {
 		// Cut off from the others, this planner can't let them know; another can.
 		done <- registered{err: apierror.NoLeader.New("cut off from the other planners")}
 		return
--- a/internal/control/idempotency/coordinator.go
+++ b/internal/control/idempotency/coordinator.go
@@ -1,6 +1,9 @@
 package idempotency
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ruling is the outcome of a claim.
 type Ruling uint8
@@ -22,24 +25,28 @@
 	Holder Record // of the claim that holds the key
 }
 
-// Ask is a claim to be put to a claim store.
+// Ask is a claim to be put to a store.
 type Ask struct {
 	To     string
 	Record Record
 }
 
-// Coordinator collects verdicts on claims. It asks its own claim store and one more first, and the others when that is slow or
-// not enough: each asked claim store costs a sync and bytes between zones.
+// Coordinator collects verdicts on claims. A claim stands with a majority of the stores, in a joint membership with a
+// majority of the former and of the next ones. The coordinator asks its own store and one more first, and the others when
+// that is slow or not enough: each asked store costs a sync and bytes between zones.
 type Coordinator struct {
-	members []string // its own first, then in the order in which they are asked
-	hedge   time.Duration
-	limit   time.Duration
-	open    map[Token]*opened
+	self   string
+	voters []string
+	next   []string // joint: after the change under way
+	order  []string // in which stores are asked
+	hedge  time.Duration
+	limit  time.Duration
+	open   map[Token]*pendingClaim
 }
 
-type opened struct {
+type pendingClaim struct {
 	record   Record
-	asked    int
+	asked    map[string]bool
 	verdicts map[string]Verdict
 	holder   map[Token]int
 	holders  map[Token]Record
@@ -47,107 +54,230 @@
 	hedged   bool
 }
 
-// NewCoordinator makes a coordinator for these claim stores, its own first.
-func NewCoordinator(members []string, hedge, limit time.Duration) *Coordinator {
-	return &Coordinator{members: members, hedge: hedge, limit: limit, open: map[Token]*opened{}}
+// NewCoordinator makes a coordinator for these stores, its own first. It asks all of them after hedge and gives up after
+// limit.
+func NewCoordinator(stores []string, hedge, limit time.Duration) *Coordinator {
+	c := &Coordinator{hedge: hedge, limit: limit, open: map[Token]*pendingClaim{}}
+	if len(stores) > 0 {
+		c.self = stores[0]
+	}
+	c.voters, c.order = slices.Clone(stores), slices.Clone(stores)
+	return c
 }
 
-func (c *Coordinator) quorum() int { return len(c.members)/2 + 1 }
+// SetStores changes the stores that count: voters, and during a change also next. Grants stay; what was asked of a store
+// that knew a newer membership is asked again.
+func (c *Coordinator) SetStores(self string, voters, next []string) (asks []Ask, done []Outcome) {
+	c.self, c.voters, c.next = self, slices.Clone(voters), slices.Clone(next)
+	all := slices.Concat(voters, next)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	at := max(0, slices.Index(all, self))
+	c.order = slices.Concat(all[at:], all[:at])
+	for _, p := range c.sorted() {
+		asks = append(asks, c.askAgain(p)...)
+		more, out := c.judge(p)
+		asks = append(asks, more...)
+		if out != nil {
+			done = append(done, *out)
+		}
+	}
+	return asks, done
+}
+
+// askAgain puts a claim once more to the stores that knew a newer membership than the one it was put under.
+func (c *Coordinator) askAgain(p *pendingClaim) (asks []Ask) {
+	for _, id := range c.order {
+		if p.verdicts[id] == Behind {
+			delete(p.verdicts, id)
+			asks = append(asks, Ask{id, p.record})
+		}
+	}
+	return asks
+}
+
+// sorted are the open claims, oldest first.
+func (c *Coordinator) sorted() []*pendingClaim {
+	all := make([]*pendingClaim, 0, len(c.open))
+	for _, p := range c.open {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *pendingClaim) int {
+		if a.since != b.since {
+			return int(a.since - b.since)
+		}
+		return compareTokens(a.record.Token, b.record.Token)
+	})
+	return all
+}
+
+func compareTokens(a, b Token) int {
+	switch {
+	case a.Life != b.Life && a.Life < b.Life, a.Life == b.Life && a.N < b.N:
+		return -1
+	case a == b:
+		return 0
+	}
+	return 1
+}
 
 // Open starts a claim.
 func (c *Coordinator) Open(r Record, now time.Duration) []Ask {
-	if c.open[r.Token] != nil {
+	if c.open[r.Token] != nil || len(c.voters) == 0 {
 		return nil
 	}
-	one := &opened{record: r, verdicts: map[string]Verdict{}, holder: map[Token]int{}, holders: map[Token]Record{}, since: now}
-	c.open[r.Token] = one
-	return c.ask(one, c.quorum())
+	p := &pendingClaim{record: r, asked: map[string]bool{}, verdicts: map[string]Verdict{}, holder: map[Token]int{},
+		holders: map[Token]Record{}, since: now}
+	c.open[r.Token] = p
+	if len(c.next) > 0 {
+		return c.askUpTo(p, len(c.order))
+	}
+	return c.askUpTo(p, quorum(c.voters))
 }
 
-func (c *Coordinator) ask(one *opened, upTo int) (asks []Ask) {
-	for ; one.asked < min(upTo, len(c.members)); one.asked++ {
-		asks = append(asks, Ask{c.members[one.asked], one.record})
+func quorum(stores []string) int { return len(stores)/2 + 1 }
+
+// askUpTo asks further stores until so many of those that count were asked.
+func (c *Coordinator) askUpTo(p *pendingClaim, count int) (asks []Ask) {
+	asked := c.asked(p)
+	for _, id := range c.order {
+		if asked >= count {
+			break
+		}
+		if !p.asked[id] {
+			p.asked[id] = true
+			asked++
+			asks = append(asks, Ask{id, p.record})
+		}
 	}
 	return asks
 }
 
-// Verdict takes a claim store's verdict.
+// asked is how many of the stores that count were asked.
+func (c *Coordinator) asked(p *pendingClaim) (count int) {
+	for _, id := range c.order {
+		if p.asked[id] {
+			count++
+		}
+	}
+	return count
+}
+
+// Verdict takes a store's verdict.
 func (c *Coordinator) Verdict(from string, token Token, v Verdict, holder Record, now time.Duration) (asks []Ask, done *Outcome) {
-	one := c.open[token]
-	if one == nil {
+	p := c.open[token]
+	if p == nil {
 		return nil, nil
 	}
-	if _, twice := one.verdicts[from]; twice {
+	if _, twice := p.verdicts[from]; twice {
 		return nil, nil
 	}
-	one.verdicts[from] = v
+	p.verdicts[from] = v
 	if v == Held {
-		one.holder[holder.Token]++
-		one.holders[holder.Token] = holder
+		p.holder[holder.Token]++
+		p.holders[holder.Token] = holder
 	}
-	return c.judge(one)
+	return c.judge(p)
 }
 
-func (c *Coordinator) judge(one *opened) (asks []Ask, done *Outcome) {
-	granted, held := 0, 0
-	for _, v := range one.verdicts {
-		switch v {
-		case Granted:
-			granted++
-		case Held:
-			held++
-		}
-	}
-	open := len(c.members) - len(one.verdicts)
-	switch {
-	case granted >= c.quorum():
-		return nil, c.close(one, Outcome{Ruling: Stands})
-	case granted+open < c.quorum() && held > 0:
-		best := Token{}
-		for t, n := range one.holder {
-			if n > one.holder[best] || n == one.holder[best] && (t.Life < best.Life || t.Life == best.Life && t.N < best.N) {
-				best = t
+// tally is how far a claim has come in one set of stores.
+type tally struct {
+	quorum, granted, pending, open int
+}
+
+func (c *Coordinator) tally(p *pendingClaim, stores []string) tally {
+	t := tally{quorum: quorum(stores)}
+	for _, id := range stores {
+		v, said := p.verdicts[id]
+		switch {
+		case said && v == Granted:
+			t.granted++
+		case !said || v == Behind: // asked again once the membership is known here
+			t.open++
+			if p.asked[id] {
+				t.pending++
 			}
 		}
-		return nil, c.close(one, Outcome{Ruling: Taken, Holder: one.holders[best]})
-	case granted+open < c.quorum():
-		return nil, c.close(one, Outcome{Ruling: Refused})
 	}
-	pending := one.asked - len(one.verdicts)
-	if granted+pending < c.quorum() {
-		return c.ask(one, one.asked+c.quorum()-granted-pending), nil
+	return t
+}
+
+func (t tally) stands() bool     { return t.granted >= t.quorum }
+func (t tally) impossible() bool { return t.granted+t.open < t.quorum }
+func (t tally) short() bool      { return t.granted+t.pending < t.quorum }
+
+func (c *Coordinator) judge(p *pendingClaim) (asks []Ask, done *Outcome) {
+	sets := []tally{c.tally(p, c.voters)}
+	if len(c.next) > 0 {
+		sets = append(sets, c.tally(p, c.next))
+	}
+	all := func(is func(tally) bool) bool {
+		return !slices.ContainsFunc(sets, func(t tally) bool { return !is(t) })
+	}
+	switch {
+	case all(tally.stands):
+		return nil, c.close(p, Outcome{Ruling: Stands})
+	case slices.ContainsFunc(sets, tally.impossible):
+		return nil, c.close(p, c.lost(p))
+	case slices.ContainsFunc(sets, tally.short):
+		return c.askUpTo(p, c.asked(p)+c.missing(sets)), nil
 	}
 	return nil, nil
 }
 
-func (c *Coordinator) close(one *opened, out Outcome) *Outcome {
-	out.Token, out.Key = one.record.Token, one.record.Key
-	delete(c.open, one.record.Token)
+// missing is how many more stores have to be asked; all of them during a change.
+func (c *Coordinator) missing(sets []tally) int {
+	if len(sets) > 1 {
+		return len(c.order)
+	}
+	return sets[0].quorum - sets[0].granted - sets[0].pending
+}
+
+// lost is the outcome of a claim that can't stand any more.
+func (c *Coordinator) lost(p *pendingClaim) Outcome {
+	if len(p.holder) == 0 {
+		return Outcome{Ruling: Refused}
+	}
+	best := Token{}
+	for t, n := range p.holder {
+		if n > p.holder[best] || n == p.holder[best] && compareTokens(t, best) < 0 {
+			best = t
+		}
+	}
+	return Outcome{Ruling: Taken, Holder: p.holders[best]}
+}
+
+func (c *Coordinator) close(p *pendingClaim, out Outcome) *Outcome {
+	out.Token, out.Key = p.record.Token, p.record.Key
+	delete(c.open, p.record.Token)
 	return &out
 }
 
-// Forget takes back what a claim store granted to claims that are still open: it began a new life, perhaps without its disk.
+// Forget takes back what a store granted to claims that are still open: its disk was lost.
 func (c *Coordinator) Forget(from string) (done []Outcome) {
-	for _, one := range c.open {
-		if one.verdicts[from] != Granted {
+	for _, p := range c.sorted() {
+		if p.verdicts[from] != Granted {
 			continue
 		}
-		one.verdicts[from] = Unable
-		if _, out := c.judge(one); out != nil {
+		p.verdicts[from] = Unable
+		if _, out := c.judge(p); out != nil {
 			done = append(done, *out)
 		}
 	}
 	return done
 }
 
-// Tick asks further claim stores where the first are slow, and gives up on what takes too long.
+// Tick asks further stores where the first are slow, and gives up on what takes too long.
 func (c *Coordinator) Tick(now time.Duration) (asks []Ask, done []Outcome) {
-	for _, one := range c.open {
-		if now-one.since > c.limit {
-			done = append(done, *c.close(one, Outcome{Ruling: Refused}))
-		} else if !one.hedged && now-one.since > c.hedge {
-			one.hedged = true
-			asks = append(asks, c.ask(one, len(c.members))...)
+	for _, p := range c.sorted() {
+		if now-p.since > c.limit {
+			done = append(done, *c.close(p, Outcome{Ruling: Refused}))
+			continue
+		}
+		asks = append(asks, c.askAgain(p)...)
+		if !p.hedged && now-p.since > c.hedge {
+			p.hedged = true
+			asks = append(asks, c.askUpTo(p, len(c.order))...)
 		}
 	}
 	return asks, done
--- a/internal/control/idempotency/idempotency.go
+++ b/internal/control/idempotency/idempotency.go
@@ -58,6 +58,7 @@
 	Unable  Verdict = iota // the claim store can't tell now: its disk is ill, or not restored yet
 	Granted                // it holds the claim, durably
 	Held                   // another token holds the key
+	Behind                 // the claim store knows a newer membership than the one under which it was asked
 )
 
 // Store holds the claims of one planner.
@@ -182,6 +183,10 @@
 // Restored ends the time in which a blank claim store grants nothing.
 func (s *Store) Restored() { s.blank = false }
 
+// Revoke begins such a time: the store counts for nothing any more, and before it counts again it copies what the others
+// hold.
+func (s *Store) Revoke() { s.blank = true }
+
 // Blank tells whether the claim store still grants nothing.
 func (s *Store) Blank() bool { return s.blank }
 
@@ -252,6 +257,15 @@
 	return nil
 }
 
+// EachAnswer hands out every answer that is held, with its claim.
+func (s *Store) EachAnswer(do func(Record)) {
+	for _, c := range s.claims {
+		if c.Answer != nil {
+			do(Record{Key: c.Key, Token: c.Token, Answer: c.Answer})
+		}
+	}
+}
+
 // Each hands out every line without its answer, for a claim store that copies.
 func (s *Store) Each(do func(Record)) {
 	for _, c := range s.claims {
--- /dev/null
+++ b/internal/control/membership/manager.go
@@ -0,0 +1,301 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mulleinwood/internal/control/consensus"
+)
+
+// Spans after which the leader acts on silence. A voter is replaced only where another controller stands by: a cut, a
+// freeze or a kill of the whole core without one changes nothing.
+const (
+	ReplaceAfter = 1500 * time.Millisecond // a voter out of reach
+	AbandonAfter = 2 * time.Second         // an entrant out of reach
+	ReadyWithin  = 10 * time.Second        // for entrants, before a change is given up and begun anew
+	passAgain    = 200 * time.Millisecond  // between two attempts to pass leadership on
+)
+
+// Controller is one controller as the leader sees it.
+type Controller struct {
+	ID       string
+	Zone     string
+	Counted  bool   // the platform counts its loss: it has a disk and may vote
+	Linked   bool   // in contact now
+	CaughtUp bool   // its durable log is level with what the leader has committed
+	Leaving  bool   // told to end
+	Epoch    uint64 // of the membership that it has applied durably
+	Ready    bool   // its store of claims may grant
+}
+
+// View is what the leader sees.
+type View struct {
+	Self        string
+	Term        uint64
+	Membership  consensus.Membership // the newest in its log
+	Committed   bool                 // and whether that is committed
+	Controllers []Controller         // all that are known, the leader among them
+	Wanted      int                  // voters, so that a majority remains when as many as are tolerated are lost
+}
+
+// Action is what the leader is to do.
+type Action uint8
+
+// The actions.
+const (
+	None           Action = iota
+	Begin                 // a change that leads to the voters Next
+	Adopt                 // finish the change under way
+	Abandon               // go back to the former voters
+	PassLeadership        // to the voter To
+)
+
+func (a Action) String() string {
+	return [...]string{"none", "begin", "adopt", "abandon", "pass leadership"}[min(a, PassLeadership)]
+}
+
+// Decision is an action with its cause, in a few words for the log.
+type Decision struct {
+	Action Action
+	Next   []string
+	To     string
+	Cause  string
+}
+
+// Manager decides for a leader. Its zero value is ready.
+type Manager struct {
+	term    uint64
+	missing map[string]time.Duration // voters and entrants out of reach, since when
+	passAt  time.Duration            // leadership is not passed on again before
+	epoch   uint64                   // of the change under way
+	began   time.Duration            // when it was first seen
+}
+
+// Decide says what to do now. It is called every few milliseconds while the replica leads.
+func (m *Manager) Decide(v View, now time.Duration) Decision {
+	if m.term != v.Term || m.missing == nil { // what a former leader saw doesn't count
+		m.term, m.missing, m.passAt = v.Term, map[string]time.Duration{}, 0
+	}
+	known := byID(v.Controllers)
+	m.watch(v, known, now)
+	if known[v.Self].Leaving {
+		return m.pass(v, known, now)
+	}
+	if !v.Committed {
+		return Decision{}
+	}
+	if v.Membership.Joint() {
+		return m.finish(v, known, now)
+	}
+	return m.begin(v, known, now)
+}
+
+func byID(controllers []Controller) map[string]Controller {
+	known := make(map[string]Controller, len(controllers))
+	for _, c := range controllers {
+		known[c.ID] = c
+	}
+	return known
+}
+
+// watch notes since when voters and entrants are out of reach.
+func (m *Manager) watch(v View, known map[string]Controller, now time.Duration) {
+	all := v.Membership.All()
+	for _, id := range all {
+		if known[id].Linked || id == v.Self {
+			delete(m.missing, id)
+		} else if _, noted := m.missing[id]; !noted {
+			m.missing[id] = now
+		}
+	}
+	for id := range m.missing {
+		if !slices.Contains(all, id) {
+			delete(m.missing, id)
+		}
+	}
+}
+
+func (m *Manager) missingFor(id string, now time.Duration) time.Duration {
+	since, missing := m.missing[id]
+	if !missing {
+		return 0
+	}
+	return now - since
+}
+
+// pass hands leadership to another voter: a leader that leaves is replaced under the next one.
+func (m *Manager) pass(v View, known map[string]Controller, now time.Duration) Decision {
+	if now < m.passAt {
+		return Decision{}
+	}
+	for _, id := range v.Membership.All() {
+		stays := !v.Membership.Joint() || slices.Contains(v.Membership.Next, id)
+		if c := known[id]; id != v.Self && stays && c.Linked && c.CaughtUp && !c.Leaving {
+			m.passAt = now + passAgain
+			return Decision{Action: PassLeadership, To: id, Cause: "the leader is told to end"}
+		}
+	}
+	return Decision{}
+}
+
+// finish ends the change under way once all entrants are ready, or gives it up when one is lost.
+func (m *Manager) finish(v View, known map[string]Controller, now time.Duration) Decision {
+	if m.epoch != v.Membership.Epoch {
+		m.epoch, m.began = v.Membership.Epoch, now
+	}
+	ready := true
+	for _, id := range v.Membership.Next {
+		if slices.Contains(v.Membership.Voters, id) {
+			continue
+		}
+		c := known[id]
+		if m.missingFor(id, now) > AbandonAfter || c.Leaving {
+			return Decision{Action: Abandon, Cause: "entrant " + id + " is lost"}
+		}
+		ready = ready && c.Ready && c.Epoch >= v.Membership.Epoch
+	}
+	switch {
+	case ready:
+		return Decision{Action: Adopt, Cause: "the entrants are ready"}
+	case now-m.began > ReadyWithin:
+		return Decision{Action: Abandon, Cause: "the entrants are not ready in time"}
+	}
+	return Decision{}
+}
+
+// begin looks for voters that have to be replaced and for controllers that can take their place.
+func (m *Manager) begin(v View, known map[string]Controller, now time.Duration) Decision {
+	standby := m.standbys(v)
+	if len(standby) == 0 {
+		return Decision{}
+	}
+	next, cause := slices.Clone(v.Membership.Voters), ""
+	for i, id := range next {
+		why := m.replaceable(id, v, known, now)
+		if why == "" {
+			continue
+		}
+		by := successor(id, known, standby, next)
+		if by < 0 {
+			continue
+		}
+		next[i], cause = standby[by].ID, id+" "+why
+		if standby = slices.Delete(standby, by, by+1); len(standby) == 0 {
+			break
+		}
+	}
+	if cause == "" && len(next) < v.Wanted {
+		next, cause = grow(next, known, standby, v.Wanted), "there are too few voters"
+	}
+	if cause == "" {
+		next, cause = spread(v, known, standby)
+	}
+	if cause == "" || len(next) == len(v.Membership.Voters) && slices.Equal(next, v.Membership.Voters) {
+		return Decision{}
+	}
+	slices.Sort(next)
+	return Decision{Action: Begin, Next: next, Cause: cause}
+}
+
+// standbys are the controllers that could become voters now, in a fixed order.
+func (m *Manager) standbys(v View) []Controller {
+	var standby []Controller
+	for _, c := range v.Controllers {
+		applied := c.Epoch == v.Membership.Epoch // one that has not heard of its own removal yet is no candidate
+		if c.Counted && c.Linked && c.CaughtUp && applied && !c.Leaving && !v.Membership.Contains(c.ID) {
+			standby = append(standby, c)
+		}
+	}
+	slices.SortFunc(standby, func(a, b Controller) int { return cmp.Compare(a.ID, b.ID) })
+	return standby
+}
+
+// replaceable says why a voter should be replaced; empty: it should not.
+func (m *Manager) replaceable(id string, v View, known map[string]Controller, now time.Duration) string {
+	switch c := known[id]; {
+	case id == v.Self:
+		return ""
+	case c.Linked && c.Leaving:
+		return "leaves"
+	case c.Linked:
+		return ""
+	case lostDisk(id, v.Controllers):
+		return "lost its disk"
+	case m.missingFor(id, now) > ReplaceAfter:
+		return "is out of reach"
+	}
+	return ""
+}
+
+// lostDisk tells that another replica runs at the voter's address.
+func lostDisk(id string, controllers []Controller) bool {
+	return slices.ContainsFunc(controllers, func(c Controller) bool {
+		return c.Linked && c.ID != id && Address(c.ID) == Address(id)
+	})
+}
+
+// successor chooses who takes a voter's place: the replica at its own address, one of its zone, or one of the zone with
+// the fewest voters.
+func successor(id string, known map[string]Controller, standby []Controller, voters []string) int {
+	for i, c := range standby {
+		if Address(c.ID) == Address(id) {
+			return i
+		}
+	}
+	best := -1
+	for i, c := range standby {
+		if c.Zone == known[id].Zone {
+			return i
+		}
+		if best < 0 || zoneCount(c.Zone, voters, known) < zoneCount(standby[best].Zone, voters, known) {
+			best = i
+		}
+	}
+	return best
+}
+
+func zoneCount(zone string, voters []string, known map[string]Controller) (count int) {
+	for _, id := range voters {
+		if known[id].Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// grow adds standbys, those of the zones with the fewest voters first.
+func grow(voters []string, known map[string]Controller, standby []Controller, wanted int) []string {
+	for len(voters) < wanted && len(standby) > 0 {
+		best := 0
+		for i, c := range standby {
+			if zoneCount(c.Zone, voters, known) < zoneCount(standby[best].Zone, voters, known) {
+				best = i
+			}
+		}
+		voters = append(voters, standby[best].ID)
+		standby = slices.Delete(standby, best, best+1)
+	}
+	return voters
+}
+
+// spread moves a vote from a zone with two more voters to a zone with a standby, while all voters are in reach: the loss
+// of a zone should cost as few voters as possible.
+func spread(v View, known map[string]Controller, standby []Controller) (next []string, cause string) {
+	voters := v.Membership.Voters
+	for _, id := range voters {
+		if !known[id].Linked && id != v.Self {
+			return nil, ""
+		}
+	}
+	for _, c := range standby {
+		for i, id := range voters {
+			if id != v.Self && zoneCount(known[id].Zone, voters, known) >= zoneCount(c.Zone, voters, known)+2 {
+				next = slices.Clone(voters)
+				next[i] = c.ID
+				return next, "zone " + c.Zone + " has fewer voters"
+			}
+		}
+	}
+	return nil, ""
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -144,7 +144,6 @@
 	Term        uint64   `json:"term"`
 	Commit      uint64   `json:"commit"`
 	Last        uint64   `json:"last"`
-	Blank       bool     `json:"blank"`
 	LedgerBlank bool     `json:"ledger_blank"`
 	Keys        int      `json:"keys"`
 	DiskRefuses bool     `json:"disk_refuses"`
@@ -154,6 +153,31 @@
 	Control     []string `json:"control"`
 	Servers     []Server `json:"servers"`
 	Endangered  []string `json:"endangered,omitempty"` // bookings that can't be kept, as the leader sees it
+
+	Membership Membership `json:"membership"`
+}
+
+// Membership is what a controller knows of who votes.
+type Membership struct {
+	Identity string    `json:"identity"` // the controller's own
+	Cluster  string    `json:"cluster"`
+	Epoch    uint64    `json:"epoch"`
+	Voters   []string  `json:"voters"`
+	Next     []string  `json:"next,omitempty"` // while a change is under way
+	Votes    bool      `json:"votes"`
+	Leaving  bool      `json:"leaving,omitempty"`
+	Replicas []Replica `json:"replicas,omitempty"` // as the leader sees them
+}
+
+// Replica is another controller as the leader sees it.
+type Replica struct {
+	Identity string `json:"identity"`
+	Votes    bool   `json:"votes"`
+	Linked   bool   `json:"linked"`
+	Ready    bool   `json:"ready"` // its store of claims may grant
+	Leaving  bool   `json:"leaving,omitempty"`
+	Epoch    uint64 `json:"epoch"`
+	Behind   uint64 `json:"behind"` // entries that it lacks, of those that are committed
 }
 
 // Server is a server as a controller sees it.
@@ -196,7 +220,7 @@
 		for _, b := range v.Endangered {
 			faults = append(faults, b)
 		}
-		say(v.Blank || v.LedgerBlank, "has an empty disk that is not restored yet")
+		say(v.LedgerBlank && v.Membership.Votes, "votes and holds no claims yet: it has an empty disk that is not restored yet")
 		say(v.DiskRefuses, "has a disk that refuses writes")
 		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
 	}
--- a/internal/platform/nodesettings/nodesettings.go
+++ b/internal/platform/nodesettings/nodesettings.go
@@ -57,6 +57,8 @@
 // Tolerance says what may be lost at once.
 type Tolerance struct {
 	Machines int `json:"machines"`
+	Zones    int `json:"zones"`
+	Regions  int `json:"regions"`
 }
 
 // Limits are those of the process.
--- a/internal/platform/peer/frame.go
+++ b/internal/platform/peer/frame.go
@@ -37,6 +37,10 @@
 	Reservations *Reservations        `cbor:"22,keyasint,omitempty"`
 	Demands      []EdgeDemand         `cbor:"23,keyasint,omitempty"` // edge to its controller, and on to the dealer
 	Leases       []EdgeLease          `cbor:"24,keyasint,omitempty"` // and back
+	Standing     *Standing            `cbor:"25,keyasint,omitempty"` // between controllers
+	Epoch        uint64               `cbor:"26,keyasint,omitempty"` // of the membership under which Asks, Copy and Copied are meant
+	Sync         uint64               `cbor:"27,keyasint,omitempty"` // to be sent back as Synced once all before it is durable
+	Synced       uint64               `cbor:"28,keyasint,omitempty"`
 }
 
 // Reservations are all that are held, as the leader of a term says.
@@ -57,6 +61,15 @@
 	Lease reservation.Lease `cbor:"2,keyasint"`
 }
 
+// Standing is what a controller says of its part in the consensus.
+type Standing struct {
+	Identity string `cbor:"1,keyasint"`
+	Cluster  uint64 `cbor:"2,keyasint,omitempty"`
+	Epoch    uint64 `cbor:"3,keyasint,omitempty"` // of the newest membership that it applied durably
+	Ready    bool   `cbor:"4,keyasint,omitempty"` // its store of claims may grant
+	Leaving  bool   `cbor:"5,keyasint,omitempty"` // it was told to end
+}
+
 // Cells compares what two processes hold of servers, cell by cell. The answer comes with the lives of the cells that
 // differ in Entries.
 type Cells struct {
@@ -76,6 +89,7 @@
 	Look    bool     `cbor:"8,keyasint,omitempty"`  // only to see how a controller is
 	Blank   bool     `cbor:"9,keyasint,omitempty"`  // the disk came back empty: answers that others still hold are wanted
 	Counted bool     `cbor:"10,keyasint,omitempty"` // a controller that the platform counts, and that may be a member
+	Cluster uint64   `cbor:"11,keyasint,omitempty"` // that a controller belongs to; 0: not known yet
 }
 
 // Summary says that the sender lives. Attached: a controller that hears more than half of the core. Every few summaries are
--- a/internal/platform/peer/link.go
+++ b/internal/platform/peer/link.go
@@ -35,6 +35,7 @@
 	queue   [][]byte
 	queued  int
 	wake    chan struct{}
+	writing bool // what was taken from queue is not written yet
 	closed  chan struct{}
 	closing sync.Once
 }
@@ -82,6 +83,26 @@
 	})
 }
 
+// drainPoll is how often a process that ends looks whether a link's queue is written.
+const drainPoll = 2 * time.Millisecond
+
+// Drain waits until all that was sent is written, the link has ended or the limit is reached.
+func (l *Link) Drain(limit time.Time) {
+	for time.Now().Before(limit) {
+		l.mu.Lock()
+		idle := len(l.queue) == 0 && !l.writing
+		l.mu.Unlock()
+		if idle {
+			return
+		}
+		select {
+		case <-l.closed:
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
 // Closed is closed when the link has ended.
 func (l *Link) Closed() <-chan struct{} { return l.closed }
 
@@ -95,7 +116,7 @@
 		}
 		l.mu.Lock()
 		packets := net.Buffers(l.queue)
-		l.queue, l.queued = nil, 0
+		l.queue, l.queued, l.writing = nil, 0, len(packets) > 0
 		l.mu.Unlock()
 		if len(packets) == 0 {
 			continue
@@ -113,6 +134,9 @@
 		if _, err := l.conn.Write(packets[0]); err != nil {
 			return
 		}
+		l.mu.Lock()
+		l.writing = false
+		l.mu.Unlock()
 	}
 }
 
--- a/internal/platform/storage/open.go
+++ b/internal/platform/storage/open.go
@@ -210,7 +210,7 @@
 	for _, one := range []struct {
 		key  []byte
 		into any
-	}{{hardKey, &s.Hard}, {snapKey, &s.Snapshot}, {membersKey, &s.Members}} {
+	}{{hardKey, &s.Hard}, {snapKey, &s.Snapshot}, {membersKey, &s.Members}, {identityKey, &s.Identity}, {membershipKey, &s.Membership}} {
 		if b := meta.Get(one.key); b != nil {
 			if err := get(one.key, b, one.into); err != nil {
 				return fmt.Errorf("%s: %w", one.key, err)
@@ -220,6 +220,11 @@
 	if len(s.Members) > 0 && meta.Get(hardKey) == nil {
 		return errors.New("there are members and no votes")
 	}
+	for _, m := range []consensus.Membership{s.Membership, s.Snapshot.Membership} {
+		if err := m.Validate(); err != nil {
+			return err
+		}
+	}
 	if b := meta.Get(blankKey); b != nil {
 		flag, err := unseal(blankKey, b)
 		if err != nil {
--- a/internal/platform/storage/storage.go
+++ b/internal/platform/storage/storage.go
@@ -29,13 +29,18 @@
 	snapKey    = []byte("snapshot")
 	blankKey   = []byte("ledger blank")
 	membersKey = []byte("members")
+
+	identityKey   = []byte("identity")
+	membershipKey = []byte("membership")
 )
 
 // State is what the disk held.
 type State struct {
-	New         bool     // nothing was there
-	Spoilt      error    // what was there could not be believed, and was put aside: this disk has told what it doesn't know
-	Members     []string // of the consensus
+	New         bool                 // nothing was there
+	Spoilt      error                // what was there could not be believed, and was put aside: this disk has told what it doesn't know
+	Members     []string             // the voters that the cluster started with, where this disk knows them
+	Identity    string               // of the replica; empty: none was drawn yet
+	Membership  consensus.Membership // the newest that was applied
 	Hard        consensus.HardState
 	Snapshot    consensus.Snapshot
 	Entries     []consensus.Entry
@@ -47,6 +52,8 @@
 // Batch is what becomes durable together.
 type Batch struct {
 	Members     []string
+	Identity    string // empty: unchanged
+	Membership  *consensus.Membership
 	Hard        *consensus.HardState
 	Snapshot    *consensus.Snapshot
 	Truncate    uint64
@@ -135,6 +142,16 @@
 			return err
 		}
 	}
+	if b.Identity != "" {
+		if err := put(meta, identityKey, b.Identity); err != nil {
+			return err
+		}
+	}
+	if b.Membership != nil {
+		if err := put(meta, membershipKey, b.Membership); err != nil {
+			return err
+		}
+	}
 	if b.Snapshot != nil {
 		if err := put(meta, snapKey, b.Snapshot); err != nil {
 			return err
