Take a server that was only silent back when its beats are heard again

Cause: a controller cut off from another for 96 to 186 s took that one's servers, silent to it for 90 s, for gone, and gone wins every merge: after the cut they were gone on both sides although they beat on. Change: what follows from silence alone is Lapsed, which a later beat takes back; Gone comes only by the server's own word, or by silence while it leaves. The fuzz target of beats has a leader now, so that it covers calls of servers that leave. Result: the registry's new test, a cut of 30 s to an hour, fails without the change and passes with it; the packages that use it pass.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -302,7 +302,7 @@
 	changed := c.registry.Silence(c.set.IP, c.lost, time.Duration(silentBeats*c.set.BeatPeriod*float64(time.Second)), now)
 	if len(changed) > 0 {
 		for _, e := range changed {
-			_ = c.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.State == registry.Gone)
+			_ = c.logger.Log("event", "server silent", "server", e.ID, "service", e.Service, "gone", e.Ended())
 		}
 		c.broadcaster.Changed(changed, now)
 	}
--- a/internal/control/controller/fuzz_test.go
+++ b/internal/control/controller/fuzz_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/consensus"
 	"mulleinwood/internal/control/registry"
 	"mulleinwood/internal/control/statemachine"
 	"mulleinwood/internal/control/weights"
@@ -24,6 +25,7 @@
 		`{"service":"huvo11a","address":"x","capacity":-1,"state":"ready"}`,
 		`{"service":"huvo11a","address":"x","capacity":4,"state":"gone","call_seq":18446744073709551615}`,
 		`{"service":"a","address":"b","state":"ready","warmup_left_s":-1e300}`,
+		`{"service":"huvo11a","address":"10.128.0.9:8080","capacity":4,"state":"draining","call_seq":5}`,
 		`[]`, ``, `{`,
 	} {
 		f.Add([]byte(seed))
@@ -35,6 +37,9 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		c := &Controller{set: set, logger: log.NewNopLogger(), inbox: make(chan func(), 4), calls: map[uint64]func(){}, peers: map[string]*remote{}, edges: map[string]*remote{}}
 		c.state, c.metrics = statemachine.New(), metrics.New(metrics.Controller)
+		c.replica = consensus.New(consensus.Config{ID: "10.0.0.1", Membership: consensus.Membership{Epoch: 1, Voters: []string{"10.0.0.1"}},
+			Timing: consensus.Timing{Heartbeat: heartbeatEvery, ElectionTimeout: electionTimeout}})
+		c.replica.Tick(time.Minute) // it leads, alone: what says that a server leaves is acknowledged
 		c.registry = registry.New(tombstones)
 		c.broadcaster, c.tables = broadcast.New(c.registry), weights.New("a", nil, 1, func() int { return 1 }, func(string, string) {})
 		w := httptest.NewRecorder()
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -41,12 +41,18 @@
 	State    State   `cbor:"9,keyasint,omitempty"`
 	Silent   bool    `cbor:"10,keyasint,omitempty"` // its beats stopped
 	Owner    string  `cbor:"11,keyasint,omitempty"` // the planner that takes its beats
+	// Lapsed: it was silent for so long that it is taken for gone. Unlike State Gone, which only the server's own word
+	// brings, a later beat takes this back: the silence may have been a cut.
+	Lapsed bool `cbor:"12,keyasint,omitempty"`
 }
 
+// Ended tells whether nothing is to be sent to this life any more, by its own word or by its long silence.
+func (e Entry) Ended() bool { return e.State == Gone || e.Lapsed }
+
 // Merge joins two accounts of a life. It is commutative, associative and idempotent.
 func Merge(a, b Entry) Entry {
 	newer, older := a, b
-	if b.Seq > a.Seq || b.Seq == a.Seq && (b.Silent && !a.Silent || b.Silent == a.Silent && b.Owner > a.Owner) {
+	if newerThan(b, a) {
 		newer, older = b, a
 	}
 	if newer.Address == "" { // a DELETE that overtook all beats
@@ -58,6 +64,19 @@
 	return newer
 }
 
+// newerThan orders accounts of one life: by beats, then by how far its silence was noted, then by owner.
+func newerThan(b, a Entry) bool {
+	switch {
+	case b.Seq != a.Seq:
+		return b.Seq > a.Seq
+	case b.Lapsed != a.Lapsed:
+		return b.Lapsed
+	case b.Silent != a.Silent:
+		return b.Silent
+	}
+	return b.Owner > a.Owner
+}
+
 // Registry holds all lives that are known, tombstones included.
 type Registry struct {
 	entries map[string]*held
@@ -81,6 +100,9 @@
 // Take merges an account heard at now and tells whether anything changed that others have to know.
 func (r *Registry) Take(e Entry, now time.Duration) (changed Entry, news bool) {
 	h := r.entries[e.ID]
+	if h == nil && e.Lapsed {
+		return e, false // forgotten here already, or never known
+	}
 	if h == nil {
 		if e.State == Gone && e.Address == "" && e.Service == "" && e.Seq == 0 {
 			e.Seq = 1
@@ -91,7 +113,7 @@
 		return h.Entry, true
 	}
 	merged := Merge(h.Entry, e)
-	news = merged.State != h.State || merged.Silent != h.Silent || merged.Address != h.Address ||
+	news = merged.State != h.State || merged.Silent != h.Silent || merged.Lapsed != h.Lapsed || merged.Address != h.Address ||
 		merged.Owner != h.Owner || merged.Capacity != h.Capacity || merged.Service != h.Service
 	if merged.Seq > h.Seq || news {
 		h.heard = now
@@ -110,7 +132,7 @@
 func (r *Registry) count(h *held) {
 	r.cells[h.cell] ^= h.sum
 	h.cell, h.sum = h.Zone, 0
-	if h.State != Gone {
+	if !h.Ended() {
 		h.sum = xxh3.HashString(fmt.Sprint(h.ID, "\x00", h.Service, "\x00", h.Address, "\x00", h.Owner, "\x00", h.State, h.Silent, h.Capacity))
 	}
 	r.cells[h.cell] ^= h.sum
@@ -147,7 +169,7 @@
 func (r *Registry) Silence(owner string, lost func(owner string) bool, after, now time.Duration) (changed []Entry) {
 	r.Forget(now)
 	for _, h := range r.entries {
-		if h.State == Gone {
+		if h.Ended() {
 			continue
 		}
 		if !h.Silent && now-h.heard > after && (h.Owner == owner || lost(h.Owner)) {
@@ -155,8 +177,7 @@
 			r.count(h)
 			changed = append(changed, h.Entry)
 		} else if h.Silent && now-h.heard > r.hold {
-			h.State, h.heard = Gone, now
-			r.count(h)
+			r.lapse(h, now)
 			changed = append(changed, h.Entry)
 		}
 	}
@@ -164,10 +185,20 @@
 	return changed
 }
 
+// lapse takes a life that was silent for long for gone. One that had said that it leaves has left.
+func (r *Registry) lapse(h *held, now time.Duration) {
+	if h.heard = now; h.State == Draining {
+		h.State = Gone
+	} else {
+		h.Lapsed = true
+	}
+	r.count(h)
+}
+
 // Forget drops lives that are long gone.
 func (r *Registry) Forget(now time.Duration) {
 	for id, h := range r.entries {
-		if h.State == Gone && now-h.heard > r.hold {
+		if h.Ended() && now-h.heard > r.hold {
 			delete(r.entries, id)
 		}
 	}
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -74,6 +74,7 @@
 			for range 5 {
 				e := entry(rng.Uint64N(4), registry.State(rng.IntN(3)))
 				e.Silent, e.Owner = rng.IntN(3) == 0, string(rune('x'+rng.IntN(2)))
+				e.Lapsed = e.Silent && rng.IntN(2) == 0
 				all = append(all, e)
 			}
 			want := registry.Entry{}
@@ -122,6 +123,45 @@
 			Expect(one.Sum()).To(Equal(two.Sum()), "what is gone doesn't count: it is forgotten at different times")
 		}
 	})
+	It("has a server back that beat on while two controllers were cut off from each other for long", func() {
+		for _, cut := range []time.Duration{30 * time.Second, 100 * time.Second, 170 * time.Second, time.Hour} {
+			near, far := registry.New(90*time.Second), registry.New(90*time.Second)
+			seq, healed := uint64(1), false
+			near.Take(entry(seq, registry.Ready), 0)
+			far.Take(entry(seq, registry.Ready), 0)
+			lost := func(string) bool { return !healed }
+			for now := time.Duration(0); now < cut+10*time.Minute; now += beat {
+				seq++
+				changed, news := near.Take(entry(seq, registry.Ready), now)
+				if now > cut {
+					if news || !healed {
+						far.Take(changed, now)
+					}
+					if !healed {
+						for _, e := range far.All(now) {
+							near.Take(e, now)
+						}
+					}
+					healed = true
+				}
+				near.Silence("x", never, 3*beat, now)
+				far.Silence("y", lost, 3*beat, now)
+			}
+			for _, r := range []*registry.Registry{near, far} {
+				e, known := r.Get("i-1")
+				Expect(known).To(BeTrue(), "cut for %s", cut)
+				Expect(e.Ended()).To(BeFalse(), "cut for %s", cut)
+			}
+		}
+	})
+	It("takes one that falls silent while it leaves for gone, whatever comes late", func() {
+		r := registry.New(time.Minute)
+		r.Take(entry(5, registry.Draining), 0)
+		r.Silence("x", never, beat, beat+1)
+		Expect(r.Silence("x", never, beat, beat+2+time.Minute)).To(HaveLen(1))
+		now, _ := r.Take(entry(6, registry.Ready), 2*time.Minute)
+		Expect(now.State).To(Equal(registry.Gone))
+	})
 	It("forgets what is long gone", func() {
 		r := registry.New(time.Minute)
 		r.Take(entry(5, registry.Gone), 0)
--- a/internal/control/weights/weights.go
+++ b/internal/control/weights/weights.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		s := t.of(e.Service)
-		if t.servers[e.ID] = e; e.State == registry.Gone {
+		if t.servers[e.ID] = e; e.Ended() {
 			delete(t.servers, e.ID)
 		}
 		s.changed(t, e, now)
@@ -154,7 +154,7 @@
 func (s *table) changed(t *Tables, e registry.Entry, now time.Duration) {
 	id, ok := s.ids[e.ID]
 	if !ok {
-		if e.State == registry.Gone {
+		if e.Ended() {
 			return
 		}
 		s.nextID++
@@ -163,7 +163,7 @@
 	}
 	state := rules.Ready
 	switch {
-	case e.State == registry.Gone || e.Silent:
+	case e.Ended() || e.Silent:
 		state = rules.Gone
 	case e.State == registry.Draining:
 		state = rules.Draining
@@ -174,7 +174,7 @@
 	}
 	s.events = append(s.events, rules.List{Kind: rules.ListChanges, Servers: []rules.Server{{ID: id, Weight: float64(e.Capacity),
 		Zone: t.at(e.Zone), State: state, StartedAt: started}}})
-	if e.State == registry.Gone {
+	if e.Ended() {
 		s.events = append(s.events, rules.Forgotten{Server: id})
 		delete(s.ids, e.ID)
 		delete(s.names, id)
--- a/internal/edge/proxy/upstreams.go
+++ b/internal/edge/proxy/upstreams.go
@@ -64,7 +64,7 @@
 	for _, e := range entries {
 		now, _ := c.registry.Take(e, c.now())
 		switch {
-		case now.State != registry.Ready:
+		case now.State != registry.Ready || now.Lapsed:
 			if u := c.upstreams.End(e.ID); u != nil {
 				ended = append(ended, u.Host.(*upstream))
 				changed = true
--- a/internal/platform/storage/storage.go
+++ b/internal/platform/storage/storage.go
@@ -184,7 +184,7 @@
 func (b *Batch) servers(tx *bolt.Tx) error {
 	bucket := tx.Bucket(serversBucket)
 	for _, e := range b.Servers {
-		if e.State == registry.Gone {
+		if e.Ended() {
 			if err := bucket.Delete([]byte(e.ID)); err != nil {
 				return err
 			}
