--- a/internal/control/controller/operator.go
+++ b/internal/control/controller/operator.go
@@ -52,6 +52,7 @@
 	mux.HandleFunc("PUT /bookings", c.bookingCall)
 	mux.HandleFunc("PUT /bookings/{id}", c.bookingCall)
 	mux.HandleFunc("DELETE /bookings/{id}", c.bookingCall)
+	mux.HandleFunc("POST /members", c.replaceMember)
 	mux.HandleFunc("GET /status", c.status)
 	mux.Handle("GET /metrics", c.metrics.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/control/membership/manager.go
+++ b/internal/control/membership/manager.go
@@ -166,7 +166,7 @@
 
 // begin looks for voters that have to be replaced and for controllers that can take their place.
 func (m *Manager) begin(v View, known map[string]Controller, now time.Duration) Decision {
-	standby := m.standbys(v)
+	standby := standbys(v)
 	if len(standby) == 0 {
 		return Decision{}
 	}
@@ -199,7 +199,7 @@
 }
 
 // standbys are the controllers that could become voters now, in a fixed order.
-func (m *Manager) standbys(v View) []Controller {
+func standbys(v View) []Controller {
 	var standby []Controller
 	for _, c := range v.Controllers {
 		applied := c.Epoch == v.Membership.Epoch // one that has not heard of its own removal yet is no candidate
@@ -299,3 +299,46 @@
 	}
 	return nil, ""
 }
+
+// Refusal says why a replacement that an operator asks for can't be made now.
+type Refusal string
+
+func (r Refusal) Error() string { return string(r) }
+
+// The reasons.
+const (
+	ErrChanging  Refusal = "another change of the membership is under way"
+	ErrLeads     Refusal = "the voter leads: leadership is passed on first"
+	ErrNoVoter   Refusal = "no such voter"
+	ErrNoStandby Refusal = "nobody stands by who could take the vote"
+)
+
+// Replace gives the voters after a replacement that an operator asks for, by any standby if by is empty. They are the
+// present ones if the replacement was made before.
+func Replace(v View, voter, by string) (next []string, err error) {
+	voters := v.Membership.Voters
+	at := slices.Index(voters, voter)
+	switch {
+	case v.Membership.Joint() || !v.Committed:
+		return nil, ErrChanging
+	case at < 0 && by != "" && slices.Contains(voters, by):
+		return voters, nil
+	case at < 0:
+		return nil, ErrNoVoter
+	case voter == v.Self:
+		return nil, ErrLeads
+	}
+	known := byID(v.Controllers)
+	standby := standbys(v)
+	if by != "" {
+		standby = slices.DeleteFunc(standby, func(c Controller) bool { return c.ID != by })
+	}
+	chosen := successor(voter, known, standby, voters)
+	if chosen < 0 {
+		return nil, ErrNoStandby
+	}
+	next = slices.Clone(voters)
+	next[at] = standby[chosen].ID
+	slices.Sort(next)
+	return next, nil
+}
--- a/internal/control/membership/manager_test.go
+++ b/internal/control/membership/manager_test.go
@@ -168,3 +168,24 @@
 		Expect(membership.Addresses([]string{"10.1.0.1", id, "10.1.0.2"})).To(Equal([]string{"10.1.0.1", "10.1.0.2"}))
 	})
 })
+
+var _ = Describe("a replacement by hand", func() {
+	It("names the voters after it, and is nothing when it was made before", func() {
+		v := three(standby("d", "x"))
+		Expect(membership.Replace(v, "c", "")).To(Equal([]string{"a", "b", "d"}))
+		Expect(membership.Replace(v, "c", "d")).To(Equal([]string{"a", "b", "d"}))
+		Expect(membership.Replace(v, "gone", "b")).To(Equal([]string{"a", "b", "c"}))
+	})
+	DescribeTable("is refused with the reason", func(voter, by string, change func(*membership.View), reason error) {
+		v := three(standby("d", "x"))
+		change(&v)
+		_, err := membership.Replace(v, voter, by)
+		Expect(err).To(MatchError(reason))
+	},
+		Entry("of the leader", "a", "", func(*membership.View) {}, membership.ErrLeads),
+		Entry("of nobody", "z", "", func(*membership.View) {}, membership.ErrNoVoter),
+		Entry("by one who doesn't stand by", "c", "b", func(*membership.View) {}, membership.ErrNoStandby),
+		Entry("without anybody who stands by", "c", "", func(v *membership.View) { lose(v, "d") }, membership.ErrNoStandby),
+		Entry("during a change", "c", "", func(v *membership.View) { v.Committed = false }, membership.ErrChanging),
+	)
+})
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -169,6 +169,20 @@
 	Replicas []Replica `json:"replicas,omitempty"` // as the leader sees them
 }
 
+// Replacement is a call that replaces a voter.
+type Replacement struct {
+	Voter  string `json:"voter"`        // its identity
+	By     string `json:"by,omitempty"` // of who takes its place; empty: whoever stands by
+	DryRun bool   `json:"dry_run,omitempty"`
+}
+
+// Replaced is what such a call leads to.
+type Replaced struct {
+	Epoch  uint64   `json:"epoch"`
+	Voters []string `json:"voters"`
+	Next   []string `json:"next"`
+}
+
 // Replica is another controller as the leader sees it.
 type Replica struct {
 	Identity string `json:"identity"`
@@ -220,7 +234,7 @@
 		for _, b := range v.Endangered {
 			faults = append(faults, b)
 		}
-		say(v.LedgerBlank && v.Membership.Votes, "votes and holds no claims yet: it has an empty disk that is not restored yet")
+		say(v.LedgerBlank && v.Membership.Votes, "has an empty disk that is not restored yet")
 		say(v.DiskRefuses, "has a disk that refuses writes")
 		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
 	}
--- a/internal/platform/apierror/apierror.go
+++ b/internal/platform/apierror/apierror.go
@@ -28,6 +28,7 @@
 	Stale       = space.NewType("stale")        // built on a version that is not the current one
 	NoLeader    = space.NewType("no_leader")    // nobody can decide now
 	Unconfirmed = space.NewType("unconfirmed")  // a change whose outcome is not known
+	Conflict    = space.NewType("conflict")     // what is asked can't be done in the present state
 	Overbooked  = space.NewType("overbooked")   // more room than could be kept
 	UnknownCall = space.NewType("unknown_call") // no such call
 )
@@ -56,6 +57,7 @@
 	Stale:       {http.StatusPreconditionFailed, 0},
 	NoLeader:    {http.StatusServiceUnavailable, 0.2},
 	Unconfirmed: {http.StatusBadGateway, 0},
+	Conflict:    {http.StatusConflict, 0},
 	Overbooked:  {http.StatusConflict, 0},
 	UnknownCall: {http.StatusNotFound, 0},
 }
