Play the simulation on memberships that are agreed, and split its world by concern

internal/simulation did not build on the consensus with joint memberships: its wiped controllers waited under their old identity and copied from all others, which is gone from the programs.

A wiped controller now comes back as another replica and is voted in through the log by membership.Manager; stores copy from a majority of the former voters that have durably applied the joint membership; asks carry the epoch, and stores answer Behind to an older one; standings go over the wires, as in internal/control/controller. Writes at a loss of power are lost from the end, as whole batches; some of those that nobody was told of may be durable. The explorer models memberships as a committed list that every node applies when it likes. The worlds of the idempotency tests do the same, with voters that are replaced, and three planted faults.

world.go is split into world, controllers, disks, mail, edges, members, replication, troubles and result; the explorer into explore and small. No check is weaker; the history's entries are now compared with their memberships.

--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -9,28 +9,26 @@
 	"mulleinwood/internal/control/idempotency"
 )
 
-// inOrder makes what comes out of a coordinator's map the same again from the same seed.
-func inOrder(asks []idempotency.Ask, done []idempotency.Outcome) {
-	slices.SortStableFunc(asks, func(a, b idempotency.Ask) int { return cmp.Compare(a.Record.Token.N, b.Record.Token.N) })
-	slices.SortFunc(done, func(a, b idempotency.Outcome) int { return cmp.Compare(a.Token.N, b.Token.N) })
-}
-
-// judge puts a claim to a node's claim store; a grant is told once it is durable.
-func (w *world) judge(n *node, r idempotency.Record, tell func(idempotency.Verdict, idempotency.Record)) {
+// judge puts a claim to a node's claim store; a grant is told once it is durable. One that is asked under a membership
+// older than the newest that is durable here is granted nothing.
+func (w *world) judge(n *node, r idempotency.Record, epoch uint64, tell func(idempotency.Verdict, idempotency.Record)) {
+	if epoch < n.epoch {
+		tell(idempotency.Behind, idempotency.Record{})
+		return
+	}
 	v, holder, store := n.claimStore.Claim(r, w.now)
 	if !store {
 		tell(v, holder)
 		return
 	}
-	claimStore := n.claimStore
 	if w.day.Fault == "grants before storing" {
 		tell(v, holder)
 	}
 	w.persist(n, func(d *disk) { d.records = append(d.records, r) }, func(ok bool) {
 		if !ok {
-			claimStore.Failed(r.Key, r.Token)
+			n.claimStore.Failed(r.Key, r.Token)
 		}
-		if !ok || !claimStore.Stored(r.Key, r.Token) {
+		if !ok || !n.claimStore.Stored(r.Key, r.Token) {
 			v = idempotency.Unable
 		}
 		if w.day.Fault != "grants before storing" {
@@ -39,30 +37,36 @@
 	})
 }
 
-// ask puts claims to claim stores.
+// ask puts claims to claim stores. A verdict counts for the replica that the store's machine is when it tells it.
 func (w *world) ask(n *node, asks []idempotency.Ask) {
 	for _, a := range asks {
-		to := slices.Index(w.names, a.To)
-		r := a.Record
-		verdict := func(v idempotency.Verdict, holder idempotency.Record) {
-			more, done := n.coordinator.Verdict(a.To, r.Token, v, holder, w.now)
-			w.ask(n, more)
-			if done != nil {
-				w.ruled(n, *done)
-			}
+		r, epoch := a.Record, n.membership.Epoch
+		if a.To == n.identity {
+			w.judge(n, r, epoch, func(v idempotency.Verdict, holder idempotency.Record) { w.verdict(n, a.To, r.Token, v, holder) })
+			continue
 		}
-		if to == n.n {
-			w.judge(n, r, verdict)
+		to := w.replicaAt(n, a.To)
+		if to == nil {
+			w.verdict(n, a.To, r.Token, idempotency.Unable, idempotency.Record{})
 			continue
 		}
-		w.send(n.n, to, func() {
-			w.judge(w.nodes[to], r, func(v idempotency.Verdict, holder idempotency.Record) {
-				w.send(to, n.n, func() { verdict(v, holder) })
+		w.send(n.n, to.n, func() {
+			w.judge(to, r, epoch, func(v idempotency.Verdict, holder idempotency.Record) {
+				from := to.identity
+				w.send(to.n, n.n, func() { w.verdict(n, from, r.Token, v, holder) })
 			})
 		})
 	}
 }
 
+func (w *world) verdict(n *node, from string, token idempotency.Token, v idempotency.Verdict, holder idempotency.Record) {
+	more, done := n.coordinator.Verdict(from, token, v, holder, w.now)
+	w.ask(n, more)
+	if done != nil {
+		w.ruled(n, *done)
+	}
+}
+
 func (w *world) ruled(n *node, o idempotency.Outcome) {
 	if tell := n.claims[o.Token]; tell != nil {
 		delete(n.claims, o.Token)
@@ -70,51 +74,6 @@
 	}
 }
 
-// copyStores asks the others for what they hold, while a node's claim store is blank.
-func (w *world) copyStores(n *node) {
-	for _, o := range w.nodes {
-		if o == n {
-			continue
-		}
-		w.send(n.n, o.n, func() {
-			blank := o.claimStore.Blank()
-			var all []idempotency.Record
-			o.claimStore.Each(func(r idempotency.Record) { all = append(all, r) })
-			w.send(o.n, n.n, func() {
-				if !n.claimStore.Blank() {
-					return
-				}
-				var kept []idempotency.Record
-				for _, r := range all {
-					kept = append(kept, n.claimStore.Copy(r, w.now))
-				}
-				n.copies[o.n] = blank
-				sound := 0
-				for _, b := range n.copies {
-					if !b {
-						sound++
-					}
-				}
-				enough := sound >= len(w.nodes)-w.day.Lost
-				if w.day.Fault == "restored from one" {
-					enough = sound >= 1
-				}
-				claimStore := n.claimStore
-				w.persist(n, func(d *disk) {
-					d.records = append(d.records, kept...)
-					if enough {
-						d.blank = false
-					}
-				}, func(ok bool) {
-					if ok && enough {
-						claimStore.Restored()
-					}
-				})
-			})
-		})
-	}
-}
-
 // clients try operations at an edge: new keys, and keys that were tried before, here or elsewhere.
 func (w *world) clients(e *edge) {
 	if e.frozen > w.now {
@@ -175,6 +134,10 @@
 				}
 			})
 		}
+		if len(n.membership.Voters) == 0 {
+			w.ruled(n, idempotency.Outcome{Token: r.Token, Ruling: idempotency.Refused})
+			return
+		}
 		w.ask(n, n.coordinator.Open(idempotency.Record{Key: r.Key, Token: r.Token, Home: n.name}, w.now))
 	})
 }
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/control/statemachine"
 	"mulleinwood/internal/platform/apierror"
 )
@@ -96,7 +97,7 @@
 			return
 		}
 		if n.member.Role() != consensus.Leader {
-			if leader := slices.Index(w.names, n.member.Leader()); leader >= 0 && leader != at && follow > 0 {
+			if leader := slices.Index(w.names, membership.Address(n.member.Leader())); leader >= 0 && leader != at && follow > 0 {
 				w.put(o, c, leader, follow-1)
 			} else {
 				c.again = min(c.again, w.now+pauseAgain)
@@ -156,6 +157,23 @@
 	w.ackTimes = append(w.ackTimes, ackedAt{at.version, w.now})
 }
 
+// auditEntry holds an entry that a node takes for committed against the history.
+func (w *world) auditEntry(n *node, e consensus.Entry) {
+	switch at := int(e.Index); {
+	case at > len(w.history)+1:
+		w.broken("FAULT: %s takes entry %d for committed, and nobody took %d", n.name, at, len(w.history)+1)
+	case at == len(w.history)+1:
+		w.history = append(w.history, e)
+		w.entered(e)
+	default:
+		have := w.history[at-1]
+		same := (have.Membership == nil) == (e.Membership == nil) && (e.Membership == nil || have.Membership.Equal(*e.Membership))
+		if have.Term != e.Term || string(have.Data) != string(e.Data) || !same {
+			w.broken("CONFIG: %s holds another change at %d", n.name, at)
+		}
+	}
+}
+
 // entered takes a new entry of the history into the auditor's books. It judges by the numbers alone: a change counts if it
 // is built on the version in force, is above it and wasn't taken before.
 func (w *world) entered(e consensus.Entry) {
--- a/internal/simulation/requests.go
+++ b/internal/simulation/requests.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -285,9 +284,3 @@
 	i, _ := slices.BinarySearch(times, at)
 	return i
 }
-
-func (w *world) broken(format string, args ...any) {
-	if w.result.Broken == "" {
-		w.result.Broken = fmt.Sprintf(format, args...)
-	}
-}
--- /dev/null
+++ b/internal/simulation/small.go
@@ -0,0 +1,366 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/membership"
+)
+
+// Bounds of an exploration: how often each kind of loss may strike.
+type Bounds struct {
+	States, Wipes, Powers, Withdrawals int
+	Changes                            int // of the membership, by which a learner takes the place of the third voter
+	Losses                             int // single messages
+	Fault                              string
+}
+
+// small is a core of three claim stores, perhaps a fourth that stands by, and two edges that claim one key, the first at
+// the first store's coordinator, the second at the third's. All messages between two processes keep their order; else
+// anything may come next. The log is modelled as the list of memberships that are committed, which every node applies when
+// it likes: what internal/control/consensus does to commit them is explored by its own tests.
+type small struct {
+	Log      []consensus.Membership
+	Nodes    []smallNode
+	Messages [][]note // by channel
+	Edges    [2]smallEdge
+	Runs     int
+	Broken   string
+	Spent    Bounds // of the bounds
+	bounds   Bounds
+}
+
+type smallNode struct {
+	Disk        smallDisk
+	Disks       int // that were lost
+	Identity    string
+	Applied     int    // the newest membership of the log that was applied
+	Epoch       uint64 // of the newest that is durable
+	Store       *idempotency.Store
+	Coordinator *idempotency.Coordinator
+	Writes      []smallWrite
+	Copied      []string // identities of sources
+	Asked       bool
+	Hedged      bool
+}
+
+type smallDisk struct {
+	Identity string
+	Applied  int
+	Records  []idempotency.Record
+	Blank    bool
+}
+
+// smallWrite is a batch on its way to a disk, and what is to be done once it is durable.
+type smallWrite struct {
+	Records  []idempotency.Record
+	Restored bool
+	Applied  int // 0: no membership
+	Retired  bool
+	Claim    bool // From tells whom
+	From     int
+	Record   idempotency.Record
+}
+
+type smallEdge struct {
+	Began, Over bool
+}
+
+// note is a message: between an edge and a coordinator, or between nodes.
+type note struct {
+	Kind     string
+	From     int
+	Identity string // that the sender has
+	Epoch    uint64
+	Record   idempotency.Record
+	Verdict  idempotency.Verdict
+	Holder   idempotency.Record
+	Ruling   idempotency.Ruling
+	Records  []idempotency.Record
+}
+
+const (
+	smallNodes = 4
+	places     = smallNodes + 2 // then the edges
+	smallKey   = "k"
+	third      = "2" // the voter whose place a learner takes
+)
+
+// claimAt are the nodes whose coordinators the edges ask.
+var claimAt = [2]int{0, 2}
+
+func newSmall(b Bounds) *small {
+	founders := consensus.Membership{Epoch: 1, Voters: []string{"0", "1", third}}
+	s := &small{Log: []consensus.Membership{founders}, Messages: make([][]note, places*places), bounds: b}
+	count := 3
+	if b.Changes > 0 {
+		count = smallNodes
+	}
+	s.Nodes = make([]smallNode, count)
+	for i := range s.Nodes {
+		s.Nodes[i].Disk = smallDisk{Identity: fmt.Sprint(i), Blank: i >= 3}
+		s.boot(i)
+	}
+	return s
+}
+
+// boot starts a node with what its disk holds.
+func (s *small) boot(i int) {
+	n := &s.Nodes[i]
+	n.Store = idempotency.NewStore(window, n.Disk.Blank)
+	for _, r := range n.Disk.Records {
+		n.Store.Load(r, 0)
+	}
+	n.Identity, n.Applied = n.Disk.Identity, n.Disk.Applied
+	n.Epoch = s.Log[n.Applied].Epoch
+	n.Coordinator = idempotency.NewCoordinator(nil, hedge, limit)
+	s.setStores(i)
+	n.Writes, n.Copied, n.Asked, n.Hedged = nil, nil, false, false
+	for j := range places {
+		s.Messages[i*places+j], s.Messages[j*places+i] = nil, nil
+	}
+}
+
+// forget has the others' coordinators take back what a replica granted that is no more.
+func (s *small) forget(identity string) {
+	for j := range s.Nodes {
+		for _, out := range s.Nodes[j].Coordinator.Forget(identity) {
+			s.ruled(j, out)
+		}
+	}
+}
+
+func (s *small) membership(i int) consensus.Membership { return s.Log[s.Nodes[i].Applied] }
+
+func (s *small) setStores(i int) {
+	m := s.membership(i)
+	asks, done := s.Nodes[i].Coordinator.SetStores(s.Nodes[i].Identity, m.Voters, m.Next)
+	s.ask(i, asks)
+	for _, out := range done {
+		s.ruled(i, out)
+	}
+}
+
+func (s *small) post(from, to int, n note) {
+	n.From = from
+	if from < len(s.Nodes) {
+		n.Identity = s.Nodes[from].Identity
+	}
+	s.Messages[from*places+to] = append(s.Messages[from*places+to], n)
+}
+
+// choices are the events that may come next.
+func (s *small) choices() (all []string) {
+	for i, e := range s.Edges {
+		if !e.Began {
+			all = append(all, fmt.Sprint("claim ", i))
+		} else if !e.Over && s.Spent.Withdrawals < s.bounds.Withdrawals {
+			all = append(all, fmt.Sprint("withdraw ", i))
+		}
+	}
+	for c, m := range s.Messages {
+		if len(m) > 0 {
+			all = append(all, fmt.Sprint("deliver ", c/places, " ", c%places))
+			if s.Spent.Losses < s.bounds.Losses && c/places < len(s.Nodes) && c%places < len(s.Nodes) {
+				all = append(all, fmt.Sprint("lose ", c/places, " ", c%places))
+			}
+		}
+	}
+	for i := range s.Nodes {
+		all = append(all, s.choicesOf(i)...)
+	}
+	all = append(all, s.changes()...)
+	if s.Edges[0].Began || s.Edges[1].Began {
+		for i := range s.Nodes {
+			if s.Spent.Wipes < s.bounds.Wipes && s.whole() {
+				all = append(all, fmt.Sprint("wipe ", i))
+			}
+		}
+		if s.Spent.Powers < s.bounds.Powers {
+			all = append(all, "power")
+		}
+	}
+	return all
+}
+
+func (s *small) choicesOf(i int) (all []string) {
+	n := &s.Nodes[i]
+	if len(n.Writes) > 0 {
+		all = append(all, fmt.Sprint("write ", i))
+	}
+	if n.Applied < len(s.Log)-1 {
+		all = append(all, fmt.Sprint("apply ", i))
+	}
+	if s.entering(i) && !n.Asked {
+		all = append(all, fmt.Sprint("copy ", i))
+	}
+	if n.Coordinator.Busy() && !n.Hedged && s.bounds.Changes > 0 {
+		all = append(all, fmt.Sprint("hedge ", i))
+	}
+	return all
+}
+
+// changes are the steps that a leader may take: as internal/control/membership decides them.
+func (s *small) changes() (all []string) {
+	newest := s.Log[len(s.Log)-1]
+	if newest.Joint() {
+		ready, lost := true, false
+		for _, id := range newest.Next {
+			if slices.Contains(newest.Voters, id) {
+				continue
+			}
+			i := s.nodeOf(id)
+			if lost = i < 0; lost {
+				break
+			}
+			ready = ready && !s.Nodes[i].Store.Blank() && s.Nodes[i].Epoch >= newest.Epoch
+		}
+		switch {
+		case lost:
+			return []string{"abandon"}
+		case ready:
+			return []string{"adopt"}
+		}
+		return nil
+	}
+	for v, id := range newest.Voters {
+		lost := s.nodeOf(id) < 0
+		if !lost && (id != third || s.Spent.Changes >= s.bounds.Changes) {
+			continue
+		}
+		for i, n := range s.Nodes {
+			if n.Epoch == newest.Epoch && !newest.Contains(n.Identity) && (lost || i == smallNodes-1) {
+				all = append(all, fmt.Sprint("begin ", v, " ", i))
+			}
+		}
+	}
+	return all
+}
+
+// nodeOf finds the node that a replica runs on; -1: none.
+func (s *small) nodeOf(identity string) int {
+	return slices.IndexFunc(s.Nodes, func(n smallNode) bool { return n.Identity == identity })
+}
+
+// whole tells that all voters' stores are sound: one may be lost.
+func (s *small) whole() bool {
+	newest := s.Log[len(s.Log)-1]
+	return !slices.ContainsFunc(newest.Voters, func(id string) bool { return s.nodeOf(id) < 0 || s.Nodes[s.nodeOf(id)].Store.Blank() })
+}
+
+func (s *small) entering(i int) bool {
+	m, id := s.membership(i), s.Nodes[i].Identity
+	return s.Nodes[i].Store.Blank() && slices.Contains(m.Next, id) && !slices.Contains(m.Voters, id)
+}
+
+func (s *small) do(choice string) {
+	var what string
+	var x, y int
+	_, _ = fmt.Sscan(choice, &what, &x, &y) // some have fewer
+	switch what {
+	case "claim":
+		s.Edges[x].Began = true
+		s.post(smallNodes+x, claimAt[x], note{Kind: "claim", Record: s.record(x)})
+	case "withdraw":
+		s.Spent.Withdrawals++
+		s.void(x)
+	case "deliver", "lose":
+		c := x*places + y
+		m := s.Messages[c][0]
+		s.Messages[c] = s.Messages[c][1:]
+		if what == "lose" {
+			s.Spent.Losses++
+		} else {
+			s.take(y, m)
+		}
+	case "write":
+		s.written(x)
+	case "apply":
+		s.apply(x)
+	case "hedge":
+		s.Nodes[x].Hedged = true
+		asks, _ := s.Nodes[x].Coordinator.Tick(hedge + 1)
+		s.ask(x, asks)
+	case "copy":
+		s.askCopies(x)
+	case "begin", "adopt", "abandon":
+		s.change(what, x, y)
+	case "wipe":
+		s.Spent.Wipes++
+		s.wipe(x)
+	case "power":
+		s.Spent.Powers++
+		for i := range s.Nodes {
+			s.boot(i)
+		}
+	}
+}
+
+// wipe loses a node's disk: what comes back is another replica.
+func (s *small) wipe(i int) {
+	n := &s.Nodes[i]
+	n.Disks++
+	former := n.Identity
+	n.Disk = smallDisk{Identity: membership.Identity(fmt.Sprint(i), uint64(n.Disks)), Blank: true}
+	if s.bounds.Fault == "grants with an empty disk" {
+		n.Disk = smallDisk{Identity: former}
+	}
+	s.boot(i)
+	if n.Identity != former {
+		s.forget(former)
+	}
+}
+
+// change commits the next membership.
+func (s *small) change(what string, v, standby int) {
+	newest := s.Log[len(s.Log)-1]
+	next := consensus.Membership{Epoch: newest.Epoch + 1, Voters: newest.Voters}
+	switch what {
+	case "begin":
+		s.Spent.Changes += btoi(s.nodeOf(newest.Voters[v]) >= 0)
+		next.Next = slices.Clone(newest.Voters)
+		next.Next[v] = s.Nodes[standby].Identity
+		slices.Sort(next.Next)
+	case "adopt":
+		next.Voters = newest.Next
+	}
+	s.Log = append(slices.Clip(s.Log), next)
+}
+
+// apply takes the next committed membership over.
+func (s *small) apply(i int) {
+	n := &s.Nodes[i]
+	former := s.membership(i)
+	n.Applied++
+	m := s.membership(i)
+	retired := former.Contains(n.Identity) && !m.Contains(n.Identity)
+	if retired {
+		n.Store.Revoke()
+	}
+	n.Copied, n.Asked = nil, false
+	n.Writes = append(n.Writes, smallWrite{Applied: n.Applied, Retired: retired})
+	s.setStores(i)
+}
+
+func (s *small) askCopies(i int) {
+	s.Nodes[i].Asked = true
+	for _, id := range s.membership(i).Voters {
+		if j := s.nodeOf(id); j >= 0 && !slices.Contains(s.Nodes[i].Copied, id) {
+			s.post(i, j, note{Kind: "copy", Epoch: s.membership(i).Epoch})
+		}
+	}
+}
+
+func (s *small) record(edge int) idempotency.Record {
+	return idempotency.Record{Key: idempotency.KeyOf("t", smallKey), Token: idempotency.Token{Life: uint64(edge + 1), N: 1}}
+}
+
+// void withdraws an edge's claim everywhere.
+func (s *small) void(edge int) {
+	s.Edges[edge].Over = true
+	for j := range s.Nodes {
+		s.post(smallNodes+edge, j, note{Kind: "void", Record: s.record(edge)})
+	}
+}
--- a/internal/simulation/tables.go
+++ b/internal/simulation/tables.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -18,10 +17,10 @@
 // newGroups gives a controller's life its tables, which hold nothing yet.
 func (w *world) newTables(n *node) {
 	var zones []string
-	for i := range w.nodes {
-		zones = append(zones, fmt.Sprint("z", i))
+	for i := range w.day.Members {
+		zones = append(zones, zoneName(i))
 	}
-	n.tables = weights.New(fmt.Sprint("z", n.n), zones, w.rng.Uint64(), func() int { return len(w.nodes) }, func(string, string) {})
+	n.tables = weights.New(zoneName(n.zone), zones, w.rng.Uint64(), func() int { return len(n.membership.Voters) }, func(string, string) {})
 	n.others = map[int]weights.Others{}
 	if n.registry != nil {
 		n.tables.Changed(n.registry.All(w.now), w.now)
--- a/internal/simulation/wires.go
+++ b/internal/simulation/wires.go
@@ -95,7 +95,8 @@
 			if other < 0 {
 				n.tables.Leave(linkName(other))
 			}
-			n.gone[other] = w.now
+			n.goneSince[other] = w.now
+			delete(n.standings, other)
 			w.flush(n)
 		}
 	}
@@ -120,7 +121,7 @@
 		}
 		n := w.nodes[who]
 		n.broadcaster.Join(linkName(other), other < 0)
-		delete(n.gone, other)
+		delete(n.goneSince, other)
 		all, version := n.registry.All(w.now), n.state.Version()
 		if w.day.Fault == "an edge takes any version" { // and its controller lags behind at first
 			if version = 0; n.disk.snap.Index > 0 {
@@ -128,7 +129,7 @@
 			}
 		}
 		if other < 0 {
-			n.tables.Join(linkName(other), fmt.Sprint("z", w.edges[-1-other].zone()))
+			n.tables.Join(linkName(other), zoneName(w.edges[-1-other].zone()))
 			w.edges[-1-other].arrived = w.now
 			w.wired(k, who, func() {
 				w.edgeHears(w.edges[-1-other], all)
@@ -136,6 +137,7 @@
 			})
 		} else {
 			w.wired(k, who, func() { w.tell(w.nodes[other], who, all, 0) })
+			w.sayStanding(n, k)
 		}
 		w.flush(n)
 	}
@@ -347,7 +349,6 @@
 
 // strung lays a wire between each two controllers, and from each edge to each controller.
 func (w *world) strung() {
-	w.byEnds = map[[2]int]*wire{}
 	for b := range w.nodes {
 		for a := -len(w.edges); a < b; a++ {
 			k := &wire{a: a, b: b}
