--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -193,9 +193,7 @@
 		}
 		say(!v.Attached, "is cut off from the core")
 		say(v.Commit < newest, fmt.Sprintf("lags: it is at change %d of %d", v.Commit, newest))
-		for _, b := range v.Endangered {
-			faults = append(faults, b)
-		}
+		faults = append(faults, v.Endangered...)
 		say(v.Blank || v.LedgerBlank, "has an empty disk that is not restored yet")
 		say(v.DiskRefuses, "has a disk that refuses writes")
 		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
--- a/internal/planner/program/front.go
+++ b/internal/planner/program/front.go
@@ -97,7 +97,7 @@
 		facts:  xdsFacts(set),
 		handed: handedConns{addr: addr, conns: make(chan net.Conn), ctx: ctx}}
 	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(protocol.LineMost), grpc.MaxConcurrentStreams(streamsMost), grpc.MaxHeaderListSize(headersMost),
-		grpc.ConnectionTimeout(joinWithin), grpc.StaticStreamWindowSize(windowSize), grpc.ReadBufferSize(readBuffer), grpc.SharedWriteBuffer(true),
+		grpc.ConnectionTimeout(joinWithin), grpc.StaticStreamWindowSize(windowSize), grpc.ReadBufferSize(readBuffer),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingsApart, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: foreverPings})}
 	if keys != nil {
