Split the gRPC front and its tests by concern

Change: front.go keeps the server; front_conns.go, front_access.go, front_streams.go, front_loads.go, front_health.go and xdspeer.go have the rest; keys_test.go and front_limits_test.go are taken out of the tests.

--- /dev/null
+++ b/internal/planner/program/front_access.go
@@ -0,0 +1,44 @@
+package program
+
+import (
+	"crypto/x509"
+	"slices"
+	"strings"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"mulleinwood/internal/planner/xds"
+)
+
+// may says whether a client's certificate lets it be what its node says.
+func (f *front) may(p *peer.Peer, who xds.Identity) error {
+	if len(f.roles) == 0 {
+		return nil
+	}
+	role := "proxy"
+	if who.Role == xds.Collector {
+		role = "collector"
+	}
+	if info, is := p.AuthInfo.(credentials.TLSInfo); is && len(info.State.PeerCertificates) > 0 {
+		for _, r := range f.roles {
+			if r.Role == role && named(info.State.PeerCertificates[0], r.Name) {
+				return nil
+			}
+		}
+	}
+	return status.Errorf(codes.PermissionDenied, "no certificate that lets this client be a %s", role)
+}
+
+// named says whether a certificate has a DNS name, or one right below it where the pattern begins with "*.".
+func named(c *x509.Certificate, pattern string) bool {
+	return slices.ContainsFunc(c.DNSNames, func(name string) bool {
+		if base, wild := strings.CutPrefix(pattern, "*"); wild {
+			_, rest, found := strings.Cut(name, ".")
+			return found && "."+rest == base
+		}
+		return name == pattern
+	})
+}
--- /dev/null
+++ b/internal/planner/program/front_health.go
@@ -0,0 +1,51 @@
+package program
+
+import (
+	"context"
+
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/routing"
+	"mulleinwood/internal/planner/transport"
+)
+
+// Check implements the health service: the planner serves once it can make orders, as a heartbeat is answered then.
+func (f *front) Check(ctx context.Context, _ *healthpb.HealthCheckRequest) (*healthpb.HealthCheckResponse, error) {
+	p := &beatPeer{mutePeer: mutePeer{id: transport.NextID()}, said: make(chan bool, 1)}
+	f.post(routing.Said{Peer: p, Message: protocol.Heartbeat{}})
+	defer f.post(routing.Ended{Peer: p})
+	select {
+	case serving := <-p.said:
+		if serving {
+			return &healthpb.HealthCheckResponse{Status: healthpb.HealthCheckResponse_SERVING}, nil
+		}
+		return &healthpb.HealthCheckResponse{Status: healthpb.HealthCheckResponse_NOT_SERVING}, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// beatPeer asks once whether orders can be made.
+type beatPeer struct {
+	mutePeer
+	said chan bool
+}
+
+// Beat implements routing.Peer.
+func (p *beatPeer) Beat() error {
+	p.answer(true)
+	return nil
+}
+
+// Await implements routing.Peer.
+func (p *beatPeer) Await() { p.answer(false) }
+
+// answer hands on the first answer; later ones are dropped.
+func (p *beatPeer) answer(serving bool) {
+	select {
+	case p.said <- serving:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/planner/program/front_limits_test.go
@@ -0,0 +1,175 @@
+package program
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"golang.org/x/net/http2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"mulleinwood/internal/planner/protocol"
+	"mulleinwood/internal/planner/standin"
+	"mulleinwood/internal/planner/xds"
+)
+
+// TestUnreadStreamEndsAlone: a stream that leaves too much unread ends by the rule that exists; the other streams of its
+// connection go on.
+func TestUnreadStreamEndsAlone(t *testing.T) {
+	f := withFront(t, 1, nil)
+	defer f.stop()
+	client, err := standin.Dial(f.planner, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	api := discovery.NewAggregatedDiscoveryServiceClient(client)
+	open := func(number int) discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient {
+		s, err := api.StreamAggregatedResources(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Send(&discovery.DiscoveryRequest{Node: standin.ProxyNode(number, "north", 20), TypeUrl: xds.TypeEndpoints}); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	good := open(0)
+	if _, err := good.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	peer := &xdsPeer{cancel: func() {}, wake: make(chan struct{}, 1), now: clock(), machine: newJoinedMachine(t)}
+	for i := 0; peer.reason() == nil; i++ {
+		peer.Order(protocol.Orders{Rows: []protocol.Row{{Server: strings.Repeat("s", 1000) + string(rune('a'+i%26)), Weight: 1, Zone: "north"}}})
+		if i > 10000 {
+			t.Fatal("what is unread has no end")
+		}
+	}
+	if err := peer.Order(protocol.Orders{Replace: true}); err == nil {
+		t.Error("an ended stream takes orders")
+	}
+	f.phase("s-1", "draining")
+	for {
+		r, err := good.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var s standin.State
+		s.Levels = map[string]float64{}
+		if err := standin.Apply(&s, r); err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Table) > 0 && s.Table["s-1"] == 0 {
+			return
+		}
+	}
+}
+
+func newJoinedMachine(t *testing.T) *xds.Assignments {
+	m := xds.NewAssignments(xds.Facts{Classes: classNames, Zones: []string{"north"}, Within: protocol.Bounds{Proxies: 4}}, false)
+	if _, _, err := m.Request(0, &discovery.DiscoveryRequest{Node: standin.ProxyNode(0, "north", 1), TypeUrl: xds.TypeEndpoints}); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// TestStalledProxyHoldsNobodyUp: a proxy that reads nothing keeps its stream, since it may only be slow; others are served,
+// and it has all that it missed once it reads on.
+func TestStalledProxyHoldsNobodyUp(t *testing.T) {
+	f := withFront(t, 1, nil)
+	defer f.stop()
+	still, other := f.grpcProxy(0, "north", nil), f.grpcProxy(1, "north", nil)
+	for _, p := range []reader{still, other} {
+		f.await("a table", p, holds("s-0"))
+	}
+	still.Stall(true)
+	f.phase("s-1", "draining")
+	f.phase("s-2", "draining")
+	f.await("the other is served", other, func(s standin.State) bool { return s.Table["s-1"] == 0 && s.Table["s-2"] == 0 })
+	still.Stall(false)
+	f.await("what it missed", still, func(s standin.State) bool { return s.Table["s-1"] == 0 && s.Table["s-2"] == 0 && len(s.Table) > 0 })
+}
+
+// TestLimitsOfTheFront: what goes over a bound ends that stream, or that connection, and no other's.
+func TestLimitsOfTheFront(t *testing.T) {
+	f := withFront(t, 1, nil)
+	defer f.stop()
+	good := f.grpcProxy(0, "north", nil)
+	f.await("a table", good, holds("s-0"))
+	client, err := standin.Dial(f.planner, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	api := discovery.NewAggregatedDiscoveryServiceClient(client)
+	open := func(ctx context.Context, number int, names ...string) (discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, error) {
+		s, err := api.StreamAggregatedResources(ctx)
+		if err != nil {
+			return nil, err
+		}
+		err = s.Send(&discovery.DiscoveryRequest{Node: standin.ProxyNode(number, "north", 1), TypeUrl: xds.TypeEndpoints, ResourceNames: names})
+		if err == nil {
+			_, err = s.Recv()
+		}
+		return s, err
+	}
+	stays, err := open(context.Background(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open(context.Background(), 2, strings.Repeat("x", protocol.LineMost)); status.Code(err) != codes.ResourceExhausted {
+		t.Errorf("a message over 1 MiB: %v", err)
+	}
+	if _, err := open(metadata.AppendToOutgoingContext(context.Background(), "a", strings.Repeat("x", 2*headersMost)), 2); err == nil {
+		t.Error("headers over their bound are taken")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	for n := 0; n < streamsMost-1; n++ { // one stays open already
+		if _, err := api.StreamAggregatedResources(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	if _, err := open(late, 3); status.Code(err) != codes.DeadlineExceeded {
+		t.Errorf("a stream more than a connection may have: %v", err)
+	}
+	stop()
+	cancel()
+	if _, err := open(context.Background(), 4); err != nil {
+		t.Errorf("after the others have ended: %v", err)
+	}
+	if err := stays.Send(&discovery.DiscoveryRequest{TypeUrl: xds.TypeEndpoints}); err != nil {
+		t.Errorf("the stream that stayed: %v", err)
+	}
+
+	nc, err := net.Dial("tcp", f.planner) // pings without a pause
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(patience))
+	io.WriteString(nc, http2.ClientPreface)
+	framer := http2.NewFramer(nc, nc)
+	framer.WriteSettings()
+	go func() {
+		for framer.WritePing(false, [8]byte{}) == nil {
+		}
+	}()
+	for calm := false; !calm; {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			break // closed without a word is as good
+		}
+		if away, is := frame.(*http2.GoAwayFrame); is {
+			calm = away.ErrCode == http2.ErrCodeEnhanceYourCalm
+		}
+	}
+	f.phase("s-1", "draining")
+	f.await("service goes on", good, lacks("s-1"))
+}
