--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	return Version(n), err == nil && strings.HasPrefix(text, "r")
 }
 
+// String implements fmt.Stringer.
 func (v Version) String() string { return "r" + strconv.FormatUint(uint64(v), 10) }
 
 // UnmarshalJSON reads a version.
--- a/internal/demo/book.go
+++ b/internal/demo/book.go
@@ -31,7 +31,7 @@
 	return status, nil, err
 }
 
-// Book books room for the tenant, repeats the call, asks for more than there is, and sees the slots held and then gone.
+// Book reserves slots for the tenant, repeats the call, asks for more than there is, and sees the slots held and then gone.
 func (d *Demo) Book() error {
 	now := float64(time.Now().UnixNano()) / 1e9
 	room := func(slots int) string {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -33,6 +33,7 @@
 	Reason string
 }
 
+// Error implements error.
 func (r *Refused) Error() string { return fmt.Sprintf("refused with %d: %s", r.Status, r.Reason) }
 
 const (
--- a/internal/planner/dialect/dialect.go
+++ b/internal/planner/dialect/dialect.go
@@ -11,6 +11,7 @@
 	GRPC                 // grpc.health.v1 and ORCA
 )
 
+// String implements fmt.Stringer.
 func (p Protocol) String() string {
 	if p == GRPC {
 		return "grpc"
--- a/internal/planner/options/decode.go
+++ b/internal/planner/options/decode.go
@@ -21,8 +21,10 @@
 	Err          error
 }
 
+// Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("%s:%d:%d: %v", e.File, e.Line, e.Column, e.Err) }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (e *Error) Unwrap() error { return e.Err }
 
 // reader takes the values of one file into a struct.
--- a/internal/planner/program/program.go
+++ b/internal/planner/program/program.go
@@ -29,8 +29,10 @@
 // StartError says that the planner could not begin, for a reason outside of it.
 type StartError struct{ Err error }
 
+// Error implements error.
 func (e *StartError) Error() string { return e.Err.Error() }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (e *StartError) Unwrap() error { return e.Err }
 
 // Run serves until ctx ends, which is no error. At each signal of reloads it reads the configuration again.
--- a/internal/planner/protocol/lines.go
+++ b/internal/planner/protocol/lines.go
@@ -98,6 +98,7 @@
 	Err   error
 }
 
+// Error implements error.
 func (e *LineError) Error() string {
 	if e.Kind == "" {
 		return fmt.Sprintf("line: %v", e.Err)
@@ -105,4 +106,5 @@
 	return fmt.Sprintf("line %.40q: %v", e.Kind, e.Err)
 }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (e *LineError) Unwrap() error { return e.Err }
--- a/internal/planner/protocol/list.go
+++ b/internal/planner/protocol/list.go
@@ -41,6 +41,7 @@
 // StatusError says that a party answered with a status that is no answer.
 type StatusError int
 
+// Error implements error.
 func (s StatusError) Error() string { return fmt.Sprintf("status %d", int(s)) }
 
 // UnmarshalJSON reads a member; a size that is left out is 1, as for servers that all count the same.
--- a/internal/planner/transport/dial.go
+++ b/internal/planner/transport/dial.go
@@ -32,10 +32,12 @@
 	Err      error
 }
 
+// Error implements error.
 func (e *CallError) Error() string {
 	return fmt.Sprintf("call to %s failed while %s, after %d bytes: %v", e.Address, e.Stage, e.Received, e.Err)
 }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (e *CallError) Unwrap() error { return e.Err }
 
 // Answer is a machine that reads one answer.
--- a/internal/planner/xds/node.go
+++ b/internal/planner/xds/node.go
@@ -70,8 +70,10 @@
 	Err  error
 }
 
+// Error implements error.
 func (v Void) Error() string { return fmt.Sprintf("%s: %v", v.What, v.Err) }
 
+// Unwrap returns the cause, for errors.Is and errors.As.
 func (v Void) Unwrap() error { return v.Err }
 
 // Identify reads a node: its id is "proxy/" and the proxy's number, or "collector/" and its zone; locality.zone is the
