--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -42,6 +42,7 @@
 			bookings(),
 			{Name: "servers", Usage: "the servers, their states and weights", Action: servers},
 			{Name: "planners", Usage: "controllers and edges, and how they are", Action: planners},
+			members(),
 			{Name: "keys", Usage: "how many keyed operations each ledger holds", Action: keys},
 			{Name: "status", Usage: "what needs looking at; code 1 if anything does", Action: status},
 			try(),
@@ -272,7 +273,7 @@
 	if cmd.Bool("json") {
 		return printJSON(map[string]any{"exchanges": views, "silent": silent})
 	}
-	return table("CONTROLLER\tZONE\tROLE\tTERM\tCHANGES\tVERSION\tDISK\tEDGES", func(w *tabwriter.Writer) {
+	return table("CONTROLLER\tZONE\tROLE\tVOTE\tTERM\tCHANGES\tVERSION\tDISK\tEDGES", func(w *tabwriter.Writer) {
 		for _, v := range views {
 			role := "follows " + v.Leader
 			if v.Leader == v.IP {
@@ -280,10 +281,10 @@
 			} else if v.Leader == "" {
 				role = "knows no leader"
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%.1f ms\t%d\n", v.Node, v.Zone, role, v.Term, v.Commit, v.Version, v.DiskMs, len(v.Edges))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%.1f ms\t%d\n", v.Node, v.Zone, role, vote(v.Membership), v.Term, v.Commit, v.Version, v.DiskMs, len(v.Edges))
 		}
 		for _, at := range silent {
-			fmt.Fprintf(w, "%s\t\tdoes not answer\t\t\t\t\t\n", at)
+			fmt.Fprintf(w, "%s\t\tdoes not answer\t\t\t\t\t\t\n", at)
 		}
 	})
 }
--- a/internal/control/reservation/reservation_test.go
+++ b/internal/control/reservation/reservation_test.go
@@ -91,7 +91,6 @@
 	frozen time.Duration
 	dead   bool // and never comes back
 	load   int
-	others int
 }
 
 // leader deals under a term until another one leads, and at most for as long after that as a proof that it leads is good.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -33,6 +33,7 @@
 	Reason string
 }
 
+// Error implements error.
 func (r *Refused) Error() string { return fmt.Sprintf("refused with %d: %s", r.Status, r.Reason) }
 
 const (
@@ -231,9 +232,7 @@
 		}
 		say(!v.Attached, "is cut off from the core")
 		say(v.Commit < newest, fmt.Sprintf("lags: it is at change %d of %d", v.Commit, newest))
-		for _, b := range v.Endangered {
-			faults = append(faults, b)
-		}
+		faults = append(faults, v.Endangered...)
 		say(v.LedgerBlank && v.Membership.Votes, "has an empty disk that is not restored yet")
 		say(v.DiskRefuses, "has a disk that refuses writes")
 		say(v.DiskMs > 50, fmt.Sprintf("has a slow disk: %.0f ms a write", v.DiskMs))
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -22,7 +22,6 @@
 	zone   int
 	life   int
 	up     time.Duration // down until
-	gone   bool          // for good
 	cutOut time.Duration // until when nothing of it reaches other controllers
 	cutIn  time.Duration // and nothing of theirs it
 	frozen time.Duration
