--- a/internal/simulation/servers.go
+++ b/internal/simulation/servers.go
@@ -34,9 +34,8 @@
 	asked                time.Duration // when it began to leave
 	acked                time.Duration // when that was acknowledged
 	ackedCalm            bool          // by a controller in touch
-	ends                 time.Duration
-	ended                bool // its process is gone
-	silent               bool // and its machine says nothing
+	ended                bool          // its process is gone
+	silent               bool          // and its machine says nothing
 	losing, garbling     time.Duration
 	sick                 time.Duration // until when most of what it runs breaks off
 	running, queue       []*try
