Give a try a state machine and its endings one table

Need: what may be told, sent again, kept and claimed after a try was decided in the table of endings, in forward.go and in the table of errors, each for itself.

Change: attempt.Try is a try's life as a pure machine; attempt.Cause has a line for each way it ends, and the table says what is known, what the client may be told, who may be sent again, whether the connection is kept and what becomes of a claim. Attempt.Over, Tell, Claim and Supersedes decide over all tries of a request. Ended stays for the simulation.

--- a/internal/edge/attempt/attempt.go
+++ b/internal/edge/attempt/attempt.go
@@ -1,48 +1,9 @@
-// Package attempt follows one request from server to server. It holds the one table from what came of a try to what is
-// known of it, and decides whether another try may follow: what must not run twice goes elsewhere only on proof that it
-// never ran. It is a value without I/O and clock.
+// Package attempt follows one request from server to server. A Try is the life of a request at one server, as a state
+// machine. How a try can end, and what follows from each way, stands in one table (endings.go): what the client is told,
+// whether the request may be sent again, whether the connection is kept and what becomes of the claim of a keyed
+// operation. The package does no I/O and reads no clock.
 package attempt
 
-// Ending says how a try at a server went.
-type Ending uint8
-
-// The endings. Only the first two allow a try elsewhere for what must not run twice, and a refusal that promises.
-const (
-	NotSent Ending = iota // no byte left for the server
-	NotRun                // the server says that it did not run
-	Ran                   // a whole answer of this try came
-	Perhaps               // anything else
-)
-
-func (e Ending) String() string {
-	return [...]string{"not_sent", "not_run", "ran", "perhaps"}[min(e, Perhaps)]
-}
-
-// Answer is what came back from a server that was sent a request.
-type Answer struct {
-	Came   bool // at all
-	Ours   bool // it carries this try's id
-	Ends   bool // it tells its own end
-	Whole  bool // and came up to it, or is long and still coming
-	NotRun bool // it says that the request was not run
-	Good   bool // a success
-	Sealed bool // with the server's seal
-}
-
-// Ending is the table. Of an answer that is not this try's, or not whole, nothing is believed: not even that it didn't run.
-func (a Answer) Ending() Ending {
-	switch {
-	case !a.Came || !a.Ours || !a.Ends || !a.Whole:
-		return Perhaps
-	case a.NotRun:
-		return NotRun
-	case a.Good && !a.Sealed:
-		return Perhaps
-	default:
-		return Ran
-	}
-}
-
 // Next says what follows a try.
 type Next uint8
 
@@ -61,21 +22,27 @@
 
 // Attempt is one request's way.
 type Attempt struct {
-	Safe  bool // it may run more than once
-	Most  int  // servers that it may reach
-	Sent  int  // tries that reached a server
-	Tried int
-	Paid  bool // for a further try that reached none yet
+	Safe       bool // it may run more than once
+	Most       int  // servers that it may reach
+	Sent       int  // tries that reached a server
+	Tried      int
+	Paid       bool // for a further try that reached none yet
+	MayHaveRun bool // at one of the servers that were tried
 }
 
-// Ended takes the ending of a try. Held tells whether all of it can be sent again.
-func (a *Attempt) Ended(e Ending, status int, held bool) Next {
+// Over takes the cause for which a try is over. Held tells whether all of the request can be sent again, and nothing of
+// an answer was passed on.
+func (a *Attempt) Over(cause Cause, held bool) Next {
+	row := cause.Row()
 	a.Tried++
-	if e != NotSent {
+	if row.Ending != NotSent {
 		a.Sent++
 		a.Paid = false
 	}
-	again := e == NotSent || e == NotRun || a.Safe && (e == Perhaps || e == Ran && status >= failed)
+	if row.Ending.mayHaveRun() {
+		a.MayHaveRun = true
+	}
+	again := row.Again == Always || row.Again == IfSafe && a.Safe
 	switch {
 	case !again || !held || a.Sent >= a.Most || a.Tried > mostTried:
 		return Stop
@@ -85,3 +52,42 @@
 		return Again
 	}
 }
+
+// Ended is Over for those who know only the ending and the answer's status.
+func (a *Attempt) Ended(e Ending, status int, held bool) Next {
+	switch {
+	case e == NotSent:
+		return a.Over(NoConnection, held)
+	case e == NotRun:
+		return a.Over(TurnedAway, held)
+	case e == Ran && status >= failed:
+		return a.Over(Failed, held)
+	case e == Ran:
+		return a.Over(Answered, held)
+	default:
+		return a.Over(BrokenOff, held)
+	}
+}
+
+// Tell is what the client may be told after a try that is over for this cause. A promise that the request never ran has
+// to hold for all servers that were tried, not only for the last one.
+func (a *Attempt) Tell(cause Cause) Tell {
+	if tell := cause.Row().Tell; tell != Promise || !a.MayHaveRun {
+		return tell
+	}
+	return BadGateway
+}
+
+// Supersedes tells whether an outcome for this cause takes the place of the former one. After a try that may have run, one
+// that never ran tells the client nothing new.
+func (a *Attempt) Supersedes(cause Cause) bool {
+	return !a.MayHaveRun || cause.Row().Ending.mayHaveRun()
+}
+
+// Claim is what becomes of a keyed operation's claim after a try that is over for this cause.
+func (a *Attempt) Claim(cause Cause) Claim {
+	if claim := cause.Row().Claim; claim != Withdraw || !a.MayHaveRun {
+		return claim
+	}
+	return Leave
+}
