--- /dev/null
+++ b/internal/edge/proxy/faults_test.go
@@ -0,0 +1,235 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+)
+
+// once plays a script for the first request that any server gets, and answers the others well.
+func (h *hall) once(first func(*http.Request) string, servers ...string) {
+	played := false
+	for _, id := range servers {
+		h.serve(id, func(r *http.Request) string {
+			h.mu.Lock()
+			mine := !played
+			played = true
+			h.mu.Unlock()
+			if mine {
+				return first(r)
+			}
+			return good(r)
+		})
+	}
+	for range 4 { // fills the budget
+		h.asks("tags")
+	}
+}
+
+// Answers that prove nothing: what must not run twice is sent to no other server, and nothing is promised.
+func TestAnswersThatAreNotBelieved(t *testing.T) {
+	for name, answer := range map[string]func(*http.Request) string{
+		"a 503 without the word that nothing ran": func(r *http.Request) string { return reply(r, "503 Busy", "", "") },
+		"a 429 without the word that nothing ran": func(r *http.Request) string { return reply(r, "429 Busy", "", "") },
+		"a 408 without the word that nothing ran": func(r *http.Request) string { return reply(r, "408 Late", "", "") },
+		"a success that says that nothing ran":    func(r *http.Request) string { return reply(r, "200 OK", "X-Server-Seal: s\r\nX-Not-Run: 1\r\n", "x") },
+		"a content coding that nobody asked for": func(r *http.Request) string {
+			return reply(r, "200 OK", "X-Server-Seal: s\r\nContent-Encoding: gzip\r\n", "x")
+		},
+		"two ids": func(r *http.Request) string {
+			return reply(r, "200 OK", "X-Server-Seal: s\r\nX-Attempt-Id: try-0\r\n", "x")
+		},
+		"a seal that concerns one connection only": func(r *http.Request) string {
+			return reply(r, "200 OK", "X-Server-Seal: s\r\nConnection: X-Server-Seal\r\n", "x")
+		},
+		"another protocol": func(r *http.Request) string { return reply(r, "101 Switch", "X-Server-Seal: s\r\n", "x") + "<close>" },
+	} {
+		for path, want := range map[string]int{"/u/x": 502, "/s/x": 200} {
+			t.Run(name+path, func(t *testing.T) {
+				in(t, func(h *hall) {
+					h.once(answer, "i-1", "i-2")
+					h.g.Expect(h.ask("POST", path, "x").Code).To(Equal(want))
+					h.g.Expect(h.got).To(HaveLen(1 + want%2 + (502-want)/302))
+				})
+			})
+		}
+	}
+}
+
+func TestCodingThatWasAskedForIsPassedOn(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", func(r *http.Request) string {
+			return reply(r, "200 OK", "X-Server-Seal: s\r\nContent-Encoding: gzip\r\n", "x")
+		})
+		w := h.ask("GET", "/s/x", "", "Accept-Encoding", "gzip")
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(w.Header().Get("Content-Encoding")).To(Equal("gzip"))
+	})
+}
+
+// A promise that the request never ran has to hold for the first server, too.
+func TestNoPromiseAfterAFirstServerThatMayHaveRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  func(*http.Request) string
+		status int
+	}{
+		"cut off":     {cut, 502},
+		"its own 500": {func(r *http.Request) string { return reply(r, "500 Oops", "", "why") }, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(h *hall) {
+				h.once(c.first, "i-1", "i-2")
+				for address, script := range h.servers {
+					h.servers[address] = func(r *http.Request) string {
+						if len(h.got) > 1 {
+							return full(r)
+						}
+						return script(r)
+					}
+				}
+				w := h.ask("GET", "/s/x", "")
+				h.g.Expect(h.got).To(HaveLen(2))
+				h.g.Expect(w.Code).To(Equal(c.status))
+				h.g.Expect(w.Header()).NotTo(HaveKey("Retry-After"))
+			})
+		})
+	}
+}
+
+// A connection that leads to another server than it should is of no use to the next request either.
+func TestConnectionToAnotherServerIsClosed(t *testing.T) {
+	in(t, func(h *hall) {
+		h.once(func(r *http.Request) string { return reply(r, "421 Other", "", "") }, "i-1")
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(503))
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(200))
+		h.g.Expect(h.dials).To(Equal(2))
+	})
+}
+
+// A connection that ends before it takes a byte proves that nothing was sent: another may be used, whatever the kind.
+func TestNothingWrittenMayBeSentAgain(t *testing.T) {
+	in(t, func(h *hall) {
+		h.once(good, "i-1", "i-2")
+		dial, ended := h.Proxy.dial, 0
+		h.Proxy.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if ended == 0 {
+				ended++
+				near, far := net.Pipe()
+				far.Close()
+				return near, nil
+			}
+			return dial(ctx, network, address)
+		}
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(200))
+		h.g.Expect(h.got).To(HaveLen(1))
+	})
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.ask("GET", "/s/x", "")
+		u := h.upstreams.Upstream("i-1").Host.(*upstream)
+		idle := u.idle[0].watched
+		idle.Conn = refusing{idle.Conn} // it fails at the next write
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(200))
+		h.g.Expect(h.got).To(HaveLen(2))
+		h.g.Expect(h.dials).To(Equal(2), "the same server on a new connection")
+	})
+}
+
+type refusing struct{ net.Conn }
+
+func (refusing) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Bytes behind an answer, in the same segment: the next request, right behind it, never meets them.
+func TestSurplusBytesMeetNoRequest(t *testing.T) {
+	for i := range 200 {
+		in(t, func(h *hall) {
+			h.once(func(r *http.Request) string { return good(r) + other(r) }, "i-1")
+			h.g.Expect(h.send("GET", "/s/x", "").Code).To(Equal(200))
+			h.g.Expect(h.send("POST", "/u/x", "x").Code).To(Equal(200), "round %d", i)
+			h.g.Expect(h.dials).To(Equal(2))
+		})
+	}
+}
+
+// Of an answer without a body the length is the server's word, not ours.
+func TestLengthOfAnAnswerWithoutBodyStands(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", func(r *http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 304 Same\r\nX-Attempt-Id: %s\r\nContent-Length: 77\r\n\r\n", r.Header.Get("X-Attempt-Id"))
+		})
+		h.g.Expect(h.ask("GET", "/s/x", "").Header().Get("Content-Length")).To(Equal("77"))
+	})
+}
+
+// A server may answer at length before it has the whole of a long body: both go on, and no byte of either is lost.
+func TestLongAnswerToABodyThatStillComes(t *testing.T) {
+	long := strings.Repeat("0123456789", 60_000)
+	in(t, func(h *hall) {
+		h.allow(2, `{}`)
+		got := make(chan string, 1)
+		h.Proxy.dial = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				r, err := http.ReadRequest(bufio.NewReader(far))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(far, strings.Replace(reply(r, "200 OK", "X-Server-Seal: s\r\n", long), "HTTP/1.1", "HTTP/1.1", 1))
+				body, _ := io.ReadAll(r.Body)
+				got <- string(body)
+				far.Close()
+			}()
+			return near, nil
+		}
+		h.serve("i-1", good)
+		h.opened(func(s street) {
+			conn := h.walkIn(s)
+			defer conn.Close()
+			sendRest := make(chan struct{})
+			go func() {
+				_, _ = io.WriteString(conn, "POST /u/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\nTransfer-Encoding: chunked\r\n\r\n")
+				_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(long), long)
+				<-sendRest
+				_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(long), long)
+			}()
+			go func() { synctest.Wait(); close(sendRest) }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			body, _ := io.ReadAll(resp.Body)
+			h.g.Expect(string(body) == long).To(BeTrue(), "%d bytes", len(body))
+			sent := <-got
+			h.g.Expect(len(sent) < 2*len(long) || sent == long+long).To(BeTrue())
+			h.g.Expect(strings.HasPrefix(long+long, sent)).To(BeTrue(), "bytes of the body were lost on their way: %d came", len(sent))
+		})
+	})
+}
+
+// A client of HTTP/1.0 takes a close for the end of an answer without a length: one that is cut short ends in a reset.
+func TestCutAnswerDoesNotLookWholeToOldClients(t *testing.T) {
+	setup(t, func(h *hall) {
+		defer h.close()
+		h.allow(2, `{}`)
+		long := strings.Repeat("0123456789", 60_000)
+		h.serve("i-1", func(r *http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n<close>", len(long), long)
+		})
+		front, err := net.Listen("tcp", "127.0.0.1:0")
+		h.g.Expect(err).NotTo(HaveOccurred())
+		defer front.Close()
+		go func() { _ = h.door.open(front) }()
+		conn, err := net.Dial("tcp", front.Addr().String())
+		h.g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "GET /s/x HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: t\r\n\r\n")
+		_, err = io.Copy(io.Discard, conn)
+		h.g.Expect(err).To(HaveOccurred(), "a close would look like the end of the answer")
+	})
+}
--- a/internal/edge/proxy/fuzz_test.go
+++ b/internal/edge/proxy/fuzz_test.go
@@ -47,7 +47,7 @@
 		var bodies []string
 		done := make(chan struct{})
 		served := make(chan struct{}, 8)
-		c.dialer.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		c.dial = func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			go func() {
 				defer func() { far.Close(); served <- struct{}{} }()
--- a/internal/edge/proxy/holding.go
+++ b/internal/edge/proxy/holding.go
@@ -117,6 +117,17 @@
 	failed  atomic.Pointer[error]
 }
 
+// failure is why the rest couldn't be read from the client; nil: it could, or there is none.
+func (r *rest) failure() error {
+	if r == nil {
+		return nil
+	}
+	if err := r.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 func (r *rest) Read(p []byte) (int, error) {
 	r.touched.Store(true)
 	n, err := r.src.Read(p)
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -65,6 +65,7 @@
 	conns        conns
 	door         door
 	held         account
+	dial         func(ctx context.Context, network, address string) (net.Conn, error)
 	dialer       *http.Transport
 	waiting      queue
 	leaving      atomic.Bool
@@ -92,9 +93,9 @@
 	c.door = door{handler: c, conns: &c.conns}
 	c.held.left.Store(int64(heldShare * set.Limits.MemoryMB * (1 << 20)))
 	c.waiting.waiters = map[string][]*waiter{}
+	c.dial = (&net.Dialer{Timeout: dialLimit, KeepAlive: 5 * time.Second, Control: cutSoon}).DialContext
 	c.dialer = &http.Transport{DisableCompression: true, Proxy: nil, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
-		MaxResponseHeaderBytes: 64 << 10,
-		DialContext:            (&net.Dialer{Timeout: dialLimit, KeepAlive: 5 * time.Second, Control: cutSoon}).DialContext}
+		MaxResponseHeaderBytes: 64 << 10, DialContext: c.dialWatched}
 	return c
 }
 
--- a/internal/edge/proxy/proxy_test.go
+++ b/internal/edge/proxy/proxy_test.go
@@ -56,30 +56,40 @@
 
 func in(t *testing.T, play func(*hall)) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		set, err := nodesettings.Parse("test", []byte(settings))
-		g.Expect(err).NotTo(HaveOccurred())
-		h := &hall{Proxy: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
-		h.dialer.DialContext = h.dial
-		g.Expect(h.configure(&peer.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
-		near, far := net.Pipe()
-		link := peer.NewLink(near)
-		h.controller.link = link
-		h.controllerEnd = peer.NewLink(far)
-		go func() { _ = link.Read(func(f *peer.Frame) { h.frame(link, f) }) }()
-		go func() { _ = h.controllerEnd.Read(h.frameAtController) }()
-		defer func() {
-			link.Close()
-			h.controllerEnd.Close()
-			for _, u := range h.upstreams.All() {
-				u.Host.(*upstream).end()
-			}
-			synctest.Wait()
-		}()
-		play(h)
+		setup(t, func(h *hall) {
+			defer synctest.Wait()
+			defer h.close()
+			play(h)
+		})
 	})
 }
 
+// setup makes a hall without a clock of its own.
+func setup(t *testing.T, play func(*hall)) {
+	g := NewWithT(t)
+	set, err := nodesettings.Parse("test", []byte(settings))
+	g.Expect(err).NotTo(HaveOccurred())
+	h := &hall{Proxy: New(set, log.NewNopLogger()), g: g, servers: map[string]func(*http.Request) string{}}
+	h.Proxy.dial = h.dial
+	g.Expect(h.configure(&peer.Config{Version: 1, Whole: []byte(plan)})).To(BeTrue())
+	near, far := net.Pipe()
+	link := peer.NewLink(near)
+	h.controller.link = link
+	h.controllerEnd = peer.NewLink(far)
+	go func() { _ = link.Read(func(f *peer.Frame) { h.frame(link, f) }) }()
+	go func() { _ = h.controllerEnd.Read(h.frameAtController) }()
+	play(h)
+}
+
+// close ends what runs beside the edge.
+func (h *hall) close() {
+	h.controller.link.Close()
+	h.controllerEnd.Close()
+	for _, u := range h.upstreams.All() {
+		u.Host.(*upstream).end()
+	}
+}
+
 func (h *hall) frameAtController(f *peer.Frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/edge/proxy/upstreams.go
+++ b/internal/edge/proxy/upstreams.go
@@ -44,9 +44,10 @@
 
 // serverConn is a connection to a server that carries one request at a time.
 type serverConn struct {
-	conn  *http.ClientConn
-	since time.Duration // idle
-	used  bool
+	conn    *http.ClientConn
+	watched *watchedConn
+	since   time.Duration // idle
+	used    bool          // it carried a request before
 }
 
 // upstreams holds the picker, and a lock around it.
@@ -111,6 +112,13 @@
 	}
 }
 
+// left tells whether the upstream's server is leaving or gone.
+func (u *upstream) left() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dead
+}
+
 func (u *upstream) sweep(now time.Duration) {
 	u.mu.Lock()
 	var old []*serverConn
@@ -165,17 +173,19 @@
 		u.idle = u.idle[:n-1]
 		old := now-k.since > u.idleFor-idleEarly
 		u.mu.Unlock()
-		if !old && k.conn.Err() == nil {
+		if !old && k.conn.Err() == nil && k.watched.clean() {
 			k.used = true
 			return k, nil
 		}
 		k.conn.Close()
 	}
-	conn, err := c.dialer.NewClientConn(ctx, "http", u.address)
+	k := &serverConn{}
+	conn, err := c.dialer.NewClientConn(context.WithValue(ctx, watchedKey{}, &k.watched), "http", u.address)
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{conn: conn}, nil
+	k.conn = conn
+	return k, nil
 }
 
 // free takes a connection back.
