Keep a try's identity and its deadline, whatever a client writes

Cause: a Connection header that names X-Attempt-Id or X-Operation-Key took them out of what the server gets: it answers 400 to a try without an id, at one server after the other. An X-Deadline-Ms too long for a duration, or no number, turned into a moment in the past: the request was refused with 503 for as long as the client asked.

Change: both headers are always sent on; a deadline longer than the route's is the route's; NaN is a 400.

Result: two tests in faults_test.go, which fail on the former text; the package's tests pass.

--- a/internal/edge/proxy/faults_test.go
+++ b/internal/edge/proxy/faults_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 
 	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/idempotency"
 )
 
 // once plays a script for the first request that any server gets, and answers the others well.
@@ -159,6 +161,27 @@
 	}
 }
 
+// What identifies a try or an operation doesn't concern one connection only, whatever a client says.
+func TestConnectionHeaderDropsNoIdentity(t *testing.T) {
+	in(t, func(h *hall) {
+		h.rule = func(idempotency.Record) (idempotency.Ruling, *idempotency.Answer) { return idempotency.Stands, nil }
+		h.serve("i-1", good)
+		w := h.ask("POST", "/k/x", "x", "X-Operation-Key", "k", "Connection", "X-Attempt-Id, X-Operation-Key")
+		h.g.Expect(w.Code).To(Equal(200))
+		h.g.Expect(h.got[0].Header.Get("X-Operation-Key")).To(Equal("k"))
+	})
+}
+
+// A deadline that is longer than any duration is the route's; one that is no number is refused for good.
+func TestDeadlinesOutOfRange(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		for text, status := range map[string]int{"1e14": 200, "+Inf": 200, "NaN": 400, "-1": 400} {
+			h.g.Expect(h.ask("GET", "/s/x", "", "X-Deadline-Ms", text).Code).To(Equal(status), text)
+		}
+	})
+}
+
 // Of an answer without a body the length is the server's word, not ours.
 func TestLengthOfAnAnswerWithoutBodyStands(t *testing.T) {
 	in(t, func(h *hall) {
--- a/internal/edge/proxy/headers.go
+++ b/internal/edge/proxy/headers.go
@@ -38,6 +38,11 @@
 	left := max(1, (t.until - c.now() - wayBack).Milliseconds())
 	header["X-Deadline-Ms"] = []string{strconv.FormatInt(left, 10)}
 	header["X-Expected-Instance"] = []string{u.ID}
+	for _, name := range []string{"X-Attempt-Id", "X-Operation-Key"} { // whatever the client's Connection header names
+		if values := t.r.Header[name]; values != nil {
+			header[name] = values
+		}
+	}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // so that none is added
 	}
--- a/internal/edge/proxy/task.go
+++ b/internal/edge/proxy/task.go
@@ -42,10 +42,11 @@
 	t.until = now + time.Duration(route.Deadline*float64(time.Second))
 	if text := r.Header.Get("X-Deadline-Ms"); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 {
+		if err != nil || !(ms >= 0) { // not a number is no time either
 			return nil, apierror.Malformed.New("X-Deadline-Ms %q is no time", text)
 		}
-		t.until = min(t.until, now+time.Duration(ms*float64(time.Millisecond)))
+		ms = min(ms, route.Deadline*1000) // a longer time need not fit into a duration
+		t.until = now + time.Duration(ms*float64(time.Millisecond))
 		t.stale = route.Deadline-ms/1000 > route.Setpoint
 	}
 	if r.Body != nil && r.ContentLength != 0 {
