--- a/internal/edge/proxy/faults_test.go
+++ b/internal/edge/proxy/faults_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/registry"
 )
 
 // once plays a script for the first request that any server gets, and answers the others well.
@@ -256,3 +257,46 @@
 		h.g.Expect(err).To(HaveOccurred(), "a close would look like the end of the answer")
 	})
 }
+
+func TestServerThatLeavesWhileItIsDialled(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		dial := h.Proxy.dial
+		h.Proxy.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			h.heard([]registry.Entry{{ID: "i-1", Service: "tags", Address: "i-1:80", Seq: 2, State: registry.Draining}})
+			return dial(ctx, network, address)
+		}
+		h.g.Expect(h.ask("POST", "/u/x", "x").Code).To(Equal(503))
+		h.g.Expect(h.got).To(BeEmpty())
+	})
+}
+
+func TestTooNearADeadlineSendsNothing(t *testing.T) {
+	in(t, func(h *hall) {
+		h.serve("i-1", good)
+		h.g.Expect(h.ask("POST", "/u/x", "x", "X-Deadline-Ms", "14").Code).To(Equal(503))
+		h.g.Expect(h.got).To(BeEmpty())
+	})
+}
+
+// A client that goes in the middle of a long answer costs its connection and the server's, and no place.
+func TestClientThatTakesNoMore(t *testing.T) {
+	in(t, func(h *hall) {
+		h.allow(2, `{}`)
+		h.serve("i-1", func(r *http.Request) string {
+			return reply(r, "200 OK", "X-Server-Seal: s\r\n", strings.Repeat("0123456789", 60_000))
+		})
+		h.opened(func(s street) {
+			conn := h.walkIn(s)
+			go func() { _, _ = io.WriteString(conn, "GET /s/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t\r\n\r\n") }()
+			_, err := io.ReadFull(conn, make([]byte, 10_000))
+			h.g.Expect(err).NotTo(HaveOccurred())
+			conn.Close()
+			synctest.Wait()
+			u := h.upstreams.Upstream("i-1")
+			h.g.Expect(u.Out()).To(Equal(0))
+			h.g.Expect(u.Host.(*upstream).idle).To(BeEmpty())
+			h.g.Expect(h.inFlight.Load()).To(BeZero())
+		})
+	})
+}
