--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -40,7 +40,7 @@
 				&cli.StringFlag{Name: "fault", Usage: "a planted fault, to see that it is seen"},
 			}, Action: explore},
 			sweep(),
-			busy(),
+			busy(), daysCommand(), playCommand(),
 		},
 	})
 }
