--- a/cmd/rehearse/play.go
+++ b/cmd/rehearse/play.go
@@ -76,15 +76,38 @@
 	if out == "" {
 		out = filepath.Join("found", site.Name)
 	}
-	if err := os.MkdirAll(out, 0o755); err != nil {
+	resultsFile, err := prepare(out, cmd.Bool("resume"))
+	if err != nil {
 		return err
 	}
-	resultsFile := filepath.Join(out, "results.jsonl")
-	if !cmd.Bool("resume") {
-		if err := os.Remove(resultsFile); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return err
-		}
+	p := &player{bench: cmd.String("bench"), site: cmd.String("site"), why: cmd.String("why"), out: out, small: cmd.Bool("small")}
+	if err := p.playMissing(ctx, plays, resultsFile, cmd.Int("jobs")); err != nil {
+		return err
 	}
+	known, err := loadResults(resultsFile)
+	if err != nil {
+		return err
+	}
+	return summarize(wanted(plays, known), len(plays), cmd.Float("low"))
+}
+
+// prepare makes the folder for results and names the result file in it, which it removes unless the play is resumed.
+func prepare(out string, resume bool) (resultsFile string, err error) {
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return "", err
+	}
+	resultsFile = filepath.Join(out, "results.jsonl")
+	if resume {
+		return resultsFile, nil
+	}
+	if err := os.Remove(resultsFile); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return "", err
+	}
+	return resultsFile, nil
+}
+
+// playMissing plays what the result file holds no verdict of, and adds the verdicts to it.
+func (p *player) playMissing(ctx context.Context, plays []play, resultsFile string, jobs int) error {
 	known, err := loadResults(resultsFile)
 	if err != nil {
 		return err
@@ -94,15 +117,12 @@
 		return err
 	}
 	defer results.Close()
-	p := &player{bench: cmd.String("bench"), site: cmd.String("site"), why: cmd.String("why"), out: out, small: cmd.Bool("small"), results: results}
-	p.playAll(ctx, missing(plays, known), cmd.Int("jobs"))
-	if p.fault != nil {
-		return p.fault
-	}
-	if known, err = loadResults(resultsFile); err != nil {
+	if _, err := results.WriteString("\n"); err != nil { // ends a line that was cut short
 		return err
 	}
-	return summarize(wanted(plays, known), len(plays), cmd.Float("low"))
+	p.results = results
+	p.playAll(ctx, missing(plays, known), jobs)
+	return p.fault
 }
 
 // listPlays lists the plays of all days that were asked for, in the order of their names.
@@ -117,29 +137,40 @@
 	}
 	var plays []play
 	for _, path := range files {
-		name := strings.TrimSuffix(filepath.Base(path), ".toml")
-		if !strings.Contains(name, cmd.String("match")) {
+		if !strings.Contains(filepath.Base(path), cmd.String("match")) {
 			continue
 		}
-		day, err := read(path, days.ParseDay)
-		if err != nil {
-			return nil, err
-		}
-		text, err := os.ReadFile(path)
+		first, err := firstPlay(path, catalogue, site)
 		if err != nil {
 			return nil, err
 		}
 		for i := range cmd.Int("seeds") {
-			v := days.Verdict{Day: name, Seed: day.Seed + uint64(i), Digest: fmt.Sprintf("%.8x", sha256.Sum256(text))}
-			if closed := catalogue.Closed(day, site); len(closed) > 0 {
-				v.Outcome, v.Notes = days.NotForSite, []string{"not open here: " + strings.Join(closed, ", ")}
-			}
-			plays = append(plays, play{path, v})
+			next := first
+			next.verdict.Seed += uint64(i)
+			plays = append(plays, next)
 		}
 	}
 	return plays, nil
 }
 
+// firstPlay is the play of a day with its own seed, or the note that the site cannot take it.
+func firstPlay(path string, catalogue days.Catalogue, site days.Site) (play, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return play{}, err
+	}
+	day, err := days.ParseDay(text)
+	if err != nil {
+		return play{}, fmt.Errorf("%s: %w", path, err)
+	}
+	name := strings.TrimSuffix(filepath.Base(path), ".toml")
+	v := days.Verdict{Day: name, Seed: day.Seed, Digest: fmt.Sprintf("%.8x", sha256.Sum256(text))}
+	if closed := catalogue.Closed(day, site); len(closed) > 0 {
+		v.Outcome, v.Notes = days.NotForSite, []string{"not open here: " + strings.Join(closed, ", ")}
+	}
+	return play{path, v}, nil
+}
+
 // dayFiles lists the days of a folder, or the one file.
 func dayFiles(path, kinds string) ([]string, error) {
 	info, err := os.Stat(path)
