--- a/cmd/rehearse/days.go
+++ b/cmd/rehearse/days.go
@@ -22,6 +22,7 @@
 			&cli.IntFlag{Name: "count", Value: 10, Usage: "number of days"},
 			&cli.StringFlag{Name: "site", Required: true, Usage: "the deployment's site file"},
 			&cli.StringFlag{Name: "kinds", Value: kindsFile, Usage: "the catalogue of kinds"},
+			&cli.StringSliceFlag{Name: "without", Usage: "kinds that are not drawn"},
 			&cli.StringFlag{Name: "out", Required: true, Usage: "folder that the days are written to"},
 		},
 		Action: drawDays,
@@ -33,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	catalogue = catalogue.Without(cmd.StringSlice("without")...)
 	site, err := read(cmd.String("site"), days.ParseSite)
 	if err != nil {
 		return err
--- a/internal/days/catalogue.go
+++ b/internal/days/catalogue.go
@@ -95,6 +95,13 @@
 	return c, nil
 }
 
+// Without returns the catalogue less the kinds of these names.
+func (c Catalogue) Without(names ...string) Catalogue {
+	named := func(k Kind) bool { return slices.Contains(names, k.Name) }
+	c.Kinds = slices.DeleteFunc(slices.Clone(c.Kinds), named)
+	return c
+}
+
 func (k Kind) check() error {
 	switch {
 	case k.Name == "":
--- a/internal/days/days_test.go
+++ b/internal/days/days_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+func TestKindsCanBeLeftOut(t *testing.T) {
+	c := catalogue(t)
+	all := len(c.Kinds)
+	for seed := range uint64(200) {
+		d, err := Draw(c.Without("replace_core"), testSite(1), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if slices.ContainsFunc(d.Troubles(), func(tr Trouble) bool { return tr.Kind == "replace_core" }) {
+			t.Errorf("%s holds what was left out", d.Name)
+		}
+	}
+	if len(c.Kinds) != all {
+		t.Error("the catalogue itself has lost kinds")
+	}
+}
+
 func TestWrongInputIsRefused(t *testing.T) {
 	for _, text := range []string{"[[kind]]\nname='a'\ngroup='moon'", "[[kind]]\nname='a'\ngroup='core'\nx=[2,1]",
 		"[[kind]]\ngroup='core'", "[[kind]]\nname='a'\ngroup='core'\ncolour=1", "[[closing]]\nkind='a'\ndown_s=[2,1]"} {
