Answer what is read in the last moments before an edge ends

Change: from 600 ms before the end of the grace requests are refused at once, from 400 ms before it what waits here for a claim or for room is refused too; nothing of it has run.

--- a/internal/edge/proxy/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -71,6 +71,9 @@
 				c.withdraw(r.Key, r.Token)
 			}
 			return r.Token, ruling
+		case <-c.ending:
+			c.withdraw(r.Key, r.Token)
+			return r.Token, peer.Ruling{Token: r.Token, Ruling: idempotency.Refused}
 		case <-timer.C:
 			if gone := c.now() - began; gone < limit && c.controller.reaches() {
 				timer.Reset(limit - gone) // somebody is at it
--- a/internal/edge/proxy/forward.go
+++ b/internal/edge/proxy/forward.go
@@ -24,6 +24,9 @@
 	staleRank   = 1000 // below every priority
 )
 
+// errEnding refuses what comes in the last moments of a process that was told to end.
+var errEnding = apierror.NotReady.New("this edge is ending")
+
 // ServeHTTP takes a client's request.
 func (c *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
@@ -33,6 +36,10 @@
 	if c.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if c.lastCall.Load() {
+		c.refuse(w, r, errEnding)
+		return
+	}
 	tree := c.tree.Load()
 	if tree == nil {
 		c.refuse(w, r, apierror.NotReady.New("no configuration yet"))
@@ -190,6 +197,8 @@
 			}
 		case <-timer.C:
 			return c.place(t)
+		case <-c.ending:
+			return nil
 		}
 	}
 }
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -69,6 +69,8 @@
 	dialer       *http.Transport
 	waiting      queue
 	leaving      atomic.Bool
+	lastCall     atomic.Bool   // nothing is begun any more: the process is about to end
+	ending       chan struct{} // closed when what waits here and was not sent is given up
 	inFlight     atomic.Int64
 	lastSeen     atomic.Int64 // when a request last came, on the steady clock
 }
@@ -92,6 +94,7 @@
 	c.conns.all, c.conns.most = map[net.Conn]*use{}, max(16, int(clientShare*float64(set.Limits.FileHandles-keptHandles)))
 	c.door = door{handler: c, conns: &c.conns}
 	c.held.left.Store(int64(heldShare * set.Limits.MemoryMB * (1 << 20)))
+	c.ending = make(chan struct{})
 	c.waiting.waiters = map[string][]*waiter{}
 	c.dial = (&net.Dialer{Timeout: dialLimit, KeepAlive: 5 * time.Second, Control: cutSoon}).DialContext
 	c.dialer = &http.Transport{DisableCompression: true, Proxy: nil, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
@@ -191,6 +194,14 @@
 	}
 }
 
+// Spans before the end of the grace. What is read so late that it could not be answered any more is refused at once, and
+// what still waits here is refused early enough for the answer to leave: nothing of it has run.
+const (
+	refuseBefore = 600 * time.Millisecond
+	giveUpBefore = 400 * time.Millisecond
+	endBefore    = 200 * time.Millisecond
+)
+
 // leave ends in order: not ready at once, and serving until nothing comes any more or the time that is granted is
 // nearly over. It guards against breaking off what runs and against closing doors that clients still come to.
 func (c *Proxy) leave(front net.Listener) {
@@ -198,15 +209,22 @@
 	_ = c.logger.Log("event", "told to end", "in_flight", c.inFlight.Load())
 	start := c.now()
 	grace := c.set.Seconds("grace_s", 6)
-	closed := false
+	closed, given := false, false
 	for {
 		time.Sleep(50 * time.Millisecond)
 		gone := c.now() - start
 		idle := c.inFlight.Load() == 0
 		quiet := c.now()-time.Duration(c.lastSeen.Load()) > leaveQuiet
-		if idle && quiet && gone > min(leaveAfter, grace/2) || gone > grace-200*time.Millisecond {
+		if idle && quiet && gone > min(leaveAfter, grace/2) || gone > grace-endBefore {
 			return
 		}
+		if gone > grace-refuseBefore {
+			c.lastCall.Store(true)
+		}
+		if !given && gone > grace-giveUpBefore {
+			given = true
+			close(c.ending)
+		}
 		if !closed && gone > grace-time.Second {
 			closed = true
 			front.Close()
