Keep the identity that a replica draws when it is voted out, through changes that follow at once

A replica that was away applies its removal and later memberships in one go, before the first is durable. The callbacks of the later ones still held the former identity and set it again: the disk had the new identity, the process and its replica went by the one that was voted out, and the manager could vote it in a second time.

Only the membership that removes a replica renames it now.

--- a/internal/control/controller/membership.go
+++ b/internal/control/controller/membership.go
@@ -116,19 +116,19 @@
 	c.membership = m
 	c.cluster.Store(m.Cluster)
 	batch := &storage.Batch{Membership: &m}
-	identity := c.identity
+	drawn := "" // the next identity of a replica that is voted out
 	switch {
-	case former.Contains(identity) && !m.Contains(identity):
-		identity = c.retire(batch)
-	case m.Contains(identity) && c.claimStore.Blank():
+	case former.Contains(c.identity) && !m.Contains(c.identity):
+		drawn = c.retire(batch)
+	case m.Contains(c.identity) && c.claimStore.Blank():
 		c.copied, c.nextCopy = map[string]bool{}, 0
 		c.foundStore()
 	}
 	c.put(batch, func(bool) {
 		c.epoch = max(c.epoch, m.Epoch)
-		if identity != c.identity {
-			c.identity = identity
-			c.replica.Rename(identity)
+		if drawn != "" {
+			c.identity = drawn
+			c.replica.Rename(drawn)
 		}
 		c.tellStanding()
 	})
