Keep the answer of the claim that ran where a store holds another claim of its key

A store that holds a claim which never stood, granted or copied, dropped the answer of the claim that did: a controller that left in order handed its answers to such a store, was told that they are durable, and ended with the only copy.

An answer proves that its claim stood, so the other one never will: the claim that ran takes its place, as it already did when the disk was read.

--- a/internal/control/idempotency/idempotency.go
+++ b/internal/control/idempotency/idempotency.go
@@ -238,15 +238,16 @@
 	return Record{}, false
 }
 
-// Done keeps the answer of a claim's run.
+// Done keeps the answer of a claim's run. A claim that ran stood, so another claim of its key, which was granted or copied
+// here, never will: it makes room.
 func (s *Store) Done(r Record, now time.Duration) {
-	if c := s.claims[r.Key]; c != nil {
-		if c.Token == r.Token {
-			s.keep(c, r.Answer)
-		}
-		return
+	c := s.claims[r.Key]
+	switch {
+	case c == nil, c.Token != r.Token && !c.ran && r.Answer != nil:
+		s.add(r, now)
+	case c.Token == r.Token:
+		s.keep(c, r.Answer)
 	}
-	s.add(r, now)
 }
 
 // Answer finds the answer of a claim's run.
--- a/internal/control/idempotency/idempotency_test.go
+++ b/internal/control/idempotency/idempotency_test.go
@@ -85,6 +85,20 @@
 			Expect(put(s, idempotency.Record{Key: name(n - min(n, 15)), Token: token(99)}, now)).To(Equal(idempotency.Held), "one whose answer is gone has run all the same")
 		}
 	})
+	It("keeps the answer of the claim that ran, where another claim of its key is held", func() {
+		answer := &idempotency.Answer{Status: 200}
+		s := idempotency.NewStore(window, true)
+		s.Copy(idempotency.Record{Key: key, Token: token(1)}, 0)
+		s.Copy(idempotency.Record{Key: key, Token: token(2)}, 0)
+		s.Restored()
+		s.Done(idempotency.Record{Key: key, Token: token(2), Answer: answer}, 1)
+		Expect(s.Answer(key, token(2))).To(Equal(answer))
+		Expect(put(s, idempotency.Record{Key: key, Token: token(1)}, 2)).To(Equal(idempotency.Held))
+		s.Void(key, token(2), 3)
+		Expect(s.Answer(key, token(2))).To(Equal(answer), "what ran is not withdrawn")
+		s.Done(idempotency.Record{Key: key, Token: token(1), Answer: answer}, 4)
+		Expect(s.Answer(key, token(2))).To(Equal(answer), "and is not replaced")
+	})
 	It("keeps a claim for its window, and no longer", func() {
 		s := idempotency.NewStore(window, false)
 		put(s, idempotency.Record{Key: key, Token: token(1)}, 0)
