Simulate members that are replaced, leave and come back, with the auditor's rules for them

Machines are replaced (the successor some seconds later, or first), come back with their disk after their replacement, end in order with their answers handed over, restart in order; every controller in turn, twice over; first starts with too few seeds. Losses stay within what is borne: a machine counts as lost until the core has had settle_s after it or its successor is back. Eight operators write at once, lose one answer in three, read, and make acknowledged orders again; clocks jump.

New rules: MEMBERS, LEADER, REMOVED, READ, AGAIN, KEPT, WHOLE (full tolerance again within 6 s of a trouble's end), STUCK.

--- a/internal/simulation/bookings.go
+++ b/internal/simulation/bookings.go
@@ -89,7 +89,7 @@
 
 // wallOf is a controller's time of day: the first's is hours off.
 func (w *world) wallOf(n *node) float64 {
-	wall := w.now
+	wall := w.now + n.ahead
 	if n.n == 0 {
 		wall += aheadBy
 	}
@@ -102,7 +102,7 @@
 	if busy.Booked == 0 || w.now < time.Second || w.bookAcked || w.now%(200*time.Millisecond) != 0 {
 		return
 	}
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	n := w.nodes[w.some()]
 	if !w.running(n.n) || n.member.Role() != consensus.Leader {
 		return
 	}
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -12,7 +12,7 @@
 // judge puts a claim to a node's claim store; a grant is told once it is durable. One that is asked under a membership
 // older than the newest that is durable here is granted nothing.
 func (w *world) judge(n *node, r idempotency.Record, epoch uint64, tell func(idempotency.Verdict, idempotency.Record)) {
-	if epoch < n.epoch {
+	if w.fenced(n, epoch) {
 		tell(idempotency.Behind, idempotency.Record{})
 		return
 	}
@@ -32,11 +32,23 @@
 			v = idempotency.Unable
 		}
 		if w.day.Fault != "grants before storing" {
+			w.auditGrant(n, v)
 			tell(v, holder)
 		}
 	})
 }
 
+// fenced tells whether a store grants nothing under an epoch.
+func (w *world) fenced(n *node, epoch uint64) bool {
+	switch w.day.Fault {
+	case "a store without the epoch fence":
+		return false
+	case "a removed member grants":
+		return epoch < n.epoch && n.membership.Contains(n.identity)
+	}
+	return epoch < n.epoch
+}
+
 // ask puts claims to claim stores. A verdict counts for the replica that the store's machine is when it tells it.
 func (w *world) ask(n *node, asks []idempotency.Ask) {
 	for _, a := range asks {
@@ -88,7 +100,7 @@
 		w.next++
 		r := idempotency.Record{Key: key, Token: idempotency.Token{Life: uint64(e.n + 1), N: w.next}}
 		e.open[r.Token] = &claim{record: r, since: w.now}
-		w.claim(e, r, w.controllerOr(e, w.rng.IntN(len(w.nodes))))
+		w.claim(e, r, w.controllerOr(e, w.some()))
 	}
 	var open []*claim
 	for _, c := range e.open {
@@ -101,7 +113,7 @@
 			w.withdraw(e, c)
 		case age > edgeFor && !c.second:
 			c.second = true
-			w.claim(e, c.record, (w.controllerOr(e, 0)+1+w.rng.IntN(len(w.nodes)-1))%len(w.nodes))
+			w.claim(e, c.record, w.another(w.controllerOr(e, nowhere)))
 		}
 	}
 	e.voids = slices.DeleteFunc(e.voids, func(v void) bool { return w.now-v.at > voidFor })
@@ -164,6 +176,8 @@
 	if w.runs[r.Key]++; w.runs[r.Key] > 1 {
 		w.result.Broken = fmt.Sprintf("TWICE: a key runs twice, the second time at %s", w.now)
 	}
+	w.books.lastRun = w.now
+	w.later(time.Duration(20+w.rng.IntN(60))*time.Millisecond, func() { w.keepAnswer(e, r) })
 	if w.day.Fault == "withdraws what ran" && w.rng.IntN(4) == 0 {
 		e.voids = append(e.voids, void{r, w.now, 0})
 	}
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -22,16 +22,18 @@
 	zone   int
 	life   int
 	up     time.Duration // down until
-	gone   bool          // for good
+	gone   bool          // for good, or until it comes back although it was replaced
 	cutOut time.Duration // until when nothing of it reaches other controllers
 	cutIn  time.Duration // and nothing of theirs it
 	frozen time.Duration
 	slow   time.Duration
 	full   time.Duration
+	ahead  time.Duration // of its time of day
 	disk   disk
 	queue  []write
 
 	identity    string
+	founders    []string // as on the disk
 	member      *consensus.Replica
 	membership  consensus.Membership // the newest that was applied
 	epoch       uint64               // of the newest that was applied durably
@@ -40,9 +42,15 @@
 	standings   map[int]standing                 // of the controllers that are linked
 	copied      map[string]bool                  // replicas whose claims were copied for the change under way
 	nextCopy    time.Duration
+	leaving     bool // told to end
+	retired     bool // voted out since its start
+	departure   departure
+	reading     []read
+	leased      time.Duration // of a planted fault
 	claimStore  *idempotency.Store
 	coordinator *idempotency.Coordinator
 	state       *statemachine.StateMachine
+	saved       []byte // by the last snapshot but one, for a planted fault
 	waiting     map[uint64]waiter
 	claims      map[idempotency.Token]func(idempotency.Ruling)
 
@@ -84,6 +92,8 @@
 	switch w.day.Fault {
 	case "votes with an empty disk":
 		n.disk.identity, n.disk.founders, n.disk.blank = former.identity, former.founders, true
+	case "an identity is used again":
+		n.disk.identity, n.disk.founders = former.identity, former.founders
 	case "grants with an empty disk":
 		w.identify(n)
 		n.disk.blank = false
@@ -100,6 +110,7 @@
 	}
 	n.coordinator = idempotency.NewCoordinator(nil, hedge, limit)
 	n.state, n.waiting, n.claims = statemachine.New(), map[uint64]waiter{}, map[idempotency.Token]func(idempotency.Ruling){}
+	n.leaving, n.retired, n.reading, n.leased = false, false, nil, 0
 	w.setStores(n)
 	n.registry = registry.New(90 * time.Second)
 	n.broadcaster, n.calls, n.goneSince, n.frozen = broadcast.New(n.registry), map[uint64]func(){}, map[int]time.Duration{}, 0
@@ -117,8 +128,11 @@
 	w.writeDue(n)
 	n.member.Tick(w.now)
 	w.overdue(n)
+	w.nameVoters(n)
 	w.manage(n)
 	w.settle(n)
+	w.answerReads(n)
+	w.auditLeader(n)
 	asks, done := n.coordinator.Tick(w.now)
 	w.ask(n, asks)
 	for _, o := range done {
@@ -140,4 +154,5 @@
 		n.summarized = w.now + summaryOf
 		w.summarize(n)
 	}
+	w.depart(n)
 }
--- a/internal/simulation/members.go
+++ b/internal/simulation/members.go
@@ -29,11 +29,6 @@
 	}
 }
 
-// found makes a machine one of the first start's voters.
-func (n *node) found(voters []string) {
-	n.disk.identity, n.disk.founders, n.disk.blank = membership.Identity(n.name, 0), voters, false
-}
-
 // join starts a controller's part in the consensus, with what its disk held.
 func (w *world) join(n *node) {
 	d := &n.disk
@@ -41,7 +36,7 @@
 	if len(d.founders) > 0 {
 		started = consensus.Membership{Epoch: 1, Voters: d.founders}
 	}
-	n.identity = d.identity
+	n.identity, n.founders = d.identity, d.founders
 	n.member = consensus.New(consensus.Config{ID: n.identity, Timing: timing, Seed: w.rng.Uint64(), Membership: started, Hard: d.hard,
 		Snapshot: d.snap, Log: slices.Clone(d.log), Now: w.now})
 	if n.membership = d.membership; n.membership.Epoch == 0 {
@@ -60,24 +55,28 @@
 	}
 	former := n.membership
 	n.membership = m
-	identity := n.identity
-	retired := former.Contains(identity) && !m.Contains(identity)
+	drawn := "" // the next identity of a replica that is voted out
+	retired := former.Contains(n.identity) && !m.Contains(n.identity)
 	switch {
+	case retired && w.day.Fault == "a retired identity is kept", retired && w.day.Fault == "a removed member grants":
+		retired = false
 	case retired:
 		n.claimStore.Revoke()
-		identity = membership.Identity(n.name, w.rng.Uint64()|1)
-	case m.Contains(identity) && n.claimStore.Blank():
+		n.retired = true
+		drawn = membership.Identity(n.name, w.rng.Uint64()|1)
+	case m.Contains(n.identity) && n.claimStore.Blank():
 		n.copied, n.nextCopy = map[string]bool{}, 0
+		w.foundStore(n)
 	}
 	w.persistSurely(n, func(d *disk) {
 		if d.membership = m; retired {
-			d.identity, d.blank = identity, true
+			d.identity, d.blank = drawn, true
 		}
 	}, func() {
 		n.epoch = max(n.epoch, m.Epoch)
-		if identity != n.identity {
-			n.identity = identity
-			n.member.Rename(identity)
+		if drawn != "" {
+			n.identity = drawn
+			n.member.Rename(drawn)
 		}
 		w.tellStanding(n)
 	})
@@ -98,7 +97,7 @@
 }
 
 func (n *node) standing() standing {
-	return standing{identity: n.identity, epoch: n.epoch, ready: !n.claimStore.Blank()}
+	return standing{identity: n.identity, epoch: n.epoch, ready: !n.claimStore.Blank(), leaving: n.leaving}
 }
 
 // tellStanding tells all linked controllers of this one's part.
@@ -208,7 +207,7 @@
 
 // sendCopy hands an entrant all claims that this store holds, once it grants nothing under the former membership.
 func (w *world) sendCopy(n, to *node, epoch uint64) {
-	if n.membership.Epoch != epoch || n.epoch < epoch {
+	if (n.membership.Epoch != epoch || n.epoch < epoch) && w.day.Fault != "copies are sent early" {
 		return // it asks again
 	}
 	if n.claimStore.Blank() || !slices.Contains(n.membership.Voters, n.identity) {
@@ -216,11 +215,15 @@
 	}
 	var all []idempotency.Record
 	n.claimStore.Each(func(r idempotency.Record) { all = append(all, r) })
-	slices.SortFunc(all, func(a, b idempotency.Record) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	sortRecords(all)
 	from := n.identity
 	w.send(n.n, to.n, func() { w.takeCopy(to, from, all, epoch) })
 }
 
+func sortRecords(all []idempotency.Record) {
+	slices.SortFunc(all, func(a, b idempotency.Record) int { return slices.Compare(a.Key[:], b.Key[:]) })
+}
+
 // takeCopy takes over what another store holds. Once a majority of the former voters is here and durable, this one grants.
 func (w *world) takeCopy(n *node, from string, all []idempotency.Record, epoch uint64) {
 	if !n.entering() || epoch != n.membership.Epoch {
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -14,11 +14,9 @@
 )
 
 const (
-	writers    = 2 // operators who change the configuration at once
 	askAgain   = time.Second
 	pauseAgain = 200 * time.Millisecond
 	followMost = 2
-	answerLost = 10 // one answer in so many
 	callOver   = 1500 * time.Millisecond
 	namesMost  = 4 // that changes add or replace
 )
@@ -33,12 +31,13 @@
 
 // call is one change that an operator asks for.
 type call struct {
-	data    []byte
-	change  statemachine.Change
-	version uint64
-	at      int
-	again   time.Duration // when it is made once more
-	over    bool
+	data     []byte
+	change   statemachine.Change
+	version  uint64
+	at       int
+	again    time.Duration // when it is made once more
+	over     bool
+	repeated bool // although it was acknowledged
 }
 
 // waiter is a call that waits for its entry.
@@ -56,7 +55,7 @@
 	if c := o.call; c != nil {
 		if w.now >= c.again {
 			c.again = w.now + askAgain
-			c.at = (c.at + 1) % len(w.nodes)
+			c.at = w.following(c.at)
 			w.put(o, c, c.at, followMost)
 		}
 		return
@@ -64,13 +63,13 @@
 	if w.rng.IntN(w.day.Every) != 0 {
 		return
 	}
-	from := w.nodes[w.rng.IntN(len(w.nodes))]
+	from := w.nodes[w.some()]
 	if !w.running(from.n) {
 		return
 	}
 	base := from.state.Version()
 	o.calls++
-	c := &call{version: base + 1 + uint64(w.rng.IntN(4)), at: w.rng.IntN(len(w.nodes))}
+	c := &call{version: base + 1 + uint64(w.rng.IntN(4)), at: w.some()}
 	item := fmt.Sprintf(`{"name":"s-%d","health_path":"/%d/%d"}`, w.rng.IntN(namesMost), o.n, o.calls)
 	switch {
 	case base == 0 || w.rng.IntN(4) == 0:
@@ -107,7 +106,7 @@
 		life := n.life
 		answer := func(err error) {
 			w.after(1+w.rng.IntN(5), func() {
-				if n.life == life && w.rng.IntN(answerLost) > 0 {
+				if n.life == life && w.rng.IntN(w.day.answerLost()) > 0 {
 					w.answered(o, c, err)
 				}
 			})
@@ -137,6 +136,13 @@
 		c.again = min(c.again, w.now+pauseAgain)
 		return
 	}
+	if c.repeated {
+		w.result.Again++
+		if c.over = true; status != 200 {
+			w.broken("AGAIN: an order to r%d was acknowledged, and is refused with %d when it comes again", c.version, status)
+		}
+		return
+	}
 	c.over, o.call = true, nil
 	if status != 200 {
 		w.turnedAway[string(c.data)] = true
@@ -155,6 +161,20 @@
 	}
 	w.ackedOn[at.base] = string(c.data)
 	w.ackTimes = append(w.ackTimes, ackedAt{at.version, w.now})
+	w.books.newest, w.books.lastOrder = max(w.books.newest, at.version), w.now
+	w.askOnceMore(o, c)
+}
+
+// askOnceMore makes a call that was acknowledged again, now and then, at any controller: that may be acknowledged or unclear,
+// and never refused.
+func (w *world) askOnceMore(o *writer, c *call) {
+	if w.rng.IntN(4) > 0 {
+		return
+	}
+	w.later(time.Duration(w.rng.IntN(8000))*time.Millisecond, func() {
+		again := &call{data: c.data, change: c.change, version: c.version, again: forGood, repeated: true}
+		w.put(o, again, w.some(), followMost)
+	})
 }
 
 // auditEntry holds an entry that a node takes for committed against the history.
@@ -165,6 +185,9 @@
 	case at == len(w.history)+1:
 		w.history = append(w.history, e)
 		w.entered(e)
+		if e.Membership != nil {
+			w.auditMembership(e)
+		}
 	default:
 		have := w.history[at-1]
 		same := (have.Membership == nil) == (e.Membership == nil) && (e.Membership == nil || have.Membership.Equal(*e.Membership))
@@ -225,6 +248,9 @@
 // readBack holds what the leader holds when the day is over against what was acknowledged.
 func (w *world) readBack() {
 	for _, n := range w.nodes {
+		if !w.running(n.n) {
+			continue
+		}
 		if n.member.Role() == consensus.Leader && n.member.Attached(w.now) && w.bookAcked && len(n.state.Book.All) == 0 {
 			w.broken("LOST: a booking was acknowledged and %s, which leads, has none", n.name)
 		}
--- a/internal/simulation/replication.go
+++ b/internal/simulation/replication.go
@@ -18,16 +18,31 @@
 	}
 	w.commit(n, out)
 	if n.state.Since > snapAfter {
-		if data, err := n.state.Save(); err == nil {
-			n.member.Compact(n.state.Index, data)
-			n.state.Since = 0
-		}
+		w.compact(n)
+	}
+}
+
+// compact replaces the log by a snapshot of the state.
+func (w *world) compact(n *node) {
+	data, err := n.state.Save()
+	if err != nil {
+		return
+	}
+	if w.day.Fault == "a snapshot is older than its log" && n.saved != nil {
+		data, n.saved = n.saved, data
+	} else {
+		n.saved = data
 	}
+	n.member.Compact(n.state.Index, data)
+	n.state.Since = 0
 }
 
 // post sends messages of the consensus to those who are linked under the identity that is meant.
 func (w *world) post(n *node, ms []consensus.Message) {
 	for _, m := range ms {
+		if w.day.Fault == "a learner counts" {
+			m = w.asVoter(n, m)
+		}
 		if to := w.replicaAt(n, m.To); to != nil {
 			w.send(n.n, to.n, func() {
 				to.member.Step(m, w.now)
@@ -37,6 +52,20 @@
 	}
 }
 
+// asVoter has a learner's answer count for a voter's: a planted fault.
+func (w *world) asVoter(n *node, m consensus.Message) consensus.Message {
+	voters := n.member.Membership().Voters
+	if m.Kind == consensus.AppendReply && m.OK && !n.member.Votes() && len(voters) > 0 {
+		for _, id := range voters {
+			if id != m.To {
+				m.From = id
+				break
+			}
+		}
+	}
+	return m
+}
+
 // persistOutput makes an output durable; what has to wait for that is told then.
 func (w *world) persistOutput(n *node, out consensus.Output) {
 	last := uint64(0)
@@ -85,4 +114,7 @@
 	} else if want := w.forceAt[s.Index-1]; n.state.Version() != want {
 		w.broken("LOST: a snapshot of entry %d holds r%d, not r%d", s.Index, n.state.Version(), want)
 	}
+	if w.day.Fault == "digests are lost with the snapshot" {
+		n.state.Taken = nil
+	}
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -18,6 +18,12 @@
 	Further  int // arrivals at servers beyond the first of a request
 	Steps    int // events that deciders were fed
 
+	Memberships int             // that were adopted or given up
+	Reads       int             // that were confirmed
+	Again       int             // acknowledged orders that came again and were answered
+	HandedOver  int             // answers that were kept by controllers that ended in order
+	Whole       []time.Duration // from a trouble's end to full tolerance
+
 	Tenant, Others Tenant // of busy days
 
 	Took   []time.Duration // of those served, if the day asks for it
@@ -31,6 +37,8 @@
 	r.Requests, r.Served, r.Late = r.Requests+o.Requests, r.Served+o.Served, r.Late+o.Late
 	r.Refused, r.Unknown, r.Drains = r.Refused+o.Refused, r.Unknown+o.Unknown, r.Drains+o.Drains
 	r.Further, r.Steps = r.Further+o.Further, r.Steps+o.Steps
+	r.Memberships, r.Reads, r.Again, r.HandedOver = r.Memberships+o.Memberships, r.Reads+o.Reads, r.Again+o.Again, r.HandedOver+o.HandedOver
+	r.Whole = append(r.Whole, o.Whole...)
 	r.Tenant.add(o.Tenant)
 	r.Others.add(o.Others)
 	r.Work, r.Beside = r.Work+o.Work, r.Beside+o.Beside
--- a/internal/simulation/script.go
+++ b/internal/simulation/script.go
@@ -36,6 +36,13 @@
 	FullDisk = "full_disk" // its writes fail
 	KillEdge = "kill_edge" // an edge forgets all
 
+	Replace        = "replace"         // a machine is gone for good, and its successor starts after the span
+	ReplaceBack    = "replace_back"    // and some seconds later the old one comes back with its disk
+	SuccessorFirst = "successor_first" // the successor starts, and the old one is told to end after the span
+	SuccessorAfter = "successor_after" // the old one is told to end, and the successor starts after the span
+	Restart        = "restart"         // a controller is told to end, and starts again on its disk
+	JumpClock      = "jump_clock"      // its time of day jumps by the span
+
 	Freeze      = "freeze"      // a controller stands still, and goes on
 	CutEdge     = "cut_edge"    // an edge is cut off from all controllers
 	FreezeEdge  = "freeze_edge" // an edge stands still
@@ -68,9 +75,27 @@
 	Fault    string // planted, to see that the auditor sees
 	Latency  bool   // times of answers, and of waiting beside idle servers, are wanted
 	Busy     Busy
+	Writers  int    // operators at once; 0: two
+	Lossy    int    // one answer to an operator in so many is lost; 0: one in ten
+	Seeds    int    // machines that are known at the first start, too few to be all voters; 0: all
+	Settles  bool   // the core has to be whole again some time after each trouble
 	Policy   string // by which edges pick, to compare with; empty: as they do
 }
 
+func (d Day) writers() int {
+	if d.Writers == 0 {
+		return 2
+	}
+	return d.Writers
+}
+
+func (d Day) answerLost() int {
+	if d.Lossy == 0 {
+		return 10
+	}
+	return d.Lossy
+}
+
 // drainBound is the rule's: how long after its acknowledgement a server that leaves may still be sent to. The rehearsal
 // holds the system to half of what the first deployments allow.
 func (d Day) drainBound() time.Duration { return time.Second }
--- a/internal/simulation/servers.go
+++ b/internal/simulation/servers.go
@@ -56,7 +56,7 @@
 func (w *world) newServer(service, address string, zone int) *server {
 	w.lives++
 	s := &server{id: fmt.Sprint("i-", w.lives), service: service, address: address, zone: zone, capacity: 2 + w.rng.IntN(3),
-		speed: 0.6 + w.rng.Float64(), target: w.rng.IntN(len(w.nodes)), next: w.now}
+		speed: 0.6 + w.rng.Float64(), target: w.some(), next: w.now}
 	w.at[address] = s
 	w.servers = append(w.servers, s)
 	return s
@@ -129,7 +129,7 @@
 	w.after(int(callWait/time.Millisecond), func() {
 		if !answered {
 			answered, s.calling = true, false
-			s.target, s.next = (s.target+1)%len(w.nodes), w.now
+			s.target, s.next = w.following(s.target), w.now
 		}
 	})
 }
--- a/internal/simulation/troubles.go
+++ b/internal/simulation/troubles.go
@@ -8,22 +8,32 @@
 // calm tells whether the core is settled.
 func (w *world) calm() bool { return w.now >= w.coreCalm }
 
+// trouble lets something go wrong.
 func (w *world) trouble(t Trouble) {
-	n, e := w.nodes[t.Node%len(w.nodes)], w.edges[t.Node%len(w.edges)]
 	switch t.Kind {
 	case Kill, Wipe, PowerAll, Cut, CutOut, CutIn, SlowDisk, FullDisk, Freeze:
-		w.coreCalm = max(w.coreCalm, w.now+t.For+contact)
+		w.troubled(w.now + t.For)
+		w.coreTrouble(t, w.occupant(t.Node))
+	case Replace, ReplaceBack, SuccessorFirst, SuccessorAfter, Restart, JumpClock:
+		w.memberTrouble(t, w.occupant(t.Node))
 	case KillEdge, CutEdge, FreezeEdge:
-		e.calm = max(e.calm, w.now+t.For+contact)
+		w.edgeTrouble(t, w.edges[t.Node%len(w.edges)])
+	default:
+		if len(w.servers) > 0 {
+			w.serverTrouble(t)
+		}
 	}
+}
+
+func (w *world) coreTrouble(t Trouble, n *node) {
 	switch t.Kind {
 	case Kill:
 		w.fail(n, t.For, false)
 	case Wipe:
 		w.fail(n, t.For, true)
 	case PowerAll:
-		for _, n := range w.nodes {
-			w.fail(n, t.For, false)
+		for _, n := range w.present() {
+			w.fail(n, max(t.For, n.up-w.now), false)
 		}
 	case Cut:
 		n.cutOut, n.cutIn = w.now+t.For, w.now+t.For
@@ -37,16 +47,35 @@
 		n.slow = w.now + t.For
 	case FullDisk:
 		n.full = w.now + t.For
+	}
+}
+
+// memberTrouble replaces a machine, or has it end in order.
+func (w *world) memberTrouble(t Trouble, n *node) {
+	switch t.Kind {
+	case JumpClock:
+		n.ahead = t.For
+	case Replace:
+		w.troubled(w.now + t.For)
+		w.replace(t, n)
+	case ReplaceBack:
+		w.troubled(w.now + t.For + backAfter)
+		w.replace(t, n)
+	case SuccessorFirst, SuccessorAfter, Restart:
+		w.troubled(w.now + t.For + leaveMost)
+		w.leaveFor(t, n)
+	}
+}
+
+func (w *world) edgeTrouble(t Trouble, e *edge) {
+	e.calm = max(e.calm, w.now+t.For+contact)
+	switch t.Kind {
 	case KillEdge:
 		w.restart(e)
 	case CutEdge:
 		e.cut = w.now + t.For
 	case FreezeEdge:
 		e.frozen = w.now + t.For
-	default:
-		if len(w.servers) > 0 {
-			w.serverTrouble(t)
-		}
 	}
 }
 
--- a/internal/simulation/wires.go
+++ b/internal/simulation/wires.go
@@ -138,6 +138,7 @@
 		} else {
 			w.wired(k, who, func() { w.tell(w.nodes[other], who, all, 0) })
 			w.sayStanding(n, k)
+			w.sayFounders(n, k)
 		}
 		w.flush(n)
 	}
@@ -229,7 +230,7 @@
 func (w *world) summarize(n *node) {
 	n.summaries++
 	full := n.summaries%fullOf == 0
-	attached, sum := n.member.Attached(w.now), n.registry.Sum()
+	attached, sum := n.member.Attached(w.now) && !n.leaving, n.registry.Sum()
 	var hears []string
 	for _, k := range w.wires {
 		if k.up && k.a >= 0 && (k.a == n.n || k.b == n.n) {
@@ -265,7 +266,7 @@
 			}
 			if e.attached = attached; !attached && w.now > e.look {
 				e.look = w.now + 2*lookAfter
-				if to := w.bestController(e); to != nowhere && to != e.controller && w.nodes[to].member.Attached(w.now) {
+				if to := w.bestController(e); to != nowhere && to != e.controller && w.nodes[to].member.Attached(w.now) && !w.nodes[to].leaving {
 					e.controller = to
 				}
 			}
@@ -333,7 +334,7 @@
 		if !w.passes(-1-e.n, n.n) || !w.running(n.n) {
 			continue
 		}
-		if s := 1 + btoi(n.member.Attached(w.now)); s > score {
+		if s := 1 + btoi(n.member.Attached(w.now) && !n.leaving); s > score {
 			best, score = n.n, s
 		}
 	}
@@ -351,10 +352,21 @@
 func (w *world) strung() {
 	for b := range w.nodes {
 		for a := -len(w.edges); a < b; a++ {
-			k := &wire{a: a, b: b}
-			w.wires = append(w.wires, k)
-			w.byEnds[[2]int{a, b}] = k
+			w.layOne(a, b)
 		}
 	}
 	slices.SortFunc(w.wires, func(x, y *wire) int { return cmp.Or(cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b)) })
 }
+
+// lay lays wires from a new controller to all that are there.
+func (w *world) lay(n *node) {
+	for a := -len(w.edges); a < n.n; a++ {
+		w.layOne(a, n.n)
+	}
+}
+
+func (w *world) layOne(a, b int) {
+	k := &wire{a: a, b: b}
+	w.wires = append(w.wires, k)
+	w.byEnds[[2]int{a, b}] = k
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -25,6 +25,7 @@
 	day      Day
 	rng      *rand.Rand
 	now      time.Duration
+	places   []*node  // the machines that stand where the first ones stood
 	names    []string // addresses of controllers, by number
 	nodes    []*node
 	edges    []*edge
@@ -48,6 +49,7 @@
 	coreCalm  time.Duration // from when the core has been without trouble for long enough
 
 	// The auditor's own books.
+	books   memberBooks
 	seen    map[uint64]int // arrivals of a request
 	ranBy   map[uint64]int
 	refused map[uint64]bool
@@ -76,7 +78,8 @@
 		byEnds: map[[2]int]*wire{}, at: map[string]*server{}, slowed: map[*server]time.Duration{},
 		seen: map[uint64]int{}, ranBy: map[uint64]int{}, refused: map[uint64]bool{}, reached: map[*try]bool{},
 		asked: map[string][]time.Duration{}, extra: map[string][]time.Duration{}, worked: map[[2]int]uint64{},
-		forced: map[string]force{}, ackedOn: map[uint64]string{}, turnedAway: map[string]bool{}}
+		forced: map[string]force{}, ackedOn: map[uint64]string{}, turnedAway: map[string]bool{},
+		books: memberBooks{removed: map[string]uint64{}, leaders: map[uint64]string{}, settleBy: settleWithin}}
 }
 
 // Play plays a day. A decider that meets what can't be ends the day, as it would end its process.
@@ -103,6 +106,7 @@
 	}
 	w.auditBudget()
 	w.readBack()
+	w.auditEnd()
 	w.sumUp()
 	return w.result
 }
@@ -117,14 +121,19 @@
 		w.newNode(i)
 	}
 	for _, n := range w.nodes {
-		n.found(slices.Clone(w.names))
+		w.places = append(w.places, n)
+		if d.Seeds == 0 {
+			n.found(slices.Clone(w.names))
+		} else {
+			n.awaitFounding()
+		}
 		w.start(n)
 	}
 	for i := range d.Edges {
 		w.edges = append(w.edges, &edge{n: i, controller: i % d.Members, zones: d.Members, turn: map[string]int{}})
 		w.restart(w.edges[i])
 	}
-	for i := range writers {
+	for i := range d.writers() {
 		w.writers = append(w.writers, &writer{n: i})
 	}
 	w.strung()
@@ -166,6 +175,10 @@
 	}
 	w.book()
 	w.auditReservations()
+	if w.day.Settles {
+		w.reads()
+	}
+	w.auditWhole()
 	if w.day.Latency {
 		w.weighIdle()
 	}
