Write and read a configuration in time that grows with its size, not its square

Change: routes are grouped by host once, names are looked up in maps. Hosts of a change are compared with the present ones in one walk, so that a small change does not build a map of all hosts.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -178,18 +178,32 @@
 	next := *c
 	next.Version = change.Version
 	next.Plants, next.Routes, next.Services = slices.Clone(c.Plants), slices.Clone(c.Routes), slices.Clone(c.Services)
-	next.Routes = slices.DeleteFunc(next.Routes, func(r *Route) bool {
-		return slices.Contains(change.Remove.Routes, r.Name) || slices.Contains(change.Remove.Plants, r.Plant)
-	})
-	next.Services = slices.DeleteFunc(next.Services, func(s *Service) bool {
-		return slices.Contains(change.Remove.Services, s.Name)
-	})
+	routes, plants, services := set(change.Remove.Routes), set(change.Remove.Plants), set(change.Remove.Services)
+	next.Routes = slices.DeleteFunc(next.Routes, func(r *Route) bool { return routes[r.Name] || plants[r.Plant] })
+	next.Services = slices.DeleteFunc(next.Services, func(s *Service) bool { return services[s.Name] })
 	if err := next.upsert(change.Upsert); err != nil {
 		return nil, err
 	}
 	return &next, next.check()
 }
 
+func set(names []string) map[string]bool {
+	s := make(map[string]bool, len(names))
+	for _, name := range names {
+		s[name] = true
+	}
+	return s
+}
+
+// groups are the routes of each host, in order.
+func (c *Config) groups() map[string][]*Route {
+	groups := make(map[string][]*Route, len(c.Plants))
+	for _, r := range c.Routes {
+		groups[r.Plant] = append(groups[r.Plant], r)
+	}
+	return groups
+}
+
 func (c *Config) upsert(items wireItems) error {
 	if len(items.Limits) > 0 {
 		if err := json.Unmarshal(items.Limits, &c.Limits); err != nil {
@@ -197,23 +211,36 @@
 		}
 		c.limits = items.Limits
 	}
+	at := make(map[string]int, len(c.Services))
+	for i, s := range c.Services {
+		at[s.Name] = i
+	}
 	for _, raw := range items.Services {
 		s := &Service{raw: raw}
 		if err := json.Unmarshal(raw, s); err != nil {
 			return apierror.Invalid.New("service: %s", err)
 		}
-		if i := slices.IndexFunc(c.Services, func(o *Service) bool { return o.Name == s.Name }); i >= 0 {
+		if i, ok := at[s.Name]; ok {
 			c.Services[i] = s
 		} else {
+			at[s.Name] = len(c.Services)
 			c.Services = append(c.Services, s)
 		}
 	}
-	at := map[string]int{}
+	absent := make(map[string]bool, len(items.Plants)) // of the hosts of the change: a change is mostly small
+	for _, plant := range items.Plants {
+		absent[plant.Plant] = true
+	}
+	for _, name := range c.Plants {
+		delete(absent, name)
+	}
+	at = make(map[string]int, len(c.Routes))
 	for i, r := range c.Routes {
 		at[r.Name] = i
 	}
 	for _, plant := range items.Plants {
-		if !slices.Contains(c.Plants, plant.Plant) {
+		if absent[plant.Plant] {
+			delete(absent, plant.Plant)
 			c.Plants = append(c.Plants, plant.Plant)
 		}
 		for _, raw := range plant.Channels {
@@ -282,13 +309,11 @@
 	for _, s := range c.Services {
 		services = append(services, s.raw)
 	}
-	plants := []wirePlant{}
+	plants, groups := make([]wirePlant, 0, len(c.Plants)), c.groups()
 	for _, name := range c.Plants {
 		p := wirePlant{Plant: name}
-		for _, r := range c.Routes {
-			if r.Plant == name {
-				p.Channels = append(p.Channels, r.raw)
-			}
+		for _, r := range groups[name] {
+			p.Channels = append(p.Channels, r.raw)
 		}
 		if len(p.Channels) > 0 {
 			plants = append(plants, p)
--- /dev/null
+++ b/internal/config/former_test.go
@@ -0,0 +1,181 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// former is a configuration by the plain algorithm that came before groups and sets: lists, searched from their start.
+type former struct {
+	version  string
+	other    map[string]json.RawMessage
+	services []item
+	limits   json.RawMessage
+	plants   []string
+	routes   []item
+}
+
+type item struct {
+	name, plant string
+	raw         json.RawMessage
+}
+
+type formerItems struct {
+	Services []json.RawMessage `json:"services"`
+	Limits   json.RawMessage   `json:"limits"`
+	Plants   []formerPlant     `json:"plants"`
+}
+
+type formerPlant struct {
+	Plant    string            `json:"plant"`
+	Channels []json.RawMessage `json:"channels"`
+}
+
+func put(list []item, raw json.RawMessage, plant string) []item {
+	var named struct{ Name string }
+	Expect(json.Unmarshal(raw, &named)).To(Succeed())
+	one := item{named.Name, plant, raw}
+	if i := slices.IndexFunc(list, func(o item) bool { return o.name == one.name }); i >= 0 {
+		list[i] = one
+		return list
+	}
+	return append(list, one)
+}
+
+func (f *former) upsert(items formerItems) {
+	if len(items.Limits) > 0 {
+		f.limits = items.Limits
+	}
+	for _, raw := range items.Services {
+		f.services = put(f.services, raw, "")
+	}
+	for _, p := range items.Plants {
+		if !slices.Contains(f.plants, p.Plant) {
+			f.plants = append(f.plants, p.Plant)
+		}
+		for _, raw := range p.Channels {
+			f.routes = put(f.routes, raw, p.Plant)
+		}
+	}
+}
+
+func formerParse(text []byte) *former {
+	f := &former{}
+	var items formerItems
+	Expect(json.Unmarshal(text, &items)).To(Succeed())
+	Expect(json.Unmarshal(text, &f.other)).To(Succeed())
+	Expect(json.Unmarshal(f.other["version"], &f.version)).To(Succeed())
+	for _, known := range []string{"version", "services", "limits", "plants"} {
+		delete(f.other, known)
+	}
+	f.upsert(items)
+	return f
+}
+
+func (f *former) patch(text []byte) {
+	var change struct {
+		Version string
+		Upsert  formerItems
+		Remove  struct{ Routes, Services, Plants []string }
+	}
+	Expect(json.Unmarshal(text, &change)).To(Succeed())
+	f.version = change.Version
+	f.routes = slices.DeleteFunc(f.routes, func(r item) bool {
+		return slices.Contains(change.Remove.Routes, r.name) || slices.Contains(change.Remove.Plants, r.plant)
+	})
+	f.services = slices.DeleteFunc(f.services, func(s item) bool { return slices.Contains(change.Remove.Services, s.name) })
+	f.upsert(change.Upsert)
+}
+
+func (f *former) write() []byte {
+	out := map[string]any{"version": f.version}
+	for name, raw := range f.other {
+		out[name] = raw
+	}
+	services, plants := []json.RawMessage{}, []formerPlant{}
+	for _, s := range f.services {
+		services = append(services, s.raw)
+	}
+	for _, name := range f.plants {
+		p := formerPlant{Plant: name}
+		for _, r := range f.routes {
+			if r.plant == name {
+				p.Channels = append(p.Channels, r.raw)
+			}
+		}
+		if len(p.Channels) > 0 {
+			plants = append(plants, p)
+		}
+	}
+	out["services"], out["plants"] = services, plants
+	if len(f.limits) > 0 {
+		out["limits"] = f.limits
+	}
+	return must(json.Marshal(out))
+}
+
+// drawn are random configurations over few names, so that routes move, come again and meet on one prefix.
+type drawn struct{ *rand.Rand }
+
+func (d drawn) plants(hosts, channels int) string {
+	var all []string
+	for range d.IntN(hosts + 1) {
+		var routes []string
+		for range d.IntN(channels + 1) {
+			routes = append(routes, fmt.Sprintf(`{ "name":"r-%d","path_prefix":"/%s","kind":"safe","deadline_s":%d,"service":"always","tries":1,"note":"<%d>"}`,
+				d.IntN(12), strings.Repeat("a/", d.IntN(3)), 1+d.IntN(9), d.IntN(99)))
+		}
+		all = append(all, fmt.Sprintf(`{"plant":"%s.example","channels":[%s]}`, []string{"A", "a", "b", "c", "d", "E"}[d.IntN(6)], strings.Join(routes, ",")))
+	}
+	return strings.Join(all, ",")
+}
+
+func (d drawn) services() string {
+	all := []string{`{"name":"always"}`}
+	for range d.IntN(4) {
+		all = append(all, fmt.Sprintf(`{"name":"s-%d","conn_limit":%d}`, d.IntN(5), d.IntN(99)))
+	}
+	d.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return strings.Join(all, ",")
+}
+
+func (d drawn) limits() string {
+	return []string{``, `"limits":{},`, fmt.Sprintf(`"limits":{"idle_s":%d},`, 1+d.IntN(9)), fmt.Sprintf(`"limits":{"max_body_bytes":%d},`, 1+d.IntN(9))}[d.IntN(4)]
+}
+
+func (d drawn) whole() []byte {
+	return fmt.Appendf(nil, `{"version":"r1","note":{"kept":%d},%s"services":[%s],"plants":[%s]}`, d.IntN(9), d.limits(), d.services(), d.plants(8, 4))
+}
+
+func (d drawn) change(version int) []byte {
+	return fmt.Appendf(nil, `{"version":"r%d","upsert":{%s"services":[%s],"plants":[%s]},"remove":{"routes":["r-%d","r-%d"],"plants":["%s.example"],"services":["s-%d"]}}`,
+		version, d.limits(), d.services(), d.plants(2, 3), d.IntN(20), d.IntN(20), []string{"a", "b", "c", "x", "y", "z"}[d.IntN(6)], d.IntN(9))
+}
+
+var _ = Describe("random configurations and changes", func() {
+	It("are written byte for byte as by the former algorithm", func() {
+		d := drawn{rand.New(rand.NewPCG(1, 2))}
+		for range 300 {
+			text := d.whole()
+			c, f := parse(string(text)), formerParse(text)
+			for version := 2; version < 8; version++ {
+				Expect(string(must(json.Marshal(c)))).To(Equal(string(f.write())), "from %s", text)
+				change := d.change(version)
+				c = must(c.Patch(change))
+				f.patch(change)
+			}
+		}
+	})
+})
+
+func must[T any](out T, err error) T {
+	GinkgoHelper()
+	Expect(err).NotTo(HaveOccurred())
+	return out
+}
