Test a controller's identity on its disk, from first start to retirement

The order in which identity, membership and claims become durable had tests of its parts alone. A controller is now run turn by turn in fake time with scripted peers: identities are drawn first and kept, a lost disk draws another, files of the earlier version open rightly, a membership that can't be is put aside, and a retirement is on the disk whole or not at all.

--- /dev/null
+++ b/internal/control/controller/harness_test.go
@@ -0,0 +1,299 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/broadcast"
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/membership"
+	"mulleinwood/internal/control/registry"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/control/weights"
+	"mulleinwood/internal/platform/metrics"
+	"mulleinwood/internal/platform/nodesettings"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
+)
+
+const (
+	ipA, ipB, ipC, ipD = "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"
+	cluster            = 7
+)
+
+var (
+	three = consensus.Membership{Epoch: 2, Cluster: cluster, Voters: []string{ipA, ipB, ipC}}
+	joint = consensus.Membership{Epoch: 3, Cluster: cluster, Voters: []string{ipA, ipB, ipC}, Next: []string{ipA, ipB, "10.0.0.4#d"}}
+)
+
+// host is a controller with a disk of its own, whose turns the test runs one by one, in fake time: it belongs in a bubble
+// of synctest. Its peers are scripted.
+type host struct {
+	*Controller
+	t   *testing.T
+	g   *WithT
+	dir string
+	log *lines
+}
+
+// lines gathers what is logged.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+func (l *lines) with(text string) (found []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.all {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// settings are those of a controller of three, at a start that isn't the first.
+func settings(t *testing.T, ip, dir string, first bool) *nodesettings.Settings {
+	text := fmt.Sprintf("node: %q\nip: %q\nzone: \"x\"\nseeds: [%q, %q, %q]\ninner_port_range: [7000, 7001]\nfirst_start: %t\ncounted: true\n"+
+		"tolerance: {machines: 1, zones: 0, regions: 0}\ndata_dir: %q\nlisten: {control: %q}\nlimits: {memory_mb: 200}\n",
+		"n-"+ip, ip, ipA+":8649", ipB+":8649", ipC+":8649", first, dir, ip+":8649")
+	set, err := nodesettings.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// start begins a controller's life on a disk. It dials nobody.
+func start(t *testing.T, ip, dir string, first bool) *host {
+	h := &host{t: t, g: NewWithT(t), dir: dir, log: &lines{}}
+	c := &Controller{set: settings(t, ip, dir, first), logger: log.NewLogfmtLogger(h.log), began: time.Now(), life: 99, inbox: make(chan func(), 1024),
+		waiters: map[uint64]waiter{}, state: statemachine.New(), copied: map[string]bool{}, met: map[string]membership.Controller{},
+		peers: map[string]*remote{}, edges: map[string]*remote{}, guests: map[*remote]bool{}, calls: map[uint64]func(){},
+		fetches: map[idempotency.Token]*fetch{}, known: map[string]bool{}, claimers: map[idempotency.Token]*remote{}, goneSince: map[string]time.Duration{}}
+	c.registry = registry.New(tombstones)
+	c.broadcaster = broadcast.New(c.registry)
+	c.metrics = metrics.New(metrics.Controller)
+	c.tables = weights.New("x", nil, c.life, func() int { return len(c.membership.Voters) }, func(string, string) {})
+	c.reservations.clock = reservation.NewClock()
+	c.nextSummary = time.Nanosecond // the first summary has all that are known dialled
+	h.Controller = c
+	h.g.Expect(c.open()).To(Succeed())
+	for i := range 20 { // and so has a meeting
+		c.known[fmt.Sprint("10.0.0.", i)] = true
+	}
+	return h
+}
+
+// stop ends the life; all that is durable stays.
+func (h *host) stop() {
+	synctest.Wait()
+	for _, p := range h.peers {
+		p.link.Close()
+	}
+	for p := range h.guests {
+		p.link.Close()
+	}
+	h.g.Expect(h.storage.Close()).To(Succeed())
+	synctest.Wait()
+}
+
+// turn lets everything that waits happen, the disk included, without any time passing.
+func (h *host) turn() {
+	for range 50 {
+		h.settle()
+		synctest.Wait()
+		idle := true
+		for more := true; more; {
+			select {
+			case f := <-h.inbox:
+				f()
+				idle = false
+			default:
+				more = false
+			}
+		}
+		if idle {
+			return
+		}
+	}
+	h.t.Fatal("it never comes to rest")
+}
+
+// pass lets time pass, tick by tick.
+func (h *host) pass(d time.Duration) {
+	for end := h.now() + d; h.now() < end; {
+		time.Sleep(tickEvery)
+		h.tick()
+		h.turn()
+	}
+}
+
+// prepared writes a disk before a controller's life on it.
+func prepared(t *testing.T, dir string, b *storage.Batch) {
+	st, _, err := storage.Open(dir, time.Minute, 1<<20)
+	if err == nil {
+		err = st.Commit([]*storage.Batch{b})
+	}
+	if err == nil {
+		err = st.Close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// held reads a disk after a life.
+func held(t *testing.T, dir string) *storage.State {
+	st, s, err := storage.Open(dir, time.Minute, 1<<20)
+	if err == nil {
+		err = st.Close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// voter is the disk of a voter of three that granted before.
+func voter(ip string) *storage.Batch {
+	no, m := false, three
+	return &storage.Batch{Identity: ip, Members: three.Voters, Hard: &consensus.HardState{Term: 4, Commit: 1}, LedgerBlank: &no, Membership: &m,
+		Entries: []consensus.Entry{{Term: 4, Index: 1, Membership: &m}}}
+}
+
+// script is a peer that says what the test has it say, and notes what it hears.
+type script struct {
+	h  *host
+	p  *remote
+	mu sync.Mutex
+	in []*peer.Frame
+}
+
+// linked links a controller that calls itself by an identity.
+func (h *host) linked(identity string) *script {
+	s := h.meets(membership.Address(identity), &peer.Hello{Node: "n-" + identity, IP: membership.Address(identity), Zone: "x", Life: 5, Counted: true, Cluster: cluster})
+	s.says(&peer.Frame{Standing: &peer.Standing{Identity: identity, Cluster: cluster, Epoch: h.epoch, Ready: true}})
+	return s
+}
+
+// meets links whoever says this hello.
+func (h *host) meets(ip string, hello *peer.Hello) *script {
+	mine, theirs := net.Pipe()
+	s := &script{h: h, p: &remote{link: peer.NewLink(mine), node: hello.Node, ip: ip, zone: hello.Zone, edge: hello.Edge}}
+	go s.listen(theirs)
+	h.joined(s.p, hello)
+	h.turn()
+	return s
+}
+
+func (s *script) listen(conn net.Conn) {
+	defer conn.Close()
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(conn, head[:]); err != nil {
+			return
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(conn, body); err != nil {
+			return
+		}
+		f := &peer.Frame{}
+		if err := cbor.NewDecoder(bytes.NewReader(body)).Decode(f); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.in = append(s.in, f)
+		s.mu.Unlock()
+	}
+}
+
+// says hands the controller a frame.
+func (s *script) says(f *peer.Frame) {
+	s.h.frame(s.p, f)
+	s.h.turn()
+}
+
+// hears gives what came since it was asked last.
+func (s *script) hears() []*peer.Frame {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := s.in
+	s.in = nil
+	return in
+}
+
+func (s *script) agrees(m consensus.Message) {
+	m.From, m.To = s.p.standing.Identity, s.h.replica.ID()
+	s.says(&peer.Frame{Agree: []consensus.Message{m}})
+}
+
+// lead has the controller elected by a peer, which holds its whole log.
+func (h *host) lead(by *script) {
+	h.pass(2 * electionTimeout)
+	term := h.replica.Term() + 1
+	by.agrees(consensus.Message{Kind: consensus.PreVoteReply, Term: term, OK: true})
+	by.agrees(consensus.Message{Kind: consensus.VoteReply, Term: term, OK: true})
+	h.g.Expect(h.leads()).To(BeTrue())
+	h.confirms(by)
+}
+
+// confirms has a peer answer that it holds the whole log, and the newest round of the leader.
+func (h *host) confirms(by *script) {
+	round := uint64(0)
+	for _, f := range by.hears() {
+		for _, m := range f.Agree {
+			round = max(round, m.Round)
+		}
+	}
+	by.agrees(consensus.Message{Kind: consensus.AppendReply, Term: h.replica.Term(), OK: true, Index: h.replica.Last(), Round: round})
+}
+
+// follow has a peer lead, in contact with a majority.
+func (h *host) follow(leader *script, term uint64, m consensus.Message) {
+	m.Kind, m.Term, m.Heard = consensus.Append, term, true
+	leader.agrees(m)
+}
+
+// verdicts of all claims that frames tell of.
+func verdicts(in []*peer.Frame) (all []idempotency.Verdict) {
+	for _, f := range in {
+		for _, v := range f.Verdicts {
+			all = append(all, v.Verdict)
+		}
+	}
+	return all
+}
+
+// identities of the replicas that the leader sends its log to.
+func (h *host) learners() (all []string) {
+	for _, r := range h.view().Controllers {
+		all = append(all, r.ID)
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/control/controller/identity_test.go
@@ -0,0 +1,194 @@
+package controller
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
+)
+
+func record(n uint64) idempotency.Record {
+	return idempotency.Record{Key: idempotency.Key{byte(n)}, Token: idempotency.Token{Life: 1, N: n}}
+}
+
+// Before anything else is on the disk there is an identity, and it is the same after a start.
+func TestIdentityIsDrawnFirstAndKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		h := start(t, ipD, dir, false)
+		drawn := h.identity
+		g.Expect(drawn).To(HavePrefix(ipD + "#"))
+		g.Expect(h.store.pending).To(BeEmpty(), "nothing else waits for the disk yet")
+		h.stop() // power is lost at once
+		s := held(t, dir)
+		g.Expect(s.Identity).To(Equal(drawn))
+		g.Expect(s.LedgerBlank).To(BeTrue())
+		g.Expect([]any{s.Hard, s.Entries, s.Records, s.Servers}).To(HaveEach(BeZero()))
+		h = start(t, ipD, dir, false)
+		g.Expect(h.identity).To(Equal(drawn))
+		g.Expect(h.replica.ID()).To(Equal(drawn))
+		h.stop()
+	})
+}
+
+// The founders of a first start are named by their address, vote at once, and grant at once.
+func TestFoundersVoteAndGrantAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		h := start(t, ipA, dir, true)
+		g.Expect(h.identity).To(Equal(ipA))
+		g.Expect(h.replica.Votes()).To(BeTrue())
+		g.Expect(h.claimStore.Blank()).To(BeFalse())
+		h.stop()
+		h = start(t, ipA, dir, false)
+		g.Expect(h.replica.Votes()).To(BeTrue())
+		g.Expect(h.claimStore.Blank()).To(BeFalse())
+		h.stop()
+	})
+}
+
+// A disk that was lost draws an identity that no disk had before: it neither votes nor grants, also when the settings still
+// say that the system starts for the first time and a spoilt file was put aside.
+func TestLostDiskDrawsAnotherIdentity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		seen := map[string]bool{ipA: true}
+		for range 5 {
+			h := start(t, ipA, t.TempDir(), false)
+			g.Expect(seen).NotTo(HaveKey(h.identity))
+			seen[h.identity] = true
+			g.Expect(h.replica.Votes()).To(BeFalse())
+			g.Expect(h.claimStore.Blank()).To(BeTrue())
+			h.stop()
+		}
+		dir := t.TempDir()
+		g.Expect(os.WriteFile(filepath.Join(dir, "exchange.db"), []byte("no database"), 0o600)).To(Succeed())
+		h := start(t, ipA, dir, true)
+		g.Expect(h.identity).To(HavePrefix(ipA + "#"))
+		g.Expect(h.replica.Votes()).To(BeFalse())
+		g.Expect(h.log.with("disk spoilt")).To(HaveLen(1))
+		h.stop()
+	})
+}
+
+// A file of the version before identities holds members and no identity.
+func TestFileOfTheEarlierVersion(t *testing.T) {
+	yes, no := true, false
+	for name, one := range map[string]struct {
+		hard         consensus.HardState
+		ledgerBlank  *bool
+		keeps, blank bool
+	}{
+		"sound":                            {consensus.HardState{Term: 5, Vote: ipB}, &no, true, false},
+		"its claims were not restored yet": {consensus.HardState{Term: 5, Vote: ipB}, &yes, true, true},
+		"its votes were lost":              {consensus.HardState{Term: 5, Lost: true}, &no, false, true},
+		"both were lost":                   {consensus.HardState{Term: 5, Lost: true}, &yes, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				dir := t.TempDir()
+				prepared(t, dir, &storage.Batch{Members: three.Voters, Hard: &one.hard, LedgerBlank: one.ledgerBlank,
+					Entries: []consensus.Entry{{Term: 4, Index: 1}}, Records: []idempotency.Record{record(1)}})
+				for range 2 { // and the same at the next start
+					h := start(t, ipA, dir, false)
+					g.Expect(h.identity == ipA).To(Equal(one.keeps), h.identity)
+					g.Expect(h.replica.Votes()).To(Equal(one.keeps))
+					g.Expect(h.claimStore.Blank()).To(Equal(one.blank))
+					g.Expect(h.replica.Term()).To(BeEquivalentTo(5))
+					g.Expect(h.claimStore.Len()).To(Equal(1))
+					if one.keeps {
+						g.Expect(h.membership.Voters).To(Equal(three.Voters))
+					}
+					h.stop()
+				}
+			})
+		})
+	}
+}
+
+// A membership that can't be makes a file worth as much as an empty disk.
+func TestImpossibleMembershipIsPutAside(t *testing.T) {
+	for name, m := range map[string]consensus.Membership{
+		"a voter twice":        {Epoch: 4, Voters: []string{ipA, ipA, ipB}},
+		"no voters":            {Epoch: 4},
+		"a next voter twice":   {Epoch: 4, Voters: []string{ipA, ipB, ipC}, Next: []string{ipB, ipB}},
+		"a voter with no name": {Epoch: 4, Voters: []string{ipA, ""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				dir := t.TempDir()
+				b := voter(ipA)
+				b.Membership, b.Entries = &m, nil
+				prepared(t, dir, b)
+				h := start(t, ipA, dir, false)
+				g.Expect(h.identity).To(HavePrefix(ipA + "#"))
+				g.Expect(h.replica.Votes()).To(BeFalse())
+				g.Expect(h.log.with("disk spoilt")).To(ConsistOf(ContainSubstring("membership 4")))
+				g.Expect(filepath.Join(dir, "exchange.db.spoilt")).To(BeAnExistingFile())
+				h.stop()
+			})
+		})
+	}
+}
+
+// One that is voted out grants nothing from then on, and its new identity, the membership that removed it and the word that
+// its claims count for nothing are durable together: at whatever write the power goes.
+func TestRetirementIsDurableAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		prepared(t, dir, voter(ipC))
+		h := start(t, ipC, dir, false)
+		b := h.linked(ipB)
+		final := consensus.Membership{Epoch: 4, Cluster: cluster, Voters: []string{ipA, ipB, "10.0.0.4#d"}}
+		path := filepath.Join(dir, "exchange.db")
+		check := func(when string) (retired bool) {
+			text, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			copied := t.TempDir()
+			g.Expect(os.WriteFile(filepath.Join(copied, "exchange.db"), text, 0o600)).To(Succeed())
+			s := held(t, copied)
+			g.Expect(s.Spoilt).NotTo(HaveOccurred())
+			retired = strings.HasPrefix(s.Identity, ipC+"#")
+			g.Expect(s.LedgerBlank).To(Equal(retired), when)
+			g.Expect(s.Membership.Contains(ipC)).NotTo(Equal(retired), when)
+			return retired
+		}
+		h.frame(b.p, &peer.Frame{Agree: []consensus.Message{{Kind: consensus.Append, From: ipB, To: ipC, Term: 5, Index: 1, LogTerm: 4, Commit: 3, Heard: true,
+			Entries: []consensus.Entry{{Term: 5, Index: 2, Membership: &joint}, {Term: 5, Index: 3, Membership: &final}}}}})
+		g.Expect(check("before its turn")).To(BeFalse())
+		h.settle() // applies, and hands the disk its first write
+		g.Expect(h.claimStore.Blank()).To(BeTrue(), "it grants nothing before that is durable, either")
+		for range 5 {
+			synctest.Wait()
+			check("between writes")
+			for len(h.inbox) > 0 {
+				(<-h.inbox)()
+				check("between writes")
+			}
+			h.settle()
+		}
+		h.turn()
+		g.Expect(check("after all")).To(BeTrue())
+		g.Expect(h.identity).To(HavePrefix(ipC + "#"))
+		g.Expect(h.replica.ID()).To(Equal(h.identity))
+		g.Expect(h.replica.Votes()).To(BeFalse())
+		h.stop()
+		h = start(t, ipC, dir, false)
+		g.Expect(h.replica.Votes()).To(BeFalse())
+		g.Expect(h.claimStore.Blank()).To(BeTrue())
+		h.stop()
+	})
+}
