--- a/internal/control/controller/claims_test.go
+++ b/internal/control/controller/claims_test.go
@@ -212,7 +212,7 @@
 		dir := t.TempDir()
 		prepared(t, dir, voter(ipA))
 		h := start(t, ipA, dir, false)
-		b := h.linked(ipB)
+		b, c := h.linked(ipB), h.linked(ipC)
 		edge := h.meets("10.0.0.9", &peer.Hello{Node: "e", IP: "10.0.0.9", Zone: "x", Edge: true})
 		h.refuse() // the own store grants nothing
 		r := record(1)
@@ -221,7 +221,6 @@
 		b.says(&peer.Frame{Verdicts: []peer.Verdict{{Token: r.Token, Verdict: idempotency.Granted}}})
 		b.says(&peer.Frame{Standing: &peer.Standing{Identity: ipB + "#7", Cluster: cluster, Epoch: 2}})
 		h.mend()
-		c := h.linked(ipC)
 		c.says(&peer.Frame{Verdicts: []peer.Verdict{{Token: r.Token, Verdict: idempotency.Granted}}})
 		h.pass(claimLimit + time.Second)
 		var rulings []peer.Ruling
