--- a/internal/control/controller/authority_test.go
+++ b/internal/control/controller/authority_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -202,6 +203,49 @@
 	})
 }
 
+// An order that was taken is known again after a hundred others, in a snapshot, by a leader that started from it; so is one
+// of eight that were under way at once.
+func TestOrderIsKnownAgainAfterASnapshotAndAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, b := voterAt(t)
+		h.lead(b)
+		put := func(base int) *call {
+			return h.begins(http.MethodPut, "/config", fmt.Sprint("r", base), strings.Replace(firstConfig, "r1", fmt.Sprint("r", base+1), 1))
+		}
+		patch := func(base int) *call {
+			return h.begins(http.MethodPatch, "/config", fmt.Sprint("r", base), fmt.Sprintf(`{"version":"r%d","upsert":{},"remove":{}}`, base+1))
+		}
+		first := put(0)
+		h.confirms(b)
+		g.Expect(first.status()).To(Equal(http.StatusOK))
+		for base := 1; base < 101; base += 10 {
+			var all []*call
+			for n := range 10 { // each on top of one that is not committed yet
+				all = append(all, patch(base+n))
+			}
+			h.confirms(b)
+			for _, one := range all {
+				g.Expect(one.status()).To(Equal(http.StatusOK))
+			}
+		}
+		h.stop()
+		s := held(t, h.dir)
+		g.Expect(s.Snapshot.Index).NotTo(BeZero())
+		g.Expect(s.Snapshot.Membership).To(Equal(three))
+		h = start(t, ipA, h.dir, false)
+		b = h.linked(ipB)
+		h.lead(b)
+		again := []*call{put(0), patch(50), patch(100), put(40)}
+		h.confirms(b)
+		for i, status := range []int{200, 200, 200, http.StatusPreconditionFailed} {
+			g.Expect(again[i].status()).To(Equal(status))
+		}
+		g.Expect(h.state.Version()).To(BeEquivalentTo(101))
+		h.stop()
+	})
+}
+
 // What says that a server leaves is refused by a controller that is cut off; a beat is taken, for it promises nothing.
 func TestServersAtAControllerThatIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
