Test the end in order, and that reservations need a round

A controller that leaves passes leadership on, waits for its vote to go to one that stands by, hands its answers on and ends once they are durable there, or within its grace; a leader without a recent round deals nothing.

--- /dev/null
+++ b/internal/control/controller/departure_test.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/platform/peer"
+)
+
+// One that is voted out while it leaves hands its answers on, and ends once they are durable elsewhere; if nobody says so,
+// it ends all the same, within its grace.
+func TestAnswersAreHandedOnBeforeTheEnd(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			dir := t.TempDir()
+			prepared(t, dir, voter(ipC))
+			h := start(t, ipC, dir, false)
+			b, d := h.linked(ipB), h.linked("10.0.0.4#d")
+			r := record(1)
+			r.Answer = &idempotency.Answer{Status: 200, Body: []byte("done")}
+			b.says(&peer.Frame{Done: []idempotency.Record{r}})
+			h.follow(b, 5, consensus.Message{Index: 1, LogTerm: 4})
+			h.pass(tickEvery)
+			h.beginLeaving()
+			h.pass(2 * leaveAtLeast)
+			g.Expect(h.departed()).To(BeFalse(), "somebody stands by: it waits for its vote to go there")
+			final := consensus.Membership{Epoch: 4, Cluster: cluster, Voters: []string{ipA, ipB, "10.0.0.4#d"}}
+			b.hears()
+			d.hears()
+			h.follow(b, 5, consensus.Message{Index: 1, LogTerm: 4, Commit: 3, Entries: []consensus.Entry{{Term: 5, Index: 2, Membership: &joint}, {Term: 5, Index: 3, Membership: &final}}})
+			h.pass(tickEvery)
+			g.Expect(h.departed()).To(BeFalse())
+			got, sync := 0, uint64(0)
+			var heir *script
+			for _, s := range []*script{b, d} {
+				for _, f := range s.hears() {
+					if got += len(f.Done); f.Sync != 0 {
+						sync, heir = f.Sync, s
+					}
+				}
+			}
+			g.Expect(got).To(Equal(1))
+			g.Expect(heir).NotTo(BeNil())
+			if answered {
+				heir.says(&peer.Frame{Synced: sync})
+				h.pass(tickEvery)
+				g.Expect(h.departed()).To(BeTrue())
+			} else {
+				h.pass(handOverFor / 2)
+				g.Expect(h.departed()).To(BeFalse())
+				h.pass(handOverFor)
+				g.Expect(h.departed()).To(BeTrue())
+			}
+			h.stop()
+		})
+	}
+}
+
+// A leader that is told to end passes leadership to a voter that holds its log, and takes part until that one leads.
+func TestLeaderThatLeavesPassesLeadershipOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, b := voterAt(t)
+		h.lead(b)
+		h.pass(tickEvery)
+		b.hears()
+		h.beginLeaving()
+		h.pass(2 * tickEvery)
+		asked := false
+		for _, f := range b.hears() {
+			for _, m := range f.Agree {
+				asked = asked || m.Kind == consensus.StandNow
+			}
+			g.Expect(f.Summary == nil || !f.Summary.Attached).To(BeTrue(), "edges look for another controller")
+		}
+		g.Expect(asked).To(BeTrue())
+		g.Expect(h.departed()).To(BeFalse())
+		h.follow(b, h.replica.Term()+1, consensus.Message{Index: h.replica.Last(), LogTerm: h.replica.Term()})
+		h.pass(tickEvery)
+		g.Expect(h.departed()).To(BeTrue(), "nobody stands by: it keeps its vote, and ends as for a restart")
+		h.stop()
+	})
+}
+
+// One that can hand on neither leadership nor vote ends in order all the same, before its grace is over.
+func TestEndWithoutAnybody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := voterAt(t)
+		h.linked("10.0.0.4#d") // stands by, but nobody leads who could vote it in
+		h.pass(tickEvery)
+		h.beginLeaving()
+		h.pass(4 * time.Second)
+		g.Expect(h.departed()).To(BeFalse())
+		h.pass(2 * time.Second)
+		g.Expect(h.departed()).To(BeTrue())
+		g.Expect(h.log.with("ends before all was handed on")).NotTo(BeEmpty())
+		h.stop()
+	})
+}
+
+// Reservations are told and dealt only by a leader that a majority confirmed at most half a second ago.
+func TestReservationsNeedARound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, b := voterAt(t)
+		h.lead(b)
+		now := wall()
+		op := reservation.Op{Call: "x", Now: now, Puts: []reservation.Booking{{ID: "x", Tenant: "t.example", Service: "s", Start: now, End: now + 3600, Slots: 1, Owner: "o"}}}
+		data, err := cbor.Marshal(statemachine.Change{Book: &op})
+		g.Expect(err).NotTo(HaveOccurred())
+		h.replica.Propose(data, h.now())
+		h.turn()
+		h.confirms(b)
+		g.Expect(h.state.Book.All).To(HaveLen(1))
+		told := func() (times int) {
+			for _, f := range b.hears() {
+				if f.Reservations != nil {
+					times++
+				}
+			}
+			return times
+		}
+		told()
+		h.pass(reservation.Confirmed)
+		g.Expect(told()).To(BeZero(), "nobody has answered a round")
+		h.pass(dealEvery)
+		h.confirms(b)
+		h.pass(dealEvery + tickEvery)
+		g.Expect(told()).To(BeNumerically(">", 0))
+		h.pass(reservation.Confirmed + dealEvery)
+		told()
+		h.pass(reservationsAgain)
+		g.Expect(told()).To(BeZero(), "the last proof is too old")
+		h.stop()
+	})
+}
