--- a/internal/control/consensus/membership.go
+++ b/internal/control/consensus/membership.go
@@ -48,7 +48,7 @@
 			return fmt.Errorf("membership %d names a voter twice or without a name: %q", m.Epoch, set)
 		}
 	}
-	if m.Epoch > 0 && len(m.Voters) == 0 {
+	if len(m.Voters) == 0 && (m.Epoch > 0 || len(m.Next) > 0) {
 		return fmt.Errorf("membership %d has no voters", m.Epoch)
 	}
 	return nil
@@ -202,6 +202,9 @@
 	if adopt {
 		final.Voters = current.Next
 	}
+	if !slices.Contains(final.Voters, r.id) {
+		return ErrLeaderLeaves
+	}
 	r.appendMembership(final)
 	return nil
 }
@@ -212,7 +215,7 @@
 	if r.role != Leader {
 		return ErrNotLeader
 	}
-	if term, ok := r.termAt(r.commit); !ok || term != r.hard.Term {
+	if !r.Settled() {
 		return ErrOwnTerm
 	}
 	if !r.MembershipCommitted() {
--- a/internal/control/consensus/message.go
+++ b/internal/control/consensus/message.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Entry is one change of the log. A leader's first entry of a term has neither data nor, in most cases, a membership.
 type Entry struct {
@@ -10,6 +13,19 @@
 	Membership *Membership `cbor:"4,keyasint,omitempty"`
 }
 
+// invalid tells that the entry holds a membership that can't be.
+func (e Entry) invalid() bool {
+	return e.Membership != nil && (e.Membership.Epoch == 0 || e.Membership.Validate() != nil)
+}
+
+// Validate says why an entry that was read from a disk can't be one.
+func (e Entry) Validate() error {
+	if e.invalid() {
+		return fmt.Errorf("entry %d holds a membership that can't be: %+v", e.Index, *e.Membership)
+	}
+	return nil
+}
+
 // Snapshot stands for all entries up to Index, and for the membership in force there.
 type Snapshot struct {
 	Term       uint64     `cbor:"1,keyasint"`
@@ -87,6 +103,17 @@
 	return o.Hard == nil && o.Snapshot == nil && o.Truncate == 0 && len(o.Entries) == 0
 }
 
+// Last is the index and term of the last entry that has to be stored; 0, 0: there is none.
+func (o *Output) Last() (index, term uint64) {
+	if n := len(o.Entries); n > 0 {
+		return o.Entries[n-1].Index, o.Entries[n-1].Term
+	}
+	if o.Snapshot != nil {
+		return o.Snapshot.Index, o.Snapshot.Term
+	}
+	return 0, 0
+}
+
 // Timing holds a replica's time spans.
 type Timing struct {
 	Heartbeat       time.Duration // between two of a leader's messages
--- a/internal/control/consensus/replica.go
+++ b/internal/control/consensus/replica.go
@@ -97,6 +97,21 @@
 // Commit is the index of the last entry that is known to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
+// LastTerm is the term of the last entry of the log.
+func (r *Replica) LastTerm() uint64 {
+	term, _ := r.termAt(r.last())
+	return term
+}
+
+// HardState is the newest term and vote.
+func (r *Replica) HardState() HardState { return r.hard }
+
+// Settled tells whether a leader has committed an entry of its own term, and so knows all that former leaders committed.
+func (r *Replica) Settled() bool {
+	term, known := r.termAt(r.commit)
+	return r.role == Leader && known && term == r.hard.Term
+}
+
 // Last is the index of the last entry of the log.
 func (r *Replica) Last() uint64 { return r.last() }
 
@@ -168,10 +183,14 @@
 	return out
 }
 
-// Stored tells that an output's entries up to this index are durable.
-func (r *Replica) Stored(index uint64, now time.Duration) {
+// Stored tells that an output is durable, by the index and term of its last entry (see Output.Last). A write whose entries
+// were cut off the log or replaced by a snapshot while it was under way counts for nothing: what took their place has a
+// write of its own.
+func (r *Replica) Stored(index, term uint64, now time.Duration) {
 	r.now = now
-	r.stored = max(r.stored, min(index, r.last()))
+	if current, known := r.termAt(index); known && current == term {
+		r.stored = max(r.stored, index)
+	}
 	if r.role == Leader {
 		r.advance()
 	}
@@ -270,13 +289,7 @@
 
 // Confirmed tells whether a majority answered a round, and all that was committed when it began is known here.
 func (r *Replica) Confirmed(round uint64) bool {
-	if r.role != Leader {
-		return false
-	}
-	if term, ok := r.termAt(r.commit); !ok || term != r.hard.Term {
-		return false // nothing of this term is committed: former leaders' changes may not be
-	}
-	return r.Membership().Quorum(func(id string) bool { return id == r.id || r.peers[id].round >= round })
+	return r.Settled() && r.Membership().Quorum(func(id string) bool { return id == r.id || r.peers[id].round >= round })
 }
 
 // Compact replaces the log up to an applied entry by a snapshot.
--- a/internal/control/consensus/replica_test.go
+++ b/internal/control/consensus/replica_test.go
@@ -50,9 +50,12 @@
 	r.Step(consensus.Message{Kind: consensus.PreVoteReply, From: "b", To: "a", Term: term, OK: true}, began)
 	r.Step(consensus.Message{Kind: consensus.VoteReply, From: "b", To: "a", Term: term, OK: true}, began)
 	Expect(r.Role()).To(Equal(consensus.Leader))
-	r.Stored(r.Last(), began)
+	stored(r)
 }
 
+// stored tells a replica that its whole log is durable.
+func stored(r *consensus.Replica) { r.Stored(r.Last(), r.LastTerm(), began) }
+
 // holds has a peer answer that it holds a leader's log up to an entry.
 func holds(leader *consensus.Replica, id string, index uint64) {
 	leader.Step(consensus.Message{Kind: consensus.AppendReply, From: id, To: leader.ID(), Term: leader.Term(), OK: true, Index: index}, began)
@@ -63,9 +66,28 @@
 		r := replica("a", consensus.HardState{})
 		lead(r)
 		r.Propose([]byte("x"), began)
-		r.Stored(2, began)
+		stored(r)
 		Expect(r.Commit()).To(BeZero())
 	})
+	It("counts no write whose entries were cut off the log while it was under way", func() {
+		c := replica("c", consensus.HardState{Term: 1})
+		first := []consensus.Entry{{Term: 1, Index: 1}, {Term: 1, Index: 2}}
+		c.Step(consensus.Message{Kind: consensus.Append, From: "a", To: "c", Term: 1, Entries: first}, time.Second)
+		under := c.Take()
+		c.Step(consensus.Message{Kind: consensus.Append, From: "b", To: "c", Term: 2, Entries: []consensus.Entry{{Term: 2, Index: 1}, {Term: 2, Index: 2}}}, time.Second)
+		c.Take()
+		index, term := under.Last()
+		c.Stored(index, term, time.Second)
+		c.Step(consensus.Message{Kind: consensus.Append, From: "b", To: "c", Term: 2, Index: 2, LogTerm: 2}, time.Second)
+		Expect(ofKind(c.Take().Now, consensus.AppendReply)[0].Index).To(BeZero(), "what b sent is not on the disk yet")
+	})
+	It("takes nothing of a message with a membership that can't be", func() {
+		c := replica("c", consensus.HardState{Term: 1})
+		twice := consensus.Membership{Epoch: 2, Voters: []string{"a", "a"}}
+		c.Step(consensus.Message{Kind: consensus.Append, From: "a", To: "c", Term: 1, Entries: []consensus.Entry{{Term: 1, Index: 1, Membership: &twice}}}, time.Second)
+		Expect(c.Last()).To(BeZero())
+		Expect(c.Membership()).To(Equal(founders))
+	})
 	It("tells nobody of a vote that is not stored", func() {
 		r := replica("a", consensus.HardState{})
 		r.Step(consensus.Message{Kind: consensus.VoteRequest, From: "b", To: "a", Term: 3}, time.Second)
@@ -150,7 +172,7 @@
 		lead(a)
 		for range 200 {
 			a.Propose(make([]byte, 50<<10), began)
-			a.Stored(a.Last(), began)
+			stored(a)
 			holds(a, "b", a.Last())
 		}
 		a.Take()
@@ -168,7 +190,7 @@
 			}
 			Expect(ahead).To(BeNumerically("<=", 2<<20))
 			out := c.Take()
-			c.Stored(c.Last(), began)
+			stored(c)
 			for _, m := range append(out.Now, out.After...) {
 				a.Step(m, began)
 			}
@@ -189,7 +211,7 @@
 		for i := range 5 {
 			a.Propose([]byte{byte(i)}, began)
 		}
-		a.Stored(6, began)
+		stored(a)
 		holds(a, "b", 6)
 		a.Take()
 		a.Compact(5, state)
@@ -212,7 +234,7 @@
 			if out.Install != nil {
 				installed = out.Install
 			}
-			c.Stored(c.Last(), began)
+			stored(c)
 			for _, m := range append(out.Now, out.After...) {
 				a.Step(m, began)
 			}
@@ -249,7 +271,7 @@
 		a, c := leading(), replica("c", consensus.HardState{})
 		exchange(a, c, 3)
 		a.Propose([]byte("more"), began)
-		a.Stored(7, began)
+		stored(a)
 		holds(a, "b", 7)
 		a.Take()
 		a.Compact(7, append([]byte("newer"), state...))
@@ -281,7 +303,7 @@
 			lead(a)
 			for i := range changes {
 				a.Propose(fmt.Appendf(nil, "change %d", i), began)
-				a.Stored(a.Last(), began)
+				stored(a)
 				holds(a, "b", a.Last())
 				a.Take()
 				if i%64 == 63 {
@@ -301,7 +323,7 @@
 					c.Step(m, began)
 				}
 				out := c.Take()
-				c.Stored(c.Last(), began)
+				stored(c)
 				for _, m := range append(out.Now, out.After...) {
 					a.Step(m, began)
 				}
@@ -328,18 +350,33 @@
 		Expect(r.BeginChange([]string{"a", "b", "d"}, began)).To(Succeed())
 		Expect(r.BeginChange([]string{"a", "b", "e"}, began)).To(MatchError(consensus.ErrChanging))
 		Expect(r.FinishChange(true, began)).To(MatchError(consensus.ErrChanging), "it is not committed")
-		r.Stored(2, began)
+		stored(r)
 		holds(r, "b", 2)
 		Expect(r.BeginChange([]string{"a", "b", "e"}, began)).To(MatchError(consensus.ErrChanging))
 		Expect(r.FinishChange(true, began)).To(Succeed())
 		Expect(r.Membership()).To(Equal(consensus.Membership{Epoch: 3, Cluster: 7, Voters: []string{"a", "b", "d"}}))
 	})
+	It("is not finished by a leader that would not vote afterwards", func() {
+		joint := consensus.Membership{Epoch: 2, Cluster: 7, Voters: founders.Voters, Next: []string{"b", "c", "d"}}
+		r := replica("a", consensus.HardState{Term: 1}, consensus.Entry{Term: 1, Index: 1, Membership: &joint})
+		r.Tick(began)
+		for _, kind := range []consensus.Kind{consensus.PreVoteReply, consensus.VoteReply} {
+			for _, from := range []string{"b", "c"} {
+				r.Step(consensus.Message{Kind: kind, From: from, To: "a", Term: 2, OK: true}, began)
+			}
+		}
+		stored(r)
+		holds(r, "b", 2)
+		holds(r, "c", 2)
+		Expect(r.FinishChange(true, began)).To(MatchError(consensus.ErrLeaderLeaves))
+		Expect(r.FinishChange(false, began)).To(Succeed())
+	})
 	It("needs a majority before and after while it is joint", func() {
 		r := replica("a", consensus.HardState{})
 		lead(r)
 		holds(r, "b", 1)
 		Expect(r.BeginChange([]string{"a", "d", "e"}, began)).To(Succeed())
-		r.Stored(2, began)
+		stored(r)
 		holds(r, "b", 2)
 		Expect(r.Commit()).To(Equal(uint64(1)), "of the next voters only a holds it")
 		holds(r, "d", 2)
--- a/internal/control/consensus/replication.go
+++ b/internal/control/consensus/replication.go
@@ -65,6 +65,9 @@
 	}
 	r.heard, r.heardByLeader = r.now, msg.Heard
 	r.resetElectionTimer()
+	if slices.ContainsFunc(msg.Entries, Entry.invalid) {
+		return // nothing of a message that can't be is taken
+	}
 	reply := Message{Kind: AppendReply, To: msg.From, Round: msg.Round}
 	if msg.Chunk != nil {
 		r.takeChunk(msg, reply)
--- a/internal/control/consensus/world_test.go
+++ b/internal/control/consensus/world_test.go
@@ -94,21 +94,17 @@
 }
 
 // store brings what an output says onto the disk.
-func (d *disk) store(out consensus.Output) uint64 {
-	last := uint64(0)
+func (d *disk) store(out consensus.Output) {
 	if out.Hard != nil {
 		d.hard = *out.Hard
 	}
 	if out.Snapshot != nil {
-		d.snap, d.log, last = *out.Snapshot, nil, out.Snapshot.Index
+		d.snap, d.log = *out.Snapshot, nil
 	}
 	if out.Truncate > 0 {
 		d.log = slices.DeleteFunc(d.log, func(e consensus.Entry) bool { return e.Index >= out.Truncate })
 	}
-	for _, e := range out.Entries {
-		d.log, last = append(d.log, e), e.Index
-	}
-	return last
+	d.log = append(d.log, out.Entries...)
 }
 
 func (w *world) machine(id string) *machine {
@@ -133,7 +129,7 @@
 	w.post(m, out.Now)
 	if w.fault == "acknowledges before storing" {
 		w.post(m, out.After)
-		m.replica.Stored(m.replica.Last(), w.now)
+		m.replica.Stored(m.replica.Last(), m.replica.LastTerm(), w.now)
 		out.After = nil
 	}
 	if w.fault == "keeps a snapshot without its membership" && out.Snapshot != nil {
@@ -317,10 +313,10 @@
 	for len(m.queue) > 0 && m.queue[0].at <= w.now {
 		out := m.queue[0].out
 		m.queue = m.queue[1:]
-		last := m.disk.store(out)
+		m.disk.store(out)
 		w.post(m, out.After)
-		if last > 0 {
-			m.replica.Stored(last, w.now)
+		if index, term := out.Last(); index > 0 {
+			m.replica.Stored(index, term, w.now)
 		}
 	}
 	if m.removed && !m.replica.Votes() { // comes back as somebody else
--- a/internal/control/controller/bookings.go
+++ b/internal/control/controller/bookings.go
@@ -302,6 +302,10 @@
 		}
 		return
 	}
+	if !c.replica.Settled() { // what a former leader acknowledged may not be applied here yet
+		done <- booked{err: apierror.NoLeader.New("this leader has not caught up yet")}
+		return
+	}
 	book := c.state.Book
 	if op.Now = c.reservations.clock.Now(c.now()); op.Now == 0 {
 		op.Now = wall() // before the first summary
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -102,7 +102,9 @@
 	leaving               bool // told to end
 	retired               bool // voted out since its start
 	departure             departure
-	said                  string // role last logged
+	unreadable            bool              // a snapshot could not be read: the state here is not what was committed
+	strangers             map[string]uint64 // controllers of other clusters that were refused, by address
+	said                  string            // role last logged
 }
 
 // Run serves until ctx ends.
@@ -283,7 +285,9 @@
 
 func (c *Controller) tick() {
 	now := c.now()
-	c.replica.Tick(now)
+	if !c.unreadable {
+		c.replica.Tick(now)
+	}
 	asks, done := c.coordinator.Tick(now)
 	c.askStores(asks)
 	for _, o := range done {
@@ -315,19 +319,14 @@
 		c.sendAgree(m)
 	}
 	if !out.Empty() || len(out.After) > 0 {
-		last := uint64(0)
-		if n := len(out.Entries); n > 0 {
-			last = out.Entries[n-1].Index
-		} else if out.Snapshot != nil {
-			last = out.Snapshot.Index
-		}
+		index, term := out.Last()
 		after := out.After
 		done := func(bool) {
 			for _, m := range after {
 				c.sendAgree(m)
 			}
-			if last > 0 {
-				c.replica.Stored(last, c.now())
+			if index > 0 {
+				c.replica.Stored(index, term, c.now())
 			}
 		}
 		if out.Empty() && c.store.idleAgree() {
@@ -366,4 +365,4 @@
 }
 
 // attached tells whether this planner is in contact with a majority of the voters.
-func (c *Controller) attached() bool { return c.replica.Attached(c.now()) }
+func (c *Controller) attached() bool { return !c.unreadable && c.replica.Attached(c.now()) }
--- a/internal/control/controller/keys.go
+++ b/internal/control/controller/keys.go
@@ -62,7 +62,11 @@
 		if r.Answer != nil {
 			r.Home = c.set.IP
 			c.claimStore.Done(r, now)
-			c.store.record(r, now, nil)
+			if p.edge {
+				c.store.record(r, now, nil)
+			} else { // one that leaves hands it on: it is kept until the disk takes it
+				c.put(&storage.Batch{Records: []idempotency.Record{r}}, nil)
+			}
 		}
 	}
 	for _, r := range f.Fetch {
--- a/internal/control/controller/links.go
+++ b/internal/control/controller/links.go
@@ -139,8 +139,7 @@
 		return
 	}
 	if mine := c.cluster.Load(); mine != 0 && h.Cluster != 0 && h.Cluster != mine {
-		_ = c.logger.Log("event", "stranger", "node", p.node, "ip", p.ip, "cause", "it belongs to another cluster", "cluster", h.Cluster)
-		p.link.Close()
+		c.refuseStranger(p, h.Cluster)
 		return
 	}
 	if p.edge {
--- a/internal/control/controller/membership.go
+++ b/internal/control/controller/membership.go
@@ -29,8 +29,11 @@
 	case state.Identity != "":
 		c.identity = state.Identity
 		return nil
-	case len(state.Members) > 0 && !state.Hard.Lost: // a file of an earlier version
-		c.identity, blank = membership.Identity(c.set.IP, 0), state.LedgerBlank
+	case len(state.Members) > 0 && !state.Hard.Lost && !state.LedgerBlank: // a file of an earlier version, whole
+		c.identity, blank = membership.Identity(c.set.IP, 0), false
+		if s := &state.Snapshot; s.Index > 0 && s.Membership.Epoch == 0 {
+			s.Membership = consensus.Membership{Epoch: 1, Voters: state.Members}
+		}
 	case first:
 		c.identity = membership.Identity(c.set.IP, 0)
 	default: // the disk was lost: what it voted and granted is not known
@@ -96,7 +99,8 @@
 		return
 	}
 	c.members = slices.Sorted(slices.Values(voters))
-	c.put(&storage.Batch{Members: c.members, Hard: &consensus.HardState{}}, func(bool) {
+	hard := c.replica.HardState() // a vote that was given before the voters were known stays
+	c.put(&storage.Batch{Members: c.members, Hard: &hard}, func(bool) {
 		for _, p := range c.peers {
 			hello := c.hello()
 			hello.Members = c.members
@@ -185,6 +189,10 @@
 // heardStanding takes a peer's word. Another identity at its address means that its disk was lost, or that it was voted
 // out: what it granted to claims that are still open is not relied on.
 func (c *Controller) heardStanding(p *remote, s *peer.Standing) {
+	if mine := c.cluster.Load(); mine != 0 && s.Cluster != 0 && s.Cluster != mine {
+		c.refuseStranger(p, s.Cluster)
+		return
+	}
 	if former := p.standing.Identity; former != "" && former != s.Identity {
 		c.forgetGrants(former)
 	}
@@ -201,6 +209,18 @@
 	c.met[s.Identity] = membership.Controller{ID: s.Identity, Zone: p.zone, Counted: p.counted}
 }
 
+// refuseStranger ends the link to a controller of another cluster, with one line of log for as long as it keeps calling.
+func (c *Controller) refuseStranger(p *remote, cluster uint64) {
+	if c.strangers[p.ip] != cluster {
+		if c.strangers == nil {
+			c.strangers = map[string]uint64{}
+		}
+		c.strangers[p.ip] = cluster
+		_ = c.logger.Log("event", "stranger", "node", p.node, "ip", p.ip, "cause", "it belongs to another cluster", "cluster", cluster)
+	}
+	p.link.Close()
+}
+
 func (c *Controller) forgetGrants(identity string) {
 	for _, o := range c.coordinator.Forget(identity) {
 		c.ruled(o)
@@ -225,6 +245,9 @@
 	}
 	slices.Sort(linked)
 	c.replica.SetLearners(linked)
+	if c.replica.ID() != c.identity { // it led when it was voted out
+		c.replica.Rename(c.identity)
+	}
 	if !c.leads() {
 		return
 	}
--- a/internal/control/controller/operator.go
+++ b/internal/control/controller/operator.go
@@ -100,7 +100,9 @@
 	return net.JoinHostPort(ip, port)
 }
 
-func (c *Controller) leads() bool { return c.replica != nil && c.replica.Role() == consensus.Leader }
+func (c *Controller) leads() bool {
+	return c.replica != nil && c.replica.Role() == consensus.Leader && !c.unreadable
+}
 
 // leader is the address of the leader, as far as it is known.
 func (c *Controller) leader() string { return membership.Address(c.replica.Leader()) }
@@ -193,12 +195,18 @@
 	steps := 0
 	if out.Install != nil {
 		if err := c.state.Restore(*out.Install); err != nil {
-			_ = c.logger.Log("event", "snapshot can't be read", "cause", err)
+			// It votes and stores on, so that the others keep their majority, and neither leads nor serves.
+			_ = c.logger.Log("event", "snapshot can't be read", "index", out.Install.Index, "cause", err)
+			c.unreadable = true
 			return
 		}
+		c.unreadable = false
 		c.applyMembership(out.Install.Membership)
 		steps = 2
 	}
+	if c.unreadable {
+		return // nothing can be applied to a state that is not there
+	}
 	for _, e := range out.Committed {
 		if e.Membership != nil {
 			c.applyMembership(*e.Membership)
--- a/internal/control/membership/manager.go
+++ b/internal/control/membership/manager.go
@@ -126,14 +126,22 @@
 
 // pass hands leadership to another voter: a leader that leaves is replaced under the next one.
 func (m *Manager) pass(v View, known map[string]Controller, now time.Duration) Decision {
+	to := v.Membership.Voters
+	if v.Membership.Joint() {
+		to = v.Membership.Next
+	}
+	return m.passTo(to, "the leader is told to end", v, known, now)
+}
+
+// passTo hands leadership to one of these voters, once in a while until it is taken over.
+func (m *Manager) passTo(ids []string, cause string, v View, known map[string]Controller, now time.Duration) Decision {
 	if now < m.passAt {
 		return Decision{}
 	}
-	for _, id := range v.Membership.All() {
-		stays := !v.Membership.Joint() || slices.Contains(v.Membership.Next, id)
-		if c := known[id]; id != v.Self && stays && c.Linked && c.CaughtUp && !c.Leaving {
+	for _, id := range ids {
+		if c := known[id]; id != v.Self && c.Linked && c.CaughtUp && !c.Leaving {
 			m.passAt = now + passAgain
-			return Decision{Action: PassLeadership, To: id, Cause: "the leader is told to end"}
+			return Decision{Action: PassLeadership, To: id, Cause: cause}
 		}
 	}
 	return Decision{}
@@ -151,19 +159,31 @@
 		}
 		c := known[id]
 		if m.missingFor(id, now) > AbandonAfter || c.Leaving {
-			return Decision{Action: Abandon, Cause: "entrant " + id + " is lost"}
+			return m.end(Abandon, "entrant "+id+" is lost", v, known, now)
 		}
 		ready = ready && c.Ready && c.Epoch >= v.Membership.Epoch
 	}
 	switch {
 	case ready:
-		return Decision{Action: Adopt, Cause: "the entrants are ready"}
+		return m.end(Adopt, "the entrants are ready", v, known, now)
 	case now-m.began > ReadyWithin:
-		return Decision{Action: Abandon, Cause: "the entrants are not ready in time"}
+		return m.end(Abandon, "the entrants are not ready in time", v, known, now)
 	}
 	return Decision{}
 }
 
+// end finishes a change, unless the leader would be no voter afterwards: then one that stays has to do it.
+func (m *Manager) end(action Action, cause string, v View, known map[string]Controller, now time.Duration) Decision {
+	after := v.Membership.Next
+	if action == Abandon {
+		after = v.Membership.Voters
+	}
+	if !slices.Contains(after, v.Self) {
+		return m.passTo(after, "the leader is no voter after the change", v, known, now)
+	}
+	return Decision{Action: action, Cause: cause}
+}
+
 // begin looks for voters that have to be replaced and for controllers that can take their place.
 func (m *Manager) begin(v View, known map[string]Controller, now time.Duration) Decision {
 	standby := standbys(v)
--- a/internal/control/membership/manager_test.go
+++ b/internal/control/membership/manager_test.go
@@ -137,6 +137,13 @@
 		v.Controllers[3].Epoch = 3
 		Expect(settled(v, time.Second).Action).To(Equal(membership.None), "ready for another change than this one")
 	})
+	It("lets a voter that stays finish a change after which the leader has no vote", func() {
+		v := three(at("d", "z"))
+		v.Membership = consensus.Membership{Epoch: 4, Voters: []string{"a", "b", "c"}, Next: []string{"b", "c", "d"}}
+		d := settled(v, time.Second)
+		Expect(d.Action).To(Equal(membership.PassLeadership))
+		Expect(v.Membership.Next).To(ContainElement(d.To))
+	})
 	It("abandons a change whose entrant is lost, or not ready in time", func() {
 		v := three(standby("d", "z"))
 		v.Membership.Next = []string{"a", "b", "d"}
--- a/internal/platform/storage/open.go
+++ b/internal/platform/storage/open.go
@@ -242,6 +242,9 @@
 		if err := get(k, v, &e); err != nil {
 			return fmt.Errorf("log: %w", err)
 		}
+		if err := e.Validate(); err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
 		if e.Index != next {
 			return fmt.Errorf("log: entry %d where %d belongs", e.Index, next)
 		}
--- a/internal/simulation/replication.go
+++ b/internal/simulation/replication.go
@@ -68,18 +68,13 @@
 
 // persistOutput makes an output durable; what has to wait for that is told then.
 func (w *world) persistOutput(n *node, out consensus.Output) {
-	last := uint64(0)
-	if k := len(out.Entries); k > 0 {
-		last = out.Entries[k-1].Index
-	} else if out.Snapshot != nil {
-		last = out.Snapshot.Index
-	}
+	index, term := out.Last()
 	w.persistSurely(n, func(d *disk) { d.storeOutput(out, w.day.Fault) }, func() {
 		if w.day.Fault != "tells before storing" {
 			w.post(n, out.After)
 		}
-		if last > 0 {
-			n.member.Stored(last, w.now)
+		if index > 0 {
+			n.member.Stored(index, term, w.now)
 		}
 	})
 }
