--- /dev/null
+++ b/internal/control/controller/lagging_booking_test.go
@@ -0,0 +1,38 @@
+package controller
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/reservation"
+	"mulleinwood/internal/control/statemachine"
+)
+
+// A leader that was just elected may not have applied yet what another one acknowledged. What is built on that is decided by
+// the log, as a configuration is, and not by what is known here.
+func TestBookingAtALeaderThatLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, b := voterAt(t)
+		c := h.linked(ipC)
+		op := reservation.Op{Call: "x", Puts: []reservation.Booking{{ID: "x", Tenant: "t.example", Service: "s", Start: 3e9, End: 4e9, Slots: 1, Owner: "o"}}}
+		data, err := cbor.Marshal(statemachine.Change{Book: &op})
+		g.Expect(err).NotTo(HaveOccurred())
+		h.follow(b, 5, consensus.Message{Index: 1, LogTerm: 4, Entries: []consensus.Entry{{Term: 5, Index: 2, Data: data}}}) // b acknowledges it, and is lost
+		h.pass(2 * electionTimeout)
+		term := h.replica.Term() + 1
+		c.agrees(consensus.Message{Kind: consensus.PreVoteReply, Term: term, OK: true})
+		c.agrees(consensus.Message{Kind: consensus.VoteReply, Term: term, OK: true})
+		g.Expect(h.leads()).To(BeTrue())
+		next := h.begins(http.MethodDelete, "/bookings/x", "b1", "")
+		g.Expect(next.status()).NotTo(Equal(http.StatusPreconditionFailed))
+		h.confirms(c)
+		g.Expect(next.status()).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+		h.stop()
+	})
+}
