--- /dev/null
+++ b/internal/control/controller/earlier_files_test.go
@@ -0,0 +1,47 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/statemachine"
+	"mulleinwood/internal/platform/peer"
+	"mulleinwood/internal/platform/storage"
+)
+
+func TestFileOfTheEarlierVersionWithASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		no := false
+		data, err := statemachine.New().Save()
+		g.Expect(err).NotTo(HaveOccurred())
+		prepared(t, dir, &storage.Batch{Members: three.Voters, Hard: &consensus.HardState{Term: 5, Commit: 64}, LedgerBlank: &no,
+			Snapshot: &consensus.Snapshot{Term: 5, Index: 64, Data: data}})
+		h := start(t, ipA, dir, false)
+		g.Expect(h.replica.Votes()).To(BeTrue())
+		h.lead(h.linked(ipB))
+		h.stop()
+	})
+}
+
+// A store that the earlier version had not restored yet doesn't grant before it has copied what the others hold.
+func TestStoreOfTheEarlierVersionThatWasNotRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		yes := true
+		prepared(t, dir, &storage.Batch{Members: three.Voters, Hard: &consensus.HardState{Term: 5, Commit: 1}, LedgerBlank: &yes, Entries: []consensus.Entry{{Term: 4, Index: 1}}})
+		h := start(t, ipA, dir, false)
+		b := h.linked(ipB)
+		h.follow(b, 6, consensus.Message{Index: 1, LogTerm: 4, Commit: 2, Entries: []consensus.Entry{{Term: 6, Index: 2, Membership: &three}}}) // the first leader names the cluster
+		b.hears()
+		b.says(&peer.Frame{Asks: []idempotency.Record{record(1)}, Epoch: 2})
+		g.Expect(verdicts(b.hears())).NotTo(ContainElement(idempotency.Granted))
+		h.stop()
+	})
+}
