Show that answers are told durable that a disk refused

Answers that are handed over are records that nobody waits for, which are dropped when the disk refuses; the empty batch that stands for Sync is tried again.

--- /dev/null
+++ b/internal/control/controller/handed_over_test.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/platform/peer"
+)
+
+func TestAnswersThatAreHandedOverAreDurableBeforeThatIsSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, b := voterAt(t)
+		h.refuse()
+		r := record(1)
+		r.Answer = &idempotency.Answer{Status: 200, Body: []byte("done")}
+		b.hears()
+		b.says(&peer.Frame{Done: []idempotency.Record{r}, Sync: 1})
+		h.pass(3 * storeAgain)
+		h.mend()
+		h.pass(3 * storeAgain)
+		said := false
+		for _, f := range b.hears() {
+			said = said || f.Synced == 1
+		}
+		h.stop()
+		s := held(t, h.dir)
+		g.Expect(said).To(BeTrue())
+		r.Home = ipA
+		g.Expect(s.Records).To(ContainElement(r))
+	})
+}
