--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,8 @@
 		&cli.IntFlag{Name: "members", Value: 3, Usage: "controllers with a vote"},
 		&cli.IntFlag{Name: "lost", Value: 1, Usage: "disks that may be lost at once"},
 		&cli.BoolFlag{Name: "services", Usage: "days on which servers come, leave and fail, and the core's troubles are further apart"},
+		&cli.BoolFlag{Name: "replaced", Usage: "days on which controllers are replaced, leave and come back"},
+		&cli.BoolFlag{Name: "chains", Usage: "days on which every controller in turn is replaced, twice over"},
 		&cli.StringFlag{Name: "fault", Usage: "a planted fault, to see that it is seen"},
 	}
 	lifecycle.Main(&cli.Command{
@@ -36,6 +39,8 @@
 				&cli.IntFlag{Name: "states", Value: 100000, Usage: "that are gone through at most"},
 				&cli.IntFlag{Name: "wipes", Value: 1, Usage: "disks that may be lost, one at a time"},
 				&cli.IntFlag{Name: "powers", Value: 1, Usage: "losses of power of all"},
+				&cli.IntFlag{Name: "changes", Usage: "of the membership, by which a learner takes a voter's place"},
+				&cli.IntFlag{Name: "losses", Usage: "single messages that may be lost"},
 				&cli.IntFlag{Name: "withdrawals", Usage: "claims that an edge gives up early"},
 				&cli.StringFlag{Name: "fault", Usage: "a planted fault, to see that it is seen"},
 			}, Action: explore},
@@ -54,6 +59,12 @@
 	if cmd.Bool("services") {
 		draw = simulation.NewServiceDay
 	}
+	if cmd.Bool("replaced") {
+		draw = simulation.NewMemberDay
+	}
+	if cmd.Bool("chains") {
+		draw = simulation.NewChainDay
+	}
 	d := draw(seed, members, lost)
 	d.Fault = cmd.String("fault")
 	return d, nil
@@ -65,6 +76,13 @@
 		fmt.Printf("%d requests: %d served (%d late), %d refused, %d broken off; %d further arrivals; %d servers left in order\n",
 			r.Requests, r.Served, r.Late, r.Refused, r.Unknown, r.Further, r.Drains)
 	}
+	if r.Reads > 0 {
+		fmt.Printf("%d memberships, %d reads, %d acknowledged orders made again, %d answers of controllers that left\n", r.Memberships, r.Reads, r.Again, r.HandedOver)
+	}
+	if n := len(r.Whole); n > 0 {
+		whole := slices.Sorted(slices.Values(r.Whole))
+		fmt.Printf("full tolerance again after %s in the median, %s in 99 of 100, %s at most (%d times)\n", whole[n/2], whole[n*99/100], whole[n-1], n)
+	}
 	fmt.Printf("%d events\n", r.Steps)
 }
 
@@ -131,7 +149,7 @@
 func explore(_ context.Context, cmd *cli.Command) error {
 	began := time.Now()
 	r := simulation.Explore(simulation.Bounds{States: cmd.Int("states"), Wipes: cmd.Int("wipes"), Powers: cmd.Int("powers"),
-		Withdrawals: cmd.Int("withdrawals"), Fault: cmd.String("fault")})
+		Withdrawals: cmd.Int("withdrawals"), Changes: cmd.Int("changes"), Losses: cmd.Int("losses"), Fault: cmd.String("fault")})
 	which := "all there are"
 	if r.Deeper {
 		which = "there are more"
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -46,6 +46,7 @@
 	retired     bool // voted out since its start
 	departure   departure
 	reading     []read
+	unread      []func()      // calls that came while it stood still
 	leased      time.Duration // of a planted fault
 	claimStore  *idempotency.Store
 	coordinator *idempotency.Coordinator
@@ -110,7 +111,7 @@
 	}
 	n.coordinator = idempotency.NewCoordinator(nil, hedge, limit)
 	n.state, n.waiting, n.claims = statemachine.New(), map[uint64]waiter{}, map[idempotency.Token]func(idempotency.Ruling){}
-	n.leaving, n.retired, n.reading, n.leased = false, false, nil, 0
+	n.leaving, n.retired, n.reading, n.unread, n.leased = false, false, nil, nil, 0
 	w.setStores(n)
 	n.registry = registry.New(90 * time.Second)
 	n.broadcaster, n.calls, n.goneSince, n.frozen = broadcast.New(n.registry), map[uint64]func(){}, map[int]time.Duration{}, 0
--- a/internal/simulation/reads.go
+++ b/internal/simulation/reads.go
@@ -24,7 +24,7 @@
 	if w.rng.Float64() >= float64(len(w.writers))*step.Seconds()/readEvery.Seconds() {
 		return
 	}
-	n, acknowledged := w.nodes[w.some()], w.books.newest
+	n, acknowledged := w.readsFrom(), w.books.newest
 	life := n.life
 	way := time.Duration(1+w.rng.IntN(5)) * time.Millisecond
 	if w.rng.IntN(4) == 0 {
@@ -33,12 +33,37 @@
 	w.later(way, func() { w.readAt(n, life, acknowledged) })
 }
 
+// readsFrom is whom an operator asks: any controller, or one that holds itself for the leader.
+func (w *world) readsFrom() *node {
+	if w.rng.IntN(2) == 0 {
+		for _, n := range w.present() {
+			if n.up <= w.now && n.member.Role() == consensus.Leader {
+				return n
+			}
+		}
+	}
+	return w.nodes[w.some()]
+}
+
+// wake has processes that stood still read the calls that came meanwhile, before anything else.
+func (w *world) wake() {
+	for _, n := range w.nodes {
+		if len(n.unread) > 0 && n.frozen <= w.now {
+			unread := n.unread
+			n.unread = nil
+			for _, do := range unread {
+				do()
+			}
+		}
+	}
+}
+
 func (w *world) readAt(n *node, life int, acknowledged uint64) {
 	switch {
 	case n.life != life || n.up > w.now:
 		return
-	case n.frozen > w.now: // read by the process when it goes on
-		w.later(n.frozen-w.now, func() { w.readAt(n, life, acknowledged) })
+	case n.frozen > w.now:
+		n.unread = append(n.unread, func() { w.readAt(n, life, acknowledged) })
 		return
 	case n.member.Role() != consensus.Leader:
 		return
--- a/internal/simulation/replication.go
+++ b/internal/simulation/replication.go
@@ -40,30 +40,15 @@
 // post sends messages of the consensus to those who are linked under the identity that is meant.
 func (w *world) post(n *node, ms []consensus.Message) {
 	for _, m := range ms {
-		if w.day.Fault == "a learner counts" {
-			m = w.asVoter(n, m)
-		}
-		if to := w.replicaAt(n, m.To); to != nil {
-			w.send(n.n, to.n, func() {
-				to.member.Step(m, w.now)
-				w.settle(to)
-			})
-		}
-	}
-}
-
-// asVoter has a learner's answer count for a voter's: a planted fault.
-func (w *world) asVoter(n *node, m consensus.Message) consensus.Message {
-	voters := n.member.Membership().Voters
-	if m.Kind == consensus.AppendReply && m.OK && !n.member.Votes() && len(voters) > 0 {
-		for _, id := range voters {
-			if id != m.To {
-				m.From = id
-				break
-			}
+		to := w.replicaAt(n, m.To)
+		if to == nil {
+			continue
 		}
+		w.send(n.n, to.n, func() {
+			to.member.Step(m, w.now)
+			w.settle(to)
+		})
 	}
-	return m
 }
 
 // persistOutput makes an output durable; what has to wait for that is told then.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -98,6 +98,7 @@
 			w.trouble(troubles[0])
 			troubles = troubles[1:]
 		}
+		w.wake()
 		w.deliver()
 		if n%4 == 0 {
 			w.tug()
