Forget the addresses of controllers that were replaced

Cause: each address that was ever linked was dialled for ever, so chains of replacements left a dialler each. Change: after two minutes without an answer an address that neither a voter nor a seed has is forgotten until somebody names it again.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -48,6 +48,7 @@
 	fetchLimit      = 300 * time.Millisecond
 	redialEvery     = 300 * time.Millisecond
 	dialLimit       = 400 * time.Millisecond
+	forgetAfter     = 2 * time.Minute // without an answer, of a controller that has no vote
 	storeAgain      = 100 * time.Millisecond
 	lazyMost        = 100 * time.Millisecond // that a line waits for the disk when nobody waits for the line
 	callLimit       = 1500 * time.Millisecond
--- a/internal/control/controller/links.go
+++ b/internal/control/controller/links.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/control/weights"
 	"mulleinwood/internal/platform/peer"
 )
@@ -90,17 +91,43 @@
 	}
 }
 
+// dialing is what becomes of an address of a controller.
+type dialing uint8
+
+const (
+	wanted    dialing = iota // it is dialled
+	linked                   // a link is there
+	forgotten                // it is not dialled any more, until a peer or the settings name it again
+)
+
+// dialing decides on an address that was out of reach for a time. One that no voter has, and that nobody answers at, was
+// replaced: it is forgotten.
+func (c *Controller) dialing(ip string, unreached time.Duration) dialing {
+	switch {
+	case c.peers[ip] != nil:
+		return linked
+	case unreached < forgetAfter || slices.Contains(membership.Addresses(c.membership.All()), ip) || slices.Contains(c.set.SeedIPs(), ip):
+		return wanted
+	}
+	delete(c.known, ip)
+	return forgotten
+}
+
 // dial keeps a link to another controller. Of two controllers the one with the lower address dials first; the other follows
 // a little later if nobody came, since the first may not know it.
 func (c *Controller) dial(ip string) {
 	if c.set.IP > ip {
 		time.Sleep(2 * redialEvery)
 	}
-	for ; ; time.Sleep(redialEvery) {
-		linked := make(chan bool, 1)
-		c.do(func() { linked <- c.peers[ip] != nil })
-		if <-linked {
+	for reached := time.Now(); ; time.Sleep(redialEvery) {
+		is := make(chan dialing, 1)
+		c.do(func() { is <- c.dialing(ip, time.Since(reached)) })
+		switch <-is {
+		case linked:
+			reached = time.Now()
 			continue
+		case forgotten:
+			return
 		}
 		conn, err := c.security.Dial(c.set.Inner(ip), dialLimit)
 		if err != nil {
--- a/internal/control/controller/membership.go
+++ b/internal/control/controller/membership.go
@@ -277,6 +277,7 @@
 			match, _, known := c.replica.Match(id)
 			met.CaughtUp = known && match+caughtUpLag >= c.replica.Commit()
 		} else if !v.Membership.Contains(id) {
+			delete(c.met, id) // it comes back as one that is met anew
 			continue
 		}
 		v.Controllers = append(v.Controllers, met)
