--- a/internal/simulation/script.go
+++ b/internal/simulation/script.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -155,6 +156,7 @@
 
 // Shrink drops troubles that a bad day doesn't need to stay bad, one after the other, with so many days played at most.
 func Shrink(d Day, days int) Day {
+	rule, _, _ := strings.Cut(Play(d).Broken, ":")
 	for again := true; again; {
 		again = false
 		for i := range d.Troubles {
@@ -163,7 +165,7 @@
 			}
 			less := d
 			less.Troubles = append(append([]Trouble{}, d.Troubles[:i]...), d.Troubles[i+1:]...)
-			if Play(less).Broken != "" {
+			if strings.HasPrefix(Play(less).Broken, rule+":") {
 				d, again = less, true
 				break
 			}
