Tell in an edge's log what closes and the end of the process met

Change: package tcpstate asks the kernel of a socket, package lateness measures timers that fire late; an edge that shuts down logs "idle connections closed" and "last connections close", and "edge ends" carries the counts. Nothing is decided by them yet.

--- a/internal/edge/proxy/conn_tracker.go
+++ b/internal/edge/proxy/conn_tracker.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"mulleinwood/internal/platform/tcpstate"
 )
 
 // connTracker knows since when each connection of a client is idle or busy. It closes those that are so for longer than
@@ -109,15 +111,47 @@
 	return count
 }
 
+// idleClose is what closing idle connections met.
+type idleClose struct {
+	closed int
+	unread int // of these, that had something unread in the kernel
+	unsent int // bytes that were written to any client and did not reach it yet
+}
+
+// add takes the counts of another close, and its unsent bytes if there are more.
+func (c *idleClose) add(other idleClose) {
+	c.closed, c.unread, c.unsent = c.closed+other.closed, c.unread+other.unread, max(c.unsent, other.unsent)
+}
+
 // closeIdle closes the connections that have been idle for so long.
-func (t *connTracker) closeIdle(minIdle time.Duration) {
+func (t *connTracker) closeIdle(minIdle time.Duration) (met idleClose) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for conn, use := range t.conns {
-		if !use.active && time.Since(use.since) >= minIdle && conn.closeIfIdle() {
-			delete(t.conns, conn)
+		if use.active || time.Since(use.since) < minIdle {
+			continue
 		}
+		unread := tcpstate.Readable(conn.Conn)
+		if !conn.closeIfIdle() {
+			continue
+		}
+		delete(t.conns, conn)
+		met.closed++
+		if unread {
+			met.unread++
+		}
+	}
+	return met
+}
+
+// unsent is how many bytes were written to clients and did not reach them yet.
+func (t *connTracker) unsent() (bytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for conn := range t.conns {
+		bytes += tcpstate.Unsent(conn.Conn)
 	}
+	return bytes
 }
 
 // closeStale closes what has been idle, or busy with one request, for too long.
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -31,6 +31,7 @@
 	"mulleinwood/internal/control/registry"
 	"mulleinwood/internal/node"
 	"mulleinwood/internal/peer"
+	"mulleinwood/internal/platform/lateness"
 	"mulleinwood/internal/platform/lifecycle"
 	"mulleinwood/internal/platform/metrics"
 	"mulleinwood/internal/platform/nodesettings"
@@ -58,6 +59,7 @@
 	shutdown     *shutdown
 	rejections   *rejectionLog
 	active       *activeRequests
+	lateness     lateness.Meter
 }
 
 // New makes an edge that knows no configuration and no server yet.
@@ -107,7 +109,8 @@
 	p.runPeriodic(ctx)
 	cause := p.shutDown(listener)
 	p.active.logCutOff()
-	p.LogEvent("edge ends", "node", p.Settings.Node, "cause", cause, "in_flight", p.shutdown.inFlight.Load())
+	p.LogEvent("edge ends", "node", p.Settings.Node, "cause", cause, "in_flight", p.shutdown.inFlight.Load(),
+		"idle_closed", p.shutdown.met.closed, "unread", p.shutdown.met.unread, "late", p.lateness.Worst(p.Now()))
 	return nil
 }
 
@@ -151,11 +154,15 @@
 func (p *Proxy) runPeriodic(ctx context.Context) {
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
+	due := p.Now() + reportInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			now := p.Now()
+			p.lateness.Observe(due, now)
+			due = max(due, now-reportInterval) + reportInterval // a tick that was missed is not made up for
 			p.sendReport()
 			p.closeIdle()
 			p.claims.resendRevocations()
--- a/internal/edge/proxy/shutdown.go
+++ b/internal/edge/proxy/shutdown.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinwood/internal/platform/apierror"
+	"mulleinwood/internal/platform/tcpstate"
 )
 
 // Timing of a graceful shutdown. The platform ends the process when the grace (grace_s) is over.
@@ -64,6 +65,7 @@
 	stopWork      context.CancelFunc
 	inFlight      atomic.Int64 // requests
 	lastRequestAt atomic.Int64 // on the steady clock, in nanoseconds
+	met           idleClose    // used by shutDown alone
 }
 
 func newShutdown() *shutdown {
@@ -98,8 +100,11 @@
 	p.shutdown.schedule.Store(schedule)
 	p.LogEvent("shutdown requested", "in_flight", p.shutdown.inFlight.Load())
 	for cause == "" {
+		due := p.Now() + shutdownPoll
 		time.Sleep(shutdownPoll)
-		cause = p.continueShutdown(schedule, listener, p.Now())
+		now := p.Now()
+		p.lateness.Observe(due, now)
+		cause = p.continueShutdown(schedule, listener, now)
 	}
 	p.finishShutdown(schedule, listener)
 	return cause
@@ -108,7 +113,13 @@
 // continueShutdown does what is due by the schedule. It gives the cause if the process may end now.
 func (p *Proxy) continueShutdown(schedule *shutdownSchedule, listener net.Listener, now time.Duration) (cause string) {
 	if now > schedule.openUntil {
-		p.clients.conns.closeIdle(idleBeforeClose)
+		unsent := p.clients.conns.unsent()
+		if met := p.clients.conns.closeIdle(idleBeforeClose); met.closed > 0 {
+			met.unsent = unsent
+			p.shutdown.met.add(met)
+			p.LogEvent("idle connections closed", "closed", met.closed, "unread", met.unread, "unsent_bytes", met.unsent, "late",
+				p.lateness.Worst(now))
+		}
 	}
 	stopped := now > schedule.stopAccept
 	if stopped {
@@ -132,9 +143,10 @@
 // finishShutdown refuses what still comes, and waits until the last responses have left.
 func (p *Proxy) finishShutdown(schedule *shutdownSchedule, listener net.Listener) {
 	p.shutdown.exiting.Store(true)
+	p.LogEvent("last connections close", "unaccepted", tcpstate.Readable(listener), "unsent_bytes", p.clients.conns.unsent())
 	_ = listener.Close() // as above
 	for {
-		p.clients.conns.closeIdle(0)
+		p.shutdown.met.add(p.clients.conns.closeIdle(0))
 		if p.idle() || p.Now() >= schedule.exitBy {
 			return
 		}
