--- a/internal/platform/lateness/lateness.go
+++ b/internal/platform/lateness/lateness.go
@@ -1,5 +1,5 @@
-// Package lateness measures by how much a process runs behind its own timers: because its share of the processor is spent, because
-// others have the processor, or because it stood still.
+// Package lateness measures by how much a process runs behind its own timers: because its share of the processor is spent,
+// because others have the processor, or because it stood still.
 package lateness
 
 import (
--- a/internal/platform/tcpstate/tcpstate.go
+++ b/internal/platform/tcpstate/tcpstate.go
@@ -1,5 +1,5 @@
-// Package tcpstate tells what the kernel knows of a TCP socket that the process does not know yet: bytes that came and were not
-// read, connections that are complete and were not accepted, and bytes that were written and did not reach the peer.
+// Package tcpstate tells what the kernel knows of a TCP socket that the process does not know yet: bytes that came and were
+// not read, connections that are complete and were not accepted, and bytes that were written and did not reach the peer.
 //
 // A process that closes a socket, or ends, has to ask the kernel first. What the process itself has seen is older by as much
 // as the process is late: its own scheduling, a quota of processor time, garbage collection.
@@ -12,8 +12,8 @@
 )
 
 // Readable reports whether a read from a connection, or an accept at a listener, would return at once: with data, with a new
-// connection, with the end of the stream or with an error. It does not wait and reads nothing. A socket that is closed or can't be asked
-// is not readable.
+// connection, with the end of the stream or with an error. It does not wait and reads nothing. A socket that is closed or
+// can't be asked is not readable.
 func Readable(socket any) bool {
 	ready := false
 	control(socket, func(fd int) {
@@ -24,8 +24,8 @@
 	return ready
 }
 
-// Unsent is how many bytes were written to a connection and are not acknowledged by the peer's kernel; 0 also for one that is closed
-// or can't be asked.
+// Unsent is how many bytes were written to a connection and are not acknowledged by the peer's kernel; 0 also for one that is
+// closed or can't be asked.
 func Unsent(socket any) (bytes int) {
 	control(socket, func(fd int) {
 		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
