--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -37,7 +37,6 @@
 	"mulleinwood/internal/control/storage"
 	"mulleinwood/internal/node"
 	"mulleinwood/internal/peer"
-	"mulleinwood/internal/platform/lifecycle"
 	"mulleinwood/internal/platform/metrics"
 	"mulleinwood/internal/platform/nodesettings"
 )
@@ -72,6 +71,7 @@
 	reservations *reservationService
 	summaries    summarySchedule
 	shutdown     shutdown
+	endpoint     *controlEndpoint // nil: none is open
 }
 
 // Run serves until ctx ends, and then until the shutdown in order is done.
@@ -80,7 +80,6 @@
 	defer cancel()
 	c := newController(config, rand.Uint64()|1)
 	c.linkCtx = linkCtx
-	reloads := lifecycle.Reloads()
 	if err := c.open(); err != nil {
 		return err
 	}
@@ -94,15 +93,13 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: newControlAPI(c).handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes}
-	go c.serveControl(server, control)
-	defer stopServer(server)
+	c.endpoint = newControlEndpoint(c, control)
+	go c.serveControl()
 	go c.acceptLinks(linkCtx, inner)
 	c.LogEvent("controller starts", "node", c.Settings.Node, "zone", c.Settings.Zone, "identity", c.members.identity,
 		"epoch", c.members.current.Epoch, "voters", strings.Join(c.members.current.Voters, " "))
 	go func() {
-		for range reloads {
+		for range config.Reloads {
 			c.runOnOwner(c.reload)
 		}
 	}()
@@ -122,8 +119,8 @@
 	}
 }
 
-func (c *Controller) serveControl(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+func (c *Controller) serveControl() {
+	if err := c.endpoint.serve(); !errors.Is(err, http.ErrServerClosed) && !c.endpoint.draining.Load() {
 		c.LogEvent("control endpoint ends", "cause", err)
 	}
 }
@@ -222,8 +219,10 @@
 	tick := time.NewTimer(tickInterval)
 	defer tick.Stop()
 	stop := ctx.Done()
-	for !c.shutdown.done {
+	for ended := false; !ended; {
 		select {
+		case <-c.shutdown.drained:
+			ended = true
 		case <-stop:
 			stop = nil
 			c.beginShutdown()
@@ -235,6 +234,7 @@
 			tick.Reset(c.nextTick())
 		}
 		c.endTurn()
+		c.drainEndpoint()
 	}
 }
 
--- a/internal/control/controller/shutdown.go
+++ b/internal/control/controller/shutdown.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"context"
-	"net/http"
 	"time"
 
 	"mulleinwood/internal/control/idempotency"
@@ -16,7 +14,6 @@
 	minShutdown     = 400 * time.Millisecond // for edges to find another controller
 	handOverTimeout = 1500 * time.Millisecond
 	drainTimeout    = 100 * time.Millisecond // for frames that are queued
-	httpStopTimeout = 300 * time.Millisecond // for calls that are being answered
 	handOverChunk   = 256 << 10              // bytes of responses in one frame
 	handOverSyncID  = 1
 )
@@ -30,6 +27,7 @@
 	handOverStartedAt time.Duration // when responses were sent to another controller; 0: not yet
 	handOverSynced    bool          // they are durable there
 	done              bool
+	drained           chan struct{} // closed when the calls are answered, after done; nil: not asked for yet
 }
 
 // beginShutdown is called once, on SIGTERM.
@@ -59,6 +57,23 @@
 	}
 }
 
+// drainEndpoint has the calls answered that have arrived, once the shutdown is done. The owner goes on meanwhile, since it
+// decides what they are answered.
+func (c *Controller) drainEndpoint() {
+	if !c.shutdown.done || c.shutdown.drained != nil {
+		return
+	}
+	c.shutdown.drained = make(chan struct{})
+	if c.endpoint == nil {
+		close(c.shutdown.drained)
+		return
+	}
+	go func() {
+		c.endpoint.drain()
+		close(c.shutdown.drained)
+	}()
+}
+
 // mustWait reports whether anything is left to do that another process could take over.
 func (c *Controller) mustWait(now time.Duration) bool {
 	switch {
@@ -140,12 +155,3 @@
 	to.link.Send(chunk, peer.SyncRequest(handOverSyncID))
 	c.LogEvent("responses handed over", "to", to.node, "responses", count)
 }
-
-// stopServer ends the calls of servers and operators that are being answered, within a bound.
-func stopServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), httpStopTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close() // the process ends: what is still open is cut either way
-	}
-}
