Let no SIGHUP end a process that is starting, and audit it strictly again

Cause: until the packages of its libraries were initialized a process had the system's action on SIGHUP, which ends it; and a SIGHUP after the settings were read and before it was listened to was lost. The soak's auditor had been eased for that. The auditor takes an end by SIGHUP for FAULT at any time; of SIGTERM the first 0.25 s stay allowed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,11 +18,12 @@
 	"mulleinwood/internal/platform/nodesettings"
 )
 
-// Config is what a process starts with. All fields but Security are required.
+// Config is what a process starts with. All fields but Security and Reloads are required.
 type Config struct {
 	Settings *nodesettings.Settings
 	Security *peer.Security // nil: links to other processes are plain
 	Logger   log.Logger
+	Reloads  <-chan os.Signal // a value for each SIGHUP; nil: none comes
 }
 
 // Env is what every part of a process may use: the facts of the platform, the log, the counters and the clock. Nothing in
@@ -69,6 +70,7 @@
 				"none: links are plain",
 		}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			reloads := Reloads()
 			settings, err := nodesettings.Load()
 			if err != nil {
 				return err
@@ -79,7 +81,7 @@
 				return apierror.Settings.Wrap(err, "--inner-tls")
 			}
 			logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-			return run(ctx, Config{Settings: settings, Security: security, Logger: logger})
+			return run(ctx, Config{Settings: settings, Security: security, Logger: logger, Reloads: reloads})
 		},
 	})
 }
--- a/internal/platform/lifecycle/lifecycle.go
+++ b/internal/platform/lifecycle/lifecycle.go
@@ -16,14 +16,6 @@
 	"mulleinwood/internal/platform/apierror"
 )
 
-// Reloads hands out a value for each SIGHUP, which the platform sends when the settings file has changed. It has to be
-// listened to from the start: a process that doesn't is ended by the signal.
-func Reloads() <-chan os.Signal {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	return hup
-}
-
 // Main runs a command line and ends the process.
 func Main(cmd *cli.Command) {
 	signal.Ignore(syscall.SIGPIPE)
--- a/internal/soak/audit_config.go
+++ b/internal/soak/audit_config.go
@@ -55,9 +55,9 @@
 	a.found = append(a.found, Breach{Rule: Config, At: read.EndedAt, What: what, Node: read.Node})
 }
 
-// signalWindow is how long after its start a process may still have the system's own action on a signal: until the packages
+// signalWindow is how long after its start a process may still have the system's own action on SIGTERM: until the packages
 // of its libraries are initialized (40 ms on a busy machine) and by as much as hundreds of starts at once add to that. It
-// holds nothing by then and serves nobody.
+// holds nothing by then, serves nobody, and was asked to end. A SIGHUP may end no process at any time.
 const signalWindow = 250 * time.Millisecond
 
 // auditProcesses finds processes that ended by themselves, outlasted their grace, or did not end in order.
@@ -68,7 +68,7 @@
 			switch {
 			case change.What == Started:
 				startedAt = change.At
-			case endedBySignal(change) && change.At-startedAt < signalWindow:
+			case endedBySIGTERM(change) && change.At-startedAt < signalWindow:
 			case change.What == Failed:
 				a.findFault(node, change.At, "ended by itself: "+change.Text)
 			case change.What == Overdue && !a.suspendedWithin(node, change.At-grace, change.At):
@@ -83,10 +83,8 @@
 	}
 }
 
-// endedBySignal reports whether a process ended by the system's own action on a signal that it handles otherwise.
-func endedBySignal(change ProcessChange) bool {
-	return change.Text == "signal: terminated" || change.Text == "signal: hangup"
-}
+// endedBySIGTERM reports whether a process ended by the system's own action on SIGTERM, which it handles otherwise.
+func endedBySIGTERM(change ProcessChange) bool { return change.Text == "signal: terminated" }
 
 // suspendedWithin reports whether a process was stopped or resumed in a span: then its grace went by without it.
 func (a *audit) suspendedWithin(node string, from, to time.Duration) bool {
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -159,8 +159,9 @@
 		ProcessChange{At: at, Node: anEdge, What: Ended, Text: "signal: terminated"}),
 		func(r *Record) { r.Processes[0].At = at - 30*millis }},
 	{"an end by SIGHUP", Fault, processes(ProcessChange{At: at - second, Node: anEdge, What: Started},
-		ProcessChange{At: at, Node: anEdge, What: Failed, Text: "signal: hangup"}),
-		func(r *Record) { r.Processes[0].At = at - 30*millis }},
+		ProcessChange{At: at, Node: anEdge, What: Failed, Text: "signal: hangup"}), func(r *Record) { r.Processes = r.Processes[:1] }},
+	{"an end by SIGHUP just after the start", Fault, processes(ProcessChange{At: at - 30*millis, Node: anEdge, What: Started},
+		ProcessChange{At: at, Node: anEdge, What: Failed, Text: "signal: hangup"}), func(r *Record) { r.Processes = r.Processes[:1] }},
 	{"an end with an error", Fault, processes(ProcessChange{At: at, Node: anEdge, What: Terminated},
 		ProcessChange{At: at + second, Node: anEdge, What: Ended, Text: "exit status 1"}), func(r *Record) { r.Processes[1].Text = "" }},
 }
