--- a/internal/nodeprocess/nodeprocess.go
+++ b/internal/nodeprocess/nodeprocess.go
@@ -33,10 +33,13 @@
 	Edge       = "edge"
 )
 
+// innerTLSVariable names the folder of a process's certificates, as --inner-tls does.
+const innerTLSVariable = "MULLEINWOOD_INNER_TLS"
+
 // Address joins an IP address and a port.
 func Address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// Spec describes a process. All fields but FirstStart are required.
+// Spec describes a process. All fields but FirstStart and InnerTLS are required.
 type Spec struct {
 	Name       string   // of the machine
 	Role       string   // Controller or Edge
@@ -48,6 +51,7 @@
 	Bounds     []string // name=value
 	BinDir     string   // folder that holds the programs
 	Dir        string   // folder for the settings file and the data directory
+	InnerTLS   string   // folder of the certificates for links between processes; "": links are plain
 }
 
 // DataDir is the folder of a controller's disk.
@@ -96,6 +100,9 @@
 	}
 	cmd := exec.Command(filepath.Join(spec.BinDir, spec.Role)) //nolint:noctx // it outlives the call: its owner ends it
 	cmd.Env = append(os.Environ(), nodesettings.Variable+"="+path)
+	if spec.InnerTLS != "" {
+		cmd.Env = append(cmd.Env, innerTLSVariable+"="+spec.InnerTLS)
+	}
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", spec.Name, err)
--- a/internal/soak/audit_requests.go
+++ b/internal/soak/audit_requests.go
@@ -16,6 +16,11 @@
 	lastShare = 6
 	// ownDeadlineSlack is how long before a deadline an answer may say that it has passed.
 	ownDeadlineSlack = 100 * time.Millisecond
+	// repeatSettled is how long after a good answer a repeat of its key may not get a 409 any more; maxKeysDenied is how many
+	// keys may all the same.
+	repeatSettled  = time.Second
+	maxKeysDenied  = 3
+	touchAfterGood = 2 * time.Second // in which the edge that gave the good answer stays in touch
 )
 
 // auditLost finds requests whose connection ended without a complete answer, and those that an edge which shuts down broke off.
@@ -109,6 +114,34 @@
 	}
 }
 
+// auditRepeats finds keys whose repeats are told that the operation is in progress, long after it was answered with success.
+func (a *audit) auditRepeats() {
+	good := map[string]Request{} // by key: the first good answer
+	for _, request := range a.Requests {
+		first, known := good[request.Key]
+		if request.Key != "" && request.Complete && request.Seal != "" && request.Status == http.StatusOK &&
+			(!known || request.EndedAt < first.EndedAt) {
+			good[request.Key] = request
+		}
+	}
+	denied := map[string]Request{}
+	for _, request := range a.Requests {
+		first, known := good[request.Key]
+		if known && request.Complete && request.Seal == "" && request.Status == http.StatusConflict &&
+			request.StartedAt > first.EndedAt+repeatSettled+a.tolerance(first.EndedAt) &&
+			a.inTouch(first.Edge, first.EndedAt+touchAfterGood) && a.inTouch(request.Edge, request.EndedAt) {
+			denied[request.Key] = request
+		}
+	}
+	if len(denied) <= maxKeysDenied {
+		return
+	}
+	for key, request := range denied {
+		a.find(Denied, request.EndedAt, fmt.Sprintf("a repeat of key %s got 409 over %s after a good answer", key, repeatSettled),
+			request)
+	}
+}
+
 // auditMixed finds answers that are not a server's to this request, or to the first one of its key.
 func (a *audit) auditMixed() {
 	for _, request := range a.Requests {
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -64,6 +64,20 @@
 	})
 }
 
+// deniedRepeats are keys that were answered well, and whose repeats got 409 two seconds later.
+func deniedRepeats(keys int) func() *Record {
+	return recordOf(Lookup, func(record *Record, _ *Request, _ *ServerRun) {
+		for _, key := range numberedNames("k", keys) {
+			first, run := good(Post)
+			first.ID, first.Key, run.ID, run.Key = "first-"+key, key, "first-"+key, key
+			repeat := first
+			repeat.ID, repeat.Edge, repeat.Status, repeat.Seal = "repeat-"+key, "edge-2", http.StatusConflict, ""
+			repeat.StartedAt, repeat.SentAt, repeat.EndedAt = at+2*second, at+2*second, at+2*second+10*millis
+			record.Requests, record.Runs = append(record.Requests, first, repeat), append(record.Runs, run)
+		}
+	})
+}
+
 func trouble(what Change, when time.Duration) func(*Record) {
 	return func(r *Record) { r.Processes = append(r.Processes, ProcessChange{At: when, Node: anEdge, What: what}) }
 }
@@ -102,6 +116,22 @@
 	{"404 for a proper request", Denied, recordOf(Lookup, func(record *Record, request *Request, _ *ServerRun) {
 		request.Status, request.Seal = http.StatusNotFound, ""
 	}), func(r *Record) { r.Requests[0].Status = http.StatusConflict }},
+	{"409 for repeats of four keys, long after good answers", Denied, deniedRepeats(maxKeysDenied + 1), func(r *Record) {
+		r.Requests = r.Requests[2:] // of three keys
+	}},
+	{"409 for repeats, and the first edge was restarted", Denied, deniedRepeats(maxKeysDenied + 1), trouble(Started, at+second)},
+	{"409 for repeats, soon after good answers", Denied, deniedRepeats(maxKeysDenied + 1), func(r *Record) {
+		for i := range r.Requests {
+			if r.Requests[i].Status == http.StatusConflict {
+				r.Requests[i].StartedAt = at + 900*millis
+			}
+		}
+	}},
+	{"a pause that is longer than the quota's", Gone, func() *Record {
+		r := left(Review, 700*millis)()
+		r.Pauses = []Pause{{Node: anEdge, At: at, For: 90 * millis}}
+		return r
+	}, func(r *Record) { r.Pauses[0].For = 150 * millis }},
 	{"a success without a seal", Mixed, recordOf(Lookup, func(_ *Record, request *Request, _ *ServerRun) { request.Seal = "" }),
 		func(r *Record) { r.Requests[0].Seal = "s" }},
 	{"another body", Mixed, recordOf(Stream, func(_ *Record, request *Request, _ *ServerRun) { request.Digest = 8 }),
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -21,6 +21,14 @@
 	waveSpread     = 300 * time.Millisecond
 	maxSends       = 4  // of a keyed operation, until an answer is clear
 	repeatEvery    = 10 // keyed operations, of which one is sent again after a good answer
+	lateEvery      = 10 // the same, of which one is sent again long after it, at two edges at once
+	minLateRepeat  = repeatSettled + 100*time.Millisecond
+	maxLateRepeat  = repeatSettled + 1500*time.Millisecond
+
+	// Clients that come while an edge shuts down.
+	minArrivalGap = 10 * time.Millisecond
+	maxArrivalGap = 90 * time.Millisecond
+	maxSilence    = 250 * time.Millisecond // from the connection to the request
 )
 
 // deadlines are the routes' deadlines, which clients state.
@@ -186,6 +194,9 @@
 			other.close()
 		}
 		again := request.Status != http.StatusOK || !request.Complete
+		if !again && chance(key, "late", lateEvery) == 0 {
+			c.repeatLate(key)
+		}
 		if !again && chance(key, "repeat", repeatEvery) != 0 {
 			return
 		}
@@ -193,6 +204,47 @@
 	}
 }
 
+// repeatLate sends a keyed operation again, long after its good answer, at two edges at once.
+func (c *client) repeatLate(key string) {
+	seed := c.random.Uint64()
+	for range 2 {
+		repeat := &client{clientPool: c.clientPool, number: 1, random: rand.New(rand.NewPCG(seed, c.random.Uint64()))}
+		c.working.Go(func() {
+			time.Sleep(repeat.between(minLateRepeat, maxLateRepeat))
+			var conn *connection
+			repeat.sendOn(&conn, repeat.newRequest(Post, key))
+			if conn != nil {
+				conn.close()
+			}
+		})
+	}
+}
+
+// arrive has clients connect to an edge that was told to end, all the time until it refuses connections: some of them have a
+// connection that the edge hasn't accepted, or send their request some time after they connected.
+func (c *clientPool) arrive(edge *supervisor, seed uint64) {
+	one := &client{clientPool: c, random: rand.New(rand.NewPCG(c.seed, 20_000+seed))}
+	address := nodeprocess.Address(edge.spec.IP, nodeprocess.ClientPort)
+	c.working.Go(func() {
+		for until := time.Now().Add(grace); time.Now().Before(until); time.Sleep(one.between(minArrivalGap, maxArrivalGap)) {
+			conn, err := connect(edge, address)
+			if err != nil {
+				return
+			}
+			silence := max(0, one.between(-maxSilence, maxSilence))
+			arrival := &client{clientPool: c, random: one.random}
+			c.working.Go(func() {
+				time.Sleep(silence)
+				request := arrival.newRequest(Lookup, "")
+				arrival.sendOn(&conn, request)
+				if conn != nil {
+					conn.close()
+				}
+			})
+		}
+	})
+}
+
 // sendAndLeave sends a request that takes long, or a stream, on a new connection, and leaves before it is answered.
 func (c *client) sendAndLeave() {
 	time.Sleep(c.between(0, waveSpread))
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -87,6 +87,21 @@
 		BinDir: c.binDir, Dir: c.dir}})
 }
 
+// issueCertificates gives each process a certificate of the run's own authority, for its links to the others.
+func (c *cluster) issueCertificates() error {
+	signer, err := newAuthority()
+	if err != nil {
+		return err
+	}
+	for _, n := range c.nodes {
+		n.spec.InnerTLS = filepath.Join(c.dir, n.spec.Name+".tls")
+		if err := signer.issue(n.spec.InnerTLS, n.spec.IP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // node finds a process by its name.
 func (c *cluster) node(name string) *supervisor {
 	for _, n := range c.nodes {
@@ -295,6 +310,8 @@
 	if process == nil {
 		return
 	}
+	s.setSuspended(process, true)
+	defer s.setSuspended(process, false)
 	select {
 	case <-ctx.Done():
 	case <-time.After(span):
@@ -305,6 +322,15 @@
 	}
 }
 
+// setSuspended notes that a fault has stopped the process, or that it goes on: a quota leaves it alone meanwhile.
+func (s *supervisor) setSuspended(process *nodeprocess.Process, suspended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.process == process {
+		s.suspended = suspended
+	}
+}
+
 // stopForGood ends the process in order, and for good.
 func (s *supervisor) stopForGood() {
 	s.mu.Lock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,6 +20,7 @@
 	retryDelay   = 100 * time.Millisecond
 	orderLimit   = 12 * time.Second // for one change, after which its outcome stays unclear
 	readInterval = 150 * time.Millisecond
+	patchEvery   = 3  // changes, of which one is sent as a PATCH
 	extraRoutes  = 40 // at most, so that a configuration differs from the next in its length, too
 )
 
@@ -53,8 +53,7 @@
 			`"service":%q,"tries":2}`, kind, kind, kinds[kind], deadlines[kind].Seconds(), service))
 	}
 	for i := range version % extraRoutes {
-		all = append(all, fmt.Sprintf(`{"name":"extra-%d","path_prefix":"/extra-%d/","kind":"safe","deadline_s":1,`+
-			`"setpoint_s":0.5,"priority":2,"service":%q,"tries":1}`, i, i, lookupService))
+		all = append(all, extraRoute(i))
 	}
 	idle := 10 + version%5 // seconds: each change of it gives clients' connections another server
 	return fmt.Sprintf(`{"version":"r%d","services":[{"name":%q,"health_path":"/health","conn_limit":400},`+
@@ -63,16 +62,45 @@
 		tenant, strings.Join(all, ",")), len(all)
 }
 
-// change puts the next configuration, and sends it again as it is until the answer is clear.
+// extraRoute is one of the routes by which configurations differ.
+func extraRoute(number int) string {
+	return fmt.Sprintf(`{"name":"extra-%d","path_prefix":"/extra-%d/","kind":"safe","deadline_s":1,"setpoint_s":0.5,`+
+		`"priority":2,"service":%q,"tries":1}`, number, number, lookupService)
+}
+
+// patchOf is the change from the routes of one version to those of another.
+func patchOf(from, to int) string {
+	var upsert, remove []string
+	for i := from % extraRoutes; i < to%extraRoutes; i++ {
+		upsert = append(upsert, extraRoute(i))
+	}
+	for i := to % extraRoutes; i < from%extraRoutes; i++ {
+		remove = append(remove, fmt.Sprintf(`"extra-%d"`, i))
+	}
+	return fmt.Sprintf(`{"version":"r%d","upsert":{"plants":[{"plant":%q,"channels":[%s]}]},"remove":{"routes":[%s]}}`, to,
+		tenant, strings.Join(upsert, ","), strings.Join(remove, ","))
+}
+
+// order is a change of the configuration as it is sent.
+type order struct {
+	method string
+	body   string
+}
+
+// change sends the next configuration, whole or as a change, and sends it again as it is until the answer is clear.
 func (o *configOperator) change(ctx context.Context) bool {
 	body, routes := configuration(o.next)
+	sent := order{http.MethodPut, body}
+	if o.version > 0 && o.next%patchEvery == 0 {
+		sent = order{http.MethodPatch, patchOf(o.version, o.next)}
+	}
 	call := ConfigCall{Version: o.next, Routes: routes, SentAt: o.recorder.now()}
 	o.next++
 	defer func() { o.recorder.add(func(all *Record) { all.Calls = append(all.Calls, call) }) }()
 	deadline := time.Now().Add(orderLimit)
 	for number := 0; ctx.Err() == nil && time.Now().Before(deadline); number++ {
 		node := o.controllers[(call.Version+number)%len(o.controllers)]
-		if o.put(ctx, node, body) {
+		if o.send(ctx, node, sent) {
 			call.AckedAt = o.recorder.now()
 			o.version = call.Version
 			return true
@@ -82,10 +110,10 @@
 	return false
 }
 
-// put sends a configuration to one controller and reports whether it was acknowledged.
-func (o *configOperator) put(ctx context.Context, node *supervisor, body string) bool {
+// send sends an order to one controller and reports whether it was acknowledged.
+func (o *configOperator) send(ctx context.Context, node *supervisor, sent order) bool {
 	url := "http://" + nodeprocess.Address(node.spec.IP, nodeprocess.ControlPort) + "/config"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader([]byte(body)))
+	request, err := http.NewRequestWithContext(ctx, sent.method, url, strings.NewReader(sent.body))
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/soak/quota.go
@@ -0,0 +1,203 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Groups of processes that a quota may name instead of one.
+const (
+	onEdges       = "edges"
+	onControllers = "controllers"
+	onAll         = "all"
+)
+
+// Figures of quotas.
+const (
+	// minQuotaPeriod is far above the lateness of the ticker that plays a quota.
+	minQuotaPeriod = 50 * time.Millisecond
+	// platformPeriod is the period of the users' quotas: full speed until the share is spent, then nothing for the rest of it.
+	platformPeriod = 100 * time.Millisecond
+	minDrawnShare  = 0.08
+	maxDrawnShare  = 0.3
+	// troublePause is the length from which on a pause is a fault of its own, which excuses a process. All pauses of a
+	// quota whose ticker is on time are shorter.
+	troublePause = platformPeriod
+)
+
+// Quota gives processes a share of a core: they run for that part of each period, and stand still for the rest.
+type Quota struct {
+	On      string  `toml:"on"` // a process, or "edges", "controllers" or "all"
+	AtS     float64 `toml:"at_s"`
+	ForS    float64 `toml:"for_s"`
+	Share   float64 `toml:"share"`    // above 0, below 1
+	PeriodS float64 `toml:"period_s"` // seconds
+}
+
+// String is the quota as reports tell it.
+func (q Quota) String() string {
+	return fmt.Sprintf("%.2f of %.0f ms on %s from %.1f s for %.1f s", q.Share, q.PeriodS*1000, q.On, q.AtS, q.ForS)
+}
+
+// check refuses a quota that can't be played.
+func (q Quota) check(size Size) error {
+	nodes := append(size.controllerNames(), size.edgeNames()...)
+	switch {
+	case !(q.Share > 0 && q.Share < 1):
+		return fmt.Errorf("quota: a share of %g is not between 0 and 1", q.Share)
+	case !(q.PeriodS >= minQuotaPeriod.Seconds()):
+		return fmt.Errorf("quota: a period of %g s is below %g s, so the ticker's own lateness would show", q.PeriodS,
+			minQuotaPeriod.Seconds())
+	case !(q.AtS >= 0 && q.ForS > 0):
+		return fmt.Errorf("quota: from %g s for %g s is no span", q.AtS, q.ForS)
+	case !slices.Contains([]string{onEdges, onControllers, onAll}, q.On) && !slices.Contains(nodes, q.On):
+		return fmt.Errorf("quota: there is no process %q", q.On)
+	}
+	return nil
+}
+
+// names are the processes that the quota strikes.
+func (q Quota) names(size Size) []string {
+	switch q.On {
+	case onEdges:
+		return size.edgeNames()
+	case onControllers:
+		return size.controllerNames()
+	case onAll:
+		return append(size.controllerNames(), size.edgeNames()...)
+	}
+	return []string{q.On}
+}
+
+// drawQuotas draws the quotas of a schedule: of three seeds one has none, one has the whole day on all edges, now and then
+// on the controllers, too, and one has a part of the day on some.
+func drawQuotas(seed uint64, size Size) []Quota {
+	random := rand.New(rand.NewPCG(seed, 2))
+	q := Quota{On: onEdges, ForS: size.DurationSeconds, PeriodS: platformPeriod.Seconds(),
+		Share: float64(int(100*(minDrawnShare+random.Float64()*(maxDrawnShare-minDrawnShare)))) / 100}
+	switch seed % 3 {
+	case 0:
+		if random.IntN(4) == 0 {
+			q.On = onAll
+		}
+	case 1:
+		q.AtS = float64(int(size.DurationSeconds * random.Float64() / 2))
+		q.ForS = float64(int(size.DurationSeconds / 2))
+		if edges := size.edgeNames(); random.IntN(2) == 0 {
+			q.On = edges[random.IntN(len(edges))]
+		}
+	default:
+		return nil
+	}
+	return []Quota{q}
+}
+
+// Pause is a span in which a process stood still by its quota.
+type Pause struct {
+	Node string
+	At   time.Duration
+	For  time.Duration
+}
+
+// throttle plays a quota on one process until ctx ends. Phase shifts its periods against those of other processes.
+func (s *supervisor) throttle(ctx context.Context, q Quota, phase time.Duration) {
+	period := seconds(q.PeriodS)
+	running := time.Duration(q.Share * float64(period))
+	sleep(ctx, phase)
+	for due := time.Now(); ctx.Err() == nil; due = due.Add(period) {
+		if late := time.Since(due); late > period { // a period that was missed is not made up for
+			due = due.Add(late)
+		}
+		sleep(ctx, time.Until(due.Add(running)))
+		process, ok := s.pauseByQuota()
+		stoppedAt := s.cluster.recorder.now()
+		sleep(ctx, time.Until(due.Add(period)))
+		if ok {
+			s.resumeByQuota(process, stoppedAt)
+		}
+	}
+}
+
+// pauseSummary tells how many pauses there were, how many of them were long enough to be trouble, and the longest.
+func (r *Record) pauseSummary() string {
+	longest, long := time.Duration(0), 0
+	for _, p := range r.Pauses {
+		longest = max(longest, p.For)
+		if p.For > troublePause {
+			long++
+		}
+	}
+	return fmt.Sprintf("%d pauses, %d of them over %s, %s at most", len(r.Pauses), long, troublePause,
+		longest.Round(time.Millisecond))
+}
+
+// longestPauseAround is the longest pause of a quota around a time.
+func (r *Record) longestPauseAround(at time.Duration) (longest time.Duration) {
+	for _, p := range r.Pauses {
+		if p.At >= at-delayWindow && p.At <= at+delayWindow {
+			longest = max(longest, p.For)
+		}
+	}
+	return longest
+}
+
+// pauseByQuota stops the process, unless it has ended or a fault has stopped it already; ok: it did.
+func (s *supervisor) pauseByQuota() (process quotaProcess, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspended || s.process.CheckRunning() != nil {
+		return nil, false
+	}
+	return s.process, s.process.Signal(syscall.SIGSTOP) == nil
+}
+
+// quotaProcess is a process that a quota stops and resumes.
+type quotaProcess interface {
+	CheckRunning() error
+	Signal(signal syscall.Signal) error
+}
+
+// resumeByQuota lets the process go on, unless a fault has stopped it meanwhile, and records the pause. One that lasted too long
+// is trouble of its own.
+func (s *supervisor) resumeByQuota(process quotaProcess, stoppedAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspended || process.CheckRunning() != nil {
+		return
+	}
+	_ = process.Signal(syscall.SIGCONT) // it may have been killed meanwhile
+	now := s.cluster.recorder.now()
+	s.cluster.recorder.add(func(all *Record) { all.Pauses = append(all.Pauses, Pause{s.spec.Name, stoppedAt, now - stoppedAt}) })
+	if now-stoppedAt > troublePause {
+		s.cluster.recorder.add(func(all *Record) {
+			all.Processes = append(all.Processes, ProcessChange{stoppedAt, s.spec.Name, Suspended, "by its quota, for too long"},
+				ProcessChange{now, s.spec.Name, Resumed, ""})
+		})
+	}
+}
+
+// startQuotas plays the schedule's quotas beside the traffic. The function that it gives ends them, and waits until all
+// processes go on.
+func (r *run) startQuotas(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	random := rand.New(rand.NewPCG(r.schedule.Seed, 3))
+	for _, q := range r.schedule.Quotas {
+		for _, name := range q.names(r.schedule.Size) {
+			node, phase := r.cluster.node(name), time.Duration(random.Float64()*q.PeriodS*float64(time.Second))
+			r.throttling.Go(func() {
+				sleep(ctx, seconds(q.AtS))
+				limited, end := context.WithTimeout(ctx, seconds(q.ForS))
+				defer end()
+				node.throttle(limited, q, phase)
+			})
+		}
+	}
+	return func() {
+		cancel()
+		r.throttling.Wait()
+	}
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -133,6 +133,7 @@
 	Reads     []ConfigRead
 	Left      []ServerLeft
 	Delays    []Delay
+	Pauses    []Pause       // by quotas
 	TrafficAt time.Duration // the start of traffic, from which the schedule counts
 	QuietAt   time.Duration // the end of traffic
 	EndedAt   time.Duration
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -86,6 +86,7 @@
 	clientPool  *clientPool
 	operator    *configOperator
 	striking    sync.WaitGroup
+	throttling  sync.WaitGroup
 }
 
 func newRun(options Options) *run {
@@ -100,6 +101,11 @@
 
 // play goes through the run. All that it started has ended when it returns.
 func (r *run) play(ctx context.Context) error {
+	if r.schedule.InnerTLS {
+		if err := r.cluster.issueCertificates(); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	go measureDelay(ctx, r.recorder)
 	defer r.cluster.stop()
@@ -141,6 +147,8 @@
 	reads, stopReads := context.WithCancel(ctx)
 	defer stopReads()
 	reading.Go(func() { r.operator.readAll(reads) })
+	stopQuotas := r.startQuotas(ctx)
+	defer stopQuotas()
 	r.clientPool.start(clients, r.schedule.Size.Clients)
 	for i, event := range r.schedule.Events {
 		sleep(ctx, time.Until(startedAt.Add(seconds(event.AtS))))
@@ -153,6 +161,7 @@
 	stopClients()
 	r.clientPool.working.Wait()
 	r.striking.Wait()
+	stopQuotas()
 	r.recorder.add(func(all *Record) { all.QuietAt = r.recorder.now() })
 	sleep(ctx, readBackFor)
 	stopReads()
@@ -165,6 +174,9 @@
 	switch e.Kind {
 	case Terminate:
 		r.striking.Go(node.terminate)
+		if node.spec.Role == nodeprocess.Edge {
+			r.clientPool.arrive(node, number)
+		}
 	case Kill:
 		node.kill()
 	case Wipe:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,6 +66,9 @@
 	Seed   uint64  `toml:"seed"` // of the clients' choices, and of the events where they were drawn
 	Size   Size    `toml:"size"`
 	Events []Event `toml:"event"`
+	Quotas []Quota `toml:"quota,omitempty"`
+	// InnerTLS has the processes authenticate and encrypt their links to each other.
+	InnerTLS bool `toml:"inner_tls,omitempty"`
 }
 
 // Encode writes the schedule as TOML, for reading, cutting down by hand and playing again.
@@ -77,35 +80,49 @@
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&s); err != nil {
 		return Schedule{}, err
 	}
-	return s, s.check()
+	return s, s.Check()
 }
 
-func (s Schedule) check() error {
+// Check refuses a schedule that can't be played: too small a size, unknown kinds, and events or quotas that strike nothing.
+func (s Schedule) Check() error {
 	z := s.Size
 	if z.Controllers < 3 || z.Edges < 2 || z.Servers < 2 || z.Clients < 1 || z.DurationSeconds <= 0 {
 		return fmt.Errorf("size %+v: at least 3 controllers, 2 edges, 2 servers of each service, 1 client and some time", z)
 	}
-	nodes := append(z.controllerNames(), z.edgeNames()...)
+	for _, q := range s.Quotas {
+		if err := q.check(z); err != nil {
+			return err
+		}
+	}
 	for _, e := range s.Events {
-		switch e.Kind {
-		case Terminate, Kill, Wipe, Reload, Suspend:
-			if !slices.Contains(nodes, e.On) {
-				return fmt.Errorf("%s: there is no process %q", e.Kind, e.On)
-			}
-			if e.Kind == Wipe && !slices.Contains(z.controllerNames(), e.On) {
-				return fmt.Errorf("%s: %s has no disk", e.Kind, e.On)
-			}
-		case ServerDrain, ServerLeave, ServerCrash:
-			if !slices.Contains(serviceNames, e.On) {
-				return fmt.Errorf("%s: there is no service %q", e.Kind, e.On)
-			}
-		case ConfigStorm, LeavingWave:
-		default:
-			return fmt.Errorf("unknown kind of event %q", e.Kind)
+		if err := e.check(z); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check refuses an event that can't be brought about.
+func (e Event) check(size Size) error {
+	controllers := size.controllerNames()
+	switch e.Kind {
+	case Terminate, Kill, Wipe, Reload, Suspend:
+		if !slices.Contains(append(controllers, size.edgeNames()...), e.On) {
+			return fmt.Errorf("%s: there is no process %q", e.Kind, e.On)
+		}
+		if e.Kind == Wipe && !slices.Contains(controllers, e.On) {
+			return fmt.Errorf("%s: %s has no disk", e.Kind, e.On)
 		}
-		if e.AtS < 0 || e.ForS < 0 || e.Count < 0 {
-			return fmt.Errorf("%s: a figure below zero", e.Kind)
+	case ServerDrain, ServerLeave, ServerCrash:
+		if !slices.Contains(serviceNames, e.On) {
+			return fmt.Errorf("%s: there is no service %q", e.Kind, e.On)
 		}
+	case ConfigStorm, LeavingWave:
+	default:
+		return fmt.Errorf("unknown kind of event %q", e.Kind)
+	}
+	if e.AtS < 0 || e.ForS < 0 || e.Count < 0 {
+		return fmt.Errorf("%s: a figure below zero", e.Kind)
 	}
 	return nil
 }
@@ -132,6 +149,7 @@
 	maxSuspension = 3.0
 	maxStorm      = 8
 	clientsOfWave = 8
+	innerTLSEvery = 4 // seeds, of which one has inner TLS
 )
 
 // Draw draws a schedule. Equal arguments give equal schedules.
@@ -141,7 +159,8 @@
 		d.drawEvent(at)
 	}
 	slices.SortStableFunc(d.events, func(a, b Event) int { return cmpFloat(a.AtS, b.AtS) })
-	return Schedule{Seed: seed, Size: size, Events: d.events}
+	return Schedule{Seed: seed, Size: size, Events: d.events, Quotas: drawQuotas(seed, size),
+		InnerTLS: seed%innerTLSEvery == 0}
 }
 
 func cmpFloat(a, b float64) int {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -60,6 +61,11 @@
 		size + "[[event]]\nat_s = 1.0\nkind = \"wipe\"\non = \"edge-1\"":           "no disk",
 		size + "[[event]]\nat_s = 1.0\nkind = \"server_crash\"\non = \"printers\"": "no service",
 		size + "[[event]]\nat_s = -1.0\nkind = \"leaving_wave\"":                   "below zero",
+		size + quotaOf("edges", 0, 0.1):                                            "a share of 0",
+		size + quotaOf("edges", 1, 0.1):                                            "a share of 1",
+		size + quotaOf("edges", 0.5, 0.01):                                         "ticker",
+		size + quotaOf("edge-9", 0.5, 0.1):                                         "no process",
+		size + quotaOf("printers", 0.5, 10):                                        "no process",
 	} {
 		_, err := ParseSchedule([]byte(text))
 		if err == nil || !strings.Contains(err.Error(), want) {
@@ -70,3 +76,25 @@
 		t.Errorf("a schedule without events is fine: %v", err)
 	}
 }
+
+func quotaOf(on string, share, period float64) string {
+	return fmt.Sprintf("[[quota]]\non = %q\nat_s = 0.0\nfor_s = 9.0\nshare = %g\nperiod_s = %g\n", on, share, period)
+}
+
+// Of three seeds one has no quota, one a quota for the whole run and one for a part of it; each can be played.
+func TestDrawnQuotas(t *testing.T) {
+	for seed := range uint64(60) {
+		s := Draw(seed, testSize)
+		if err := s.Check(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		if drawn := len(s.Quotas) > 0; drawn != (seed%3 != 2) {
+			t.Errorf("seed %d: quotas %v", seed, s.Quotas)
+		}
+		for _, q := range s.Quotas {
+			if whole := q.ForS == testSize.DurationSeconds; whole != (seed%3 == 0) || q.Share < minDrawnShare || q.Share > maxDrawnShare {
+				t.Errorf("seed %d: %s", seed, q)
+			}
+		}
+	}
+}
