--- a/internal/edge/proxy/shutdown.go
+++ b/internal/edge/proxy/shutdown.go
@@ -129,7 +129,7 @@
 
 // continueShutdown does what is due by the schedule. It gives the cause if the process may end now.
 func (p *Proxy) continueShutdown(schedule *shutdownSchedule, drain *httpconn.Drain, now time.Duration) (cause string) {
-	settled := p.clients.conns.Settled(p.crossingBound())
+	settled := p.clients.conns.Settled(p.crossingBound() + p.lateness.Worst(now))
 	if now > schedule.openUntil && settled {
 		p.closeIdleClients(idleBeforeClose)
 	}
@@ -149,7 +149,8 @@
 	return ""
 }
 
-// crossingBound is how long the way to the clients and back may take while connections are closed at will.
+// crossingBound is how long the way to the clients and back may take while connections are closed at will. What is measured
+// has the process's own lateness in it, which no client notices: what has arrived by then is read before a close.
 func (p *Proxy) crossingBound() time.Duration {
 	return scale(p.Settings.Seconds("loss_slack_s", defaultLossSlack), crossingShare)
 }
