--- a/internal/edge/proxy/connection_end_test.go
+++ b/internal/edge/proxy/connection_end_test.go
@@ -1,9 +1,14 @@
 package proxy
 
 import (
+	"net"
+	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
 // shuttingDownOn has an edge serve a listener and shut down. The scenario begins with the shutdown; when it returns, the
@@ -104,3 +109,84 @@
 		}
 	})
 }
+
+// A server that takes clients' connections is replaced, by other limits, while one is being handed to it: the next one takes it.
+func TestConnectionIsHandedToTheServerThatReplacesItsOwn(t *testing.T) {
+	runEdge(t, func(h *testEdge) {
+		h.runOn(t)
+		h.addServer("i-1", works(h, 50*time.Millisecond))
+		h.opened(func(s street) {
+			stuck := &handoffListener{in: make(chan net.Conn), closed: make(chan struct{}), addr: s.Addr(), timeouts: h.clients.current().timeouts}
+			h.clients.mu.Lock()
+			serving := h.clients.handoff
+			h.clients.handoff = stuck // its server doesn't come to accept
+			h.clients.mu.Unlock()
+			client := (&link{}).connect()
+			s.in <- client.edgeEnd
+			client.send(wireRequest("s", "2000"))
+			synctest.Wait()
+			h.clients.mu.Lock()
+			h.clients.handoff = serving
+			h.clients.mu.Unlock()
+			close(stuck.closed)
+			time.Sleep(time.Second)
+			client.up <- packet{at: time.Now()} // the client ends its stream, and the edge follows
+			if got := client.responses(); len(got) != 1 || got[0].StatusCode != http.StatusOK {
+				t.Errorf("%d responses", len(got))
+			}
+		})
+	})
+}
+
+// flakyListener fails before each connection, as for lack of a descriptor.
+type flakyListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if l.failures++; l.failures%2 == 1 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Accepting goes on after a failure that passes.
+func TestAcceptingGoesOnAfterAFailure(t *testing.T) {
+	runEdge(t, func(h *testEdge) {
+		h.addServer("i-1", good)
+		listener, done := newLinkedListener(), make(chan struct{})
+		go func() {
+			_ = h.clients.serve(&flakyListener{Listener: listener})
+			close(done)
+		}()
+		for range 3 {
+			client := listener.arrive((&link{}).connect())
+			client.send(wireRequest("s", "2000"))
+			time.Sleep(time.Second)
+			client.up <- packet{at: time.Now()}
+			h.g.Expect(client.responses()).To(HaveLen(1))
+		}
+		listener.Close()
+		<-done
+		close(h.clients.handoff.closed)
+	})
+}
+
+// A process that runs late has that much less of its grace: it learns of the SIGTERM late and does late what is due at the end.
+func TestShutdownFollowsTheLatenessOfTheProcess(t *testing.T) {
+	const grace = 6 * time.Second
+	for _, late := range []time.Duration{0, 90 * time.Millisecond, 240 * time.Millisecond, 3 * time.Second} {
+		counted := min(late, grace/maxLatenessShare)
+		s := newShutdownSchedule(0, grace, late)
+		if last := grace - counted - exitReserve; s.exitBy+counted > last {
+			t.Errorf("late by %s: the process ends after %s, and may be %s late with that", late, s.exitBy, counted)
+		}
+		if s.answerBy+flushReserve > s.exitBy || s.answerBy < grace-grace/minAnswerShare-counted {
+			t.Errorf("late by %s: what is accepted is answered by %s, of %s", late, s.answerBy, s.exitBy)
+		}
+		if s.openUntil != openAdmission {
+			t.Errorf("late by %s: open until %s", late, s.openUntil)
+		}
+	}
+}
--- a/internal/platform/httpconn/conn_test.go
+++ b/internal/platform/httpconn/conn_test.go
@@ -222,6 +222,31 @@
 	}
 }
 
+// A refusal reaches a client that is still sending a long body: no reset takes it back.
+func TestRefusalOfALongBodyReachesItsClient(t *testing.T) {
+	tracker := NewTracker(10)
+	address, _ := serveOn(t, tracker, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) })
+	for range 5 {
+		client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const bytes = 8 << 20
+		sent := make(chan struct{})
+		go func() {
+			_, _ = fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bytes)
+			_, _ = client.Write(make([]byte, bytes))
+			close(sent)
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("the client got %v, %v", response, err)
+		}
+		client.Close()
+		<-sent
+	}
+}
+
 // lateConn is a connection whose bytes have arrived when its time-out fires, but were not read.
 type lateConn struct {
 	net.Conn
