Give up no request before the last sixth of the grace, however late the process was

Cause: the reserves for a late process may take the end of answers to before the last sixth of the grace. The bound counted from the time that the SIGTERM may have come at, not from when it was noticed. Change: it counts from the notice. Measured: TestShutdownFollowsTheLatenessOfTheProcess holds it to that, and failed for a lateness of 240 ms and 3 s before; its old bound was off by the counted lateness.

--- a/internal/edge/proxy/connection_end_test.go
+++ b/internal/edge/proxy/connection_end_test.go
@@ -182,7 +182,7 @@
 		if last := grace - counted - exitReserve; s.exitBy+counted > last {
 			t.Errorf("late by %s: the process ends after %s, and may be %s late with that", late, s.exitBy, counted)
 		}
-		if s.answerBy+flushReserve > s.exitBy || s.answerBy < grace-grace/minAnswerShare-counted {
+		if s.answerBy+flushReserve > s.exitBy || s.answerBy < grace-grace/minAnswerShare {
 			t.Errorf("late by %s: what is accepted is answered by %s, of %s", late, s.answerBy, s.exitBy)
 		}
 		if s.openUntil != openAdmission {
--- a/internal/edge/proxy/shutdown.go
+++ b/internal/edge/proxy/shutdown.go
@@ -58,7 +58,7 @@
 	late = min(late, grace/maxLatenessShare)
 	startedAt := noticedAt - late
 	exitBy := startedAt + grace - reserve(exitReserve) - late
-	answerBy := max(exitBy-reserve(flushReserve)-late, startedAt+grace-grace/minAnswerShare)
+	answerBy := max(exitBy-reserve(flushReserve)-late, noticedAt+grace-grace/minAnswerShare)
 	open := noticedAt + min(openAdmission, grace/2)
 	return &shutdownSchedule{openUntil: open, stopAccept: noticedAt + max(grace/2, grace-stopAcceptBefore),
 		answerBy: answerBy, exitBy: exitBy}
