--- a/cmd/mulleinwood/config.go
+++ b/cmd/mulleinwood/config.go
@@ -26,7 +26,7 @@
 	for _, file := range k.Files {
 		var err error
 		if filepath.Ext(file) == ".jsonc" {
-			_, err = options.Load(file, true)
+			_, err = options.Load(file)
 		} else {
 			err = program.CheckConfig(file)
 		}
--- a/cmd/mulleinwood/main.go
+++ b/cmd/mulleinwood/main.go
@@ -35,9 +35,9 @@
 // load reads the program's own settings.
 func (c *cli) load() (options.Loaded, error) {
 	if c.Settings != "" {
-		return options.Load(c.Settings, true)
+		return options.Load(c.Settings)
 	}
-	return options.Load(options.DefaultFile, false)
+	return options.LoadIfPresent(options.DefaultFile)
 }
 
 // startError is a failure before the work began.
--- a/internal/planner/audit/audit.go
+++ b/internal/planner/audit/audit.go
@@ -229,7 +229,13 @@
 		p := a.proxies[number]
 		totalRate += p.rate
 		a.auditTable(now, number, p, load)
-		a.auditBareness(now, number, p, warm)
+		switch {
+		case p.bare <= 0:
+		case warm:
+			a.auditBareness(now, number, p)
+		default:
+			p.bare = now // its time counts from a warm server on
+		}
 	}
 	a.auditColdServers(now, load, readySize, totalRate)
 }
@@ -272,16 +278,9 @@
 	}
 }
 
-// auditBareness looks whether a proxy has had nothing to pick for too long. Time counts while there is a warm server that
-// could be listed.
-func (a *Auditor) auditBareness(now float64, number int, p *proxy, warm bool) {
-	if p.bare <= 0 {
-		return
-	}
-	if !warm {
-		p.bare = now
-		return
-	}
+// auditBareness looks whether a proxy that has nothing to pick has had nothing for too long. Time counts while there is a warm
+// server that could be listed, as there is now.
+func (a *Auditor) auditBareness(now float64, number int, p *proxy) {
 	if p.joinedAt <= 0 {
 		return
 	}
--- a/internal/planner/options/options.go
+++ b/internal/planner/options/options.go
@@ -84,12 +84,17 @@
 	Origin map[string]string // by path, as in "cores.count"; what is missing has its default
 }
 
-// Load reads a file. A missing one is an error only if it was named.
-func Load(file string, named bool) (Loaded, error) {
-	text, err := os.ReadFile(file)
-	if errors.Is(err, fs.ErrNotExist) && !named {
+// LoadIfPresent reads a file as Load does. Where there is none, the defaults hold.
+func LoadIfPresent(file string) (Loaded, error) {
+	if _, err := os.Stat(file); errors.Is(err, fs.ErrNotExist) {
 		return Loaded{Options: Default(), Origin: map[string]string{}}, nil
 	}
+	return Load(file)
+}
+
+// Load reads a file. Its error says what can't be read, and where.
+func Load(file string) (Loaded, error) {
+	text, err := os.ReadFile(file)
 	if err != nil {
 		return Loaded{}, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/planner/options/options_test.go
+++ b/internal/planner/options/options_test.go
@@ -29,7 +29,7 @@
 			if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			_, err := Load(file, true)
+			_, err := Load(file)
 			var at *Error
 			if !errors.As(err, &at) || !strings.Contains(err.Error(), tc.says) || strings.Contains(err.Error(), "\n") {
 				t.Errorf("%v; want one line with %s", err, tc.says)
@@ -40,20 +40,20 @@
 
 func TestMissingFileAndFolder(t *testing.T) {
 	missing := filepath.Join(t.TempDir(), "none.jsonc")
-	if _, err := Load(missing, true); err == nil {
+	if _, err := Load(missing); err == nil {
 		t.Error("a named file that is missing is no error")
 	}
-	if l, err := Load(missing, false); err != nil || !reflect.DeepEqual(l.Options, Default()) {
+	if l, err := LoadIfPresent(missing); err != nil || !reflect.DeepEqual(l.Options, Default()) {
 		t.Errorf("%+v, %v; want the defaults", l.Options, err)
 	}
-	if _, err := Load(t.TempDir(), false); err == nil {
+	if _, err := LoadIfPresent(t.TempDir()); err == nil {
 		t.Error("a folder is no error")
 	}
 }
 
 // TestShippedFile guards against a file of the repository that says something else than the defaults, or can't be read.
 func TestShippedFile(t *testing.T) {
-	l, err := Load("../../../"+DefaultFile, true)
+	l, err := Load("../../../"+DefaultFile)
 	if err != nil || !reflect.DeepEqual(l.Options, Default()) {
 		t.Fatalf("%+v, %v; want the defaults", l.Options, err)
 	}
@@ -69,7 +69,7 @@
 	if err := os.WriteFile(file, []byte("{\n  \"cores\": {\"count\": 4}, // all of them\n}"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	l, err := Load(file, true)
+	l, err := Load(file)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/planner/routing/fed.go
+++ b/internal/planner/routing/fed.go
@@ -80,13 +80,11 @@
 	}
 }
 
-// look notes that the module was asked and, if it ordered anything, has looked at all that it was told: a look orders at
-// least the next one.
-func (f *fed) look(looked bool) {
-	if looked {
-		f.looks++
-		f.seen, f.deal = f.told, f.dealt
-	}
+// look notes that the module was asked, ordered something and has thus looked at all that it was told: a look orders at least
+// the next one.
+func (f *fed) look() {
+	f.looks++
+	f.seen, f.deal = f.told, f.dealt
 }
 
 // confirm notes which changes of the list no table in use contradicts any more. Orders that take a server out have been
--- a/internal/planner/routing/router.go
+++ b/internal/planner/routing/router.go
@@ -266,7 +266,9 @@
 		}
 	}()
 	actions := r.module.Step(now, events)
-	r.fed.look(len(actions) > 0)
+	if len(actions) > 0 {
+		r.fed.look()
+	}
 	for _, a := range actions {
 		doing = "carrying out an order"
 		if err := r.act(now, a); err != nil {
--- a/internal/planner/xds/ads.go
+++ b/internal/planner/xds/ads.go
@@ -58,7 +58,8 @@
 
 // Request takes a message of the state of the world. Its messages go to routing; what is of no use comes back as Voids; an
 // error ends the stream.
-func (a *Assignments) Request(now float64, r *discovery.DiscoveryRequest) (said []protocol.Message, voids []InvalidPartError, err error) {
+func (a *Assignments) Request(now float64, r *discovery.DiscoveryRequest) (said []protocol.Message,
+	voids []InvalidPartError, err error) {
 	if err := a.begin(r.GetNode(), r.GetTypeUrl()); err != nil {
 		return nil, nil, err
 	}
@@ -72,8 +73,8 @@
 }
 
 // DeltaRequest takes an incremental message.
-func (a *Assignments) DeltaRequest(now float64, r *discovery.DeltaDiscoveryRequest) (said []protocol.Message, voids []InvalidPartError,
-	err error) {
+func (a *Assignments) DeltaRequest(now float64, r *discovery.DeltaDiscoveryRequest) (said []protocol.Message,
+	voids []InvalidPartError, err error) {
 	if err := a.begin(r.GetNode(), r.GetTypeUrl()); err != nil {
 		return nil, nil, err
 	}
@@ -119,7 +120,8 @@
 
 // answered takes the answer to a message. An acceptance is the line protocol's done; a refusal asks for a whole table
 // later, each time after twice the wait.
-func (a *Assignments) answered(now float64, nonce string, detail *statuspb.Status) (said []protocol.Message, voids []InvalidPartError) {
+func (a *Assignments) answered(now float64, nonce string, detail *statuspb.Status) (said []protocol.Message,
+	voids []InvalidPartError) {
 	if nonce == "" {
 		return nil, nil
 	}
