Name the parts of connections' ends and of quotas by the field's terms

Cause: some new names were plain words (readability: settled, begun, mark, note, answer, pause, silence). Change: names only: PathClear, readAndBecomeBusy, observeClientEnd, respondBy, ThrottledSpan and others.

--- a/internal/edge/proxy/connection_end_test.go
+++ b/internal/edge/proxy/connection_end_test.go
@@ -182,8 +182,8 @@
 		if last := grace - counted - exitReserve; s.exitBy+counted > last {
 			t.Errorf("late by %s: the process ends after %s, and may be %s late with that", late, s.exitBy, counted)
 		}
-		if s.answerBy+flushReserve > s.exitBy || s.answerBy < grace-grace/minAnswerShare {
-			t.Errorf("late by %s: what is accepted is answered by %s, of %s", late, s.answerBy, s.exitBy)
+		if s.respondBy+flushReserve > s.exitBy || s.respondBy < grace-grace/minResponseShare {
+			t.Errorf("late by %s: what is accepted is answered by %s, of %s", late, s.respondBy, s.exitBy)
 		}
 		if s.openUntil != openAdmission {
 			t.Errorf("late by %s: open until %s", late, s.openUntil)
--- a/internal/edge/proxy/pipeline.go
+++ b/internal/edge/proxy/pipeline.go
@@ -22,7 +22,7 @@
 	maxClaimWait = 1200 * time.Millisecond
 	// returnMargin is kept of the deadline for the response's way back to the client.
 	returnMargin = 5 * time.Millisecond
-	// minAttemptTime is the time left below which no attempt is begun.
+	// minAttemptTime is the time left below which no attempt is started.
 	minAttemptTime = 10 * time.Millisecond
 
 	// Ranks in the queue, around the routes' priorities: a lower rank goes first.
--- a/internal/edge/proxy/request.go
+++ b/internal/edge/proxy/request.go
@@ -82,7 +82,7 @@
 			return req, errShuttingDown
 		}
 	}
-	req.deadline = min(req.deadline, p.shutdown.answerBy())
+	req.deadline = min(req.deadline, p.shutdown.respondBy())
 	req.service = drawService(route)
 	return req, nil
 }
--- a/internal/edge/proxy/shutdown.go
+++ b/internal/edge/proxy/shutdown.go
@@ -31,8 +31,8 @@
 	maxReserveShare  = 20
 	// maxLatenessShare bounds how much of the grace the process's own lateness may take from it, each time that it counts.
 	maxLatenessShare = 24
-	// minAnswerShare: requests that servers work on are not given up before the last sixth of the grace.
-	minAnswerShare = 6
+	// minResponseShare: requests that servers work on are not given up before the last sixth of the grace.
+	minResponseShare = 6
 
 	// A request may cross a close for loss_slack_s. Connections are closed at will only while the way to the clients and back
 	// takes half of that at most.
@@ -47,27 +47,27 @@
 type shutdownSchedule struct {
 	openUntil  time.Duration // until then every request is accepted; from then on the process may end when nothing comes
 	stopAccept time.Duration // from then on no new connections are accepted
-	answerBy   time.Duration // what was accepted is answered by then
+	respondBy  time.Duration // what was accepted is answered by then
 	exitBy     time.Duration // the process ends, whatever is left
 }
 
-// newShutdownSchedule divides a grace that was noticed to have begun. The process may have noticed that as late, and may do
+// newShutdownSchedule divides a grace that was noticed to have started. The process may have noticed that as late, and may do
 // what is due at the end as late, as it was in the last seconds: by that much its own times come earlier.
 func newShutdownSchedule(noticedAt, grace, late time.Duration) *shutdownSchedule {
 	reserve := func(d time.Duration) time.Duration { return min(d, grace/maxReserveShare) }
 	late = min(late, grace/maxLatenessShare)
 	startedAt := noticedAt - late
 	exitBy := startedAt + grace - reserve(exitReserve) - late
-	answerBy := max(exitBy-reserve(flushReserve)-late, noticedAt+grace-grace/minAnswerShare)
+	respondBy := max(exitBy-reserve(flushReserve)-late, noticedAt+grace-grace/minResponseShare)
 	open := noticedAt + min(openAdmission, grace/2)
 	return &shutdownSchedule{openUntil: open, stopAccept: noticedAt + max(grace/2, grace-stopAcceptBefore),
-		answerBy: answerBy, exitBy: exitBy}
+		respondBy: respondBy, exitBy: exitBy}
 }
 
 // admits reports whether a request that has been read now is accepted: at first any, then only what is over in time even if
 // it takes up to its deadline. Once a request has been sent to a server it may not be broken off.
 func (s *shutdownSchedule) admits(now, deadline time.Duration) bool {
-	return now <= s.openUntil || deadline <= s.answerBy
+	return now <= s.openUntil || deadline <= s.respondBy
 }
 
 // shutdown is how far the end of an edge has come, and what it depends on.
@@ -99,10 +99,10 @@
 	return schedule == nil || schedule.admits(now, deadline)
 }
 
-// answerBy is when all that is accepted has to be answered.
-func (s *shutdown) answerBy() time.Duration {
+// respondBy is when all that is accepted has to be answered.
+func (s *shutdown) respondBy() time.Duration {
 	if schedule := s.schedule.Load(); schedule != nil {
-		return schedule.answerBy
+		return schedule.respondBy
 	}
 	return math.MaxInt64
 }
@@ -129,18 +129,18 @@
 
 // continueShutdown does what is due by the schedule. It gives the cause if the process may end now.
 func (p *Proxy) continueShutdown(schedule *shutdownSchedule, drain *httpconn.Drain, now time.Duration) (cause string) {
-	settled := p.clients.conns.Settled(p.crossingBound() + p.lateness.Worst(now))
-	if now > schedule.openUntil && settled {
+	pathClear := p.clients.conns.PathClear(p.crossingBound() + p.lateness.Worst(now))
+	if now > schedule.openUntil && pathClear {
 		p.closeIdleClients(idleBeforeClose)
 	}
-	stopped := settled && now > schedule.stopAccept && drain.StopAccepting()
-	if now >= schedule.answerBy {
+	stopped := pathClear && now > schedule.stopAccept && drain.StopAccepting()
+	if now >= schedule.respondBy {
 		p.shutdown.stopWork()
 	}
 	switch {
 	case now >= schedule.exitBy:
 		return "grace is over"
-	case !settled || !drain.Quiet() || p.shutdown.inFlight.Load() > 0:
+	case !pathClear || !drain.Quiet() || p.shutdown.inFlight.Load() > 0:
 	case now > schedule.openUntil && p.sinceLastClient(now) > quietBeforeExit:
 		return "no request comes"
 	case stopped:
--- a/internal/edge/proxy/shutdown_test.go
+++ b/internal/edge/proxy/shutdown_test.go
@@ -238,11 +238,11 @@
 	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute} {
 		s := newShutdownSchedule(time.Hour, grace, 0)
 		ends := time.Hour + grace
-		if !(time.Hour < s.openUntil && s.openUntil <= s.stopAccept && s.openUntil < s.answerBy && s.answerBy < s.exitBy && s.exitBy < ends) {
+		if !(time.Hour < s.openUntil && s.openUntil <= s.stopAccept && s.openUntil < s.respondBy && s.respondBy < s.exitBy && s.exitBy < ends) {
 			t.Errorf("grace %s: %+v", grace, s)
 		}
-		if s.answerBy < ends-grace/6 {
-			t.Errorf("grace %s: work is broken off %s before its end", grace, ends-s.answerBy)
+		if s.respondBy < ends-grace/6 {
+			t.Errorf("grace %s: work is broken off %s before its end", grace, ends-s.respondBy)
 		}
 	}
 }
--- a/internal/planner/options/options_test.go
+++ b/internal/planner/options/options_test.go
@@ -53,7 +53,7 @@
 
 // TestShippedFile guards against a file of the repository that says something else than the defaults, or can't be read.
 func TestShippedFile(t *testing.T) {
-	l, err := Load("../../../"+DefaultFile)
+	l, err := Load("../../../" + DefaultFile)
 	if err != nil || !reflect.DeepEqual(l.Options, Default()) {
 		t.Fatalf("%+v, %v; want the defaults", l.Options, err)
 	}
--- a/internal/platform/httpconn/conn.go
+++ b/internal/platform/httpconn/conn.go
@@ -46,7 +46,7 @@
 	since    time.Time // the last change between waiting for a request and serving one
 	active   bool      // the head of a request was read, and its response has not left
 	answered bool      // a response has left, and net/http did not ask for more since
-	begun    bool      // the first byte has come
+	started  bool      // the first byte has come
 	// overrunUntil bounds time-outs that count as not fired; zero: none has fired over bytes that had arrived.
 	overrunUntil time.Time
 	closedAt     time.Time // when the stream to the client ended
@@ -69,7 +69,7 @@
 	if c.state == stateClosing {
 		return nil
 	}
-	if !c.begun && !t.IsZero() && time.Until(t) > 0 {
+	if !c.started && !t.IsZero() && time.Until(t) > 0 {
 		t = time.Now().Add(c.timeouts.Idle)
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -79,11 +79,11 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.awaitRequest()
 	for {
-		n, err := c.readAndMark(p)
+		n, err := c.readAndBecomeBusy(p)
 		switch {
 		case c.isClosing():
 			if err != nil {
-				c.noteClientEnd(err)
+				c.observeClientEnd(err)
 				return 0, net.ErrClosed
 			}
 		case err != nil && c.overruns(err): // once more
@@ -106,13 +106,13 @@
 	c.answered = false
 }
 
-// readAndMark reads, and makes the connection busy with the bytes that it takes from the kernel, as one step.
-func (c *Conn) readAndMark(p []byte) (n int, err error) {
+// readAndBecomeBusy reads, and makes the connection busy with the bytes that it takes from the kernel, as one step.
+func (c *Conn) readAndBecomeBusy(p []byte) (n int, err error) {
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.markBusy(n)
+		c.becomeBusy(n)
 		return n, err
 	}
 	waited := c.raw.Read(func(fd uintptr) (done bool) {
@@ -121,7 +121,7 @@
 		if n, err = readSocket(int(fd), p); errors.Is(err, unix.EAGAIN) {
 			return false
 		}
-		c.markBusy(n)
+		c.becomeBusy(n)
 		return true
 	})
 	if waited != nil {
@@ -150,8 +150,8 @@
 	}
 }
 
-// markBusy notes that so many bytes were read. The lock is held.
-func (c *Conn) markBusy(bytes int) {
+// becomeBusy notes that so many bytes were read. The lock is held.
+func (c *Conn) becomeBusy(bytes int) {
 	if bytes > 0 && c.state == stateIdle {
 		c.state = stateBusy
 	}
@@ -161,8 +161,8 @@
 func (c *Conn) beginHeaderTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.begun && c.state != stateClosing {
-		c.begun = true
+	if !c.started && c.state != stateClosing {
+		c.started = true
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.timeouts.Header)) // a connection that is closed fails at the next read
 	}
 }
@@ -268,7 +268,7 @@
 	c.mu.Unlock()
 	if lingers {
 		_, err := io.Copy(io.Discard, c.Conn)
-		c.noteClientEnd(err)
+		c.observeClientEnd(err)
 	}
 	return c.Conn.Close()
 }
@@ -281,8 +281,8 @@
 	closeConn(c.Conn)
 }
 
-// noteClientEnd hands on how long the client's end took after ours; err is what ended the reads.
-func (c *Conn) noteClientEnd(err error) {
+// observeClientEnd hands on how long the client's end took after ours; err is what ended the reads.
+func (c *Conn) observeClientEnd(err error) {
 	if err != nil && !errors.Is(err, io.EOF) {
 		return
 	}
--- a/internal/platform/httpconn/conn_test.go
+++ b/internal/platform/httpconn/conn_test.go
@@ -64,7 +64,7 @@
 		t.Fatalf("read %d bytes, %v", n, err)
 	}
 	if got := conn.closeIfIdle(); got != notIdle {
-		t.Errorf("with a request begun: %d", got)
+		t.Errorf("with a request started: %d", got)
 	}
 	tracker.SetState(conn, http.StateActive)
 	tracker.SetState(conn, http.StateIdle)
@@ -153,9 +153,9 @@
 func TestPipelinedRequestsAreAnsweredWhileDraining(t *testing.T) {
 	const requests = 20
 	tracker := NewTracker(10)
-	begun, goOn := make(chan struct{}, requests), make(chan struct{})
+	started, goOn := make(chan struct{}, requests), make(chan struct{})
 	address, listener := serveOn(t, tracker, func(http.ResponseWriter, *http.Request) {
-		begun <- struct{}{}
+		started <- struct{}{}
 		<-goOn
 	})
 	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
@@ -164,7 +164,7 @@
 	}
 	defer client.Close()
 	mustWrite(t, client, strings.Repeat(request, requests))
-	<-begun
+	<-started
 	drain := NewDrain(listener, tracker)
 	drained := make(chan struct{})
 	go func() {
@@ -319,8 +319,8 @@
 
 func (c *slowEnd) SetReadDeadline(time.Time) error { return nil }
 
-// The way to the clients is settled if the last close's news came back in time, and none is waited for longer.
-func TestSettledFollowsTheLastCloses(t *testing.T) {
+// The path to the clients is clear if the last close's news came back in time, and none is waited for longer.
+func TestPathClearFollowsTheLastCloses(t *testing.T) {
 	const bound = 100 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		tracker := NewTracker(10)
@@ -335,8 +335,8 @@
 		}
 		expect := func(want bool, when string) {
 			t.Helper()
-			if tracker.Settled(bound) != want {
-				t.Errorf("%s: settled is %t", when, !want)
+			if tracker.PathClear(bound) != want {
+				t.Errorf("%s: the path is clear: %t", when, !want)
 			}
 		}
 		expect(true, "nothing was closed")
@@ -344,7 +344,7 @@
 		time.Sleep(30 * time.Millisecond)
 		expect(true, "the last close took 20 ms")
 		closeOne(300 * time.Millisecond)
-		expect(true, "a close has just begun")
+		expect(true, "a close has just started")
 		time.Sleep(150 * time.Millisecond)
 		expect(false, "a close is waited for")
 		time.Sleep(200 * time.Millisecond)
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -84,7 +84,7 @@
 
 // tolerance is what times around one may be off.
 func (a *audit) tolerance(at time.Duration) time.Duration {
-	return baseTolerance + a.delayAround(at) + a.longestPauseAround(at)
+	return baseTolerance + a.delayAround(at) + a.longestThrottleAround(at)
 }
 
 // troubled reports whether a process had an unplanned fault in a span.
--- a/internal/soak/audit_requests.go
+++ b/internal/soak/audit_requests.go
@@ -16,9 +16,9 @@
 	lastShare = 6
 	// ownDeadlineSlack is how long before a deadline an answer may say that it has passed.
 	ownDeadlineSlack = 100 * time.Millisecond
-	// repeatSettled is how long after a good answer a repeat of its key may not get a 409 any more; maxKeysDenied is how many
+	// minRepeatAge is how long after a good answer a repeat of its key may not get a 409 any more; maxKeysDenied is how many
 	// keys may all the same.
-	repeatSettled  = time.Second
+	minRepeatAge   = time.Second
 	maxKeysDenied  = 3
 	touchAfterGood = 2 * time.Second // in which the edge that gave the good answer stays in touch
 )
@@ -128,7 +128,7 @@
 	for _, request := range a.Requests {
 		first, known := good[request.Key]
 		if known && request.Complete && request.Seal == "" && request.Status == http.StatusConflict &&
-			request.StartedAt > first.EndedAt+repeatSettled+a.tolerance(first.EndedAt) &&
+			request.StartedAt > first.EndedAt+minRepeatAge+a.tolerance(first.EndedAt) &&
 			a.inTouch(first.Edge, first.EndedAt+touchAfterGood) && a.inTouch(request.Edge, request.EndedAt) {
 			denied[request.Key] = request
 		}
@@ -137,7 +137,7 @@
 		return
 	}
 	for key, request := range denied {
-		a.find(Denied, request.EndedAt, fmt.Sprintf("a repeat of key %s got 409 over %s after a good answer", key, repeatSettled),
+		a.find(Denied, request.EndedAt, fmt.Sprintf("a repeat of key %s got 409 over %s after a good answer", key, minRepeatAge),
 			request)
 	}
 }
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -129,9 +129,9 @@
 	}},
 	{"a pause that is longer than the quota's", Gone, func() *Record {
 		r := left(Review, 700*millis)()
-		r.Pauses = []Pause{{Node: anEdge, At: at, For: 90 * millis}}
+		r.Throttled = []ThrottledSpan{{Node: anEdge, At: at, For: 90 * millis}}
 		return r
-	}, func(r *Record) { r.Pauses[0].For = 150 * millis }},
+	}, func(r *Record) { r.Throttled[0].For = 150 * millis }},
 	{"a success without a seal", Mixed, recordOf(Lookup, func(_ *Record, request *Request, _ *ServerRun) { request.Seal = "" }),
 		func(r *Record) { r.Requests[0].Seal = "s" }},
 	{"another body", Mixed, recordOf(Stream, func(_ *Record, request *Request, _ *ServerRun) { request.Digest = 8 }),
--- a/internal/soak/certificates.go
+++ b/internal/soak/certificates.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// certificateLife is how long a run's certificates are valid, from an hour before it on.
-const certificateLife = 24 * time.Hour
+// certificateValidity is how long a run's certificates are valid, from an hour before it on.
+const certificateValidity = 24 * time.Hour
 
 // authority signs the certificates of a run whose processes authenticate their links.
 type authority struct {
@@ -43,7 +43,7 @@
 func (a *authority) template() *x509.Certificate {
 	a.serial++
 	return &x509.Certificate{SerialNumber: big.NewInt(a.serial), NotBefore: time.Now().Add(-time.Hour),
-		NotAfter: time.Now().Add(certificateLife)}
+		NotAfter: time.Now().Add(certificateValidity)}
 }
 
 // issue writes the folder of a process at an address, as its --inner-tls expects it.
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -22,13 +22,13 @@
 	maxSends       = 4  // of a keyed operation, until an answer is clear
 	repeatEvery    = 10 // keyed operations, of which one is sent again after a good answer
 	lateEvery      = 10 // the same, of which one is sent again long after it, at two edges at once
-	minLateRepeat  = repeatSettled + 100*time.Millisecond
-	maxLateRepeat  = repeatSettled + 1500*time.Millisecond
+	minLateRepeat  = minRepeatAge + 100*time.Millisecond
+	maxLateRepeat  = minRepeatAge + 1500*time.Millisecond
 
 	// Clients that come while an edge shuts down.
-	minArrivalGap = 10 * time.Millisecond
-	maxArrivalGap = 90 * time.Millisecond
-	maxSilence    = 250 * time.Millisecond // from the connection to the request
+	minArrivalGap   = 10 * time.Millisecond
+	maxArrivalGap   = 90 * time.Millisecond
+	maxRequestDelay = 250 * time.Millisecond // from the connection to the request
 )
 
 // deadlines are the routes' deadlines, which clients state.
@@ -231,10 +231,10 @@
 			if err != nil {
 				return
 			}
-			silence := max(0, one.between(-maxSilence, maxSilence))
+			requestDelay := max(0, one.between(-maxRequestDelay, maxRequestDelay))
 			arrival := &client{clientPool: c, random: one.random}
 			c.working.Go(func() {
-				time.Sleep(silence)
+				time.Sleep(requestDelay)
 				request := arrival.newRequest(Lookup, "")
 				arrival.sendOn(&conn, request)
 				if conn != nil {
--- a/internal/soak/quota.go
+++ b/internal/soak/quota.go
@@ -24,9 +24,9 @@
 	platformPeriod = 100 * time.Millisecond
 	minDrawnShare  = 0.08
 	maxDrawnShare  = 0.3
-	// troublePause is the length from which on a pause is a fault of its own, which excuses a process. All pauses of a
+	// maxPlannedStop is the length from which on a pause is a fault of its own, which excuses a process. All pauses of a
 	// quota whose ticker is on time are shorter.
-	troublePause = platformPeriod
+	maxPlannedStop = platformPeriod
 )
 
 // Quota gives processes a share of a core: they run for that part of each period, and stand still for the rest.
@@ -96,8 +96,8 @@
 	return []Quota{q}
 }
 
-// Pause is a span in which a process stood still by its quota.
-type Pause struct {
+// ThrottledSpan is a span in which a process stood still by its quota.
+type ThrottledSpan struct {
 	Node string
 	At   time.Duration
 	For  time.Duration
@@ -113,7 +113,7 @@
 			due = due.Add(late)
 		}
 		sleep(ctx, time.Until(due.Add(running)))
-		process, ok := s.pauseByQuota()
+		process, ok := s.stopByQuota()
 		stoppedAt := s.cluster.recorder.now()
 		sleep(ctx, time.Until(due.Add(period)))
 		if ok {
@@ -122,22 +122,22 @@
 	}
 }
 
-// pauseSummary tells how many pauses there were, how many of them were long enough to be trouble, and the longest.
-func (r *Record) pauseSummary() string {
+// throttleSummary tells how many pauses there were, how many of them were long enough to be trouble, and the longest.
+func (r *Record) throttleSummary() string {
 	longest, long := time.Duration(0), 0
-	for _, p := range r.Pauses {
+	for _, p := range r.Throttled {
 		longest = max(longest, p.For)
-		if p.For > troublePause {
+		if p.For > maxPlannedStop {
 			long++
 		}
 	}
-	return fmt.Sprintf("%d pauses, %d of them over %s, %s at most", len(r.Pauses), long, troublePause,
+	return fmt.Sprintf("%d pauses, %d of them over %s, %s at most", len(r.Throttled), long, maxPlannedStop,
 		longest.Round(time.Millisecond))
 }
 
-// longestPauseAround is the longest pause of a quota around a time.
-func (r *Record) longestPauseAround(at time.Duration) (longest time.Duration) {
-	for _, p := range r.Pauses {
+// longestThrottleAround is the longest pause of a quota around a time.
+func (r *Record) longestThrottleAround(at time.Duration) (longest time.Duration) {
+	for _, p := range r.Throttled {
 		if p.At >= at-delayWindow && p.At <= at+delayWindow {
 			longest = max(longest, p.For)
 		}
@@ -145,8 +145,8 @@
 	return longest
 }
 
-// pauseByQuota stops the process, unless it has ended or a fault has stopped it already; ok: it did.
-func (s *supervisor) pauseByQuota() (process quotaProcess, ok bool) {
+// stopByQuota stops the process, unless it has ended or a fault has stopped it already; ok: it did.
+func (s *supervisor) stopByQuota() (process quotaProcess, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.suspended || s.process.CheckRunning() != nil {
@@ -171,8 +171,10 @@
 	}
 	_ = process.Signal(syscall.SIGCONT) // it may have been killed meanwhile
 	now := s.cluster.recorder.now()
-	s.cluster.recorder.add(func(all *Record) { all.Pauses = append(all.Pauses, Pause{s.spec.Name, stoppedAt, now - stoppedAt}) })
-	if now-stoppedAt > troublePause {
+	s.cluster.recorder.add(func(all *Record) {
+		all.Throttled = append(all.Throttled, ThrottledSpan{s.spec.Name, stoppedAt, now - stoppedAt})
+	})
+	if now-stoppedAt > maxPlannedStop {
 		s.cluster.recorder.add(func(all *Record) {
 			all.Processes = append(all.Processes, ProcessChange{stoppedAt, s.spec.Name, Suspended, "by its quota, for too long"},
 				ProcessChange{now, s.spec.Name, Resumed, ""})
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -133,9 +133,9 @@
 	Reads     []ConfigRead
 	Left      []ServerLeft
 	Delays    []Delay
-	Pauses    []Pause       // by quotas
-	TrafficAt time.Duration // the start of traffic, from which the schedule counts
-	QuietAt   time.Duration // the end of traffic
+	Throttled []ThrottledSpan // by quotas
+	TrafficAt time.Duration   // the start of traffic, from which the schedule counts
+	QuietAt   time.Duration   // the end of traffic
 	EndedAt   time.Duration
 }
 
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -78,7 +78,7 @@
 	fmt.Fprintf(&text, "seed %d: %d requests, %d left early, %d rejected; %d events; own delay %s; ", o.Record.Schedule.Seed,
 		len(o.Record.Requests), left, rejected, len(o.Record.Schedule.Events), o.Record.maxDelay().Round(time.Millisecond))
 	for _, q := range o.Record.Schedule.Quotas {
-		fmt.Fprintf(&text, "quota %s, %s; ", q, o.Record.pauseSummary())
+		fmt.Fprintf(&text, "quota %s, %s; ", q, o.Record.throttleSummary())
 	}
 	if len(o.Breaches) == 0 {
 		text.WriteString("no breach")
