End a soak's processes also when its terminal goes away

What ended it was not traced; a SIGHUP would do that. Change: SIGHUP interrupts a soak as SIGTERM does. Measured: a run that gets SIGHUP says interrupted and leaves no process.

--- a/cmd/simulate/soak.go
+++ b/cmd/simulate/soak.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -70,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	// A terminal that goes away is an interrupt, too: the processes of a run must not outlive it.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer stop()
 	broken := 0
 	var summary soak.Summary
 	for _, schedule := range schedules {
