--- a/cmd/simulate/busy.go
+++ b/cmd/simulate/busy.go
@@ -35,14 +35,14 @@
 }
 
 func busyCases(cmd *cli.Command) []busyCase {
-	crowd, booked := cmd.Float("crowd"), cmd.Float("booked")
-	busy := func(crowd, booked float64) simulation.Busy {
-		return simulation.Busy{Rate: cmd.Float("rate"), Crowd: crowd, Booked: booked, OneIn: cmd.Bool("one-edge")}
+	surge, booked := cmd.Float("crowd"), cmd.Float("booked")
+	busy := func(surge, booked float64) simulation.Busy {
+		return simulation.Busy{Rate: cmd.Float("rate"), Crowd: surge, Booked: booked, OneIn: cmd.Bool("one-edge")}
 	}
 	return []busyCase{
 		{"quiet morning", busy(1, 0)},
-		{"crowd, nothing booked", busy(crowd, 0)},
-		{"crowd, room booked", busy(crowd, booked)},
+		{"crowd, nothing booked", busy(surge, 0)},
+		{"crowd, room booked", busy(surge, booked)},
 		{"quiet, room booked", busy(1, booked)},
 	}
 }
--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -150,7 +150,7 @@
 	var next atomic.Int64
 	var workers sync.WaitGroup
 	hunter := &hunter{}
-	began := time.Now()
+	startedAt := time.Now()
 	for range runtime.NumCPU() {
 		workers.Go(func() {
 			for number := next.Add(1) - 1; number < days && ctx.Err() == nil; number = next.Add(1) - 1 {
@@ -163,7 +163,7 @@
 		})
 	}
 	workers.Wait()
-	fmt.Printf("%d days in %s\n", min(next.Load(), days), time.Since(began).Round(time.Millisecond))
+	fmt.Printf("%d days in %s\n", min(next.Load(), days), time.Since(startedAt).Round(time.Millisecond))
 	printResult(hunter.total)
 	if hunter.violating == nil {
 		return nil
@@ -181,14 +181,14 @@
 }
 
 func explore(_ context.Context, cmd *cli.Command) error {
-	began := time.Now()
+	startedAt := time.Now()
 	result := simulation.Explore(simulation.Bounds{States: cmd.Int("states"), Wipes: cmd.Int("wipes"), Powers: cmd.Int("powers"),
 		Withdrawals: cmd.Int("withdrawals"), Changes: cmd.Int("changes"), Losses: cmd.Int("losses"), Fault: cmd.String("fault")})
 	coverage := "all there are"
 	if result.Deeper {
 		coverage = "there are more"
 	}
-	fmt.Printf("%d states in %s, %s\n", result.States, time.Since(began).Round(time.Millisecond), coverage)
+	fmt.Printf("%d states in %s, %s\n", result.States, time.Since(startedAt).Round(time.Millisecond), coverage)
 	if result.Broken == "" {
 		return nil
 	}
--- a/internal/simulation/audit_membership.go
+++ b/internal/simulation/audit_membership.go
@@ -27,14 +27,14 @@
 
 // auditMembership holds a committed membership against those before it.
 func (w *cluster) auditMembership(e consensus.Entry) {
-	m, former := *e.Membership, w.membershipAudit.voters
+	m, previous := *e.Membership, w.membershipAudit.voters
 	switch {
-	case m.Epoch != former.Epoch+1 && former.Epoch > 0:
-		w.fail("MEMBERS: epoch %d follows %d", m.Epoch, former.Epoch)
-	case former.Joint() && (m.Joint() || !slices.Equal(m.Voters, former.Voters) && !slices.Equal(m.Voters, former.Next)):
-		w.fail("MEMBERS: %v follows the change to %v", m, former.Next)
-	case former.Epoch > 0 && !former.Joint() && !slices.Equal(m.Voters, former.Voters):
-		w.fail("MEMBERS: voters change from %v to %v without a joint membership", former.Voters, m.Voters)
+	case m.Epoch != previous.Epoch+1 && previous.Epoch > 0:
+		w.fail("MEMBERS: epoch %d follows %d", m.Epoch, previous.Epoch)
+	case previous.Joint() && (m.Joint() || !slices.Equal(m.Voters, previous.Voters) && !slices.Equal(m.Voters, previous.Next)):
+		w.fail("MEMBERS: %v follows the change to %v", m, previous.Next)
+	case previous.Epoch > 0 && !previous.Joint() && !slices.Equal(m.Voters, previous.Voters):
+		w.fail("MEMBERS: voters change from %v to %v without a joint membership", previous.Voters, m.Voters)
 	case len(m.Voters) < w.scenario.Members:
 		w.fail("MEMBERS: %d voters remain", len(m.Voters))
 	}
@@ -43,7 +43,7 @@
 			w.fail("MEMBERS: %s was voted out and is voted in again", id)
 		}
 	}
-	for _, id := range former.All() {
+	for _, id := range previous.All() {
 		if !m.Contains(id) {
 			w.membershipAudit.removed[id] = e.Term
 		}
--- a/internal/simulation/bookings.go
+++ b/internal/simulation/bookings.go
@@ -167,12 +167,12 @@
 
 // newAllocator begins a term. A former leader's leases have to run out before their slots are allocated anew.
 func (w *cluster) newAllocator(n *controller) {
-	began := w.now
+	startedAt := w.now
 	if w.scenario.PlantedFault == "a new dealer deals at once" {
-		began = -time.Hour
+		startedAt = -time.Hour
 	}
 	r := &n.reservations
-	r.allocator, r.readIndex, r.leaderProvenAt = reservation.NewAllocator(n.replica.Term(), began), 0, 0
+	r.allocator, r.readIndex, r.leaderProvenAt = reservation.NewAllocator(n.replica.Term(), startedAt), 0, 0
 }
 
 // announceReservations tells all controllers which reservations are held now.
--- a/internal/simulation/bounded_model.go
+++ b/internal/simulation/bounded_model.go
@@ -136,8 +136,8 @@
 
 func (s *boundedModel) setStores(i int) {
 	m := s.membership(i)
-	asks, done := s.Nodes[i].Coordinator.SetStores(s.Nodes[i].Identity, m.Voters, m.Next)
-	s.sendGrantRequests(i, asks)
+	requests, done := s.Nodes[i].Coordinator.SetStores(s.Nodes[i].Identity, m.Voters, m.Next)
+	s.sendGrantRequests(i, requests)
 	for _, out := range done {
 		s.finishClaim(i, out)
 	}
@@ -298,8 +298,8 @@
 		s.apply(x)
 	case "hedge":
 		s.Nodes[x].Hedged = true
-		asks, _ := s.Nodes[x].Coordinator.Tick(hedgeDelay + 1)
-		s.sendGrantRequests(x, asks)
+		requests, _ := s.Nodes[x].Coordinator.Tick(hedgeDelay + 1)
+		s.sendGrantRequests(x, requests)
 	case "copy":
 		s.requestCopies(x)
 	case "begin", "adopt", "abandon":
@@ -319,14 +319,14 @@
 func (s *boundedModel) wipe(i int) {
 	n := &s.Nodes[i]
 	n.Disks++
-	former := n.Identity
+	previous := n.Identity
 	n.Disk = smallDisk{Identity: membership.Identity(fmt.Sprint(i), uint64(n.Disks)), Blank: true}
 	if s.bounds.Fault == "grants with an empty disk" {
-		n.Disk = smallDisk{Identity: former}
+		n.Disk = smallDisk{Identity: previous}
 	}
 	s.start(i)
-	if n.Identity != former {
-		s.forget(former)
+	if n.Identity != previous {
+		s.forget(previous)
 	}
 }
 
@@ -349,10 +349,10 @@
 // apply takes the next committed membership over.
 func (s *boundedModel) apply(i int) {
 	n := &s.Nodes[i]
-	former := s.membership(i)
+	previous := s.membership(i)
 	n.Applied++
 	m := s.membership(i)
-	retired := former.Contains(n.Identity) && !m.Contains(n.Identity)
+	retired := previous.Contains(n.Identity) && !m.Contains(n.Identity)
 	if retired {
 		n.Store.BeginRecovery()
 	}
--- a/internal/simulation/bounded_model_claims.go
+++ b/internal/simulation/bounded_model_claims.go
@@ -77,8 +77,8 @@
 	}
 	n.Copied = append(slices.Clip(n.Copied), m.Identity)
 	slices.Sort(n.Copied)
-	former := consensus.Membership{Voters: s.membership(at).Voters}
-	w.Restored = former.Quorum(func(id string) bool { return slices.Contains(n.Copied, id) }) ||
+	previous := consensus.Membership{Voters: s.membership(at).Voters}
+	w.Restored = previous.Quorum(func(id string) bool { return slices.Contains(n.Copied, id) }) ||
 		s.bounds.Fault == "restored from one"
 	n.Writes = append(n.Writes, w)
 }
@@ -122,8 +122,8 @@
 
 func (s *boundedModel) handleGrantReply(at int, from string, r idempotency.Record, v idempotency.GrantReply,
 	holder idempotency.Record) {
-	asks, done := s.Nodes[at].Coordinator.HandleReply(from, r.Token, v, holder)
-	s.sendGrantRequests(at, asks)
+	requests, done := s.Nodes[at].Coordinator.HandleReply(from, r.Token, v, holder)
+	s.sendGrantRequests(at, requests)
 	if done != nil {
 		s.finishClaim(at, *done)
 	}
@@ -162,10 +162,10 @@
 	if !w.Retired {
 		return
 	}
-	former := n.Identity
+	previous := n.Identity
 	n.Disks++
 	n.Identity = membership.Identity(fmt.Sprint(at), uint64(n.Disks))
 	n.Disk.Identity, n.Disk.Blank = n.Identity, true
-	s.forget(former)
+	s.forget(previous)
 	s.setStores(at)
 }
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -142,10 +142,10 @@
 	e.pendingClaims[r.Token].requested++
 	n := w.controllers[at]
 	w.send(-1-e.n, at, func() {
-		life := e.incarnation
+		incarnation := e.incarnation
 		n.claims[r.Token] = func(ruling idempotency.Outcome) {
 			w.send(at, -1-e.n, func() {
-				if e.incarnation == life {
+				if e.incarnation == incarnation {
 					w.handleOutcome(e, r, ruling)
 				}
 			})
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -115,13 +115,13 @@
 }
 
 func (w *cluster) loseDisk(n *controller) {
-	former := n.disk
+	previous := n.disk
 	n.disk = emptyDisk()
 	switch w.scenario.PlantedFault {
 	case "votes with an empty disk":
-		n.disk.identity, n.disk.founders, n.disk.blank = former.identity, former.founders, true
+		n.disk.identity, n.disk.founders, n.disk.blank = previous.identity, previous.founders, true
 	case "an identity is used again":
-		n.disk.identity, n.disk.founders = former.identity, former.founders
+		n.disk.identity, n.disk.founders = previous.identity, previous.founders
 	case "grants with an empty disk":
 		w.identify(n)
 		n.disk.blank = false
@@ -162,8 +162,8 @@
 	w.processOutput(n)
 	w.completeReads(n)
 	w.auditLeader(n)
-	asks, done := n.coordinator.Tick(w.now)
-	w.sendGrantRequests(n, asks)
+	requests, done := n.coordinator.Tick(w.now)
+	w.sendGrantRequests(n, requests)
 	for _, o := range done {
 		w.finishClaim(n, o)
 	}
--- a/internal/simulation/links.go
+++ b/internal/simulation/links.go
@@ -328,15 +328,15 @@
 		if reply == nil {
 			return
 		}
-		answer := peer.FrameOf(reply...)
+		response := peer.FrameOf(reply...)
 		w.sendOnLink(k, to, func() {
 			if from < 0 {
-				w.updateEdgeServers(w.edges[-1-from], answer.Entries)
+				w.updateEdgeServers(w.edges[-1-from], response.Entries)
 			} else {
-				w.applyUpdate(w.controllers[from], to, answer.Entries, 0)
+				w.applyUpdate(w.controllers[from], to, response.Entries, 0)
 			}
-			if answer.Digests != nil {
-				if last := answer.Digests.Compare(w.registryOf(from), w.now); last != nil {
+			if response.Digests != nil {
+				if last := response.Digests.Compare(w.registryOf(from), w.now); last != nil {
 					w.sendOnLink(k, from, func() {
 						if to >= 0 {
 							w.applyUpdate(w.controllers[to], from, peer.FrameOf(last...).Entries, 0)
--- a/internal/simulation/membership.go
+++ b/internal/simulation/membership.go
@@ -54,10 +54,10 @@
 	if m.Epoch <= n.membership.Epoch {
 		return // the log is applied again after a start
 	}
-	former := n.membership
+	previous := n.membership
 	n.membership = m
 	drawn := "" // the next identity of a replica that is voted out
-	retired := former.Contains(n.identity) && !m.Contains(n.identity)
+	retired := previous.Contains(n.identity) && !m.Contains(n.identity)
 	switch {
 	case retired && w.scenario.PlantedFault == "a retired identity is kept", retired &&
 		w.scenario.PlantedFault == "a removed member grants":
@@ -91,8 +91,8 @@
 	if w.scenario.PlantedFault == "one ledger is enough" && len(voters) > 0 {
 		voters, next = []string{n.identity}, nil
 	}
-	asks, done := n.coordinator.SetStores(n.identity, voters, next)
-	w.sendGrantRequests(n, asks)
+	requests, done := n.coordinator.SetStores(n.identity, voters, next)
+	w.sendGrantRequests(n, requests)
 	for _, o := range done {
 		w.finishClaim(n, o)
 	}
@@ -119,8 +119,8 @@
 // handleStatus takes a controller's word. Another identity at its address means that its disk was lost, or that it was
 // voted out: what it granted to claims that are still open is not relied on.
 func (w *cluster) handleStatus(n, from *controller, s replicaStatus) {
-	if former, linked := n.replicaStatuses[from.n]; linked && former.identity != s.identity {
-		w.forgetGrants(n, former.identity)
+	if previous, linked := n.replicaStatuses[from.n]; linked && previous.identity != s.identity {
+		w.forgetGrants(n, previous.identity)
 	}
 	n.replicaStatuses[from.n] = s
 	for _, id := range slices.Sorted(maps.Keys(n.seenReplicas)) {
@@ -242,8 +242,8 @@
 	}
 	w.persistSurely(n, func(d *disk) { d.records = append(d.records, records...) }, func() {})
 	n.copiedFrom[from] = true
-	former := consensus.Membership{Voters: n.membership.Voters}
-	if !former.Quorum(func(id string) bool { return n.copiedFrom[id] }) && w.scenario.PlantedFault != "restored from one" {
+	previous := consensus.Membership{Voters: n.membership.Voters}
+	if !previous.Quorum(func(id string) bool { return n.copiedFrom[id] }) && w.scenario.PlantedFault != "restored from one" {
 		return
 	}
 	w.persistSurely(n, func(d *disk) { d.blank = false }, func() {
--- a/internal/simulation/reads.go
+++ b/internal/simulation/reads.go
@@ -25,12 +25,12 @@
 		return
 	}
 	n, acknowledged := w.readsFrom(), w.membershipAudit.newest
-	life := n.incarnation
+	incarnation := n.incarnation
 	way := time.Duration(1+w.rng.IntN(5)) * time.Millisecond
 	if w.rng.IntN(4) == 0 {
 		way += time.Duration(w.rng.IntN(400)) * time.Millisecond
 	}
-	w.scheduleAfter(way, func() { w.readFrom(n, life, acknowledged) })
+	w.scheduleAfter(way, func() { w.readFrom(n, incarnation, acknowledged) })
 }
 
 // readsFrom is whom an operator asks: any controller, or one that holds itself for the leader.
--- a/internal/simulation/shutdown.go
+++ b/internal/simulation/shutdown.go
@@ -123,12 +123,12 @@
 	if k == nil {
 		return
 	}
-	answers := n.keptResponses()
+	responses := n.keptResponses()
 	w.sendOnLink(k, n.n, func() {
-		for _, r := range answers {
+		for _, r := range responses {
 			to.claimStore.Complete(r, w.now)
 		}
-		w.persistSurely(to, func(d *disk) { d.records = append(d.records, answers...) }, func() {
+		w.persistSurely(to, func(d *disk) { d.records = append(d.records, responses...) }, func() {
 			if k.up {
 				w.sendOnLink(k, to.n, func() { n.shutdown.synced = true })
 			}
