Answer keyed repeats that race each other with the first run's response

Cause: two repeats of a key at once. Change: a store that is asked for the response of one claim gives that of another claim of the key that ran; records whose age is not known, since they were read from a disk or copied, speak for their own claim alone. Measured: the new test fails without the change (holder {1 2}) and passes with it; the package's tests pass in 5.8 s.

--- a/internal/control/idempotency/idempotency_test.go
+++ b/internal/control/idempotency/idempotency_test.go
@@ -38,6 +38,50 @@
 		Expect(put(s, idempotency.Record{Key: key, Token: token(2)}, 1)).To(Equal(idempotency.ReplyConflict))
 		Expect(put(s, idempotency.Record{Key: key, Token: token(1)}, 2)).To(Equal(idempotency.ReplyGranted))
 	})
+	It("answers repeats that race each other with the run that both are repeats of", func() {
+		answer := &idempotency.Response{Status: 200, Body: []byte("first")}
+		stores := map[string]*idempotency.Store{}
+		for _, id := range []string{"a", "b", "c"} {
+			stores[id] = idempotency.NewStore(window, false)
+		}
+		first := idempotency.Record{Key: key, Token: token(5)}
+		for _, id := range []string{"a", "b"} { // a majority
+			put(stores[id], first, 0)
+		}
+		first.Response = answer
+		stores["a"].Complete(first, 1)
+		// Two repeats at once, and whichever token is the smaller one: the one holds the key at the store that doesn't know the
+		// first claim, and the other is told of it.
+		for _, race := range [][2]idempotency.Token{{token(6), token(7)}, {token(2), token(1)}, {token(1), token(9)}} {
+			put(stores["c"], idempotency.Record{Key: key, Token: race[0]}, 2)
+			repeat := idempotency.Record{Key: key, Token: race[1]}
+			coordinator := idempotency.NewCoordinator([]string{"c", "a", "b"}, 20*time.Millisecond, time.Second)
+			var result *idempotency.Result
+			requests := coordinator.Start(repeat, 3)
+			for len(requests) > 0 && result == nil {
+				next := requests[0]
+				reply, holder, _ := stores[next.To].Grant(next.Record, 3)
+				var more []idempotency.GrantRequest
+				more, result = coordinator.HandleReply(next.To, repeat.Token, reply, holder)
+				requests = append(requests[1:], more...)
+			}
+			Expect(result.Outcome).To(Equal(idempotency.OutcomeConflict))
+			var found *idempotency.Response
+			for _, s := range stores {
+				if response := s.Response(key, result.Holder.Token); response != nil {
+					found = response
+				}
+			}
+			Expect(found).To(Equal(answer), "holder %v", result.Holder.Token)
+			stores["c"].Revoke(key, race[0], 4)
+		}
+	})
+	It("answers nobody with a run that may be of an earlier window", func() {
+		s := idempotency.NewStore(window, false)
+		s.Load(idempotency.Record{Key: key, Token: token(1), Response: &idempotency.Response{Status: 200}}, 0)
+		Expect(s.Response(key, token(1))).NotTo(BeNil())
+		Expect(s.Response(key, token(2))).To(BeNil())
+	})
 	It("takes the same key of another tenant for another operation", func() {
 		s := idempotency.NewStore(window, false)
 		put(s, idempotency.Record{Key: key, Token: token(1)}, 0)
--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -83,6 +83,7 @@
 	createdAt time.Duration
 	durable   bool
 	executed  bool // a response came, whether or not it is still kept
+	aged      bool // read from a disk or copied: how long it has been held is not known
 }
 
 type claimAge struct {
@@ -155,7 +156,8 @@
 			s.remove(c)
 		}
 	case c == nil || c.Token != r.Token:
-		s.insert(r, now).durable = true
+		c := s.insert(r, now)
+		c.durable, c.aged = true, true
 	default:
 		c.Copied, c.Contested = c.Copied || r.Copied, c.Contested || r.Contested
 		s.keepResponse(c, r.Response)
@@ -171,7 +173,7 @@
 	}
 	r.Copied = true
 	c := s.insert(r, now)
-	c.durable = true
+	c.durable, c.aged = true, true
 	return c.Record
 }
 
@@ -260,12 +262,16 @@
 	}
 }
 
-// Response gives the response of a claim's run; nil: there is none, or it is no longer kept.
+// Response gives the response of a claim's run; nil: there is none, or it is no longer kept. Where another claim of the key ran,
+// its response is given: within the window only one of them runs, and repeats that race each other may be told of one that
+// holds the key at a few stores and never ran. A record whose age is not known may be of an earlier window, and speaks for its own
+// claim alone.
 func (s *Store) Response(key Key, token Token) *Response {
-	if c := s.find(responseRef{key, token}); c != nil {
-		return c.Response
+	c := s.claims[key]
+	if c == nil || c.Token != token && c.aged {
+		return nil
 	}
-	return nil
+	return c.Response
 }
 
 // EachResponse hands out every kept response with its claim, in no order.
