Close no connection while its lock is held: a reset at that moment stopped an edge for good

Cause: where the client reset its connection between the look for unread bytes and the end of the stream, ending failed, and the connection was closed with its lock held. A close waits for the read that is under way, which waits for the lock. Change: reads are ended by their deadline instead, and net/http closes; it is told by an error that it takes for an end, since to others it answers 400. Measured: TestCloseAndAResetExcludeADeadlock fails within 10 s without the change, passes with it; edge and httpconn pass under the race detector.

--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -262,10 +262,10 @@
 	}
 }
 
-// Response gives the response of a claim's run; nil: there is none, or it is no longer kept. Where another claim of the key ran,
-// its response is given: within the window only one of them runs, and repeats that race each other may be told of one that
-// holds the key at a few stores and never ran. A record whose age is not known may be of an earlier window, and speaks for its own
-// claim alone.
+// Response gives the response of a claim's run; nil: there is none, or it is no longer kept. Where another claim of the key
+// ran, its response is given: within the window only one of them runs, and repeats that race each other may be told of one
+// that holds the key at a few stores and never ran. A record whose age is not known may be of an earlier window, and speaks
+// for its own claim alone.
 func (s *Store) Response(key Key, token Token) *Response {
 	c := s.claims[key]
 	if c == nil || c.Token != token && c.aged {
--- a/internal/platform/httpconn/conn.go
+++ b/internal/platform/httpconn/conn.go
@@ -18,6 +18,10 @@
 // connection as soon as they see its end; this is for those that don't, and for links that hold the news back.
 const lingerTimeout = 500 * time.Millisecond
 
+// errClosing is what net/http reads from a connection that was closed. Of this form it takes it for an end of the connection; to
+// other errors it would answer 400.
+var errClosing = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // Timeouts are how long a client may take. Both have to be above 0.
 type Timeouts struct {
 	Header time.Duration // for the head of a request, from its first byte on
@@ -84,7 +88,7 @@
 		case c.isClosing():
 			if err != nil {
 				c.observeClientEnd(err)
-				return 0, net.ErrClosed
+				return 0, errClosing
 			}
 		case err != nil && c.overruns(err): // once more
 		default:
@@ -244,16 +248,17 @@
 	unreadBytes                 // something has arrived that the process has not read
 )
 
-// endStream ends the stream to the client, or closes a connection that can't do that. The lock is held.
+// endStream ends the stream to the client. Where that can't be done, or has failed, nothing is waited for: the reads end at
+// once, and net/http closes the connection. It must not be closed here: the lock is held, and a close waits for a read that
+// waits for the lock.
 func (c *Conn) endStream() {
 	c.state, c.closedAt = stateClosing, time.Now()
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		closeConn(c.Conn)
-		return
+	until := c.closedAt
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		until = until.Add(lingerTimeout)
+		c.measured = !tcpstate.Readable(c.Conn)
 	}
-	_ = c.Conn.SetReadDeadline(c.closedAt.Add(lingerTimeout)) // a connection that is closed ends the reads all the same
-	c.measured = !tcpstate.Readable(c.Conn)
+	_ = c.Conn.SetReadDeadline(until) // a connection that is closed ends the reads all the same
 }
 
 // Close ends the connection for net/http, after a response or a failure. It ends the stream to the client, drops what still
--- a/internal/platform/httpconn/conn_test.go
+++ b/internal/platform/httpconn/conn_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -376,6 +377,74 @@
 	}
 }
 
+// heldSocket is a socket whose client has reset it: its close waits for reads that are under way, as that of a descriptor does.
+type heldSocket struct {
+	net.Conn
+	reading sync.Mutex
+	begun   chan struct{} // closed when a read has begun
+	woken   chan struct{} // closed when the reset wakes the reader
+}
+
+func (s *heldSocket) SyscallConn() (syscall.RawConn, error) { return s, nil }
+func (s *heldSocket) Control(func(fd uintptr)) error        { return nil }
+func (s *heldSocket) Write(func(fd uintptr) bool) error     { return nil }
+func (s *heldSocket) Readable() bool                        { return false }
+
+func (s *heldSocket) Read(f func(fd uintptr) bool) error {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	close(s.begun)
+	<-s.woken
+	f(^uintptr(0)) // reads nothing
+	return os.ErrDeadlineExceeded
+}
+
+func (s *heldSocket) CloseWrite() error {
+	close(s.woken)
+	return syscall.ENOTCONN
+}
+
+func (s *heldSocket) Close() error {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	return nil
+}
+
+// socketOf hides the methods of a heldSocket that net.Conn has otherwise.
+type socketOf struct {
+	*heldSocket
+	net.Conn
+}
+
+func (s socketOf) Close() error                { return s.heldSocket.Close() }
+func (s socketOf) Read([]byte) (int, error)    { return 0, os.ErrDeadlineExceeded }
+func (s socketOf) Write(p []byte) (int, error) { return s.Conn.Write(p) }
+
+// A close that fails, since the client has just reset the connection, doesn't wait for a read that waits for the close.
+func TestCloseAndAResetExcludeADeadlock(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	socket := socketOf{&heldSocket{woken: make(chan struct{}), begun: make(chan struct{})}, near}
+	conn := newConn(socket, NewTracker(1), testTimeouts)
+	ended := make(chan struct{}, 2)
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		ended <- struct{}{}
+	}()
+	<-socket.begun
+	go func() {
+		conn.closeIfIdle()
+		ended <- struct{}{}
+	}()
+	for range 2 {
+		select {
+		case <-ended:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the read and the close wait for each other")
+		}
+	}
+}
+
 // failingListener fails before it has a connection.
 type failingListener struct{ net.Listener }
 
