--- a/review/harness/case_wipe.go
+++ b/review/harness/case_wipe.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	wipeKeys       = 20              // operations at each edge
-	downTime       = 3 * time.Second // as long as the users' small sites keep a machine down that loses its disk
+	wipeKeys = 20 // operations at each edge
+	// downTime is how long a controller is down; the users' small sites keep a machine that loses its disk down for 3 s.
+	downTime       = 1500 * time.Millisecond
 	restTime       = 15 * time.Second
 	allowedDenials = 3 // the rule is broken by repeats of more keys
 )
