Review: kill the starting core in the middle of a wider window

Cause: a kill 40 ms after the start may miss the opening of the file on a machine that starts programs slowly.

--- a/review/harness/case_kills.go
+++ b/review/harness/case_kills.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// The keyed operations that the stores hold when the kills begin: the keyed traffic of Sagamie's grown fleet for half of
-	// its key window, which is 60 s.
+	// The keyed operations that the stores hold when the kills begin: the keyed traffic of Sagamie's grown fleet for three
+	// quarters of its key window, which is 60 s.
 	loadRate    = 667 // operations a second
-	loadTime    = 30 * time.Second
+	loadTime    = 45 * time.Second
 	loadClients = 120
 	loadPrefix  = "load-" // of their keys; they are recorded by their number only
 
 	recordedKeys = 5 // operations that are recorded, and sent again at the end
 
 	kills        = 5
-	killAfter    = 40 * time.Millisecond  // from the start of the controllers to the kill of all of them
+	killAfter    = 50 * time.Millisecond  // from the start of the controllers to the kill of all of them
 	restartDelay = 300 * time.Millisecond // from the kill of the controllers to their next start
 	loadCount    = loadRate * int(loadTime/time.Second)
 	recoveryTime = 25 * time.Second // over recovery_s
