Log and count where the response of a repeated operation was looked for

Change: the lookup moves from claims.go to responses.go. A repeat without a response logs "response not found" with the key, the incarnation of the edge that ran it, the controller that the response was sent to, and who was asked and replied, 20 lines a second at most. mulleinwood_responses_total counts responses that were sent, stored, found and not found. "edge starts" and "link up" name the incarnation; "controller starts" and "claims copied" say how many responses the store holds.

--- a/internal/control/controller/claims.go
+++ b/internal/control/controller/claims.go
@@ -21,16 +21,10 @@
 	claimHedgeDelay = 20 * time.Millisecond
 	// claimTimeout is how long a claim may stay undecided. The timeout at the edges is a little longer.
 	claimTimeout = 900 * time.Millisecond
-	// responseQueryTimeout is how long to wait for the other controllers' replies to a response query.
-	responseQueryTimeout = 300 * time.Millisecond
 	// copyInterval is how often the claims of other stores are requested while they are being copied.
 	copyInterval = 200 * time.Millisecond
 	// maxChunkClaims is the maximum number of claims per message when a store is copied.
 	maxChunkClaims = 2000
-	// responseMemoryShare and responseDiskShare limit the responses' share of the machine's memory and disk. Space freed
-	// in the file is reused only once no older transaction needs it: in the worst case a quarter of the disk fills all of it.
-	responseMemoryShare = 0.25
-	responseDiskShare   = 0.25
 )
 
 // membershipState provides the membership to the claims service.
@@ -54,30 +48,24 @@
 	members     membershipState
 	store       *idempotency.Store
 	coordinator *idempotency.Coordinator
+	responses   *responseService
 
 	claimants  map[idempotency.Token]*remote // links that receive the outcome
-	queries    map[idempotency.Token]*responseQuery
-	copiedFrom map[string]bool // replicas whose claims were copied for the change in progress
+	copiedFrom map[string]bool               // replicas whose claims were copied for the change in progress
 	nextCopy   time.Duration
 	onSynced   func() // called when the handed-over responses are durable at the peer
 }
 
-// responseQuery is a pending query for a response that another controller may keep.
-type responseQuery struct {
-	deadline time.Duration
-	pending  int // number of controllers that have not replied
-	done     func(*idempotency.Response)
-}
-
 func newClaimsService(env *node.Env, w *writer, links *linkTable, members membershipState, state *storage.State) *claimsService {
 	s := &claimsService{Env: env, writer: w, links: links, members: members, claimants: map[idempotency.Token]*remote{},
-		queries: map[idempotency.Token]*responseQuery{}, copiedFrom: map[string]bool{}, onSynced: func() {}}
+		copiedFrom: map[string]bool{}, onSynced: func() {}}
 	s.store = idempotency.NewStore(keyWindow(env), state.Recovering)
 	s.store.SetMaxResponseBytes(maxResponseBytes(env))
 	for _, r := range state.Claims {
 		s.store.Load(r, env.Now())
 	}
 	s.coordinator = idempotency.NewCoordinator(nil, claimHedgeDelay, claimTimeout)
+	s.responses = newResponseService(env, w, links, s.store)
 	return s
 }
 
@@ -86,15 +74,6 @@
 	return env.Settings.Seconds("key_window_s", defaultKeyWindow) + keyWindowSlack
 }
 
-// maxResponseBytes returns the limit for the stored responses of keyed operations, in memory and on disk, in bytes.
-func maxResponseBytes(env *node.Env) int64 {
-	megabytes := responseMemoryShare * env.Settings.Limits.MemoryMB
-	if disk := env.Settings.Limits.DiskMB; disk > 0 {
-		megabytes = min(megabytes, responseDiskShare*disk)
-	}
-	return int64(megabytes * (1 << 20))
-}
-
 func (s *claimsService) tick(now time.Duration) {
 	requests, results := s.coordinator.Tick(now)
 	s.sendGrantRequests(requests)
@@ -102,16 +81,6 @@
 	s.store.Expire(now)
 }
 
-// expireQueries completes queries that timed out, without a response.
-func (s *claimsService) expireQueries(now time.Duration) {
-	for token, q := range s.queries {
-		if now > q.deadline {
-			delete(s.queries, token)
-			q.done(nil)
-		}
-	}
-}
-
 // handleMessage handles a peer's message about claims.
 func (s *claimsService) handleMessage(p *remote, m peer.Message) {
 	switch m := m.(type) {
@@ -124,11 +93,11 @@
 	case peer.Revocations:
 		s.handleRevocations(p, m)
 	case peer.Responses:
-		s.handleResponses(p, m)
+		s.responses.handleResponses(p, m)
 	case peer.ResponseQueries:
-		s.handleResponseQueries(p, m)
+		s.responses.handleQueries(p, m)
 	case peer.ResponseReplies:
-		s.handleResponseReplies(m)
+		s.responses.handleReplies(p, m)
 	case peer.CopyRequest:
 		s.handleCopyRequest(p, m)
 	case peer.ClaimsCopy:
@@ -248,37 +217,7 @@
 		done(nil)
 		return
 	}
-	s.findResponse(result.Holder, done)
-}
-
-// findResponse looks up the response of a claim's run and calls done with it, or with nil if there is none. The response
-// is kept by the controller that the claimant was attached to when it arrived. That is usually the claim's ResponseHolder,
-// but not always, so all controllers are asked at once.
-func (s *claimsService) findResponse(claim idempotency.Record, done func(*idempotency.Response)) {
-	if response := s.store.Response(claim.Key, claim.Token); response != nil {
-		done(response)
-		return
-	}
-	if len(s.links.controllers) == 0 {
-		done(nil)
-		return
-	}
-	done = s.joinQuery(claim.Token, done)
-	s.links.sendToControllers(peer.ResponseQueries{{Key: claim.Key, Token: claim.Token}})
-	s.queries[claim.Token] = &responseQuery{deadline: s.Now() + responseQueryTimeout, pending: len(s.links.controllers),
-		done: done}
-}
-
-// joinQuery returns a callback that also completes a pending query for the same response, so that one query serves all
-// callers.
-func (s *claimsService) joinQuery(token idempotency.Token, done func(*idempotency.Response)) func(*idempotency.Response) {
-	if q, ok := s.queries[token]; ok {
-		return func(response *idempotency.Response) {
-			q.done(response)
-			done(response)
-		}
-	}
-	return done
+	s.responses.find(result.Holder, done)
 }
 
 // handleRevocations revokes claims: at all stores if an edge sent them, only here if another controller forwarded them.
@@ -308,43 +247,6 @@
 	}
 }
 
-// handleResponses stores the responses of completed operations. Responses that a controller hands over while it shuts down
-// may be the only copies, so their writes are retried until they succeed.
-func (s *claimsService) handleResponses(p *remote, responses peer.Responses) {
-	for _, r := range responses {
-		if r.Response == nil {
-			continue
-		}
-		r.ResponseHolder = s.Settings.IP
-		s.store.Complete(r, s.Now())
-		if p.edge {
-			s.writer.writeClaim(r, nil)
-		} else {
-			s.writer.write(&storage.Batch{Claims: []idempotency.Record{r}}, nil)
-		}
-	}
-}
-
-func (s *claimsService) handleResponseQueries(p *remote, queries peer.ResponseQueries) {
-	for _, r := range queries {
-		r.Response = s.store.Response(r.Key, r.Token)
-		p.link.Send(peer.ResponseReplies{r})
-	}
-}
-
-func (s *claimsService) handleResponseReplies(replies peer.ResponseReplies) {
-	for _, r := range replies {
-		q, ok := s.queries[r.Token]
-		if !ok {
-			continue
-		}
-		if q.pending--; r.Response != nil || q.pending <= 0 {
-			delete(s.queries, r.Token)
-			q.done(r.Response)
-		}
-	}
-}
-
 // setStores sets the coordinator's claim stores to those of the current membership.
 func (s *claimsService) setStores() {
 	m := s.members.membership()
@@ -433,7 +335,7 @@
 			return // the change has ended in the meantime, or recovery is already finished
 		}
 		s.store.FinishRecovery()
-		s.LogEvent("claims copied", "keys", s.store.Len(), "epoch", epoch)
+		s.LogEvent("claims copied", "keys", s.store.Len(), "responses", s.store.ResponseCount(), "epoch", epoch)
 		s.members.announceStatus()
 	})
 }
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -12,6 +12,7 @@
 //	memberService       the voters and this replica's identity
 //	linkTable           links to edges and controllers; session.go dials, accepts and dispatches
 //	claimsService       claims of keyed operations
+//	responseService     responses of keyed operations, for repeats
 //	registrar           the server registry
 //	weightService       server weights, for the edges
 //	reservationService  booked capacity
@@ -98,7 +99,8 @@
 	go c.serveControl()
 	go c.acceptLinks(linkCtx, inner)
 	c.LogEvent("controller starts", "node", c.Settings.Node, "zone", c.Settings.Zone, "identity", c.members.identity,
-		"epoch", c.members.current.Epoch, "voters", strings.Join(c.members.current.Voters, " "))
+		"epoch", c.members.current.Epoch, "voters", strings.Join(c.members.current.Voters, " "),
+		"keys", c.claims.store.Len(), "responses", c.claims.store.ResponseCount())
 	go func() {
 		for range config.Reloads {
 			c.runOnOwner(c.reload)
@@ -269,7 +271,7 @@
 	c.continueShutdown(now)
 	c.sendSummaries(now)
 	c.consensus.expireProposals(now)
-	c.claims.expireQueries(now)
+	c.claims.responses.expireQueries(now)
 	c.servers.broadcaster.Tick(now)
 	c.weights.push(now)
 	c.reservations.allocate(now)
--- /dev/null
+++ b/internal/control/controller/responses.go
@@ -0,0 +1,196 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"mulleinwood/internal/control/idempotency"
+	"mulleinwood/internal/control/storage"
+	"mulleinwood/internal/node"
+	"mulleinwood/internal/peer"
+)
+
+const (
+	// responseQueryTimeout is how long to wait for the other controllers' replies to a response query.
+	responseQueryTimeout = 300 * time.Millisecond
+	// missingResponseLogInterval and maxMissingResponseLogs limit the log lines about responses that were not found: repeats
+	// of operations that are still running are ordinary.
+	missingResponseLogInterval = time.Second
+	maxMissingResponseLogs     = 20
+	// responseMemoryShare and responseDiskShare limit the responses' share of the machine's memory and disk. Space freed
+	// in the file is reused only once no older transaction needs it: in the worst case a quarter of the disk fills all of it.
+	responseMemoryShare = 0.25
+	responseDiskShare   = 0.25
+)
+
+// responseService stores the responses of keyed operations, and looks them up for repeats, here and at other controllers.
+type responseService struct {
+	*node.Env
+	writer  *writer
+	links   *linkTable
+	store   *idempotency.Store
+	queries map[idempotency.Token]*responseQuery
+	missing missingResponseLog
+}
+
+// responseQuery is a pending query for a response that another controller may keep.
+type responseQuery struct {
+	claim    idempotency.Record
+	deadline time.Duration
+	asked    []string // IPs of the controllers that were asked
+	replied  []string // IPs of those that replied without a response
+	done     func(*idempotency.Response)
+}
+
+func newResponseService(env *node.Env, w *writer, links *linkTable, store *idempotency.Store) *responseService {
+	return &responseService{Env: env, writer: w, links: links, store: store,
+		queries: map[idempotency.Token]*responseQuery{}}
+}
+
+// maxResponseBytes returns the limit for the stored responses of keyed operations, in memory and on disk, in bytes.
+func maxResponseBytes(env *node.Env) int64 {
+	megabytes := responseMemoryShare * env.Settings.Limits.MemoryMB
+	if disk := env.Settings.Limits.DiskMB; disk > 0 {
+		megabytes = min(megabytes, responseDiskShare*disk)
+	}
+	return int64(megabytes * (1 << 20))
+}
+
+// handleResponses stores the responses of completed operations. Responses that a controller hands over while it shuts down
+// may be the only copies, so their writes are retried until they succeed.
+func (s *responseService) handleResponses(p *remote, responses peer.Responses) {
+	for _, r := range responses {
+		if r.Response == nil {
+			continue
+		}
+		r.ResponseHolder = s.Settings.IP
+		s.store.Complete(r, s.Now())
+		s.count(metricStored)
+		if p.edge {
+			s.writer.writeClaim(r, nil)
+		} else {
+			s.writer.write(&storage.Batch{Claims: []idempotency.Record{r}}, nil)
+		}
+	}
+}
+
+// find looks up the response of a claim's run and calls done with it, or with nil if there is none. The response is kept by
+// the controller that the claimant was attached to when it arrived. That is usually the claim's ResponseHolder, but not
+// always, so all controllers are asked at once.
+func (s *responseService) find(claim idempotency.Record, done func(*idempotency.Response)) {
+	if response := s.store.Response(claim.Key, claim.Token); response != nil {
+		s.count(metricFoundHere)
+		done(response)
+		return
+	}
+	query := &responseQuery{claim: claim, deadline: s.Now() + responseQueryTimeout, done: s.joinQuery(claim.Token, done)}
+	for ip := range s.links.controllers {
+		query.asked = append(query.asked, ip)
+	}
+	if len(query.asked) == 0 {
+		s.finishQuery(query, nil)
+		return
+	}
+	s.queries[claim.Token] = query
+	s.links.sendToControllers(peer.ResponseQueries{{Key: claim.Key, Token: claim.Token}})
+}
+
+// joinQuery returns a callback that also completes a pending query for the same response, so that one query serves all
+// callers.
+func (s *responseService) joinQuery(token idempotency.Token,
+	done func(*idempotency.Response)) func(*idempotency.Response) {
+	if q, ok := s.queries[token]; ok {
+		return func(response *idempotency.Response) {
+			q.done(response)
+			done(response)
+		}
+	}
+	return done
+}
+
+// handleQueries answers another controller's queries.
+func (s *responseService) handleQueries(p *remote, queries peer.ResponseQueries) {
+	for _, r := range queries {
+		r.Response = s.store.Response(r.Key, r.Token)
+		p.link.Send(peer.ResponseReplies{r})
+	}
+}
+
+// handleReplies completes the queries to which a response was found, or that all controllers answered.
+func (s *responseService) handleReplies(p *remote, replies peer.ResponseReplies) {
+	for _, r := range replies {
+		q, ok := s.queries[r.Token]
+		if !ok {
+			continue
+		}
+		q.replied = append(q.replied, p.ip)
+		if r.Response != nil || len(q.replied) >= len(q.asked) {
+			s.finishQuery(q, r.Response)
+		}
+	}
+}
+
+// expireQueries completes queries that timed out, without a response.
+func (s *responseService) expireQueries(now time.Duration) {
+	for _, q := range s.queries {
+		if now > q.deadline {
+			s.finishQuery(q, nil)
+		}
+	}
+}
+
+// finishQuery completes a query with the response that was found, or with nil.
+func (s *responseService) finishQuery(q *responseQuery, response *idempotency.Response) {
+	delete(s.queries, q.claim.Token)
+	if response != nil {
+		s.count(metricFoundElsewhere)
+	} else {
+		s.count(metricNotFound)
+		s.logMissing(q)
+	}
+	q.done(response)
+}
+
+// logMissing logs where a response was looked for, unless too many such lines were logged. Token.Incarnation is that of the
+// edge that ran the operation, or still runs it.
+func (s *responseService) logMissing(q *responseQuery) {
+	if !s.missing.allow(s.Now()) {
+		return
+	}
+	slices.Sort(q.asked)
+	slices.Sort(q.replied)
+	s.LogEvent("response not found", "key", q.claim.Key, "edge_incarnation", q.claim.Token.Incarnation,
+		"sequence", q.claim.Token.Sequence, "holder", q.claim.ResponseHolder, "asked", strings.Join(q.asked, " "),
+		"replied", strings.Join(q.replied, " "))
+}
+
+// missingResponseLog limits the number of log lines in each missingResponseLogInterval.
+type missingResponseLog struct {
+	intervalStart time.Duration
+	logged        int
+}
+
+// allow reports whether another line may be logged now, and counts it.
+func (l *missingResponseLog) allow(now time.Duration) bool {
+	if now-l.intervalStart >= missingResponseLogInterval {
+		l.intervalStart, l.logged = now, 0
+	}
+	l.logged++
+	return l.logged <= maxMissingResponseLogs
+}
+
+// responseMetric is the label of a counted event.
+type responseMetric string
+
+// The counted events of responses.
+const (
+	metricStored         responseMetric = "stored"
+	metricFoundHere      responseMetric = "found_here"
+	metricFoundElsewhere responseMetric = "found_elsewhere"
+	metricNotFound       responseMetric = "not_found"
+)
+
+func (s *responseService) count(event responseMetric) {
+	s.Metrics.Responses.WithLabelValues(string(event)).Inc()
+}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -133,7 +133,7 @@
 	}
 	c.reservations.announceTo(p)
 	c.servers.broadcaster.AddPeer(p.peerName(), p.edge)
-	c.LogEvent("link up", "node", p.node, "ip", p.ip, "edge", p.edge)
+	c.LogEvent("link up", "node", p.node, "ip", p.ip, "edge", p.edge, "incarnation", p.incarnation)
 	c.sendSnapshot(p, h.Version)
 	if p.edge {
 		c.weights.tables.Join(p.ip, p.zone)
--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -2,12 +2,16 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"time"
 )
 
 // Key identifies an operation. It is a hash of the tenant and the tenant's idempotency key.
 type Key [16]byte
 
+// String returns the key in hexadecimal, as in log lines.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
 // KeyOf returns the Key of a tenant's idempotency key. Equal keys of different tenants identify different operations.
 func KeyOf(tenant, key string) Key {
 	h := sha256.New()
@@ -205,6 +209,12 @@
 // Len returns the number of claims held.
 func (s *Store) Len() int { return len(s.claims) }
 
+// ResponseCount returns the number of responses held.
+func (s *Store) ResponseCount() (count int) {
+	s.EachResponse(func(Record) { count++ })
+	return count
+}
+
 // Grant requests a claim. If mustStore is true, the caller must make the claim durable before it sends ReplyGranted, and then
 // call MarkDurable or MarkFailed. With ReplyConflict holder is the claim that holds the key.
 func (s *Store) Grant(r Record, now time.Duration) (reply GrantReply, holder Record, mustStore bool) {
--- a/internal/edge/proxy/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -225,7 +225,11 @@
 // loses its disk. Responses older than the key window are dropped, and so are the oldest beyond maxStoredBytes.
 func (t *claimTracker) complete(claim idempotency.Record, response *idempotency.Response) {
 	r := idempotency.Record{Key: claim.Key, Token: claim.Token, Response: response}
-	t.controllers.send(peer.Responses{r})
+	if t.controllers.send(peer.Responses{r}) {
+		t.Metrics.Responses.WithLabelValues("sent").Inc()
+	} else {
+		t.Metrics.Responses.WithLabelValues("unsent").Inc()
+	}
 	now, window := t.Now(), t.Settings.Seconds("key_window_s", defaultKeyWindowSeconds)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -95,7 +95,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout}
 	go p.serve(func() error { return p.clients.serve(listener) })
 	go p.serve(func() error { return probe.Serve(readiness) })
-	p.LogEvent("edge starts", "node", p.Settings.Node, "zone", p.Settings.Zone)
+	p.LogEvent("edge starts", "node", p.Settings.Node, "zone", p.Settings.Zone, "incarnation", p.Incarnation)
 	sessionCtx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // the session is needed until the end of the shutdown
 	defer cancel()
 	go p.session.run(sessionCtx)
--- a/internal/platform/metrics/metrics.go
+++ b/internal/platform/metrics/metrics.go
@@ -23,6 +23,9 @@
 	Attempts *prometheus.CounterVec // by outcome
 	Claims   *prometheus.CounterVec // by outcome
 	Syncs    prometheus.Histogram   // seconds
+	// Responses counts events of the stored responses of keyed operations. At a controller: stored, found_here,
+	// found_elsewhere, not_found. At an edge: sent, and unsent while it is attached to no controller.
+	Responses *prometheus.CounterVec
 
 	ClientsLeft   *prometheus.CounterVec // by what their request was waiting for
 	AbandonedWork prometheus.Histogram   // seconds
@@ -39,10 +42,11 @@
 		return c
 	}
 	m := &Metrics{registry: r,
-		Requests: vec("requests_total", "Requests that were answered, by kind of route and status.", "kind", "status"),
-		Failures: vec("given_up_total", "Requests and calls that were refused or failed, by kind of error.", "error"),
-		Attempts: vec("tries_total", "Attempts at servers, by outcome.", "ending"),
-		Claims:   vec("claims_total", "Claims of keyed operations, by outcome.", "ruling"),
+		Requests:  vec("requests_total", "Requests that were answered, by kind of route and status.", "kind", "status"),
+		Failures:  vec("given_up_total", "Requests and calls that were refused or failed, by kind of error.", "error"),
+		Attempts:  vec("tries_total", "Attempts at servers, by outcome.", "ending"),
+		Claims:    vec("claims_total", "Claims of keyed operations, by outcome.", "ruling"),
+		Responses: vec("responses_total", "Events of the stored responses of keyed operations.", "event"),
 		Syncs: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "mulleinwood", Name: "sync_seconds",
 			Help:        "Duration of writes to disk, in seconds.",
 			ConstLabels: labels, Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .25, 1, 4}}),
