Keep the response of a keyed operation on a majority of the claim stores

Cause: an edge sent each response once, to its own controller, which alone stored it. The edge's own copy was sent again only to a controller whose handshake said "recovering"; an edge returns to a controller only after it is back in contact, when that is over. So the loss of one disk lost them, and so did a message that was queued on a dying link, or a response that came while the edge was attached to no controller.

Change: the controller that gets a response from an edge sends it on to as many claim stores as form a majority, by the coordinator that collects grants, with its fence of epochs and its majorities of both sets of voters during a change. A store replies once the record is durable; it is written with the next record that somebody waits for, within 0.1 s, so that no sync is added. The edge is told of a majority and buffers the response until then: it sends it again at once to another controller, else after 1, 2, 4 s and so on, and waits 0.5 s for the confirmation before it ends. A response that the limit of the file leaves out is not confirmed.

Why this works: what a majority holds, the loss of a minority can't take.

TestAnswersOfAnEdge is unchanged.

--- a/internal/control/controller/claims.go
+++ b/internal/control/controller/claims.go
@@ -65,7 +65,7 @@
 		s.store.Load(r, env.Now())
 	}
 	s.coordinator = idempotency.NewCoordinator(nil, claimHedgeDelay, claimTimeout)
-	s.responses = newResponseService(env, w, links, s.store)
+	s.responses = newResponseService(env, w, links, members, s.store)
 	return s
 }
 
@@ -79,6 +79,7 @@
 	s.sendGrantRequests(requests)
 	s.finishClaims(results)
 	s.store.Expire(now)
+	s.responses.tick(now)
 }
 
 // handleMessage handles a peer's message about claims.
@@ -92,12 +93,6 @@
 		s.handleGrantReplies(p, m)
 	case peer.Revocations:
 		s.handleRevocations(p, m)
-	case peer.Responses:
-		s.responses.handleResponses(p, m)
-	case peer.ResponseQueries:
-		s.responses.handleQueries(p, m)
-	case peer.ResponseReplies:
-		s.responses.handleReplies(p, m)
 	case peer.CopyRequest:
 		s.handleCopyRequest(p, m)
 	case peer.ClaimsCopy:
@@ -106,6 +101,8 @@
 		s.writer.write(&storage.Batch{}, func() { p.link.Send(peer.SyncReply(m)) })
 	case peer.SyncReply:
 		s.onSynced()
+	default:
+		s.responses.handleMessage(p, m)
 	}
 }
 
@@ -247,18 +244,20 @@
 	}
 }
 
-// setStores sets the coordinator's claim stores to those of the current membership.
+// setStores sets the coordinators' claim stores to those of the current membership.
 func (s *claimsService) setStores() {
 	m := s.members.membership()
 	requests, results := s.coordinator.SetStores(s.members.ownIdentity(), m.Voters, m.Next)
 	s.sendGrantRequests(requests)
 	s.finishClaims(results)
+	s.responses.replication.setStores()
 }
 
-// forgetGrants discards a replica's grants for undecided claims. It is called when the replica lost its disk or was voted
-// out.
+// forgetGrants discards a replica's grants for undecided claims and its confirmations of responses. It is called when the
+// replica lost its disk or was voted out.
 func (s *claimsService) forgetGrants(identity string) {
 	s.finishClaims(s.coordinator.DiscardGrants(identity))
+	s.responses.replication.forgetConfirmations(identity)
 }
 
 // restartCopy starts copying the claims of the other stores from the beginning.
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -271,7 +271,6 @@
 	c.continueShutdown(now)
 	c.sendSummaries(now)
 	c.consensus.expireProposals(now)
-	c.claims.responses.expireQueries(now)
 	c.servers.broadcaster.Tick(now)
 	c.weights.push(now)
 	c.reservations.allocate(now)
--- a/internal/control/controller/harness_test.go
+++ b/internal/control/controller/harness_test.go
@@ -86,8 +86,12 @@
 
 // start starts a controller on the disk in dir. It dials no other controller.
 func start(t *testing.T, ip, dir string, first bool) *testController {
+	return startIncarnation(t, ip, dir, first, 99)
+}
+
+func startIncarnation(t *testing.T, ip, dir string, first bool, incarnation uint64) *testController {
 	h := &testController{t: t, g: NewWithT(t), dir: dir, log: &logRecorder{}}
-	c := newController(node.Config{Settings: testSettings(t, ip, dir, first), Logger: log.NewLogfmtLogger(h.log)}, 99)
+	c := newController(node.Config{Settings: testSettings(t, ip, dir, first), Logger: log.NewLogfmtLogger(h.log)}, incarnation)
 	c.summaries.next = time.Nanosecond // not 0: the first summary would dial the known controllers
 	h.Controller = c
 	h.g.Expect(c.open()).To(Succeed())
--- a/internal/control/controller/responses.go
+++ b/internal/control/controller/responses.go
@@ -24,14 +24,16 @@
 	responseDiskShare   = 0.25
 )
 
-// responseService stores the responses of keyed operations, and looks them up for repeats, here and at other controllers.
+// responseService keeps the responses of keyed operations for repeats: it replicates them, and looks them up here and at other
+// controllers.
 type responseService struct {
 	*node.Env
-	writer  *writer
-	links   *linkTable
-	store   *idempotency.Store
-	queries map[idempotency.Token]*responseQuery
-	missing missingResponseLog
+	writer      *writer
+	links       *linkTable
+	store       *idempotency.Store
+	replication *responseReplication
+	queries     map[idempotency.Token]*responseQuery
+	missing     missingResponseLog
 }
 
 // responseQuery is a pending query for a response that another controller may keep.
@@ -43,9 +45,11 @@
 	done     func(*idempotency.Response)
 }
 
-func newResponseService(env *node.Env, w *writer, links *linkTable, store *idempotency.Store) *responseService {
-	return &responseService{Env: env, writer: w, links: links, store: store,
-		queries: map[idempotency.Token]*responseQuery{}}
+func newResponseService(env *node.Env, w *writer, links *linkTable, members membershipState,
+	store *idempotency.Store) *responseService {
+	s := &responseService{Env: env, writer: w, links: links, store: store, queries: map[idempotency.Token]*responseQuery{}}
+	s.replication = newResponseReplication(env, w, links, members, store)
+	return s
 }
 
 // maxResponseBytes returns the limit for the stored responses of keyed operations, in memory and on disk, in bytes.
@@ -57,27 +61,47 @@
 	return int64(megabytes * (1 << 20))
 }
 
-// handleResponses stores the responses of completed operations. Responses that a controller hands over while it shuts down
-// may be the only copies, so their writes are retried until they succeed.
+// handleMessage handles a peer's message about responses.
+func (s *responseService) handleMessage(p *remote, m peer.Message) {
+	switch m := m.(type) {
+	case peer.Responses:
+		s.handleResponses(p, m)
+	case peer.ResponseCopies:
+		s.replication.handleCopies(p, m)
+	case peer.ResponseCopyReplies:
+		s.replication.handleReplies(p, m)
+	case peer.ResponseQueries:
+		s.handleQueries(p, m)
+	case peer.ResponseReplies:
+		s.handleReplies(p, m)
+	}
+}
+
+func (s *responseService) tick(now time.Duration) {
+	s.replication.tick(now)
+	s.expireQueries(now)
+}
+
+// handleResponses replicates the responses of operations that an edge completed, and stores those that a controller hands
+// over while it shuts down. The latter may be the only copies, so their writes are retried until they succeed.
 func (s *responseService) handleResponses(p *remote, responses peer.Responses) {
 	for _, r := range responses {
 		if r.Response == nil {
 			continue
 		}
-		r.ResponseHolder = s.Settings.IP
-		s.store.Complete(r, s.Now())
-		s.count(metricStored)
+		s.count(metricReceived)
 		if p.edge {
-			s.writer.writeClaim(r, nil)
-		} else {
-			s.writer.write(&storage.Batch{Claims: []idempotency.Record{r}}, nil)
+			s.replication.start(p, r)
+			continue
 		}
+		r.ResponseHolder = s.Settings.IP
+		s.store.Complete(r, s.Now())
+		s.writer.write(&storage.Batch{Claims: []idempotency.Record{r}}, nil)
 	}
 }
 
-// find looks up the response of a claim's run and calls done with it, or with nil if there is none. The response is kept by
-// the controller that the claimant was attached to when it arrived. That is usually the claim's ResponseHolder, but not
-// always, so all controllers are asked at once.
+// find looks up the response of a claim's run and calls done with it, or with nil if there is none. A majority of the claim
+// stores holds it, but not always this one, so all controllers are asked at once.
 func (s *responseService) find(claim idempotency.Record, done func(*idempotency.Response)) {
 	if response := s.store.Response(claim.Key, claim.Token); response != nil {
 		s.count(metricFoundHere)
@@ -109,12 +133,14 @@
 	return done
 }
 
-// handleQueries answers another controller's queries.
+// handleQueries answers the first of another controller's queries, as many as fit into a frame.
 func (s *responseService) handleQueries(p *remote, queries peer.ResponseQueries) {
-	for _, r := range queries {
+	replies := make([]idempotency.Record, len(queries))
+	for i, r := range queries {
 		r.Response = s.store.Response(r.Key, r.Token)
-		p.link.Send(peer.ResponseReplies{r})
+		replies[i] = r
 	}
+	p.link.Send(peer.ResponseReplies(chunkResponses(replies, maxReplicationFrameBytes)[0]))
 }
 
 // handleReplies completes the queries to which a response was found, or that all controllers answered.
@@ -185,7 +211,7 @@
 
 // The counted events of responses.
 const (
-	metricStored         responseMetric = "stored"
+	metricReceived       responseMetric = "received"
 	metricFoundHere      responseMetric = "found_here"
 	metricFoundElsewhere responseMetric = "found_elsewhere"
 	metricNotFound       responseMetric = "not_found"
--- a/internal/control/controller/writer.go
+++ b/internal/control/controller/writer.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"mulleinwood/internal/control/idempotency"
@@ -29,6 +30,7 @@
 	afterBatches  []func()
 	claims        []idempotency.Record
 	afterClaims   []func(durable bool)
+	afterDeferred []deferredClaim // records of claims whose caller doesn't wait
 	servers       []registry.Entry
 	deferredSince time.Duration // when the oldest deferred record was added; 0: there is none
 	busy          bool          // a write is in progress
@@ -62,6 +64,19 @@
 	w.deferWrite()
 }
 
+// deferredClaim is a deferred record, with a callback that gets whether it is durable.
+type deferredClaim struct {
+	token idempotency.Token
+	done  func(durable bool)
+}
+
+// writeResponse writes a record with a response, deferred as in writeClaim, and calls done with whether it is durable. It
+// isn't if the write fails, or if the response would exceed the limit of the file.
+func (w *writer) writeResponse(r idempotency.Record, done func(durable bool)) {
+	w.afterDeferred = append(w.afterDeferred, deferredClaim{r.Token, done})
+	w.writeClaim(r, nil)
+}
+
 // writeServers stores registry entries for a restart after all machines lost power. With heartbeats alone the servers would
 // come back one by one, and the first of them would receive all the traffic.
 func (w *writer) writeServers(entries []registry.Entry) {
@@ -100,28 +115,35 @@
 }
 
 func (w *writer) refuseClaims() {
-	refused := w.afterClaims
-	w.claims, w.afterClaims, w.deferredSince = nil, nil, 0
+	refused, deferred := w.afterClaims, w.afterDeferred
+	w.claims, w.afterClaims, w.afterDeferred, w.deferredSince = nil, nil, nil, 0
 	for _, done := range refused {
 		done(false)
 	}
+	for _, c := range deferred {
+		c.done(false)
+	}
 }
 
 // pendingWrite holds the callbacks of a write in progress, and the records to write again if it fails.
 type pendingWrite struct {
-	batches      []*storage.Batch
-	afterBatches []func()
-	afterClaims  []func(durable bool)
-	servers      []registry.Entry
+	batches       []*storage.Batch
+	afterBatches  []func()
+	claims        *storage.Batch // the records of claims and servers
+	afterClaims   []func(durable bool)
+	afterDeferred []deferredClaim
+	servers       []registry.Entry
 }
 
 func (w *writer) startWrite() {
-	pending := pendingWrite{batches: w.batches, afterBatches: w.afterBatches, afterClaims: w.afterClaims, servers: w.servers}
+	pending := pendingWrite{batches: w.batches, afterBatches: w.afterBatches,
+		claims:      &storage.Batch{Claims: w.claims, Servers: w.servers},
+		afterClaims: w.afterClaims, afterDeferred: w.afterDeferred, servers: w.servers}
 	batches := w.batches
 	if len(w.claims)+len(w.servers) > 0 {
-		batches = append(batches[:len(batches):len(batches)], &storage.Batch{Claims: w.claims, Servers: w.servers})
+		batches = append(batches[:len(batches):len(batches)], pending.claims)
 	}
-	w.batches, w.afterBatches, w.claims, w.afterClaims, w.servers = nil, nil, nil, nil, nil
+	w.batches, w.afterBatches, w.claims, w.afterClaims, w.afterDeferred, w.servers = nil, nil, nil, nil, nil, nil
 	w.busy, w.deferredSince = true, 0
 	startedAt := w.Now()
 	go func() {
@@ -150,6 +172,9 @@
 	for _, done := range p.afterClaims {
 		done(err == nil)
 	}
+	for _, c := range p.afterDeferred {
+		c.done(err == nil && !slices.Contains(p.claims.Omitted, c.token))
+	}
 }
 
 func (w *writer) keepForRetry(p pendingWrite, err error) {
--- a/internal/control/idempotency/coordinator.go
+++ b/internal/control/idempotency/coordinator.go
@@ -35,7 +35,8 @@
 	Record Record
 }
 
-// Coordinator collects grants for claims. It first sends requests to its own store and to as many others as form a majority,
+// Coordinator collects grants for claims, and in the same way the confirmations of responses: a store grants a record once it
+// holds it durably. It first sends requests to its own store and to as many others as form a majority,
 // and to the remaining stores if those are slow or don't suffice: each request costs a disk sync and traffic between zones.
 // While the membership is joint it sends requests to all stores at once. It is not safe for concurrent use.
 type Coordinator struct {
--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -84,10 +84,12 @@
 
 type claim struct {
 	Record
-	createdAt  time.Duration
-	durable    bool
-	executed   bool // a response was received, whether or not it is still stored
-	ageUnknown bool // loaded from disk or imported, so its real age is unknown
+	createdAt time.Duration
+	durable   bool
+	executed  bool // a response was received, whether or not it is still stored
+	// responseDurable is set once the response is on this store's disk.
+	responseDurable bool
+	ageUnknown      bool // loaded from disk or imported, so its real age is unknown
 }
 
 type claimAge struct {
@@ -162,10 +164,11 @@
 		}
 	case c == nil || c.Token != r.Token:
 		c := s.insert(r, now)
-		c.durable, c.ageUnknown = true, true
+		c.durable, c.ageUnknown, c.responseDurable = true, true, r.Response != nil
 	default:
 		c.Imported, c.Contested = c.Imported || r.Imported, c.Contested || r.Contested
 		s.keepResponse(c, r.Response)
+		c.responseDurable = c.responseDurable || r.Response != nil
 	}
 }
 
@@ -274,6 +277,21 @@
 	}
 }
 
+// StoreResponse stores the response of a claim that ran, like Complete, and reports whether it holds that claim, and whether
+// the response is durable already. If it isn't, the caller must make the record durable, and then call MarkResponseDurable.
+func (s *Store) StoreResponse(r Record, now time.Duration) (held, durable bool) {
+	s.Complete(r, now)
+	c := s.findClaim(responseRef{r.Key, r.Token})
+	return c != nil, c != nil && c.responseDurable
+}
+
+// MarkResponseDurable records that the response of a claim is durable.
+func (s *Store) MarkResponseDurable(key Key, token Token) {
+	if c := s.findClaim(responseRef{key, token}); c != nil {
+		c.responseDurable = true
+	}
+}
+
 // Response returns the response of a claim's run, or nil if there is none or it was dropped. If another claim of the key ran,
 // its response is returned: only one claim of a key runs within the window, and the holder reported to concurrent repeats may
 // be a claim that holds the key at a minority of the stores and never ran. A claim of unknown age may belong to an earlier
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -67,6 +67,8 @@
 	Claims          []idempotency.Record
 	Servers         []registry.Entry // entries that have ended are deleted, others are stored
 	Recovering      *bool
+	// Omitted is set by Commit: the claims whose responses were left out, since they would exceed the limit of the file.
+	Omitted []idempotency.Token
 }
 
 // Storage is an open data file. It is not safe for concurrent use.
@@ -140,9 +142,11 @@
 	if err := b.writeLog(tx); err != nil {
 		return err
 	}
-	if err := st.writeClaims(tx.Bucket(claimsBucket), b.Claims, s); err != nil {
+	omitted, err := st.writeClaims(tx.Bucket(claimsBucket), b.Claims, s)
+	if err != nil {
 		return err
 	}
+	b.Omitted = omitted
 	return b.writeServers(tx.Bucket(serversBucket))
 }
 
@@ -232,14 +236,15 @@
 
 // writeClaims appends records to the newest span, and starts a span if none is current. A record whose response would exceed
 // maxResponseBytes is left out, which bounds the file: later requests for its operation are answered as if it were still in
-// progress.
-func (st *Storage) writeClaims(bucket *bolt.Bucket, claims []idempotency.Record, s *spans) error {
+// progress. It returns the tokens of these records.
+func (st *Storage) writeClaims(bucket *bolt.Bucket, claims []idempotency.Record, s *spans) (omitted []idempotency.Token,
+	err error) {
 	if len(claims) == 0 {
-		return nil
+		return nil, nil
 	}
 	if len(s.ids) == 0 || time.Since(s.startedAt) > st.spanLength {
 		if err := s.startSpan(bucket); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	newest := len(s.ids) - 1
@@ -249,16 +254,17 @@
 		if r.Response != nil {
 			size := int64(len(r.Response.Body))
 			if s.responseBytes()+size > st.maxResponseBytes {
+				omitted = append(omitted, r.Token)
 				continue
 			}
 			s.sizes[newest] += size
 		}
 		s.sequence++
 		if err := putWithChecksum(span, numberKey(s.sequence), r); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return omitted, nil
 }
 
 // startSpan starts a new span, and deletes the oldest ones, whose claims are older than the window.
--- a/internal/edge/proxy/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -18,10 +18,10 @@
 	// revocationRepeatDuration is how long a revocation is repeated: as long as controllers take to restart after a power
 	// failure.
 	revocationRepeatDuration = 4 * time.Second
-	// maxStoredBytes limits the memory of stored response bodies, since edges run on small machines.
-	maxStoredBytes = 8 << 20
-	// maxStoredPerFrame is the largest number of stored responses sent in one frame.
-	maxStoredPerFrame       = 100
+	// maxUnconfirmedBytes limits the memory of unconfirmed responses, since edges run on small machines.
+	maxUnconfirmedBytes = 8 << 20
+	// maxResponseFrameBytes is the size of the responses in a frame, unless one alone is larger.
+	maxResponseFrameBytes   = 256 << 10
 	defaultKeyWindowSeconds = 60 // used if the settings contain no key_window_s
 )
 
@@ -37,7 +37,7 @@
 	connected() bool
 }
 
-// claimTracker claims the keys of operations, and stores responses and revocations that may have to be sent to a controller
+// claimTracker claims the keys of operations, and buffers responses and revocations that may have to be sent to a controller
 // again. It is safe for concurrent use.
 type claimTracker struct {
 	*node.Env
@@ -47,8 +47,7 @@
 	mu          sync.Mutex
 	sequence    uint64
 	pending     map[idempotency.Token]*pendingClaim
-	stored      []timedRecord // responses of the last key window, oldest first, sent again to a controller that lost its disk
-	storedBytes int           // size of the stored bodies
+	unconfirmed *idempotency.Unconfirmed
 	revocations []timedRecord // still being repeated
 }
 
@@ -66,7 +65,9 @@
 }
 
 func newClaimTracker(env *node.Env, controllers claimSender, abort <-chan struct{}) *claimTracker {
-	return &claimTracker{Env: env, controllers: controllers, abort: abort, pending: map[idempotency.Token]*pendingClaim{}}
+	window := env.Settings.Seconds("key_window_s", defaultKeyWindowSeconds)
+	return &claimTracker{Env: env, controllers: controllers, abort: abort, pending: map[idempotency.Token]*pendingClaim{},
+		unconfirmed: idempotency.NewUnconfirmed(window, maxUnconfirmedBytes)}
 }
 
 // acquire claims a key and waits for the outcome. If no controller can be reached after giveUpEarly, or none decides within
@@ -221,37 +222,60 @@
 	return recent
 }
 
-// complete stores the response of a claimed operation for repeats: at the controller, and in memory for a controller that
-// loses its disk. Responses older than the key window are dropped, and so are the oldest beyond maxStoredBytes.
+// complete has the response of a claimed operation stored for repeats. It is buffered here until a majority of the claim
+// stores has confirmed it.
 func (t *claimTracker) complete(claim idempotency.Record, response *idempotency.Response) {
-	r := idempotency.Record{Key: claim.Key, Token: claim.Token, Response: response}
-	if t.controllers.send(peer.Responses{r}) {
-		t.Metrics.Responses.WithLabelValues("sent").Inc()
-	} else {
-		t.Metrics.Responses.WithLabelValues("unsent").Inc()
-	}
-	now, window := t.Now(), t.Settings.Seconds("key_window_s", defaultKeyWindowSeconds)
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stored, t.storedBytes = append(t.stored, timedRecord{now, r}), t.storedBytes+len(response.Body)
-	expired := 0
-	for ; expired < len(t.stored) && (now-t.stored[expired].at > window || t.storedBytes > maxStoredBytes); expired++ {
-		t.storedBytes -= len(t.stored[expired].record.Response.Body)
+	t.unconfirmed.Add(idempotency.Record{Key: claim.Key, Token: claim.Token, Response: response}, t.Now())
+	t.mu.Unlock()
+	t.sendResponses()
+}
+
+// sendResponses sends the responses that are due, in one frame of limited size. While the edge is attached to no controller
+// they stay buffered until the next attachment.
+func (t *claimTracker) sendResponses() {
+	due := t.dueResponses()
+	if len(due) == 0 {
+		return
 	}
-	if expired > 0 {
-		t.stored = slices.Delete(t.stored, 0, expired)
+	event := "sent"
+	if !t.controllers.send(peer.Responses(due)) {
+		event = "unsent"
 	}
+	t.Metrics.Responses.WithLabelValues(event).Add(float64(len(due)))
 }
 
-// sendStored sends the stored responses to a controller that lost its disk.
-func (t *claimTracker) sendStored(link *peer.Link) {
+func (t *claimTracker) dueResponses() []idempotency.Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for chunk := range slices.Chunk(t.stored, maxStoredPerFrame) {
-		var responses peer.Responses
-		for _, r := range chunk {
-			responses = append(responses, r.record)
-		}
-		link.Send(responses)
+	dropped := t.unconfirmed.Dropped()
+	due := t.unconfirmed.Due(t.Now(), maxResponseFrameBytes)
+	if dropped = t.unconfirmed.Dropped() - dropped; dropped > 0 {
+		t.Metrics.Responses.WithLabelValues("dropped").Add(float64(dropped))
 	}
+	return due
+}
+
+// resendResponses sends the unconfirmed responses to a new controller: the previous one may have replicated none of them.
+func (t *claimTracker) resendResponses() {
+	t.mu.Lock()
+	t.unconfirmed.SendAgain(t.Now())
+	t.mu.Unlock()
+	t.sendResponses()
+}
+
+// handleConfirmations removes the responses that a majority of the claim stores holds, and sends the next ones that are due.
+func (t *claimTracker) handleConfirmations(tokens peer.ResponseConfirmations) {
+	t.Metrics.Responses.WithLabelValues("confirmed").Add(float64(len(tokens)))
+	t.mu.Lock()
+	t.unconfirmed.Confirm(tokens)
+	t.mu.Unlock()
+	t.sendResponses()
+}
+
+// unconfirmedCount returns the number of responses that no majority has confirmed.
+func (t *claimTracker) unconfirmedCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unconfirmed.Len()
 }
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -165,6 +165,7 @@
 			p.sendReport()
 			p.closeIdle()
 			p.claims.resendRevocations()
+			p.claims.sendResponses()
 		}
 	}
 }
@@ -203,8 +204,12 @@
 	return version, p.upstreams.entries()
 }
 
-// handleControllerAttached sends pending claims to a new controller: the previous one may have crashed before handling them.
-func (p *Proxy) handleControllerAttached() { p.claims.resendPending() }
+// handleControllerAttached sends pending claims and unconfirmed responses to a new controller: the previous one may have
+// crashed before handling them.
+func (p *Proxy) handleControllerAttached() {
+	p.claims.resendPending()
+	p.claims.resendResponses()
+}
 
 // handleOutcomes handles the outcomes of claims.
 func (p *Proxy) handleOutcomes(outcomes peer.ClaimOutcomes) {
@@ -240,10 +245,6 @@
 		if reply := p.upstreams.compare(m); reply != nil {
 			link.Send(reply...)
 		}
-	case *peer.Handshake:
-		if m.Recovering {
-			p.claims.sendStored(link)
-		}
 	case *peer.Config:
 		if !p.applyConfig(m) {
 			link.Send(peer.ConfigRequest{})
@@ -255,6 +256,8 @@
 		}
 	case peer.ClaimOutcomes:
 		p.handleOutcomes(m)
+	case peer.ResponseConfirmations:
+		p.claims.handleConfirmations(m)
 	case *peer.Reservations:
 		p.reservations.handleReservations(m)
 	case peer.Leases:
--- a/internal/edge/proxy/shutdown.go
+++ b/internal/edge/proxy/shutdown.go
@@ -16,6 +16,7 @@
 	defaultGraceSeconds = 6.0 // used if the settings contain no grace_s
 	shutdownPoll        = 50 * time.Millisecond
 	finishPoll          = 5 * time.Millisecond
+	maxConfirmationWait = 500 * time.Millisecond
 
 	// admitAllDuration is how long requests with any deadline are accepted: until clients and the platform have learned that
 	// this edge is shutting down. By then the platform, which checks readiness each second, sends no new connections.
@@ -122,6 +123,7 @@
 		time.Sleep(shutdownPoll)
 		now := p.Now()
 		p.lateness.Observe(due, now)
+		p.claims.sendResponses()
 		cause = p.continueShutdown(schedule, drain, now)
 	}
 	p.finishShutdown(schedule, drain)
@@ -174,12 +176,15 @@
 }
 
 // finishShutdown rejects new requests, and waits until all responses were sent and every request that has arrived is
-// answered, until exitBy at the latest.
+// answered, until exitBy at the latest. It also waits for the confirmations of responses, for at most maxConfirmationWait.
 func (p *Proxy) finishShutdown(schedule *shutdownSchedule, drain *httpconn.Drain) {
 	p.shutdown.exiting.Store(true)
+	confirmBy := p.Now() + maxConfirmationWait
 	for {
-		done := drain.Step() && p.shutdown.inFlight.Load() == 0
-		if done || p.Now() >= schedule.exitBy {
+		answered := drain.Step() && p.shutdown.inFlight.Load() == 0
+		now := p.Now()
+		confirmed := now >= confirmBy || p.claims.unconfirmedCount() == 0
+		if answered && confirmed || now >= schedule.exitBy {
 			return
 		}
 		time.Sleep(finishPoll)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -34,9 +34,13 @@
 	Demands         []EdgeDemand         `cbor:"23,keyasint,omitempty"`
 	Leases          []EdgeLease          `cbor:"24,keyasint,omitempty"`
 	ReplicaStatus   *ReplicaStatus       `cbor:"25,keyasint,omitempty"`
-	Epoch           uint64               `cbor:"26,keyasint,omitempty"` // of GrantRequests, CopyRequest and ClaimsChunk
-	SyncRequest     uint64               `cbor:"27,keyasint,omitempty"`
-	SyncReply       uint64               `cbor:"28,keyasint,omitempty"`
+	// Epoch belongs to GrantRequests, CopyRequest, ClaimsChunk and ResponseCopies.
+	Epoch                 uint64               `cbor:"26,keyasint,omitempty"`
+	SyncRequest           uint64               `cbor:"27,keyasint,omitempty"`
+	SyncReply             uint64               `cbor:"28,keyasint,omitempty"`
+	ResponseCopies        []idempotency.Record `cbor:"29,keyasint,omitempty"`
+	ResponseCopyReplies   []GrantReply         `cbor:"30,keyasint,omitempty"`
+	ResponseConfirmations []idempotency.Token  `cbor:"31,keyasint,omitempty"`
 }
 
 // FrameOf returns a frame that contains the messages. No two of them may be of the same type.
@@ -57,6 +61,7 @@
 	messages = f.appendTraffic(messages)
 	messages = f.appendReservations(messages)
 	messages = f.appendClaims(messages)
+	messages = f.appendResponses(messages)
 	if f.SyncRequest != 0 {
 		messages = append(messages, SyncRequest(f.SyncRequest))
 	}
@@ -136,6 +141,16 @@
 	if len(f.Revocations) > 0 {
 		messages = append(messages, Revocations(f.Revocations))
 	}
+	if f.CopyRequest {
+		messages = append(messages, CopyRequest{Epoch: f.Epoch})
+	}
+	if f.ClaimsChunk != nil {
+		messages = append(messages, ClaimsCopy{Epoch: f.Epoch, ClaimsChunk: f.ClaimsChunk})
+	}
+	return messages
+}
+
+func (f *Frame) appendResponses(messages []Message) []Message {
 	if len(f.Responses) > 0 {
 		messages = append(messages, Responses(f.Responses))
 	}
@@ -145,11 +160,14 @@
 	if len(f.ResponseReplies) > 0 {
 		messages = append(messages, ResponseReplies(f.ResponseReplies))
 	}
-	if f.CopyRequest {
-		messages = append(messages, CopyRequest{Epoch: f.Epoch})
+	if len(f.ResponseCopies) > 0 {
+		messages = append(messages, ResponseCopies{Epoch: f.Epoch, Records: f.ResponseCopies})
 	}
-	if f.ClaimsChunk != nil {
-		messages = append(messages, ClaimsCopy{Epoch: f.Epoch, ClaimsChunk: f.ClaimsChunk})
+	if len(f.ResponseCopyReplies) > 0 {
+		messages = append(messages, ResponseCopyReplies(f.ResponseCopyReplies))
+	}
+	if len(f.ResponseConfirmations) > 0 {
+		messages = append(messages, ResponseConfirmations(f.ResponseConfirmations))
 	}
 	return messages
 }
@@ -179,4 +197,9 @@
 func (d Demands) addTo(f *Frame)           { f.Demands = d }
 func (l Leases) addTo(f *Frame)            { f.Leases = l }
 func (s SyncRequest) addTo(f *Frame)       { f.SyncRequest = uint64(s) }
-func (s SyncReply) addTo(f *Frame)         { f.SyncReply = uint64(s) }
+func (c ResponseCopies) addTo(f *Frame) {
+	f.ResponseCopies, f.Epoch = c.Records, c.Epoch
+}
+func (r ResponseCopyReplies) addTo(f *Frame)   { f.ResponseCopyReplies = r }
+func (c ResponseConfirmations) addTo(f *Frame) { f.ResponseConfirmations = c }
+func (s SyncReply) addTo(f *Frame)             { f.SyncReply = uint64(s) }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -26,7 +26,7 @@
 	BootstrapVoters []string `cbor:"7,keyasint,omitempty"` // identities of the voters of the cluster's first start
 	// ProbeOnly is set by an edge that belongs to another controller and only probes or sends claims.
 	ProbeOnly bool `cbor:"8,keyasint,omitempty"`
-	// Recovering is set if the claim store lost its disk: edges send the responses that they still have.
+	// Recovering is set if the claim store lost its disk: edges of earlier versions send the responses that they still have.
 	Recovering bool   `cbor:"9,keyasint,omitempty"`
 	Counted    bool   `cbor:"10,keyasint,omitempty"`
 	Cluster    uint64 `cbor:"11,keyasint,omitempty"` // cluster of a controller; 0: not known yet
@@ -174,10 +174,23 @@
 // Responses are the responses of completed operations, to be stored for repeated requests.
 type Responses []idempotency.Record
 
+// ResponseCopies are responses that a controller sends to a claim store, which replies with ResponseCopyReplies.
+type ResponseCopies struct {
+	Epoch   uint64 // epoch of the membership that the sender collects the confirmations under
+	Records []idempotency.Record
+}
+
+// ResponseCopyReplies answer ResponseCopies: a granted response is durable at the sender's claim store.
+type ResponseCopyReplies []GrantReply
+
+// ResponseConfirmations tell an edge the claims whose responses are durable at a majority of the claim stores.
+type ResponseConfirmations []idempotency.Token
+
 // ResponseQueries request the stored responses for claims from another controller.
 type ResponseQueries []idempotency.Record
 
-// ResponseReplies answer ResponseQueries; a record without a response means that none is stored.
+// ResponseReplies answer the first claims of ResponseQueries, as many as fit into a frame; a record without a response means
+// that none is stored.
 type ResponseReplies []idempotency.Record
 
 // CopyRequest requests all claims of a claim store.
--- a/internal/platform/metrics/metrics.go
+++ b/internal/platform/metrics/metrics.go
@@ -23,8 +23,9 @@
 	Attempts *prometheus.CounterVec // by outcome
 	Claims   *prometheus.CounterVec // by outcome
 	Syncs    prometheus.Histogram   // seconds
-	// Responses counts events of the stored responses of keyed operations. At a controller: stored, found_here,
-	// found_elsewhere, not_found. At an edge: sent, and unsent while it is attached to no controller.
+	// Responses counts events of the stored responses of keyed operations. At a controller: received, confirmed,
+	// unconfirmed, found_here, found_elsewhere, not_found. At an edge: sent, unsent (it is attached to no controller),
+	// confirmed, dropped (without a confirmation).
 	Responses *prometheus.CounterVec
 
 	ClientsLeft   *prometheus.CounterVec // by what their request was waiting for
