Copy the responses, too, to the successor of a lost claim store

What callers saw: with disks lost one after the other, each settle_s after the one before was back, repeats got 409 until the key's window was over, though never more disks were away than the tolerance allows (DENIED).

Cause: a new voter copied the claims of a majority of the former ones and then granted; responses stayed where they were. After the first loss a response was on fewer stores than a majority, after the second on none.

Change: once its claims are complete, and at each start for those that it imported before, a store asks the other controllers in turn for the responses of imported claims that it lacks: 256 claims a query, one query in flight, a reply of 256 KiB at most, the next once the last is on its disk.

Why this works: the copied claims come from a majority, each store of which confirms no response under the former epoch any more, so one of them holds each confirmed response (docs/state.md).

Tests of the related paths (a controller that never comes back, replaced, voted out or frozen, all killed with and without a lost disk, copies on their way, older epoch, full file) pass; nine of them fail with responses stored at one controller.

--- a/internal/control/controller/claims.go
+++ b/internal/control/controller/claims.go
@@ -336,5 +336,6 @@
 		s.store.FinishRecovery()
 		s.LogEvent("claims copied", "keys", s.store.Len(), "responses", s.store.ResponseCount(), "epoch", epoch)
 		s.members.announceStatus()
+		s.responses.backfill.start()
 	})
 }
--- a/internal/control/controller/cluster_harness_test.go
+++ b/internal/control/controller/cluster_harness_test.go
@@ -84,6 +84,34 @@
 
 func (c *testCluster) stopAll() { c.stop(slices.Sorted(maps.Keys(c.controllers))...) }
 
+// startAll starts the controllers that don't run, on their disks.
+func (c *testCluster) startAll() {
+	for _, ip := range slices.Sorted(maps.Keys(c.dirs)) {
+		if c.controllers[ip] == nil {
+			c.start(ip)
+		}
+	}
+}
+
+// addStandby starts a controller with an empty disk that has no vote, and waits until it is level with the log.
+func (c *testCluster) addStandby(ip string) {
+	c.dirs[ip] = c.t.TempDir()
+	c.start(ip)
+	c.advance(time.Second)
+}
+
+// freeze lets a controller stand still while the others go on. Its links time out, and are connected again afterwards.
+func (c *testCluster) freeze(ip string, d time.Duration) {
+	frozen := c.controllers[ip]
+	delete(c.controllers, ip)
+	c.advance(d)
+	frozen.runInbox()
+	for _, other := range c.running() {
+		c.connect(frozen, other)
+	}
+	c.controllers[ip] = frozen
+}
+
 // loseDisk ends a controller and starts it again with an empty disk a second later.
 func (c *testCluster) loseDisk(ip string) {
 	c.stop(ip)
--- a/internal/control/controller/responses.go
+++ b/internal/control/controller/responses.go
@@ -32,6 +32,7 @@
 	links       *linkTable
 	store       *idempotency.Store
 	replication *responseReplication
+	backfill    *responseBackfill
 	queries     map[idempotency.Token]*responseQuery
 	missing     missingResponseLog
 }
@@ -49,6 +50,10 @@
 	store *idempotency.Store) *responseService {
 	s := &responseService{Env: env, writer: w, links: links, store: store, queries: map[idempotency.Token]*responseQuery{}}
 	s.replication = newResponseReplication(env, w, links, members, store)
+	s.backfill = &responseBackfill{Env: env, writer: w, links: links, members: members, store: store}
+	if !store.Recovering() {
+		s.backfill.start() // the process may have ended before an earlier backfill did
+	}
 	return s
 }
 
@@ -74,11 +79,13 @@
 		s.handleQueries(p, m)
 	case peer.ResponseReplies:
 		s.handleReplies(p, m)
+		s.backfill.handleReplies(p, m)
 	}
 }
 
 func (s *responseService) tick(now time.Duration) {
 	s.replication.tick(now)
+	s.backfill.step(now)
 	s.expireQueries(now)
 }
 
--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -1,8 +1,10 @@
 package idempotency
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 )
 
@@ -292,6 +294,23 @@
 	}
 }
 
+// MissingResponses returns the imported claims without a response, ordered by key: another store may hold it.
+func (s *Store) MissingResponses() (missing []Record) {
+	for _, c := range s.claims {
+		if c.Imported && !c.executed {
+			missing = append(missing, Record{Key: c.Key, Token: c.Token})
+		}
+	}
+	slices.SortFunc(missing, func(a, b Record) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return missing
+}
+
+// MissesResponse reports whether the store holds a claim without its response.
+func (s *Store) MissesResponse(r Record) bool {
+	c := s.findClaim(responseRef{r.Key, r.Token})
+	return c != nil && !c.executed
+}
+
 // Response returns the response of a claim's run, or nil if there is none or it was dropped. If another claim of the key ran,
 // its response is returned: only one claim of a key runs within the window, and the holder reported to concurrent repeats may
 // be a claim that holds the key at a minority of the stores and never ran. A claim of unknown age may belong to an earlier
