Send copies of responses each 100 ms, replies and confirmations each 200 ms

Change: longer intervals, so that more records share a frame. Nobody waits for them: the edge holds the response until it is confirmed. The delay after which the other stores are asked, too, grows from 0.5 to 0.8 s, over the time that a confirmation takes.

--- a/internal/control/controller/response_replication.go
+++ b/internal/control/controller/response_replication.go
@@ -11,11 +11,13 @@
 const (
 	// replicationHedgeDelay is how long the first claim stores may take to confirm a response before the others get it as
 	// well. They write it with other records, after maxWriteDelay at most.
-	replicationHedgeDelay = 500 * time.Millisecond
+	replicationHedgeDelay = 800 * time.Millisecond
 	// replicationTimeout is how long a response may stay unconfirmed. The edge sends it again.
 	replicationTimeout = 3 * time.Second
-	// replicationInterval is how often responses, replies and confirmations are sent, so that many share a frame.
-	replicationInterval = 50 * time.Millisecond
+	// replicationInterval is how often responses are sent to other stores, and confirmationInterval how often replies and
+	// confirmations are sent, so that many share a frame: frames between zones are expensive.
+	replicationInterval  = 100 * time.Millisecond
+	confirmationInterval = 200 * time.Millisecond
 	// maxReplicationFrameBytes is the size of the responses in a frame, unless one alone is larger.
 	maxReplicationFrameBytes = 256 << 10
 )
@@ -33,11 +35,11 @@
 
 	edges map[idempotency.Token]*remote // links that receive the confirmation
 
-	// What is sent every replicationInterval.
-	nextFlush     time.Duration
-	copies        map[string][]idempotency.Record // by identity of the replica
-	replies       map[*remote][]peer.GrantReply
-	confirmations map[*remote][]idempotency.Token
+	nextCopies    time.Duration
+	copies        map[string][]idempotency.Record // to be sent, by identity of the replica
+	nextReplies   time.Duration
+	replies       map[*remote][]peer.GrantReply   // to be sent
+	confirmations map[*remote][]idempotency.Token // to be sent
 }
 
 func newResponseReplication(env *node.Env, w *writer, links *linkTable, members membershipState,
@@ -160,23 +162,30 @@
 }
 
 func (s *responseReplication) tick(now time.Duration) {
-	if now < s.nextFlush {
-		return
+	if now >= s.nextCopies {
+		s.nextCopies = now + replicationInterval
+		requests, results := s.coordinator.Tick(now)
+		s.sendCopies(requests)
+		s.finishAll(results)
+		s.flushCopies()
+	}
+	if now >= s.nextReplies {
+		s.nextReplies = now + confirmationInterval
+		s.flushReplies()
 	}
-	s.nextFlush = now + replicationInterval
-	requests, results := s.coordinator.Tick(now)
-	s.sendCopies(requests)
-	s.finishAll(results)
-	s.flush()
 }
 
-// flush sends what was queued since the last flush.
-func (s *responseReplication) flush() {
+// flushCopies sends the responses that were queued for other stores since the last time.
+func (s *responseReplication) flushCopies() {
 	copies := s.copies
 	s.copies = map[string][]idempotency.Record{}
 	for identity, records := range copies {
 		s.sendCopiesTo(identity, records)
 	}
+}
+
+// flushReplies sends the replies and confirmations that were queued since the last time.
+func (s *responseReplication) flushReplies() {
 	for p, replies := range s.replies {
 		p.link.Send(peer.ResponseCopyReplies(replies))
 	}
