Find the response of a key whose claim is hidden by one that was left behind

What callers saw: after a restart of controllers or a lost disk, a repeat got 409 although the claim stores held the response of the first run.

Cause: a repeat that fails may leave its claim at a minority of the stores, if its revocation is lost with a controller. The coordinator of a later repeat then took that claim for the key's holder and asked for its response. A store that holds the claim that ran answers for another token only while it knows the age of its own, which it doesn't after a restart. A successor that copied both claims stored the response, if any, under the token that it had happened to copy first.

Change: a store says of the claim that holds a key whether it granted it itself or imported it, and the coordinator whether a majority granted it. If that isn't so and no response is found for the claim, all controllers are asked for the response of the key, whichever claim ran. A successor asks in the same way, and stores what it gets under the token of the claim that ran, as imported, so that it is granted to nobody.

Why this works: only one claim of a key runs within its window, so that its response is the first run's. While a majority is known to have granted the holder nothing changes: a response of an earlier window isn't given out.

--- a/internal/control/controller/claims.go
+++ b/internal/control/controller/claims.go
@@ -214,7 +214,7 @@
 		done(nil)
 		return
 	}
-	s.responses.find(result.Holder, done)
+	s.responses.find(result.Holder, result.HolderGranted, done)
 }
 
 // handleRevocations revokes claims: at all stores if an edge sent them, only here if another controller forwarded them.
--- a/internal/control/controller/lost_disks_test.go
+++ b/internal/control/controller/lost_disks_test.go
@@ -61,15 +61,15 @@
 		h.advance(2 * tickInterval)
 		var queries []idempotency.Record
 		for _, f := range b.received() {
-			queries = append(queries, f.ResponseQueries...)
+			queries = append(queries, f.KeyQueries...)
 		}
 		g.Expect(queries).To(Equal([]idempotency.Record{testOperation(1, 7)}))
 		reply := testOperation(1, 7)
 		reply.Response = testResponse(7)
-		b.send(&peer.Frame{ResponseReplies: []idempotency.Record{reply}})
+		b.send(&peer.Frame{KeyReplies: []idempotency.Record{reply}})
 		g.Expect(h.claims.store.Response(reply.Key, reply.Token)).To(Equal(testResponse(7)))
 		h.stop()
-		reply.ResponseHolder = ipA
+		reply.ResponseHolder, reply.Imported = ipA, true
 		g.Expect(readDisk(t, dir).Claims).To(ContainElement(reply), "the response is durable")
 	})
 }
--- a/internal/control/controller/response_backfill.go
+++ b/internal/control/controller/response_backfill.go
@@ -40,7 +40,7 @@
 	}
 	source, query := b.current.Next(b.linkedSources(), b.store.MissesResponse, now)
 	if len(query) > 0 {
-		b.links.controllers[source].link.Send(peer.ResponseQueries(query))
+		b.links.controllers[source].link.Send(peer.KeyQueries(query))
 		return
 	}
 	if b.current.Done(b.otherVoters(), now) {
@@ -69,19 +69,21 @@
 	if b.current == nil {
 		return
 	}
-	found := b.current.HandleReplies(p.ip, replies)
-	for i := range found {
-		found[i].ResponseHolder = b.Settings.IP
-		b.store.Complete(found[i], b.Now())
+	var imported []idempotency.Record
+	for _, r := range b.current.HandleReplies(p.ip, replies) {
+		r.ResponseHolder = b.Settings.IP
+		if stored, ok := b.store.ImportResponse(r, b.Now()); ok {
+			imported = append(imported, stored)
+		}
 	}
-	if len(found) == 0 {
+	if len(imported) == 0 {
 		b.step(b.Now())
 		return
 	}
 	b.storing = true
-	b.writer.write(&storage.Batch{Claims: found}, func() {
+	b.writer.write(&storage.Batch{Claims: imported}, func() {
 		b.storing = false
-		for _, r := range found {
+		for _, r := range imported {
 			b.store.MarkResponseDurable(r.Key, r.Token)
 		}
 		b.step(b.Now())
--- a/internal/control/controller/response_paths_test.go
+++ b/internal/control/controller/response_paths_test.go
@@ -77,6 +77,43 @@
 	}
 }
 
+// Guards against DENIED: a claim that a failed repeat left behind at a minority of the stores hid the response of the claim
+// that ran, after a restart or once a successor had copied both.
+func TestResponsesAreFoundBehindALeftoverClaim(t *testing.T) {
+	const operations = 10
+	for name, lose := range map[string]func(c *testCluster){
+		"all processes are killed": func(c *testCluster) {
+			c.stopAll()
+			c.startAll()
+		},
+		"disks are lost in turn": func(c *testCluster) {
+			c.loseDisk(ipA)
+			c.advance(settleTime)
+			c.loseDisk(ipB)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCluster(t)
+				c.stop(ipC)
+				c.run(c.attachEdge(ipA, 1), 1, 0, operations)
+				c.startAll()
+				c.advance(settleTime)
+				for n := range uint64(operations) {
+					c.controllers[ipC].claims.requestGrant(testOperation(0, n), 2, func(reply idempotency.GrantReply, _ idempotency.Record) {
+						c.g.Expect(reply).To(Equal(idempotency.ReplyGranted))
+					})
+				}
+				c.advance(time.Second)
+				lose(c)
+				c.advance(settleTime)
+				c.expectResponses(c.attachEdge(ipC, 2), 2, 0, operations)
+				c.stopAll()
+			})
+		})
+	}
+}
+
 // Guards against DENIED: while a controller is frozen, or cut off, repeats elsewhere waited for it in vain and got 409.
 func TestResponsesAreFoundWhileAControllerIsFrozen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -156,7 +193,7 @@
 			r := testOperation(1, 1)
 			r.Response = testResponse(1)
 			b.send(&peer.Frame{ResponseCopies: []idempotency.Record{r}, Epoch: epoch})
-			h.advance(2*replicationInterval + maxWriteDelay)
+			h.advance(2*confirmationInterval + maxWriteDelay)
 			for _, f := range b.received() {
 				replies = append(replies, f.ResponseCopyReplies...)
 			}
@@ -181,7 +218,7 @@
 		r.Response = &idempotency.Response{Status: 200, Body: make([]byte, 200)}
 		b.received()
 		b.send(&peer.Frame{ResponseCopies: []idempotency.Record{r}, Epoch: 2})
-		h.advance(2*replicationInterval + maxWriteDelay)
+		h.advance(2*confirmationInterval + maxWriteDelay)
 		var replies []peer.GrantReply
 		for _, f := range b.received() {
 			replies = append(replies, f.ResponseCopyReplies...)
--- a/internal/control/controller/responses.go
+++ b/internal/control/controller/responses.go
@@ -40,6 +40,8 @@
 // responseQuery is a pending query for a response that another controller may keep.
 type responseQuery struct {
 	claim    idempotency.Record
+	byKey    bool // if there is none, any response of the key will do
+	keyAsked bool // the controllers were asked for the key
 	deadline time.Duration
 	asked    []string // IPs of the controllers that were asked
 	replied  []string // IPs of those that replied without a response
@@ -79,7 +81,10 @@
 		s.handleQueries(p, m)
 	case peer.ResponseReplies:
 		s.handleReplies(p, m)
-		s.backfill.handleReplies(p, m)
+	case peer.KeyQueries:
+		s.handleKeyQueries(p, m)
+	case peer.KeyReplies:
+		s.handleKeyReplies(p, m)
 	}
 }
 
@@ -107,24 +112,44 @@
 	}
 }
 
-// find looks up the response of a claim's run and calls done with it, or with nil if there is none. A majority of the claim
-// stores holds it, but not always this one, so all controllers are asked at once.
-func (s *responseService) find(claim idempotency.Record, done func(*idempotency.Response)) {
+// find looks up the response of a claim that holds a key, and calls done with it, or with nil if there is none. A majority of
+// the claim stores holds it, but not always this one, so all controllers are asked at once. If it isn't known that a majority
+// granted the claim, another claim of the key may have run instead: then its response is looked for as well.
+func (s *responseService) find(claim idempotency.Record, granted bool, done func(*idempotency.Response)) {
 	if response := s.store.Response(claim.Key, claim.Token); response != nil {
 		s.count(metricFoundHere)
 		done(response)
 		return
 	}
-	query := &responseQuery{claim: claim, deadline: s.Now() + responseQueryTimeout, done: s.joinQuery(claim.Token, done)}
-	for ip := range s.links.controllers {
-		query.asked = append(query.asked, ip)
-	}
-	if len(query.asked) == 0 {
-		s.finishQuery(query, nil)
+	s.startQuery(&responseQuery{claim: claim, byKey: !granted, done: s.joinQuery(claim.Token, done)})
+}
+
+// startQuery asks all controllers for the response of a claim.
+func (s *responseService) startQuery(q *responseQuery) {
+	q.ask(s.links, s.Now())
+	s.queries[q.claim.Token] = q
+	s.links.sendToControllers(peer.ResponseQueries{{Key: q.claim.Key, Token: q.claim.Token}})
+	s.continueQuery(q, nil)
+}
+
+// startKeyQuery asks all controllers for a response of the key, after none was found for the claim.
+func (s *responseService) startKeyQuery(q *responseQuery) {
+	q.byKey, q.keyAsked = false, true
+	if ran, ok := s.store.ResponseOfKey(q.claim.Key); ok {
+		s.finishQuery(q, ran.Response)
 		return
 	}
-	s.queries[claim.Token] = query
-	s.links.sendToControllers(peer.ResponseQueries{{Key: claim.Key, Token: claim.Token}})
+	q.ask(s.links, s.Now())
+	s.links.sendToControllers(peer.KeyQueries{{Key: q.claim.Key, Token: q.claim.Token}})
+	s.continueQuery(q, nil)
+}
+
+// ask records that all linked controllers are asked.
+func (q *responseQuery) ask(links *linkTable, now time.Duration) {
+	q.asked, q.replied, q.deadline = nil, nil, now+responseQueryTimeout
+	for ip := range links.controllers {
+		q.asked = append(q.asked, ip)
+	}
 }
 
 // joinQuery returns a callback that also completes a pending query for the same response, so that one query serves all
@@ -140,35 +165,71 @@
 	return done
 }
 
-// handleQueries answers the first of another controller's queries, as many as fit into a frame.
+// handleQueries answers another controller's queries.
 func (s *responseService) handleQueries(p *remote, queries peer.ResponseQueries) {
+	for _, r := range queries {
+		r.Response = s.store.Response(r.Key, r.Token)
+		p.link.Send(peer.ResponseReplies{r})
+	}
+}
+
+// handleKeyQueries answers the first of another controller's queries for keys, as many as fit into a frame.
+func (s *responseService) handleKeyQueries(p *remote, queries peer.KeyQueries) {
 	replies := make([]idempotency.Record, len(queries))
 	for i, r := range queries {
-		r.Response = s.store.Response(r.Key, r.Token)
-		replies[i] = r
+		replies[i] = idempotency.Record{Key: r.Key, Token: r.Token}
+		if ran, ok := s.store.ResponseOfKey(r.Key); ok {
+			replies[i] = ran
+		}
 	}
-	p.link.Send(peer.ResponseReplies(chunkResponses(replies, maxReplicationFrameBytes)[0]))
+	p.link.Send(peer.KeyReplies(chunkResponses(replies, maxReplicationFrameBytes)[0]))
 }
 
-// handleReplies completes the queries to which a response was found, or that all controllers answered.
+// handleReplies handles the replies to queries for the responses of claims.
 func (s *responseService) handleReplies(p *remote, replies peer.ResponseReplies) {
 	for _, r := range replies {
-		q, ok := s.queries[r.Token]
-		if !ok {
-			continue
+		if q, ok := s.queries[r.Token]; ok && !q.keyAsked {
+			q.replied = append(q.replied, p.ip)
+			s.continueQuery(q, r.Response)
 		}
-		q.replied = append(q.replied, p.ip)
-		if r.Response != nil || len(q.replied) >= len(q.asked) {
-			s.finishQuery(q, r.Response)
+	}
+}
+
+// handleKeyReplies handles the replies to queries for the responses of keys: those of a backfill, or of a single key.
+func (s *responseService) handleKeyReplies(p *remote, replies peer.KeyReplies) {
+	s.backfill.handleReplies(p, replies)
+	for _, q := range s.queries {
+		if q.keyAsked && len(replies) == 1 && replies[0].Key == q.claim.Key {
+			q.replied = append(q.replied, p.ip)
+			s.continueQuery(q, replies[0].Response)
 		}
 	}
 }
 
-// expireQueries completes queries that timed out, without a response.
+// continueQuery completes a query if a response was found, or if all controllers have replied without one.
+func (s *responseService) continueQuery(q *responseQuery, response *idempotency.Response) {
+	switch {
+	case response != nil:
+		s.finishQuery(q, response)
+	case len(q.replied) >= len(q.asked):
+		s.endQuery(q)
+	}
+}
+
+// endQuery ends a query without a response, unless the key is to be asked for, too.
+func (s *responseService) endQuery(q *responseQuery) {
+	if q.byKey {
+		s.startKeyQuery(q)
+		return
+	}
+	s.finishQuery(q, nil)
+}
+
+// expireQueries ends queries that timed out.
 func (s *responseService) expireQueries(now time.Duration) {
 	for _, q := range s.queries {
 		if now > q.deadline {
-			s.finishQuery(q, nil)
+			s.endQuery(q)
 		}
 	}
 }
--- a/internal/control/idempotency/backfill.go
+++ b/internal/control/idempotency/backfill.go
@@ -77,15 +77,15 @@
 	return query
 }
 
-// HandleReplies processes the replies of a source. A reply to a query answers its first claims, at least one; the others are
-// asked for again. It returns the records with a response.
+// HandleReplies processes the replies of a source. A reply to a query answers its first claims, at least one, by their keys;
+// the others are asked for again. It returns the records with a response.
 func (b *Backfill) HandleReplies(source string, replies []Record) (found []Record) {
 	if source != b.query.source {
 		return nil
 	}
 	answered := 0
 	for answered < len(replies) && answered < len(b.query.indexes) &&
-		replies[answered].Token == b.wanted[b.query.indexes[answered]].Token {
+		replies[answered].Key == b.wanted[b.query.indexes[answered]].Key {
 		answered++
 	}
 	if answered == 0 {
--- a/internal/control/idempotency/backfill_test.go
+++ b/internal/control/idempotency/backfill_test.go
@@ -79,7 +79,7 @@
 	It("ignores replies to other queries", func() {
 		b := idempotency.NewBackfill(claims(2), expiresAt)
 		_, query := b.Next([]string{"a"}, all, 0)
-		other := idempotency.Record{Key: query[0].Key, Token: idempotency.Token{Incarnation: 9}, Response: &idempotency.Response{Status: 200}}
+		other := idempotency.Record{Key: idempotency.Key{9, 9}, Token: query[0].Token, Response: &idempotency.Response{Status: 200}}
 		Expect(b.HandleReplies("a", []idempotency.Record{other})).To(BeEmpty())
 		Expect(b.HandleReplies("a", withResponses(query))).To(HaveLen(2))
 	})
--- a/internal/control/idempotency/coordinator.go
+++ b/internal/control/idempotency/coordinator.go
@@ -27,6 +27,9 @@
 	Key     Key
 	Outcome Outcome
 	Holder  Record // the claim that holds the key; set with OutcomeConflict only
+	// HolderGranted is set if a majority of the stores granted the holder's claim. Otherwise it may be a claim that was left
+	// behind at a minority, while another claim of the key ran.
+	HolderGranted bool
 }
 
 // GrantRequest is a claim to be sent to a store.
@@ -54,6 +57,7 @@
 	requested    map[string]bool
 	replies      map[string]GrantReply
 	holderCounts map[Token]int // number of stores that reported the claim as the holder of the key
+	grantCounts  map[Token]int // number of those that granted it themselves
 	holders      map[Token]Record
 	startedAt    time.Duration
 	hedged       bool // requests to all stores were sent after hedgeDelay
@@ -123,7 +127,7 @@
 		return nil
 	}
 	p := &pendingClaim{record: r, requested: map[string]bool{}, replies: map[string]GrantReply{}, holderCounts: map[Token]int{},
-		holders: map[Token]Record{}, startedAt: now}
+		grantCounts: map[Token]int{}, holders: map[Token]Record{}, startedAt: now}
 	c.pending[r.Token] = p
 	if len(c.next) > 0 {
 		return c.requestUpTo(p, len(c.requestOrder))
@@ -172,6 +176,9 @@
 	p.replies[from] = reply
 	if reply == ReplyConflict {
 		p.holderCounts[holder.Token]++
+		if !holder.Imported {
+			p.grantCounts[holder.Token]++
+		}
 		p.holders[holder.Token] = holder
 	}
 	return c.evaluate(p)
@@ -218,7 +225,7 @@
 	case !slices.ContainsFunc(sets, notSucceeded):
 		return nil, c.finish(p, Result{Outcome: OutcomeGranted})
 	case slices.ContainsFunc(sets, tally.failed):
-		return nil, c.finish(p, failureResult(p))
+		return nil, c.finish(p, c.failureResult(p))
 	case slices.ContainsFunc(sets, tally.needsMore):
 		return c.requestUpTo(p, c.requestedCount(p)+c.missingGrants(sets)), nil
 	}
@@ -235,7 +242,7 @@
 
 // failureResult returns the result of a claim that can no longer be granted: a conflict with the holder that most stores
 // reported, or OutcomeUndecided if no store reported one.
-func failureResult(p *pendingClaim) Result {
+func (c *Coordinator) failureResult(p *pendingClaim) Result {
 	if len(p.holderCounts) == 0 {
 		return Result{Outcome: OutcomeUndecided}
 	}
@@ -245,7 +252,8 @@
 			best = token
 		}
 	}
-	return Result{Outcome: OutcomeConflict, Holder: p.holders[best]}
+	return Result{Outcome: OutcomeConflict, Holder: p.holders[best],
+		HolderGranted: p.grantCounts[best] >= quorum(c.voters)}
 }
 
 func (c *Coordinator) finish(p *pendingClaim, result Result) *Result {
--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -230,7 +230,7 @@
 		if c.Token == r.Token && !c.Imported {
 			return ReplyGranted, c.Record, !c.durable
 		}
-		return ReplyConflict, Record{Key: c.Key, Token: c.Token, ResponseHolder: c.ResponseHolder}, false
+		return ReplyConflict, Record{Key: c.Key, Token: c.Token, ResponseHolder: c.ResponseHolder, Imported: c.Imported}, false
 	}
 	if _, revoked := s.revoked[r.Token]; revoked {
 		return ReplyUnavailable, Record{}, false
@@ -323,6 +323,30 @@
 	return c.Response
 }
 
+// ResponseOfKey returns the claim of a key that ran here with its response, whichever token it has and however old it is. It
+// reports false if there is none.
+func (s *Store) ResponseOfKey(key Key) (ran Record, ok bool) {
+	c := s.claims[key]
+	if c == nil || c.Response == nil {
+		return Record{}, false
+	}
+	return Record{Key: c.Key, Token: c.Token, Response: c.Response}, true
+}
+
+// ImportResponse stores the response of a key that another store holds, in place of an imported claim without one. Such a
+// claim may belong to another token, which was never granted. If ok is true, the caller must make the record durable, and then
+// call MarkResponseDurable.
+func (s *Store) ImportResponse(r Record, now time.Duration) (stored Record, ok bool) {
+	if c := s.claims[r.Key]; c == nil || c.executed || r.Response == nil {
+		return Record{}, false
+	}
+	r.Imported = true
+	s.Complete(r, now)
+	c := s.claims[r.Key]
+	c.Imported, c.durable, c.ageUnknown = true, true, true
+	return r, true
+}
+
 // EachResponse calls visit for every stored response with its claim, in no particular order.
 func (s *Store) EachResponse(visit func(Record)) {
 	for _, c := range s.claims {
--- a/internal/control/idempotency/unconfirmed_test.go
+++ b/internal/control/idempotency/unconfirmed_test.go
@@ -88,6 +88,41 @@
 		_, durable = restarted.StoreResponse(withResponse, 0)
 		Expect(durable).To(BeTrue())
 	})
+	It("of a key are found and imported whichever claim ran", func() {
+		other := idempotency.Record{Key: r.Key, Token: idempotency.Token{Incarnation: 2, Sequence: 1}, Response: &idempotency.Response{Status: 200}}
+		source := idempotency.NewStore(time.Minute, false)
+		source.Load(other, 0)
+		Expect(source.Response(r.Key, r.Token)).To(BeNil(), "its age is unknown")
+		ran, ok := source.ResponseOfKey(r.Key)
+		Expect(ok).To(BeTrue())
+		Expect(ran).To(Equal(other))
+		s := idempotency.NewStore(time.Minute, true)
+		s.Import(r, 0)
+		stored, ok := s.ImportResponse(ran, 0)
+		Expect(ok).To(BeTrue())
+		Expect(stored.Imported).To(BeTrue())
+		Expect(s.Response(r.Key, other.Token)).To(Equal(other.Response))
+		Expect(s.Response(r.Key, r.Token)).To(BeNil())
+		s.FinishRecovery()
+		reply, holder, _ := s.Grant(idempotency.Record{Key: r.Key, Token: other.Token}, 0)
+		Expect(reply).To(Equal(idempotency.ReplyConflict), "an imported key is granted to nobody")
+		Expect(holder.Imported).To(BeTrue())
+		_, ok = s.ImportResponse(ran, 0)
+		Expect(ok).To(BeFalse(), "it is stored already")
+	})
+	It("tell whether a majority granted the claim that holds the key", func() {
+		for _, imported := range []bool{false, true} {
+			c := idempotency.NewCoordinator([]string{"a", "b", "c"}, time.Second, time.Second)
+			repeat := idempotency.Record{Key: r.Key, Token: idempotency.Token{Incarnation: 3, Sequence: 1}}
+			c.Start(repeat, 0)
+			c.HandleReply("a", repeat.Token, idempotency.ReplyConflict, r)
+			holder := r
+			holder.Imported = imported
+			_, result := c.HandleReply("b", repeat.Token, idempotency.ReplyConflict, holder)
+			Expect(result.Holder.Token).To(Equal(r.Token))
+			Expect(result.HolderGranted).To(Equal(!imported))
+		}
+	})
 	It("are not stored for a claim of a key that another one ran", func() {
 		s := idempotency.NewStore(time.Minute, false)
 		other := idempotency.Record{Key: r.Key, Token: idempotency.Token{Incarnation: 2, Sequence: 1}, Response: &idempotency.Response{Status: 200}}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -41,6 +41,8 @@
 	ResponseCopies        []idempotency.Record `cbor:"29,keyasint,omitempty"`
 	ResponseCopyReplies   []GrantReply         `cbor:"30,keyasint,omitempty"`
 	ResponseConfirmations []idempotency.Token  `cbor:"31,keyasint,omitempty"`
+	KeyQueries            []idempotency.Record `cbor:"32,keyasint,omitempty"`
+	KeyReplies            []idempotency.Record `cbor:"33,keyasint,omitempty"`
 }
 
 // FrameOf returns a frame that contains the messages. No two of them may be of the same type.
@@ -169,6 +171,12 @@
 	if len(f.ResponseConfirmations) > 0 {
 		messages = append(messages, ResponseConfirmations(f.ResponseConfirmations))
 	}
+	if len(f.KeyQueries) > 0 {
+		messages = append(messages, KeyQueries(f.KeyQueries))
+	}
+	if len(f.KeyReplies) > 0 {
+		messages = append(messages, KeyReplies(f.KeyReplies))
+	}
 	return messages
 }
 
@@ -201,5 +209,7 @@
 	f.ResponseCopies, f.Epoch = c.Records, c.Epoch
 }
 func (r ResponseCopyReplies) addTo(f *Frame)   { f.ResponseCopyReplies = r }
+func (q KeyQueries) addTo(f *Frame)            { f.KeyQueries = q }
+func (r KeyReplies) addTo(f *Frame)            { f.KeyReplies = r }
 func (c ResponseConfirmations) addTo(f *Frame) { f.ResponseConfirmations = c }
 func (s SyncReply) addTo(f *Frame)             { f.SyncReply = uint64(s) }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -189,10 +189,16 @@
 // ResponseQueries request the stored responses for claims from another controller.
 type ResponseQueries []idempotency.Record
 
-// ResponseReplies answer the first claims of ResponseQueries, as many as fit into a frame; a record without a response means
-// that none is stored.
+// ResponseReplies answer ResponseQueries; a record without a response means that none is stored.
 type ResponseReplies []idempotency.Record
 
+// KeyQueries request the stored responses of keys from another controller, whichever claim of the key ran.
+type KeyQueries []idempotency.Record
+
+// KeyReplies answer the first keys of KeyQueries, as many as fit into a frame. A record has the token of the claim that ran;
+// one without a response means that none is stored.
+type KeyReplies []idempotency.Record
+
 // CopyRequest requests all claims of a claim store.
 type CopyRequest struct {
 	Epoch uint64 // epoch of the joint membership in which the sender is a new voter
