Check in the simulation that repeats get the first run's response

Change: edges buffer responses until they are confirmed, controllers replicate, copy and look them up, all with the production's deciders. Edges repeat operations that were answered, at any age within the window. A disk that is lost before all voters are complete excuses the responses before it: that is beyond the tolerance. Three planted faults are seen: a response at one store only, one that is confirmed before it is durable, a successor without responses.

--- a/internal/simulation/audit_membership.go
+++ b/internal/simulation/audit_membership.go
@@ -100,14 +100,19 @@
 	}
 }
 
-// missingVoters describes what is missing for full fault tolerance; empty: nothing.
-func (w *cluster) missingVoters() string {
-	var leader *controller
+// leader returns the running leader that has contact with a majority, or nil.
+func (w *cluster) leader() (leader *controller) {
 	for _, n := range w.controllers {
 		if w.isRunning(n.number) && n.replica.Role() == consensus.Leader && n.replica.HasQuorumContact(w.now) {
 			leader = n
 		}
 	}
+	return leader
+}
+
+// missingVoters describes what is missing for full fault tolerance; empty: nothing.
+func (w *cluster) missingVoters() string {
+	leader := w.leader()
 	if leader == nil {
 		return "no leader"
 	}
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -85,10 +85,16 @@
 }
 
 func (w *cluster) finishClaim(n *controller, o idempotency.Result) {
-	if reply := n.claims[o.Token]; reply != nil {
-		delete(n.claims, o.Token)
-		reply(o.Outcome)
+	reply := n.claims[o.Token]
+	if reply == nil {
+		return
+	}
+	delete(n.claims, o.Token)
+	if o.Outcome != idempotency.OutcomeConflict {
+		reply(o.Outcome, nil)
+		return
 	}
+	w.findResponse(n, o.Holder, o.HolderGranted, func(response *idempotency.Response) { reply(o.Outcome, response) })
 }
 
 // serveClients starts keyed operations at an edge, with new keys and with keys that were attempted before, here or at
@@ -98,16 +104,12 @@
 		return
 	}
 	if w.rng.IntN(6) == 0 {
-		key := idempotency.KeyOf("t", fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second)))
-		if w.attempted[key] {
-			w.result.Repeats++
-		}
-		w.attempted[key] = true
-		w.nextKey++
-		r := idempotency.Record{Key: key, Token: idempotency.Token{Incarnation: uint64(e.number + 1), Sequence: w.nextKey}}
-		e.pendingClaims[r.Token] = &claim{record: r, startedAt: w.now}
-		w.requestClaim(e, r, w.controllerOrDefault(e, w.anyController()))
+		w.startClaim(e, idempotency.KeyOf("t", fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second))))
+	}
+	if w.rng.IntN(lateRepeatTicks) == 0 && len(w.answers) > 0 {
+		w.startClaim(e, w.answers[w.rng.IntN(len(w.answers))].key)
 	}
+	w.sendResponses(e)
 	var pending []*claim
 	for _, c := range e.pendingClaims {
 		pending = append(pending, c)
@@ -131,6 +133,18 @@
 	}
 }
 
+// startClaim has an edge claim a key, which may have been attempted before.
+func (w *cluster) startClaim(e *edge, key idempotency.Key) {
+	if w.attempted[key] {
+		w.result.Repeats++
+	}
+	w.attempted[key] = true
+	w.nextKey++
+	r := idempotency.Record{Key: key, Token: idempotency.Token{Incarnation: uint64(e.number + 1), Sequence: w.nextKey}}
+	e.pendingClaims[r.Token] = &claim{record: r, startedAt: w.now, stable: w.isStable() && e.stableSince <= w.now}
+	w.requestClaim(e, r, w.controllerOrDefault(e, w.anyController()))
+}
+
 // controllerOrDefault returns the controller that an edge is attached to, or fallback if there is none.
 func (w *cluster) controllerOrDefault(e *edge, fallback int) int {
 	if e.controller == nowhere {
@@ -145,10 +159,10 @@
 	n := w.controllers[at]
 	w.send(-1-e.number, at, func() {
 		incarnation := e.incarnation
-		n.claims[r.Token] = func(outcome idempotency.Outcome) {
+		n.claims[r.Token] = func(outcome idempotency.Outcome, response *idempotency.Response) {
 			w.send(at, -1-e.number, func() {
 				if e.incarnation == incarnation {
-					w.handleOutcome(e, r, outcome)
+					w.handleOutcome(e, r, outcome, response)
 				}
 			})
 		}
@@ -161,7 +175,7 @@
 }
 
 // handleOutcome handles the outcome of a claim at an edge. The first decisive outcome counts.
-func (w *cluster) handleOutcome(e *edge, r idempotency.Record, outcome idempotency.Outcome) {
+func (w *cluster) handleOutcome(e *edge, r idempotency.Record, outcome idempotency.Outcome, response *idempotency.Response) {
 	c := e.pendingClaims[r.Token]
 	if c == nil {
 		return
@@ -169,6 +183,9 @@
 	if c.outstanding--; outcome == idempotency.OutcomeUndecided && c.outstanding > 0 {
 		return
 	}
+	if outcome == idempotency.OutcomeConflict {
+		w.auditRepeat(e, r.Key, response, c.startedAt, c.stable)
+	}
 	if outcome != idempotency.OutcomeGranted {
 		w.revokeClaim(e, c)
 		return
@@ -183,7 +200,12 @@
 		w.result.Violation = fmt.Sprintf("TWICE: the operation of a key ran twice, the second time at %s", w.now)
 	}
 	w.membershipAudit.lastRunAt = w.now
-	w.scheduleAfter(time.Duration(20+w.rng.IntN(60))*time.Millisecond, func() { w.keepResponse(e, r) })
+	incarnation := e.incarnation
+	w.scheduleAfter(time.Duration(20+w.rng.IntN(60))*time.Millisecond, func() {
+		if e.incarnation == incarnation { // else the client got no response
+			w.keepResponse(e, r)
+		}
+	})
 	if w.scenario.PlantedFault == "withdraws what ran" && w.rng.IntN(4) == 0 {
 		e.revocations = append(e.revocations, revocation{r, w.now, 0})
 	}
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -18,6 +18,7 @@
 	edgeHedgeDelay      = 60 * time.Millisecond // after which an edge asks a second controller
 	edgeClaimTimeout    = 400 * time.Millisecond
 	revocationRetention = 4 * time.Second
+	lateRepeatTicks     = 20 // mean number of ticks between two repeats of answered operations at an edge
 )
 
 // cluster holds the state of one simulated scenario. A single goroutine advances it, and every random value comes from rng.
@@ -31,6 +32,7 @@
 	clusterNetwork
 	operatorAudit
 	keyAudit
+	responseAudit
 	trafficAudit
 	bookingAudit
 	membershipAudit membershipAudit
@@ -105,6 +107,7 @@
 	w.committedChanges, w.acknowledgedBase, w.rejectedChanges = map[string]committedChange{},
 		map[uint64]string{}, map[string]bool{}
 	w.runs, w.attempted = map[idempotency.Key]int{}, map[idempotency.Key]bool{}
+	w.answerByKey, w.answerByToken = map[idempotency.Key]*answer{}, map[idempotency.Token]*answer{}
 	w.trafficAudit = trafficAudit{arrivalCounts: map[uint64]int{}, runsByRequest: map[uint64]int{}, rejected: map[uint64]bool{},
 		attemptsReached: map[*attemptState]bool{}, requestTimes: map[string][]time.Duration{},
 		retryTimes: map[string][]time.Duration{}, appliedVersions: map[[2]int]uint64{}}
@@ -140,6 +143,7 @@
 	w.auditBudget()
 	w.auditFinalState()
 	w.auditEnd()
+	w.auditKeptResponses()
 	w.summarizeResult()
 	return w.result
 }
@@ -213,6 +217,7 @@
 		w.startReads()
 	}
 	w.auditRecovery()
+	w.auditStrength()
 	if w.scenario.MeasureLatency {
 		w.recordAvoidableWait()
 	}
--- a/internal/simulation/controllers.go
+++ b/internal/simulation/controllers.go
@@ -27,6 +27,7 @@
 	controllerFaults
 	consensusState
 	claimState
+	responseState
 	serverState
 	reservations controllerReservations
 	shuttingDown bool
@@ -70,7 +71,7 @@
 type claimState struct {
 	claimStore  *idempotency.Store
 	coordinator *idempotency.Coordinator
-	claims      map[idempotency.Token]func(idempotency.Outcome)
+	claims      map[idempotency.Token]func(idempotency.Outcome, *idempotency.Response)
 	copiedFrom  map[string]bool // replicas whose claims were copied for the current membership change
 	nextCopy    time.Duration
 }
@@ -103,6 +104,7 @@
 
 // wipeController ends a controller's process for the given time, then starts it with an empty disk.
 func (w *cluster) wipeController(n *controller, down time.Duration) {
+	w.auditWipe()
 	w.endController(n, down)
 	w.loseDisk(n)
 	w.startController(n)
@@ -138,7 +140,8 @@
 	}
 	n.coordinator = idempotency.NewCoordinator(nil, hedgeDelay, claimTimeout)
 	n.state, n.proposals, n.claims = statemachine.New(), map[uint64]pendingProposal{},
-		map[idempotency.Token]func(idempotency.Outcome){}
+		map[idempotency.Token]func(idempotency.Outcome, *idempotency.Response){}
+	w.startResponses(n)
 	n.shuttingDown, n.retired, n.reads, n.unreadCalls, n.leaseUntil = false, false, nil, nil, 0
 	w.setStores(n)
 	n.registry = registry.New(90 * time.Second)
@@ -168,6 +171,7 @@
 	for _, o := range done {
 		w.finishClaim(n, o)
 	}
+	w.tickResponses(n)
 	w.requestCopies(n)
 	n.broadcaster.Tick(w.now)
 	isLost := func(owner string) bool {
--- a/internal/simulation/edges.go
+++ b/internal/simulation/edges.go
@@ -16,6 +16,7 @@
 	controller          int
 	pendingClaims       map[idempotency.Token]*claim
 	revocations         []revocation
+	unconfirmed         *idempotency.Unconfirmed
 
 	frozenUntil, partitionUntil time.Duration
 	stableSince                 time.Duration // from when it counts as stable: stabilizationTime after its last fault
@@ -38,6 +39,7 @@
 type claim struct {
 	record      idempotency.Record
 	startedAt   time.Duration
+	stable      bool // the edge and the controllers were stable at startedAt
 	outstanding int
 	hedged      bool
 }
@@ -52,6 +54,7 @@
 func (w *cluster) restartEdge(e *edge) {
 	e.incarnation++
 	e.pendingClaims, e.revocations = map[idempotency.Token]*claim{}, nil
+	e.unconfirmed = idempotency.NewUnconfirmed(keyWindow, maxUnconfirmedBytes)
 	e.registry, e.serviceRequests, e.withoutTableSince = registry.New(90*time.Second), map[string]int{},
 		map[string]time.Duration{}
 	e.reservations = edgeReservations{leases: reservation.LeaseHolder{Incarnation: uint64(e.incarnation)},
--- a/internal/simulation/links.go
+++ b/internal/simulation/links.go
@@ -79,6 +79,8 @@
 			k.silent = false
 		case wanted && passes && w.now >= k.redialAt:
 			w.connect(k)
+		case wanted && !passes && k.a < 0: // the edge can't connect to the controller that it chose
+			w.detach(w.edges[-1-k.a])
 		}
 	}
 }
@@ -102,10 +104,13 @@
 		}
 	}
 	if k.a < 0 && w.edges[-1-k.a].controller == k.b {
-		w.edges[-1-k.a].controller, w.edges[-1-k.a].nextSearch = nowhere, w.now+searchInterval
+		w.detach(w.edges[-1-k.a])
 	}
 }
 
+// detach has an edge search for another controller.
+func (w *cluster) detach(e *edge) { e.controller, e.nextSearch = nowhere, w.now+searchInterval }
+
 // connect brings a link up. Each end sends its state, and from then on its changes.
 func (w *cluster) connect(k *link) {
 	k.up, k.silent, k.incarnations = true, false, [2]int{w.incarnationOf(k.a), w.incarnationOf(k.b)}
@@ -115,6 +120,7 @@
 		other := []int{k.b, k.a}[i]
 		if process < 0 {
 			e := w.edges[-1-process]
+			e.unconfirmed.SendAgain(w.now)
 			if entries := e.registry.All(w.now); len(entries) > 0 {
 				w.sendOnLink(k, process, func() { w.applyUpdate(w.controllers[other], process, entries, 0) })
 			}
--- a/internal/simulation/membership.go
+++ b/internal/simulation/membership.go
@@ -95,6 +95,9 @@
 	for _, o := range done {
 		w.finishClaim(n, o)
 	}
+	requests, done = n.replication.SetStores(n.identity, n.membership.Voters, n.membership.Next)
+	w.sendResponseCopies(n, requests)
+	w.finishResponses(n, done)
 }
 
 func (n *controller) replicaStatus() replicaStatus {
@@ -134,6 +137,7 @@
 	for _, o := range n.coordinator.DiscardGrants(identity) {
 		w.finishClaim(n, o)
 	}
+	w.finishResponses(n, n.replication.DiscardGrants(identity))
 }
 
 // replicaAt returns the linked controller that runs a replica. It returns nil if another replica, or none, runs at its
@@ -255,5 +259,6 @@
 		}
 		n.claimStore.FinishRecovery()
 		w.announceStatus(n)
+		w.startBackfill(n)
 	})
 }
--- a/internal/simulation/membership_test.go
+++ b/internal/simulation/membership_test.go
@@ -29,6 +29,7 @@
 		all := runScenarios(simulation.NewReplacementChainScenario, 2)
 		Expect(all.Memberships).To(BeNumerically(">", 30))
 		Expect(all.HandedOver).To(BeNumerically(">", 100))
+		Expect(all.Kept).To(BeNumerically(">", 500))
 	})
 	DescribeTable("detect a planted fault", func(fault, rules string) {
 		if raceDetector {
@@ -51,6 +52,7 @@
 		Entry("an identity that is reused after its disk was lost", "an identity is used again", "TWICE"),
 		Entry("a removed member that grants", "a removed member grants", "MEMBERS|REMOVED"),
 		Entry("a removed identity that is added again", "a retired identity is kept", "MEMBERS|REMOVED"),
+		Entry("a successor that copies claims without their responses", "a successor copies no answers", "DENIED|KEPT"),
 		Entry("a controller that shuts down without handing its responses over", "a leaving controller keeps its answers",
 			"KEPT"),
 	)
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -22,6 +22,8 @@
 	Reads         int             // confirmed reads
 	Retries       int             // acknowledged changes that were sent again and replied to
 	HandedOver    int             // stored responses of controllers that shut down
+	Kept          int             // confirmed responses that were found at the end
+	RepeatsServed int             // repeats that got the response of the first run
 	RecoveryTimes []time.Duration // from the end of a fault to full fault tolerance
 
 	Tenant, Others TrafficStats // only with a BookingLoad
@@ -41,6 +43,8 @@
 	r.Reads += o.Reads
 	r.Retries += o.Retries
 	r.HandedOver += o.HandedOver
+	r.Kept += o.Kept
+	r.RepeatsServed += o.RepeatsServed
 	r.RecoveryTimes = append(r.RecoveryTimes, o.RecoveryTimes...)
 	r.Tenant.add(o.Tenant)
 	r.Others.add(o.Others)
--- a/internal/simulation/shutdown.go
+++ b/internal/simulation/shutdown.go
@@ -144,18 +144,3 @@
 	sortRecords(all)
 	return all
 }
-
-// keepResponse sends the response of a keyed operation from an edge to its controller, which stores it.
-func (w *cluster) keepResponse(e *edge, r idempotency.Record) {
-	if e.controller == nowhere {
-		return
-	}
-	if k := w.linkBetween(e.controller, -1-e.number); k != nil {
-		n := w.controllers[e.controller]
-		r.ResponseHolder, r.Response = n.name, &idempotency.Response{Status: 200}
-		w.sendOnLink(k, -1-e.number, func() {
-			n.claimStore.Complete(r, w.now)
-			w.persist(n, func(d *disk) { d.records = append(d.records, r) }, func(bool) {})
-		})
-	}
-}
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -47,6 +47,8 @@
 		Expect(all.Changes).To(BeNumerically(">", 1000))
 		Expect(all.Runs).To(BeNumerically(">", 2500))
 		Expect(all.Repeats).To(BeNumerically(">", 3000))
+		Expect(all.RepeatsServed).To(BeNumerically(">", 10_000), "repeats get the response of the first run")
+		Expect(all.Kept).To(BeNumerically(">", 1000), "confirmed responses are on a majority of the stores at the end")
 	})
 	It("violate no rule while servers start, drain and fail, over a million events", func() {
 		if raceDetector {
@@ -141,6 +143,11 @@
 		Entry("a claim store that recovers from a single copy", "restored from one", "TWICE", simulation.NewScenario),
 		Entry("an edge that revokes the claim of an operation that ran", "withdraws what ran", "TWICE", simulation.NewScenario),
 		Entry("a claim granted by a single store", "one ledger is enough", "TWICE", simulation.NewScenario),
+		Entry("a response that only one controller stores", "one store keeps an answer", "DENIED|KEPT", simulation.NewScenario),
+		Entry("a response that is confirmed before it is durable", "an answer is confirmed before it is stored", "DENIED|KEPT",
+			simulation.NewScenario),
+		Entry("a successor that copies claims without their responses", "a successor copies no answers", "DENIED|KEPT",
+			simulation.NewScenario),
 		Entry("a voter that votes with an empty disk", "votes with an empty disk", "CONFIG|LOST|LEADER|TWICE",
 			simulation.NewScenario),
 		Entry("a snapshot that drops the log after it", "a snapshot drops the log after it", "FAULT", simulation.NewScenario),
