Soak: lose disks in turn, and repeat operations up to 40 s after their answer

Cause: the soak repeated operations at most 2.5 s after their answer, and a lost disk was rare among other faults, so that no repeat came after a loss while all machines were in contact.

A quarter of the keyed operations are sent again at two edges, at ages up to 40 s.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -24,6 +24,9 @@
 	lateRepeatEveryNth = 10 // one in so many keyed operations is repeated twice at once, long after a successful response
 	minLateRepeat      = minRepeatAge + 100*time.Millisecond
 	maxLateRepeat      = minRepeatAge + 1500*time.Millisecond
+	// One in oldRepeatEveryNth keyed operations is repeated at an age of up to maxOldRepeat, after losses that came meanwhile.
+	oldRepeatEveryNth = 4
+	maxOldRepeat      = 40 * time.Second
 
 	// Parameters of clients that connect to a draining edge.
 	minArrivalGap   = 10 * time.Millisecond
@@ -107,7 +110,7 @@
 		case draw < 13:
 			c.sendKept(Note)
 		case draw < 17:
-			c.sendKeyed()
+			c.sendKeyed(ctx)
 		case draw == 17:
 			c.sendKept(Stream)
 		case draw == 18:
@@ -182,7 +185,7 @@
 
 // sendKeyed sends a keyed operation until the response is conclusive, with retries on new connections, and sometimes repeats it
 // afterwards.
-func (c *client) sendKeyed() {
+func (c *client) sendKeyed(ctx context.Context) {
 	key := c.nextID("k")
 	for send := range maxSends {
 		var other *connection
@@ -196,7 +199,10 @@
 		}
 		again := request.Status != http.StatusOK || !request.Complete
 		if !again && hashDraw(key, "late", lateRepeatEveryNth) == 0 {
-			c.repeatLate(key)
+			c.repeatLate(ctx, key, maxLateRepeat)
+		}
+		if !again && hashDraw(key, "old", oldRepeatEveryNth) == 0 {
+			c.repeatLate(ctx, key, maxOldRepeat)
 		}
 		if !again && hashDraw(key, "repeat", repeatEveryNth) != 0 {
 			return
@@ -205,13 +211,17 @@
 	}
 }
 
-// repeatLate repeats a keyed operation at two random edges at once, long after its successful response.
-func (c *client) repeatLate(key string) {
+// repeatLate repeats a keyed operation at two random edges, at ages from minLateRepeat to maxAge. Repeats that would come
+// after the end of ctx are left out.
+func (c *client) repeatLate(ctx context.Context, key string, maxAge time.Duration) {
 	seed := c.random.Uint64()
 	for range 2 {
 		repeat := &client{clientPool: c.clientPool, number: 1, random: rand.New(rand.NewPCG(seed, c.random.Uint64()))}
 		c.active.Go(func() {
-			time.Sleep(repeat.between(minLateRepeat, maxLateRepeat))
+			sleep(ctx, repeat.between(minLateRepeat, maxAge))
+			if ctx.Err() != nil {
+				return
+			}
 			var conn *connection
 			repeat.sendOn(&conn, repeat.newRequest(Post, key))
 			if conn != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -150,11 +150,20 @@
 	maxStormChanges    = 8
 	minWaveClients     = 8
 	innerTLSEverySeeds = 4 // one in so many seeds has inner TLS
+	// One in wipesInTurnEverySeeds seeds loses the disks of all controllers in turn, wipeIntervalS apart, so that repeats come
+	// in between while all machines are in contact.
+	wipesInTurnEverySeeds = 4
+	wipesInTurnSeed       = 3
+	wipeIntervalS         = 10.0
 )
 
 // Draw generates a schedule. Equal arguments give equal schedules.
 func Draw(seed uint64, size Size) Schedule {
-	d := &scheduleGenerator{random: rand.New(rand.NewPCG(seed, 1)), size: size, end: size.DurationSeconds - quietEndS}
+	d := &scheduleGenerator{random: rand.New(rand.NewPCG(seed, 1)), size: size, end: size.DurationSeconds - quietEndS,
+		wipesInTurn: seed%wipesInTurnEverySeeds == wipesInTurnSeed}
+	if d.wipesInTurn {
+		d.wipeInTurn()
+	}
 	for at := quietStartS; at < d.end; at += d.between(0.1, maxEventGapS) {
 		d.drawEvent(at)
 	}
@@ -181,6 +190,7 @@
 	events            []Event
 	wipedAt           float64 // 0 before the first lost disk
 	controllerFaultAt float64 // time of the last controller fault; 0 before the first
+	wipesInTurn       bool    // controllers have no other faults than lost disks
 }
 
 func (d *scheduleGenerator) between(low, high float64) float64 {
@@ -233,9 +243,21 @@
 	}
 }
 
+// wipeInTurn adds the loss of each controller's disk in turn, half of them together with the end of an edge.
+func (d *scheduleGenerator) wipeInTurn() {
+	controllers := d.size.controllerNames()
+	order := d.random.Perm(len(controllers))
+	for i, at := 0, d.between(quietStartS, wipeIntervalS); at < d.end; i, at = i+1, at+wipeIntervalS {
+		d.add(Event{AtS: at, Kind: Wipe, On: controllers[order[i%len(order)]]})
+		if d.random.IntN(2) == 0 {
+			d.add(Event{AtS: at, Kind: Kill, On: d.pick(d.size.edgeNames())})
+		}
+	}
+}
+
 // drawCoreEvent draws a fault of a controller, unless the repair of a lost disk may still be in progress.
 func (d *scheduleGenerator) drawCoreEvent(at float64) {
-	if d.wipedAt > 0 && at-d.wipedAt < recoveryTimeS {
+	if d.wipesInTurn || d.wipedAt > 0 && at-d.wipedAt < recoveryTimeS {
 		return
 	}
 	on := d.pick(d.size.controllerNames())
