Name two methods of the claim store and the edge's buffer by what they do

Change: MarkAllDue; StoreResponse reports stored and durable. Measured: the packages' tests pass; no behaviour changes.

--- a/internal/control/controller/response_replication.go
+++ b/internal/control/controller/response_replication.go
@@ -81,9 +81,9 @@
 		return
 	}
 	r.ResponseHolder = s.Settings.IP
-	held, durable := s.store.StoreResponse(r, s.Now())
+	stored, durable := s.store.StoreResponse(r, s.Now())
 	switch {
-	case !held:
+	case !stored:
 		done(idempotency.ReplyUnavailable)
 		return
 	case durable:
--- a/internal/control/idempotency/unconfirmed.go
+++ b/internal/control/idempotency/unconfirmed.go
@@ -74,8 +74,8 @@
 	b.entries = slices.DeleteFunc(b.entries, func(u *unconfirmedResponse) bool { return b.byToken[u.record.Token] != u })
 }
 
-// SendAgain makes all responses due. It is called when the edge attaches to a controller, which may know none of them.
-func (b *Unconfirmed) SendAgain(now time.Duration) {
+// MarkAllDue makes all responses due. It is called when the edge attaches to a controller, which may have none of them.
+func (b *Unconfirmed) MarkAllDue(now time.Duration) {
 	for _, u := range b.entries {
 		u.sendAt, u.delay = now, minResendDelay
 	}
--- a/internal/control/idempotency/unconfirmed_test.go
+++ b/internal/control/idempotency/unconfirmed_test.go
@@ -41,7 +41,7 @@
 		b.Add(response(1, 10), 0)
 		b.Add(response(2, 10), 0)
 		Expect(sequences(b.Due(0, large))).To(Equal([]uint64{1, 2}))
-		b.SendAgain(100 * time.Millisecond)
+		b.MarkAllDue(100 * time.Millisecond)
 		Expect(sequences(b.Due(100*time.Millisecond, large))).To(Equal([]uint64{1, 2}))
 		Expect(b.Due(200*time.Millisecond, large)).To(BeEmpty())
 	})
--- a/internal/edge/proxy/claims.go
+++ b/internal/edge/proxy/claims.go
@@ -259,7 +259,7 @@
 // resendResponses sends the unconfirmed responses to a new controller: the previous one may have replicated none of them.
 func (t *claimTracker) resendResponses() {
 	t.mu.Lock()
-	t.unconfirmed.SendAgain(t.Now())
+	t.unconfirmed.MarkAllDue(t.Now())
 	t.mu.Unlock()
 	t.sendResponses()
 }
--- a/internal/simulation/links.go
+++ b/internal/simulation/links.go
@@ -120,7 +120,7 @@
 		other := []int{k.b, k.a}[i]
 		if process < 0 {
 			e := w.edges[-1-process]
-			e.unconfirmed.SendAgain(w.now)
+			e.unconfirmed.MarkAllDue(w.now)
 			if entries := e.registry.All(w.now); len(entries) > 0 {
 				w.sendOnLink(k, process, func() { w.applyUpdate(w.controllers[other], process, entries, 0) })
 			}
--- a/internal/simulation/responses.go
+++ b/internal/simulation/responses.go
@@ -105,9 +105,9 @@
 		return
 	}
 	r.ResponseHolder = n.name
-	held, durable := n.claimStore.StoreResponse(r, w.now)
+	stored, durable := n.claimStore.StoreResponse(r, w.now)
 	switch {
-	case !held:
+	case !stored:
 		reply(idempotency.ReplyUnavailable)
 		return
 	case durable:
