--- a/internal/control/idempotency/store.go
+++ b/internal/control/idempotency/store.go
@@ -280,7 +280,8 @@
 }
 
 // StoreResponse stores the response of a claim that ran, as Complete does. It reports whether the store has that claim, and
-// whether the response is durable already. If it isn't, the caller must make the record durable, and then call MarkResponseDurable.
+// whether the response is durable already. If it isn't, the caller must make the record durable, and then call
+// MarkResponseDurable.
 func (s *Store) StoreResponse(r Record, now time.Duration) (stored, durable bool) {
 	s.Complete(r, now)
 	c := s.findClaim(responseRef{r.Key, r.Token})
--- a/internal/simulation/audit_responses.go
+++ b/internal/simulation/audit_responses.go
@@ -62,17 +62,17 @@
 }
 
 // auditRepeat checks what a repeat got whose key is held by another claim: the response of the first run or, for a while, none.
-// startedAt is when the repeat was sent, and stable whether its edge and the controllers were stable then.
-func (w *cluster) auditRepeat(e *edge, key idempotency.Key, response *idempotency.Response, startedAt time.Duration, stable bool) {
-	a := w.answerByKey[key]
+func (w *cluster) auditRepeat(e *edge, repeat *claim, response *idempotency.Response) {
+	a := w.answerByKey[repeat.record.Key]
 	switch {
 	case response != nil && (a == nil || string(response.Body) != string(responseOf(a.token).Body)):
 		w.fail("MIXED: a repeat got a response that is not that of its key's run")
 	case response != nil:
 		w.result.RepeatsServed++
-	case a != nil && a.inTouch && !a.excused && stable && w.isStable() && e.stableSince <= w.now &&
-		startedAt > a.at+minRepeatAge && w.now < a.at+keyWindow:
-		w.fail("DENIED: a repeat at edge %d got 409 %s after its key's operation was answered", e.number, startedAt-a.at)
+	case a != nil && a.inTouch && !a.excused && repeat.stable && w.isStable() && e.stableSince <= w.now &&
+		repeat.startedAt > a.at+minRepeatAge && w.now < a.at+keyWindow:
+		w.fail("DENIED: a repeat at edge %d got 409 %s after its key's operation was answered", e.number,
+			repeat.startedAt-a.at)
 	}
 }
 
@@ -83,9 +83,9 @@
 	}
 	switch complete := w.missingVoters() == "" && !w.backfilling(); {
 	case !complete:
-		w.responseAudit.completeSince = 0
-	case w.responseAudit.completeSince == 0:
-		w.responseAudit.completeSince = w.now
+		w.completeSince = 0
+	case w.completeSince == 0:
+		w.completeSince = w.now
 	}
 }
 
@@ -97,11 +97,11 @@
 // auditWipe is called before a disk is lost. If the controllers have not recovered from the losses before, the responses so
 // far may be lost.
 func (w *cluster) auditWipe() {
-	if w.responseAudit.lastWipeAt == w.now {
+	if w.lastWipeAt == w.now {
 		return // several disks are lost at once, as many as are tolerated
 	}
-	w.responseAudit.lastWipeAt = w.now
-	since := w.responseAudit.completeSince
+	w.lastWipeAt = w.now
+	since := w.completeSince
 	if since > 0 && w.now-since >= minStrengthTime {
 		return
 	}
@@ -112,7 +112,7 @@
 
 // auditKeptResponses checks at the end that a majority of the voters holds each response that was confirmed to its edge.
 func (w *cluster) auditKeptResponses() {
-	since := w.responseAudit.completeSince
+	since := w.completeSince
 	if since == 0 || w.now-since < minStrengthTime {
 		return
 	}
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -94,7 +94,7 @@
 		reply(o.Outcome, nil)
 		return
 	}
-	w.findResponse(n, o.Holder, o.HolderGranted, func(response *idempotency.Response) { reply(o.Outcome, response) })
+	w.findResponse(n, o, func(response *idempotency.Response) { reply(o.Outcome, response) })
 }
 
 // serveClients starts keyed operations at an edge, with new keys and with keys that were attempted before, here or at
@@ -184,7 +184,7 @@
 		return
 	}
 	if outcome == idempotency.OutcomeConflict {
-		w.auditRepeat(e, r.Key, response, c.startedAt, c.stable)
+		w.auditRepeat(e, c, response)
 	}
 	if outcome != idempotency.OutcomeGranted {
 		w.revokeClaim(e, c)
--- a/internal/simulation/responses.go
+++ b/internal/simulation/responses.go
@@ -240,16 +240,17 @@
 	return replies
 }
 
-// findResponse looks for the response of a claim that holds a key, and calls done with it, or with nil if there is none. If it
+// findResponse looks for the response of the claim that holds a key, and calls done with it, or with nil if there is none. If it
 // isn't known that a majority granted the claim, a response of another claim of the key will do.
-func (w *cluster) findResponse(n *controller, claim idempotency.Record, granted bool, done func(*idempotency.Response)) {
+func (w *cluster) findResponse(n *controller, conflict idempotency.Result, done func(*idempotency.Response)) {
+	claim := conflict.Holder
 	ofClaim := func(at *controller) *idempotency.Response { return at.claimStore.Response(claim.Key, claim.Token) }
 	ofKey := func(at *controller) *idempotency.Response {
 		ran, _ := at.claimStore.ResponseOfKey(claim.Key)
 		return ran.Response
 	}
 	w.askAll(n, ofClaim, func(response *idempotency.Response) {
-		if response != nil || granted {
+		if response != nil || conflict.HolderGranted {
 			done(response)
 			return
 		}
