Name the tenant of a host by one function, for routes, keys and bookings

A host with a trailing dot got 404.

Cause: the claim store took Host in lower case, with its port, for the tenant; the tree of routes cut the port off, bookings compared the routes' hosts in lower case. Three rules for one name.

Change: config.TenantOf, the only place where hosts are compared: without port and trailing dot, in lower case, IP addresses in one spelling; an error for a text that is no host, which gets 400 and runs nothing. Routes carry their tenant.

Why this works: the route that a request goes by and the key that it is claimed under come from the same name, and an operation under either name conflicts with it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,8 +76,9 @@
 	Split         []Share `json:"split"`
 	MaxServers    int     `json:"tries"` // number of servers that a request may reach
 
-	Host string          `json:"-"`
-	raw  json.RawMessage // original bytes
+	Host   string          `json:"-"`
+	Tenant string          `json:"-"` // of Host, as TenantOf names it
+	raw    json.RawMessage // original bytes
 }
 
 // Shares returns the services that receive a route's requests: Split, or Service with weight 1.
@@ -316,7 +317,7 @@
 	}
 	for _, h := range hosts {
 		for _, raw := range h.Routes {
-			r := &Route{raw: raw, Host: h.Host}
+			r := &Route{raw: raw, Host: h.Host, Tenant: tenantOrText(h.Host)}
 			if err := json.Unmarshal(raw, r); err != nil {
 				return apierror.Invalid.New("route: %s", err)
 			}
--- a/internal/config/tree.go
+++ b/internal/config/tree.go
@@ -4,8 +4,8 @@
 
 // Tree finds the route of a request by host, then by the longest prefix, one path segment per level. It is immutable.
 type Tree struct {
-	Config *Config
-	hosts  map[string]*node
+	Config  *Config
+	tenants map[string]*node
 }
 
 type node struct {
@@ -15,13 +15,12 @@
 
 // NewTree returns the route tree of a configuration.
 func NewTree(c *Config) *Tree {
-	t := &Tree{Config: c, hosts: map[string]*node{}}
+	t := &Tree{Config: c, tenants: map[string]*node{}}
 	for _, r := range c.Routes {
-		host := strings.ToLower(r.Host)
-		n := t.hosts[host]
+		n := t.tenants[r.Tenant]
 		if n == nil {
 			n = &node{}
-			t.hosts[host] = n
+			t.tenants[r.Tenant] = n
 		}
 		for _, segment := range segments(r.Prefix) {
 			if n.next == nil {
@@ -48,12 +47,18 @@
 	return strings.Split(strings.TrimSuffix(prefix, "/"), "/")
 }
 
-// Find returns the route with the longest prefix that matches, or nil. The host may include a port.
+// Find returns the route of a host's tenant with the longest prefix that matches, or nil.
 func (t *Tree) Find(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
+	tenant, err := TenantOf(host)
+	if err != nil {
+		return nil
 	}
-	n := t.hosts[strings.ToLower(host)]
+	return t.FindTenant(tenant, path)
+}
+
+// FindTenant returns the route of a tenant, as TenantOf names it, with the longest prefix that matches, or nil.
+func (t *Tree) FindTenant(tenant, path string) *Route {
+	n := t.tenants[tenant]
 	if n == nil || !strings.HasPrefix(path, "/") {
 		return nil
 	}
--- a/internal/edge/proxy/pipeline.go
+++ b/internal/edge/proxy/pipeline.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"mulleinwood/internal/config"
-	"mulleinwood/internal/control/idempotency"
 	"mulleinwood/internal/edge/attempt"
 	"mulleinwood/internal/edge/retrybudget"
 	"mulleinwood/internal/platform/apierror"
@@ -17,9 +16,6 @@
 const (
 	// queueShare is the fraction of the latency target that a request may wait in the queue for a slot at a server.
 	queueShare = 0.2
-	// claimShare is the fraction of the time left that a claim may take, maxClaimWait its upper bound.
-	claimShare   = 0.5
-	maxClaimWait = 1200 * time.Millisecond
 	// returnMargin is subtracted from the deadline so that the response reaches the client in time.
 	returnMargin = 5 * time.Millisecond
 	// minAttemptTime is the least time left at which an attempt is started.
@@ -78,71 +74,20 @@
 	if !strings.HasPrefix(path, "/") { // an absolute URI, which HTTP servers must accept
 		path = r.URL.EscapedPath()
 	}
-	route := tree.Find(r.Host, path)
+	tenant, err := config.TenantOf(r.Host)
+	if err != nil {
+		return nil, err
+	}
+	route := tree.FindTenant(tenant, path)
 	if route == nil {
 		return nil, apierror.NoRoute.New("no route for %s%s", r.Host, path)
 	}
 	return route, nil
 }
 
-// serveKeyed runs an operation at most once: its key is claimed before the first byte is sent to a server, and the response
-// is stored for repeats.
-func (p *Proxy) serveKeyed(w http.ResponseWriter, req *clientRequest) {
-	key := idempotency.KeyOf(strings.ToLower(req.http.Host), req.http.Header.Get(headerOperationKey))
-	giveUpEarly := scale(req.latencyTarget, queueShare)
-	limit := min(maxClaimWait, scale(req.timeLeft(p.Now()), claimShare))
-	req.active.setStage(stageClaiming)
-	claim, outcome := p.claims.acquire(req.http.Context(), key, giveUpEarly, limit)
-	switch {
-	case outcome.Outcome == idempotency.OutcomeUndecided && req.clientLeft():
-		p.reject(w, req.http, apierror.ClientLeft.Wrap(errClientLeft, "claim"))
-		return
-	case outcome.Outcome == idempotency.OutcomeUndecided:
-		p.reject(w, req.http, apierror.Unclaimed.New("the key could not be claimed"))
-		return
-	case outcome.Outcome == idempotency.OutcomeConflict:
-		p.replay(w, req, outcome.Response)
-		return
-	}
-	result := p.forward(req)
-	switch req.retries.ClaimAction(result.cause) {
-	case attempt.CompleteClaim:
-		p.claims.complete(claim, storedResponse(result))
-	case attempt.RevokeClaim:
-		p.claims.revoke(claim)
-	case attempt.KeepClaim: // repeats are answered that the operation is in progress, until the key's window is over
-	}
-	p.respond(w, req, result)
-}
-
 // scale returns d multiplied by share.
 func scale(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
 
-// replay answers a request whose key was claimed before with the stored response of the first run. If first is nil, the
-// first run has no response yet, and the request is rejected.
-func (p *Proxy) replay(w http.ResponseWriter, req *clientRequest, first *idempotency.Response) {
-	if first == nil {
-		p.reject(w, req.http, apierror.AtWork.New("the operation is in progress"))
-		return
-	}
-	header := http.Header{}
-	for name, value := range first.Headers {
-		header.Set(name, value)
-	}
-	p.respond(w, req, attemptResult{cause: attempt.Completed, status: first.Status, header: header, body: first.Body})
-}
-
-// storedResponse returns the parts of a response that repeats of an operation receive.
-func storedResponse(result attemptResult) *idempotency.Response {
-	stored := &idempotency.Response{Status: result.status, Headers: map[string]string{}, Body: result.body}
-	for _, name := range []string{headerServerSeal, "Content-Type"} {
-		if v := result.header.Get(name); v != "" {
-			stored.Headers[name] = v
-		}
-	}
-	return stored
-}
-
 // errDeadlineTooNear is returned if the time left is too short for an attempt at any server.
 var errDeadlineTooNear = errors.New("no time left")
 
--- a/internal/edge/proxy/reservations.go
+++ b/internal/edge/proxy/reservations.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,9 +133,9 @@
 // reservationFor returns the ID of the reservation that a request may use: one of its tenant at its service, preferably one
 // with capacity, or the unreserved part. The caller must hold mu.
 func (g *reservationGates) reservationFor(route *config.Route, service string) string {
-	found, tenant := reservation.UnreservedID(service), strings.ToLower(route.Host)
+	found := reservation.UnreservedID(service)
 	for _, r := range g.announced {
-		if r.Service != service || !g.mayUse(tenant, route.Name, r) {
+		if r.Service != service || !g.mayUse(route, r) {
 			continue
 		}
 		if found = r.ID; g.gates[service].HasCapacity(found) {
@@ -146,10 +145,13 @@
 	return found
 }
 
-// mayUse reports whether a route's requests may use a reservation. tenant is the route's host in lower case.
-func (g *reservationGates) mayUse(tenant, route string, r reservation.Reservation) bool {
-	ofTenant := r.Tenant != "" && strings.ToLower(r.Tenant) == tenant
-	return ofTenant && (r.Route == "" || r.Route == route) && (r.Zone == "" || r.Zone == g.Settings.Zone)
+// mayUse reports whether a route's requests may use a reservation.
+func (g *reservationGates) mayUse(route *config.Route, r reservation.Reservation) bool {
+	tenant, err := config.TenantOf(r.Tenant)
+	if err != nil || tenant != route.Tenant {
+		return false
+	}
+	return (r.Route == "" || r.Route == route.Name) && (r.Zone == "" || r.Zone == g.Settings.Zone)
 }
 
 // enter counts the demand of a request. It returns nil if no reservation is in force at the service.
--- a/internal/simulation/claims.go
+++ b/internal/simulation/claims.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mulleinwood/internal/config"
 	"mulleinwood/internal/control/idempotency"
 )
 
@@ -104,7 +105,7 @@
 		return
 	}
 	if w.rng.IntN(6) == 0 {
-		w.startClaim(e, idempotency.KeyOf("t", fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second))))
+		w.startClaim(e, idempotency.KeyOf(w.tenantOfClient(), fmt.Sprint(w.rng.IntN(40), "-", w.now/(4*time.Second))))
 	}
 	if w.rng.IntN(lateRepeatTicks) == 0 && len(w.answers) > 0 {
 		w.startClaim(e, w.answers[w.rng.IntN(len(w.answers))].key)
@@ -133,6 +134,18 @@
 	}
 }
 
+// hostForms are the forms in which clients write the host of the one tenant.
+var hostForms = []string{"t.example", "T.Example", "t.example:80", "t.example:8641", "t.example."}
+
+// tenantOfClient returns the tenant of a client's request, whose host has one form after the other.
+func (w *cluster) tenantOfClient() string {
+	tenant, err := config.TenantOf(hostForms[w.nextKey%uint64(len(hostForms))])
+	if err != nil {
+		w.fail("FAULT: %v", err)
+	}
+	return tenant
+}
+
 // startClaim has an edge claim a key, which may have been attempted before.
 func (w *cluster) startClaim(e *edge, key idempotency.Key) {
 	if w.attempted[key] {
