Soak: count what a leaving server cuts off as broken off by it

The stand-in marked its own cut as abandoned by the caller, since only crashes are marked as the server's doing; the edge had read EOF from it, tried another server, and answered 502.

Change: a stand-in that leaves after a drain or a DELETE marks what it still works on as broken off, as one that crashes does.

--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -135,12 +135,14 @@
 				one.recordLeft()
 			}
 			sleep(ctx, serveAfterLeaving)
+			one.crash() // it cuts off what it still works on
 			one.Stop()
 		case ServerLeave:
 			if one.Leave(ctx) {
 				one.recordLeft()
 			}
 			sleep(ctx, serveAfterLeaving)
+			one.crash()
 			one.Crash()
 		case ServerCrash:
 			one.crash()
