--- a/internal/control/controller/cluster_harness_test.go
+++ b/internal/control/controller/cluster_harness_test.go
@@ -66,10 +66,9 @@
 	}{{a, b, endA}, {b, a, endB}} {
 		link := peer.NewLink(end.conn)
 		link.Send(end.own.members.handshake())
+		end.own.remotes = append(end.own.remotes, &remote{link: link})
 		go end.own.runLink(link, func(link *peer.Link, h *peer.Handshake) *remote {
-			r := &remote{link: link, node: h.Node, ip: end.other.Settings.IP, zone: h.Zone}
-			end.own.remotes = append(end.own.remotes, r)
-			return r
+			return &remote{link: link, node: h.Node, ip: end.other.Settings.IP, zone: h.Zone}
 		})
 	}
 }
