Wait in TestKilledWriter until the kernel has released the killed process's lock

Open waits for 0.2 s, which is meant for a process that lives.

Change: the test waits for the lock, 10 s at most, before it opens the record as before; all that it checks stays.

The record's code is unchanged.

--- a/internal/planner/record/record_test.go
+++ b/internal/planner/record/record_test.go
@@ -109,6 +109,7 @@
 			written = n
 		}
 		cmd.Wait()
+		awaitUnlocked(t, file)
 		first, last := checkContents(t, file)
 		if last < written || last > written+1 || last-first >= 50 {
 			t.Fatalf("round %d: entries %d to %d are retained, %d was written", round, first, last, written)
@@ -116,6 +117,19 @@
 	}
 }
 
+// awaitUnlocked waits until the lock of a killed process on a file is gone: the kernel may release it only after the process
+// was reaped, when the mapped pages are freed.
+func awaitUnlocked(t *testing.T, file string) {
+	t.Helper()
+	db, err := bolt.Open(file, 0o600, &bolt.Options{ReadOnly: true, Timeout: 10 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDamagedFiles truncates a record at each page and modifies bytes of each page. Open must detect the damage or the
 // entries must be unaffected; a damaged file must not return other entries, be overwritten or crash the process.
 func TestDamagedFiles(t *testing.T) {
