Tell a planner that ended at once from one that never started, in its tests

Its second planner is meant to end as soon as it runs; on a busy machine it had sent its address and ended before the test looked, and select took either of the two at random.

What the test checks stays.

--- a/internal/planner/program/fleet_test.go
+++ b/internal/planner/program/fleet_test.go
@@ -74,7 +74,12 @@
 	select {
 	case f.planner = <-address:
 	case err := <-f.ended:
-		t.Fatal(err)
+		select {
+		case f.planner = <-address: // it has started, and ended before this goroutine got its address
+			f.ended <- err
+		default:
+			t.Fatal(err)
+		}
 	}
 	return f
 }
