Load claims one by one at the start, and let replicas take a sixth of responses

Change: the check of the file keeps nothing, and the store gets each record as it is read (storage.OpenWith). Replicas may take 0.04.

Measured: the packages' tests.

--- a/internal/control/controller/claims.go
+++ b/internal/control/controller/claims.go
@@ -56,16 +56,19 @@
 	onSynced   func() // called when the handed-over responses are durable at the peer
 }
 
-func newClaimsService(env *node.Env, w *writer, links *linkTable, members membershipState, state *storage.State) *claimsService {
+// newStore returns an empty claim store that grants.
+func newStore(env *node.Env) *idempotency.Store {
+	store := idempotency.NewStore(keyWindow(env), false)
+	store.SetMaxResponseBytes(maxResponseBytes(env))
+	store.LimitReplicas(env.Settings.IP, maxReplicaBytes(env))
+	return store
+}
+
+func newClaimsService(env *node.Env, w *writer, links *linkTable, members membershipState,
+	store *idempotency.Store) *claimsService {
 	s := &claimsService{Env: env, writer: w, links: links, members: members, claimants: map[idempotency.Token]*remote{},
 		copiedFrom: map[string]bool{}, onSynced: func() {}}
-	s.store = idempotency.NewStore(keyWindow(env), state.Recovering)
-	s.store.SetMaxResponseBytes(maxResponseBytes(env))
-	s.store.LimitReplicas(env.Settings.IP, maxReplicaBytes(env))
-	for i, r := range state.Claims {
-		s.store.Load(r, env.Now())
-		state.Claims[i].Response = nil // the store has a copy; all of them twice would take much of the memory
-	}
+	s.store = store
 	s.coordinator = idempotency.NewCoordinator(nil, claimHedgeDelay, claimTimeout)
 	s.responses = newResponseService(env, w, links, members, s.store)
 	return s
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"mulleinwood/internal/control/consensus"
+	"mulleinwood/internal/control/idempotency"
 	"mulleinwood/internal/control/membership"
 	"mulleinwood/internal/control/registry"
 	"mulleinwood/internal/control/statemachine"
@@ -155,7 +156,9 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return fmt.Errorf("create data directory: %w", err)
 	}
-	opened, state, err := storage.Open(dir, keyWindow(c.Env), maxResponseBytes(c.Env))
+	store := newStore(c.Env)
+	opened, state, err := storage.OpenWith(dir, keyWindow(c.Env), maxResponseBytes(c.Env),
+		func(r idempotency.Record) { store.Load(r, c.Now()) })
 	if err != nil {
 		return err
 	}
@@ -167,7 +170,10 @@
 		return fmt.Errorf("store the identity: %w", err)
 	}
 	c.members.load(state)
-	c.claims = newClaimsService(c.Env, c.writer, c.links, c.members, state)
+	if state.Recovering {
+		store.BeginRecovery()
+	}
+	c.claims = newClaimsService(c.Env, c.writer, c.links, c.members, store)
 	c.claims.onSynced = func() { c.shutdown.handOverSynced = true }
 	c.members.claims = c.claims
 	c.weights.tables.UpdateServers(c.servers.load(state.Servers), c.Now())
--- a/internal/control/controller/membership_test.go
+++ b/internal/control/controller/membership_test.go
@@ -6,7 +6,6 @@
 	"github.com/go-kit/log"
 
 	"mulleinwood/internal/control/consensus"
-	"mulleinwood/internal/control/storage"
 	"mulleinwood/internal/node"
 	"mulleinwood/internal/platform/nodesettings"
 )
@@ -17,7 +16,7 @@
 	c := newController(node.Config{Settings: &nodesettings.Settings{IP: "10.0.0.3"}, Logger: log.NewNopLogger()}, 1)
 	c.members.identity, c.members.current = "10.0.0.3", consensus.Membership{Epoch: 4, Voters: []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}}
 	c.consensus.replica = consensus.New(consensus.Config{ID: "10.0.0.3", Timing: consensus.Timing{Heartbeat: heartbeatInterval, ElectionTimeout: electionTimeout}})
-	c.claims = newClaimsService(c.Env, c.writer, c.links, c.members, &storage.State{})
+	c.claims = newClaimsService(c.Env, c.writer, c.links, c.members, newStore(c.Env))
 	c.members.claims = c.claims
 	c.links.known = map[string]bool{"10.0.0.1": true, "10.0.0.2": true, "10.0.0.4": true, "10.0.0.5": true}
 	next := []string{"10.0.0.1", "10.0.0.2", "10.0.0.4"}
--- a/internal/control/controller/responses.go
+++ b/internal/control/controller/responses.go
@@ -24,7 +24,7 @@
 	responseDiskShare   = 0.25
 	// replicaShare limits the part of the machine's memory and disk for responses that other controllers received. It is less
 	// than that of the own ones, whose loss would leave no copy at all.
-	replicaShare = 0.12
+	replicaShare = 0.04
 )
 
 // responseService keeps the responses of keyed operations for repeats: it replicates them, and looks them up here and at other
--- a/internal/control/storage/open.go
+++ b/internal/control/storage/open.go
@@ -81,6 +81,17 @@
 // can't be recovered. A file that can't be read at the moment, or that another version wrote, is left unchanged, and Open
 // returns an error.
 func Open(dir string, window time.Duration, maxResponseBytes int64) (*Storage, *State, error) {
+	var claims []idempotency.Record
+	st, state, err := OpenWith(dir, window, maxResponseBytes, func(r idempotency.Record) { claims = append(claims, r) })
+	if err == nil {
+		state.Claims = claims
+	}
+	return st, state, err
+}
+
+// OpenWith opens the file like Open, and passes the records of claims to load, in the order in which they were written, instead
+// of returning all of them: together they may take more memory than a machine has.
+func OpenWith(dir string, window time.Duration, maxResponseBytes int64, load func(idempotency.Record)) (*Storage, *State, error) {
 	path := filepath.Join(dir, fileName)
 	attemptsPath := path + startAttemptsSuffix
 	corrupt := recordStartAttempt(attemptsPath)
@@ -94,7 +105,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	st := &Storage{db: db, spanLength: window / spansPerWindow, maxResponseBytes: maxResponseBytes,
+	st := &Storage{db: db, spanLength: window / spansPerWindow, maxResponseBytes: maxResponseBytes, loadClaim: load,
 		spans: spans{startedAt: time.Now()}}
 	state, err := st.load()
 	if err != nil {
@@ -177,7 +188,7 @@
 		return err
 	}
 	defer func() { _ = db.Close() }() // the file was only read
-	_, err = (&Storage{db: db, verifyOnly: true}).load()
+	_, err = (&Storage{db: db, loadClaim: func(idempotency.Record) {}}).load()
 	return err
 }
 
@@ -217,7 +228,7 @@
 	if err := s.readServers(tx.Bucket(serversBucket)); err != nil {
 		return err
 	}
-	return st.readClaims(tx.Bucket(claimsBucket), s)
+	return st.readClaims(tx.Bucket(claimsBucket))
 }
 
 func forEach(b *bolt.Bucket, do func(key, value []byte) error) error {
@@ -315,17 +326,17 @@
 }
 
 // readClaims reads the spans of the claim store. The sequence numbers of their records must be consecutive.
-func (st *Storage) readClaims(claims *bolt.Bucket, s *State) error {
+func (st *Storage) readClaims(claims *bolt.Bucket) error {
 	if claims == nil {
 		return errMissingBucket
 	}
 	return claims.ForEachBucket(func(name []byte) error {
 		st.ids, st.sizes = append(st.ids, binary.BigEndian.Uint64(name)), append(st.sizes, 0)
-		return claims.Bucket(name).ForEach(func(key, value []byte) error { return st.readClaim(key, value, s) })
+		return claims.Bucket(name).ForEach(func(key, value []byte) error { return st.readClaim(key, value) })
 	})
 }
 
-func (st *Storage) readClaim(key, value []byte, s *State) error {
+func (st *Storage) readClaim(key, value []byte) error {
 	var r idempotency.Record
 	if err := decodeVerified(key, value, &r); err != nil {
 		return fmt.Errorf("ledger: %w", err)
@@ -338,8 +349,6 @@
 	if r.Response != nil {
 		st.sizes[len(st.sizes)-1] += int64(len(r.Response.Body))
 	}
-	if !st.verifyOnly {
-		s.Claims = append(s.Claims, r)
-	}
+	st.loadClaim(r)
 	return nil
 }
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -76,7 +76,7 @@
 	db               *bolt.DB
 	spanLength       time.Duration
 	maxResponseBytes int64
-	verifyOnly       bool // records of claims are checked when they are read, and not returned
+	loadClaim        func(idempotency.Record) // gets the records of claims when the file is read
 	spans
 }
 
