--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -183,7 +183,8 @@
 // ResponseCopyReplies answer ResponseCopies: a granted response is durable at the sender's claim store.
 type ResponseCopyReplies []GrantReply
 
-// ResponseConfirmations tell an edge the claims whose responses are durable at a majority of the claim stores.
+// ResponseConfirmations tell an edge the claims whose responses it need not send again: they are durable at a majority of the
+// claim stores, or too few stores take them, since they are beyond their limits.
 type ResponseConfirmations []idempotency.Token
 
 // ResponseQueries request the stored responses for claims from another controller.
