--- a/internal/control/controller/response_replication.go
+++ b/internal/control/controller/response_replication.go
@@ -25,8 +25,8 @@
 )
 
 // responseReplication makes the responses of this controller's edges durable at a majority of the claim stores, as far as these
-// have room, and confirms them to the edges then. It follows the rules of claims: during a membership change a response needs majorities of both sets
-// of voters, and a store rejects a request under an older membership.
+// have room, and confirms them to the edges then. It follows the rules of claims: during a membership change a response needs
+// majorities of both sets of voters, and a store rejects a request under an older membership.
 type responseReplication struct {
 	*node.Env
 	writer      *writer
